Admit by a forecast of the engine's memory

Cause: engines fill up in the middle of decoding, since outputs are of unknown length. Change: the toucan policy sums the conditional demand of what runs over 24 horizons and admits at a quantile, bounds the batch with a step model learned by least squares, limits prompt computation in flight by its measured rate, orders by toucanfair, refuses at once what would wait past the first-token bound, and widens its margin on preemptions and on use beyond forecasts.

--- /dev/null
+++ b/toucanadmit/engine_test.go
@@ -0,0 +1,354 @@
+package toucanadmit
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// modelEngine is a deterministic engine that batches continuously under one policy.
+type modelEngine struct {
+	policy      Policy
+	now         time.Time
+	blocks      int
+	running     []*generation
+	waiting     []*generation
+	byID        map[string]*generation
+	preemptions uint64
+	step        time.Duration
+	slowdown    float64
+	reports     []EngineReport
+	usedSum     float64
+	steps       int
+}
+
+const (
+	modelBlockTokens = 16
+	modelChunk       = 512
+	modelSequences   = 256
+	modelReportEvery = 250 * time.Millisecond
+	modelReportLag   = 500 * time.Millisecond
+)
+
+type generation struct {
+	request   Request
+	output    int
+	priority  int
+	arrival   int
+	produced  int
+	prefill   int
+	blocks    int
+	last      time.Time
+	worstGap  time.Duration
+	firstWait time.Duration
+	gaps      []time.Duration
+	refused   bool
+	refusedIn time.Duration
+	done      bool
+}
+
+func modelRank(a, b *generation) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.arrival, b.arrival))
+}
+
+func newModelEngine(p Policy, blocks int) *modelEngine {
+	return &modelEngine{
+		policy: p, blocks: blocks, slowdown: 1, now: time.Unix(1000, 0), byID: make(map[string]*generation),
+	}
+}
+
+func (e *modelEngine) offer(g *generation) {
+	e.byID[g.request.ID] = g
+	g.last = e.now
+	if err := e.policy.Offer(e.now, g.request); err != nil {
+		g.refused = true
+		return
+	}
+	e.schedule()
+}
+
+func (e *modelEngine) schedule() {
+	for _, id := range e.policy.Expired(e.now) {
+		g := e.byID[id]
+		g.refused = true
+		g.refusedIn = e.now.Sub(g.request.Arrived)
+	}
+	for _, s := range e.policy.Next(e.now) {
+		g := e.byID[s.ID]
+		g.priority = s.Priority
+		g.arrival = e.steps
+		e.enqueue(g)
+	}
+}
+
+func (e *modelEngine) enqueue(g *generation) {
+	i, _ := slices.BinarySearchFunc(e.waiting, g, modelRank)
+	e.waiting = slices.Insert(e.waiting, i, g)
+}
+
+func (e *modelEngine) used() int {
+	sum := 0
+	for _, g := range e.running {
+		sum += g.blocks
+	}
+	return sum
+}
+
+func modelBlocks(tokens int) int { return (tokens + modelBlockTokens - 1) / modelBlockTokens }
+
+func (e *modelEngine) admit() {
+	used := e.used()
+	for len(e.waiting) > 0 && len(e.running) < modelSequences {
+		g := e.waiting[0]
+		need := modelBlocks(g.request.PromptTokens + g.produced + 1)
+		if used+need > e.blocks {
+			return
+		}
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, g)
+		g.blocks = need
+		g.prefill = g.request.PromptTokens + g.produced
+		used += need
+	}
+}
+
+// runStep runs one step; false when there is no work.
+func (e *modelEngine) runStep() bool {
+	e.admit()
+	if len(e.running) == 0 {
+		return false
+	}
+	left := modelChunk
+	for _, g := range e.running {
+		n := min(left, g.prefill)
+		g.prefill -= n
+		left -= n
+	}
+	decoding := e.reserve()
+	d := 18*time.Millisecond + time.Duration(len(decoding))*250*time.Microsecond
+	d += time.Duration(modelChunk-left) * 25 * time.Microsecond
+	e.step = time.Duration(float64(d) * e.slowdown)
+	e.now = e.now.Add(e.step)
+	e.steps++
+	e.usedSum += float64(e.used()) / float64(e.blocks)
+	for _, g := range decoding {
+		e.token(g)
+	}
+	e.schedule()
+	return true
+}
+
+func (e *modelEngine) reserve() []*generation {
+	ranked := slices.Clone(e.running)
+	slices.SortStableFunc(ranked, modelRank)
+	used := e.used()
+	for i := 0; i < len(ranked); i++ {
+		g := ranked[i]
+		if g.prefill > 0 {
+			continue
+		}
+		need := modelBlocks(g.request.PromptTokens + g.produced + 1)
+		for need > g.blocks && used+need-g.blocks > e.blocks && i < len(ranked) {
+			last := ranked[len(ranked)-1]
+			ranked = ranked[:len(ranked)-1]
+			used -= last.blocks
+			last.blocks = 0
+			e.running = slices.Delete(e.running, slices.Index(e.running, last), slices.Index(e.running, last)+1)
+			e.enqueue(last)
+			e.preemptions++
+		}
+		if i < len(ranked) {
+			used += need - g.blocks
+			g.blocks = need
+		}
+	}
+	return slices.DeleteFunc(ranked, func(g *generation) bool { return g.prefill > 0 })
+}
+
+func (e *modelEngine) token(g *generation) {
+	gap := e.now.Sub(g.last)
+	g.last = e.now
+	if g.produced == 0 {
+		g.firstWait = e.now.Sub(g.request.Arrived)
+	} else {
+		g.gaps = append(g.gaps, gap)
+	}
+	g.worstGap = max(g.worstGap, gap)
+	g.produced++
+	e.policy.Progress(e.now, g.request.ID, g.produced)
+	if g.produced < g.output {
+		return
+	}
+	g.done = true
+	g.blocks = 0
+	e.running = slices.Delete(e.running, slices.Index(e.running, g), slices.Index(e.running, g)+1)
+	e.policy.Done(e.now, g.request.ID, g.produced, true)
+}
+
+func (e *modelEngine) sample() {
+	e.reports = append(e.reports, EngineReport{
+		At: e.now, UsedBlocks: e.used(), TotalBlocks: e.blocks, BlockTokens: modelBlockTokens,
+		Running: len(e.running), Waiting: len(e.waiting), StepTime: e.step, Preemptions: e.preemptions,
+	})
+	for len(e.reports) > 0 && e.now.Sub(e.reports[0].At) >= modelReportLag {
+		e.policy.Report(e.now, e.reports[0])
+		e.reports = e.reports[1:]
+	}
+}
+
+// run plays arrivals, ordered by time, until the end and then lets what runs finish for a while.
+func (e *modelEngine) run(arrivals []*generation, length time.Duration) {
+	end := e.now.Add(length)
+	nextReport := e.now
+	for e.now.Before(end) {
+		if !e.now.Before(nextReport) {
+			e.sample()
+			nextReport = e.now.Add(modelReportEvery)
+		}
+		for len(arrivals) > 0 && !arrivals[0].request.Arrived.After(e.now) {
+			e.offer(arrivals[0])
+			arrivals = arrivals[1:]
+		}
+		if e.runStep() {
+			continue
+		}
+		e.now = nextReport
+		if len(arrivals) > 0 && arrivals[0].request.Arrived.Before(nextReport) {
+			e.now = arrivals[0].request.Arrived
+		}
+		e.schedule()
+	}
+}
+
+// workload describes arrivals at one engine.
+type workload struct {
+	rate    float64
+	seed    uint64
+	length  time.Duration
+	brief   float64
+	heavy   float64
+	plan    float64
+	drift   float64
+	maxOnly bool
+}
+
+func (w workload) arrivals(start time.Time) []*generation {
+	rnd := rand.New(rand.NewPCG(w.seed, 1))
+	gap := distuv.Exponential{Rate: w.rate, Src: rnd}
+	briefs := distuv.LogNormal{Mu: math.Log(40), Sigma: 0.8, Src: rnd}
+	plans := distuv.LogNormal{Mu: math.Log(w.plan), Sigma: 1.1, Src: rnd}
+	prompts := distuv.LogNormal{Mu: math.Log(300), Sigma: 0.8, Src: rnd}
+	var all []*generation
+	burst := false
+	for at := 0.0; at < w.length.Seconds(); {
+		if rnd.Float64() < 0.02 {
+			burst = !burst
+		}
+		wait := gap.Rand()
+		if burst {
+			wait /= 1.5
+		} else {
+			wait *= 4.0 / 3
+		}
+		at += wait
+		r := Request{
+			ID:           fmt.Sprint(len(all)),
+			Workspace:    fmt.Sprint("w", rnd.IntN(10)),
+			Class:        ClassBrief,
+			PromptTokens: 1 + int(min(prompts.Rand(), 4000)),
+			Arrived:      start.Add(time.Duration(at * float64(time.Second))),
+		}
+		if rnd.Float64() < w.heavy {
+			r.Workspace = "heavy"
+		}
+		n := briefs.Rand()
+		if rnd.Float64() > w.brief {
+			r.Class = ClassPlan
+			n = plans.Rand()
+			if at > w.length.Seconds()/2 && w.drift > 0 {
+				n *= w.drift
+			}
+		}
+		if w.maxOnly {
+			r.MaxTokens = 1024
+			n = min(n, 1024)
+		}
+		all = append(all, &generation{request: r, output: 1 + int(min(n, 30000))})
+	}
+	return all
+}
+
+// result sums up one run.
+type result struct {
+	offered, done, refused, good   int
+	preemptions                    uint64
+	ttft95, itl95, itl99, stall99  time.Duration
+	refusal50                      time.Duration
+	memory                         float64
+	briefTTFT95, planTTFT95, light time.Duration
+}
+
+func (r result) String() string {
+	ms := func(d time.Duration) int64 { return d.Milliseconds() }
+	return fmt.Sprintf("offered=%d done=%d refused=%d good=%d preempt=%d ttft95=%d (brief %d plan %d light %d) "+
+		"itl95=%d itl99=%d stall99=%d refusal50=%d memory=%.2f", r.offered, r.done, r.refused, r.good, r.preemptions,
+		ms(r.ttft95), ms(r.briefTTFT95), ms(r.planTTFT95), ms(r.light), ms(r.itl95), ms(r.itl99), ms(r.stall99),
+		ms(r.refusal50), r.memory)
+}
+
+func quantile(all []time.Duration, q float64) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(len(all)-1, int(q*float64(len(all))))]
+}
+
+func summarize(e *modelEngine, all []*generation) result {
+	r := result{offered: len(all), preemptions: e.preemptions, memory: e.usedSum / float64(max(e.steps, 1))}
+	var ttft, brief, plan, light, gaps, stalls, refusals []time.Duration
+	for _, g := range all {
+		if g.refused {
+			r.refused++
+			refusals = append(refusals, g.refusedIn)
+			continue
+		}
+		if g.produced == 0 {
+			// It never started: it has waited since it came.
+			g.firstWait = e.now.Sub(g.request.Arrived)
+		}
+		ttft = append(ttft, g.firstWait)
+		if g.request.Class == ClassBrief {
+			brief = append(brief, g.firstWait)
+		} else {
+			plan = append(plan, g.firstWait)
+		}
+		if g.request.Workspace != "heavy" {
+			light = append(light, g.firstWait)
+		}
+		gaps = append(gaps, g.gaps...)
+		stalls = append(stalls, max(g.worstGap, g.firstWait))
+		if g.done {
+			r.done++
+		}
+		if g.done && g.firstWait <= DefaultFirstToken && quantile(g.gaps, 0.95) <= DefaultInterToken {
+			r.good++
+		}
+	}
+	r.ttft95, r.itl95, r.itl99 = quantile(ttft, 0.95), quantile(gaps, 0.95), quantile(gaps, 0.99)
+	r.briefTTFT95, r.planTTFT95, r.light = quantile(brief, 0.95), quantile(plan, 0.95), quantile(light, 0.95)
+	r.stall99, r.refusal50 = quantile(stalls, 0.99), quantile(refusals, 0.5)
+	return r
+}
+
+func simulate(p Policy, w workload, blocks int) result {
+	e := newModelEngine(p, blocks)
+	all := w.arrivals(e.now)
+	e.run(all, w.length)
+	return summarize(e, all)
+}
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -1,4 +1,383 @@
 package toucanadmit
 
+import (
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"toucanport/toucanfair"
+	"toucanport/toucanlength"
+	"toucanport/toucansettings"
+)
+
+// Levels of the fair queue.
+const (
+	levelBrief = 0
+	levelPlan  = 1
+)
+
+const (
+	// coldRunning bounds the running requests before the engine's first report.
+	coldRunning = 8
+	// briefsPerPlan is how many briefs may start in a row while a plan that fits waits.
+	briefsPerPlan = 8
+	// maxBypassed is how many briefs may start past a plan that does not fit; then all wait for the plan.
+	maxBypassed = 64
+	// refreshTokens is how many tokens a request generates before its demand is computed anew.
+	refreshTokens = 16
+	// throughputWindow is the time over which generated tokens are counted.
+	throughputWindow = 2 * time.Second
+	// prefillAhead is how much prompt computation is handed to the engine in advance.
+	prefillAhead = 100 * time.Millisecond
+	// defaultBlockTokens stands in until the engine's first report.
+	defaultBlockTokens = 16
+	// outputGain is the weight of the newest output in the mean output.
+	outputGain = 0.02
+)
+
+// toucan admits what is forecast to fit into the engine's memory and to keep the bound between tokens, in a weighted
+// fair order, and refuses what would wait too long.
+type toucan struct {
+	cfg     Config
+	z       float64
+	lengths *toucanlength.Estimator
+	queue   *toucanfair.Queue
+	// jobs holds every queued and running request by id.
+	jobs map[string]*job
+	// sum is the forecast of the running jobs.
+	sum    forecast
+	step   *stepModel
+	margin margin
+	report EngineReport
+	// used is the history of the tokens that the running jobs held.
+	used history
+	// unaccounted is what the engine reported beyond the running jobs' own use, in tokens.
+	unaccounted float64
+	throughput  meter
+	// meanOutput is the recent mean length of outputs, in tokens.
+	meanOutput float64
+	// prefilling counts running jobs without a first token, prefillTokens their uncached prompts.
+	prefilling    int
+	prefillTokens int
+	prefills      prefillLog
+	prefillRate   busyRate
+	// queuedPrefill is the sum of the uncached prompts of queued jobs.
+	queuedPrefill int
+	running       int
+	// ordinal numbers the started plans.
+	ordinal int
+	// briefTurns counts briefs started since a plan was, while plans waited; bypassed those started since the
+	// plans' turn came.
+	briefTurns int
+	bypassed   int
+	// blocked says that the last call of Next left requests queued for want of memory or batch room.
+	blocked bool
+}
+
+// job is one request that the policy holds.
+type job struct {
+	request Request
+	item    toucanfair.Item
+	key     toucanlength.Key
+	running bool
+	// started is when the job was handed to the engine; zero while queued.
+	started   time.Time
+	generated int
+	// demand is what the forecast holds for a running job, computed when it had generated accounted tokens.
+	demand    demand
+	accounted int
+}
+
 // NewToucan returns the policy that admits by a forecast of the engine's memory.
-func NewToucan(cfg Config) Policy { return NewNaive(cfg.withDefaults()) }
+func NewToucan(cfg Config) Policy {
+	cfg = cfg.withDefaults()
+	t := &toucan{
+		cfg:        cfg,
+		lengths:    toucanlength.New(),
+		queue:      toucanfair.New(),
+		jobs:       make(map[string]*job),
+		step:       newStepModel(),
+		throughput: meter{window: throughputWindow},
+		meanOutput: toucanlength.DefaultPrior.MedianTokens,
+	}
+	if cfg.Quantile < 1 {
+		t.z = distuv.UnitNormal.Quantile(cfg.Quantile)
+	}
+	return t
+}
+
+func (t *toucan) Offer(now time.Time, r Request) error {
+	j := t.newJob(r)
+	if err := t.refuse(now, j); err != nil {
+		return err
+	}
+	t.jobs[r.ID] = j
+	t.queue.Push(j.item)
+	t.queuedPrefill += r.uncached()
+	return nil
+}
+
+func (t *toucan) newJob(r Request) *job {
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
+	j := &job{request: r, key: toucanlength.Key{Workspace: r.Workspace, Class: string(r.Class)}}
+	j.item = toucanfair.Item{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Level:     r.level(),
+		Weight:    r.Weight,
+		Cost:      max(1, t.lengths.Curve(j.key).Remaining(0, r.MaxTokens)),
+	}
+	return j
+}
+
+func (r Request) uncached() int { return max(0, r.PromptTokens-r.CachedTokens) }
+
+func (r Request) level() int {
+	if r.Class == ClassPlan {
+		return levelPlan
+	}
+	return levelBrief
+}
+
+func (t *toucan) Next(now time.Time) []Start {
+	t.blocked = false
+	var starts []Start
+	for {
+		j := t.pick()
+		if j == nil {
+			break
+		}
+		starts = append(starts, t.start(now, j))
+	}
+	t.used.add(now, t.sum.sum.mean[0])
+	return starts
+}
+
+// pick returns the queued job to start now, nil when none may.
+func (t *toucan) pick() *job {
+	brief, plan := t.head(levelBrief), t.head(levelPlan)
+	if plan == nil {
+		return t.startable(brief)
+	}
+	if brief != nil && t.briefTurns < briefsPerPlan {
+		return t.startable(brief)
+	}
+	if j := t.startable(plan); j != nil {
+		return j
+	}
+	if t.bypassed >= maxBypassed {
+		return nil
+	}
+	return t.startable(brief)
+}
+
+func (t *toucan) head(level int) *job {
+	it, ok := t.queue.Head(level)
+	if !ok {
+		return nil
+	}
+	return t.jobs[it.ID]
+}
+
+// startable returns j when it may start now, and otherwise nil.
+func (t *toucan) startable(j *job) *job {
+	if j == nil || !t.prefillAllows(j) {
+		return nil
+	}
+	if t.running >= t.batchBound() || !t.fits(j) {
+		t.blocked = true
+		return nil
+	}
+	return j
+}
+
+func (t *toucan) start(now time.Time, j *job) Start {
+	_, planWaits := t.queue.Head(levelPlan)
+	t.queue.Pop(j.item.ID)
+	t.queuedPrefill -= j.request.uncached()
+	j.running = true
+	j.started = now
+	t.running++
+	t.prefillRate.start(now, t.prefilling)
+	t.prefilling++
+	t.prefillTokens += j.request.uncached()
+	j.demand = t.demand(j)
+	t.sum.add(&j.demand)
+	if j.item.Level == levelPlan {
+		t.briefTurns, t.bypassed = 0, 0
+		t.ordinal++
+		return Start{ID: j.item.ID, Priority: t.ordinal}
+	}
+	if planWaits {
+		if t.briefTurns >= briefsPerPlan {
+			t.bypassed++
+		}
+		t.briefTurns++
+	}
+	return Start{ID: j.item.ID}
+}
+
+// demand computes what j is expected to hold from now on.
+func (t *toucan) demand(j *job) demand {
+	j.accounted = j.generated
+	h := holding{
+		promptTokens: j.request.PromptTokens,
+		generated:    j.generated,
+		maxTokens:    j.request.MaxTokens,
+		curve:        t.lengths.Curve(j.key),
+	}
+	if h.maxTokens <= 0 {
+		h.maxTokens = toucanlength.MaxLength
+	}
+	return h.demand(t.blockTokens())
+}
+
+// fits says whether the engine's memory is forecast to hold j beside what runs. A request alone always may run.
+func (t *toucan) fits(j *job) bool {
+	if t.running == 0 {
+		return true
+	}
+	total := t.totalTokens()
+	if total == 0 {
+		return t.running < coldRunning
+	}
+	d := t.demand(j)
+	return t.peak(&d) <= total*(1-t.margin.share)
+}
+
+// peak returns the most tokens that the running jobs and extra will hold, at the configured quantile.
+func (t *toucan) peak(extra *demand) float64 {
+	if t.cfg.Quantile < 1 {
+		return t.sum.peak(t.z, extra, t.unaccounted)
+	}
+	longest := t.sum.sum.longest + max(0, t.unaccounted)
+	if extra != nil {
+		longest += extra.longest
+	}
+	return longest
+}
+
+func (t *toucan) blockTokens() int {
+	if t.report.BlockTokens == 0 {
+		return defaultBlockTokens
+	}
+	return t.report.BlockTokens
+}
+
+func (t *toucan) totalTokens() float64 {
+	return float64(t.report.TotalBlocks * t.blockTokens())
+}
+
+// Shares of the bound between tokens that steps are planned for, without and with prefill.
+const (
+	decodeShareInterToken = 0.80
+	decodeShareStall      = 0.85
+	prefillShare          = 0.97
+)
+
+// batchBound returns how many requests may run at once.
+func (t *toucan) batchBound() int {
+	share := decodeShareInterToken
+	if t.cfg.Weigh == toucansettings.WeighStallTime {
+		share = decodeShareStall
+	}
+	bound := time.Duration(share * float64(t.cfg.InterToken))
+	return t.step.sequencesWithin(bound)
+}
+
+// prefillAllows says whether j's prompt may be computed beside those already being computed. One always may.
+func (t *toucan) prefillAllows(j *job) bool {
+	if t.prefilling == 0 {
+		return true
+	}
+	bound := time.Duration(prefillShare * float64(t.cfg.InterToken))
+	allowed := float64(t.step.prefillWithin(bound, t.running+1))
+	if rate := t.prefillRate.perSecond(); rate > 0 {
+		allowed = min(allowed, rate*prefillAhead.Seconds())
+	}
+	return float64(t.prefillTokens+j.request.uncached()) <= allowed
+}
+
+func (t *toucan) Progress(now time.Time, id string, generated int) {
+	j, ok := t.jobs[id]
+	if !ok || !j.running || generated <= j.generated {
+		return
+	}
+	if j.generated == 0 {
+		t.prefilled(j)
+		t.prefills.add(now, j.request.uncached())
+		t.prefillRate.done(now, j.request.uncached())
+	}
+	t.throughput.add(now, float64(generated-j.generated))
+	j.generated = generated
+	if generated-j.accounted >= refreshTokens {
+		t.reforecast(j)
+	}
+}
+
+func (t *toucan) prefilled(j *job) {
+	t.prefilling--
+	t.prefillTokens -= j.request.uncached()
+}
+
+func (t *toucan) reforecast(j *job) {
+	t.sum.remove(&j.demand)
+	j.demand = t.demand(j)
+	t.sum.add(&j.demand)
+}
+
+func (t *toucan) Done(now time.Time, id string, generated int, complete bool) {
+	j, ok := t.jobs[id]
+	if !ok {
+		return
+	}
+	if !j.running {
+		t.drop(j)
+		return
+	}
+	t.Progress(now, id, generated)
+	if j.generated == 0 {
+		t.prefilled(j)
+	}
+	delete(t.jobs, id)
+	t.running--
+	t.sum.remove(&j.demand)
+	t.queue.Settle(j.item, float64(max(j.generated, 1)))
+	t.learn(j, complete)
+}
+
+func (t *toucan) learn(j *job, complete bool) {
+	if j.generated == 0 {
+		return
+	}
+	bounded := j.request.MaxTokens > 0 && j.generated >= j.request.MaxTokens
+	t.lengths.Observe(j.key, j.generated, complete && !bounded)
+	t.meanOutput += outputGain * (float64(j.generated) - t.meanOutput)
+}
+
+// drop forgets a queued job.
+func (t *toucan) drop(j *job) {
+	delete(t.jobs, j.item.ID)
+	t.queue.Remove(j.item.ID)
+	t.queuedPrefill -= j.request.uncached()
+}
+
+func (t *toucan) Load(now time.Time) Load {
+	queued := 0
+	if n := len(t.jobs) - t.running; n > 0 {
+		queued = n
+	}
+	blockTokens := t.blockTokens()
+	return Load{
+		Running:        t.running,
+		Queued:         queued,
+		QueuedTokens:   int(t.queue.Cost(levelBrief) + t.queue.Cost(levelPlan)),
+		UsedBlocks:     int(max(0, t.sum.sum.mean[0]+t.unaccounted)) / blockTokens,
+		TotalBlocks:    t.report.TotalBlocks,
+		ForecastBlocks: int(max(0, t.peak(nil))) / blockTokens,
+		StepTime:       t.step.predict(t.running, 0),
+		Wait:           t.wait(now, t.newJob(Request{Class: ClassPlan})),
+	}
+}
--- /dev/null
+++ b/toucanadmit/toucan_test.go
@@ -0,0 +1,49 @@
+package toucanadmit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucansettings"
+)
+
+// goodputFloor allows for requests that are still running when a short run ends.
+const goodputFloor = 0.98
+
+// TestAgainstNaive plays each scripted case to both policies. The toucan policy must never be preempted more often
+// nor answer notably fewer requests in time.
+func TestAgainstNaive(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w := workload{rate: 6, brief: 0.75, plan: 700, length: time.Minute}
+			var rate10, blocks, brief, heavy, drift, plan, seconds int
+			weigh := string(toucansettings.WeighInterTokenLatency)
+			blocks, brief, seconds = 8192, 75, 120
+			d.MaybeScanArgs(t, "rate10", &rate10)
+			d.MaybeScanArgs(t, "seed", &w.seed)
+			d.MaybeScanArgs(t, "blocks", &blocks)
+			d.MaybeScanArgs(t, "brief", &brief)
+			d.MaybeScanArgs(t, "heavy", &heavy)
+			d.MaybeScanArgs(t, "drift", &drift)
+			d.MaybeScanArgs(t, "plan", &plan)
+			d.MaybeScanArgs(t, "weigh", &weigh)
+			d.MaybeScanArgs(t, "seconds", &seconds)
+			w.rate, w.brief, w.heavy = float64(rate10)/10, float64(brief)/100, float64(heavy)/100
+			w.drift, w.length = float64(drift), time.Duration(seconds)*time.Second
+			if plan > 0 {
+				w.plan = float64(plan)
+			}
+			cfg := Config{Weigh: toucansettings.Weigh(weigh)}
+			naive := simulate(NewNaive(cfg), w, blocks)
+			toucan := simulate(NewToucan(cfg), w, blocks)
+			t.Logf("%s naive:  %v", d.CmdArgs, naive)
+			t.Logf("%s toucan: %v", d.CmdArgs, toucan)
+			assert.Check(t, toucan.preemptions <= naive.preemptions, "%s", d.CmdArgs)
+			assert.Check(t, float64(toucan.good) >= goodputFloor*float64(naive.good), "%s", d.CmdArgs)
+			return "ok"
+		})
+	})
+}
