--- /dev/null
+++ b/toucansidecar/call.go
@@ -0,0 +1,90 @@
+package toucansidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanwire"
+)
+
+// MaxCallBytes bounds the body of a plain service's answer.
+const MaxCallBytes = 8 << 20
+
+// callClient carries calls to the application instance.
+type callClient struct {
+	http *http.Client
+	url  string
+}
+
+func newCallClient(cfg Config) callClient {
+	return callClient{
+		http: &http.Client{
+			Transport: cfg.ServiceTransport,
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			},
+		},
+		url: cfg.ServiceURL,
+	}
+}
+
+func (s *Sidecar) serveCall(ctx context.Context, stream *toucanwire.Stream, c *toucanwire.Call) {
+	if s.leaving.Load() {
+		s.refuse(stream, refusal(codeLeaving, ranNo, "the endpoint is leaving"))
+		return
+	}
+	s.working.add()
+	defer s.working.done()
+	if c.DeadlineUnixMillis != 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(c.DeadlineUnixMillis))
+		defer cancel()
+	}
+	response, err := s.calls.do(ctx, c)
+	if err != nil {
+		s.refuse(stream, callRefusal(err))
+		return
+	}
+	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Response{Response: response}, Load: s.loadReport()})
+}
+
+func (c *callClient) do(ctx context.Context, call *toucanwire.Call) (*toucanwire.CallResponse, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.url+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	// The transport must not send a request twice on its own.
+	req.GetBody = nil
+	for _, h := range call.Headers {
+		req.Header[h.Name] = h.Values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxCallBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if len(body) > MaxCallBytes {
+		return nil, errors.Errorf("answer is over the bound of %d bytes", MaxCallBytes)
+	}
+	return &toucanwire.CallResponse{Status: uint32(resp.StatusCode), Headers: toucanwire.HeadersOf(resp.Header), Body: body}, nil
+}
+
+// callRefusal says "not run" only when no connection to the endpoint came about.
+func callRefusal(err error) *toucanwire.Refusal {
+	ran := ranUnknown
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		ran = ranNo
+	}
+	return refusal(codeEndpointFailed, ran, "the endpoint gave no answer")
+}
--- /dev/null
+++ b/toucansidecar/control.go
@@ -0,0 +1,129 @@
+package toucansidecar
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucanengine"
+	"toucanport/toucansettings"
+	"toucanport/toucanwire"
+)
+
+const (
+	// engineReportInterval is the time between reports asked of the engine.
+	engineReportInterval = 250 * time.Millisecond
+	// engineReportTimeout bounds the wait for one report.
+	engineReportTimeout = time.Second
+	// unhealthyAfter is how many reports in a row may fail before the endpoint counts as unhealthy.
+	unhealthyAfter = 3
+)
+
+// reporter numbers this boot's load reports and keeps what the engine said last.
+type reporter struct {
+	sequence atomic.Uint64
+
+	mu       sync.Mutex
+	failures int
+	prefixes []uint64
+}
+
+func (r *reporter) healthy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures < unhealthyAfter
+}
+
+func (r *reporter) failed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures++
+}
+
+func (r *reporter) succeeded(prefixes []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = 0
+	r.prefixes = prefixes
+}
+
+// pollEngine asks the engine for its load and hands it to the schedule.
+func (s *Sidecar) pollEngine(ctx context.Context) {
+	for {
+		s.askEngine(ctx)
+		if !sleep(ctx, engineReportInterval) {
+			return
+		}
+	}
+}
+
+func (s *Sidecar) askEngine(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, engineReportTimeout)
+	defer cancel()
+	r, err := s.cfg.Engine.Report(ctx)
+	if err != nil {
+		s.reports.failed()
+		return
+	}
+	s.reports.succeeded(r.CachedPrefixes)
+	s.schedule.report(admitReport(r))
+}
+
+func admitReport(r toucanengine.Report) toucanadmit.EngineReport {
+	return toucanadmit.EngineReport{
+		At:          r.At,
+		UsedBlocks:  r.UsedBlocks,
+		TotalBlocks: r.TotalBlocks,
+		BlockTokens: r.BlockTokens,
+		Running:     r.Running,
+		Waiting:     r.Waiting,
+		StepTime:    r.StepTime,
+		Preemptions: r.Preemptions,
+	}
+}
+
+// serveControl answers each heartbeat of an entry with one of its own.
+func (s *Sidecar) serveControl(ctx context.Context, stream *toucanwire.Stream) {
+	for ctx.Err() == nil {
+		beat := &toucanwire.Heartbeat{}
+		if err := stream.Receive(beat); err != nil {
+			return
+		}
+		answer := &toucanwire.Heartbeat{Sequence: beat.Sequence, Load: s.loadReport()}
+		if err := stream.Send(answer); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Sidecar) loadReport() *toucanwire.LoadReport {
+	r := &toucanwire.LoadReport{
+		BootId:   s.boot,
+		Endpoint: s.cfg.Endpoint,
+		Service:  s.cfg.Service,
+		Leaving:  s.leaving.Load(),
+		Healthy:  s.reports.healthy(),
+	}
+	if s.cfg.Kind == toucansettings.KindPlain {
+		r.Running = uint32(s.working.count())
+		r.Sequence = s.reports.sequence.Add(1)
+		return r
+	}
+	l := s.schedule.load()
+	r.Running = uint32(l.Running)
+	r.Queued = uint32(l.Queued)
+	r.QueuedTokens = uint64(l.QueuedTokens)
+	r.MemoryUsedBlocks = uint32(l.UsedBlocks)
+	r.MemoryTotalBlocks = uint32(l.TotalBlocks)
+	r.MemoryForecastBlocks = uint32(l.ForecastBlocks)
+	r.StepMicros = uint32(l.StepTime / time.Microsecond)
+	r.WaitMillis = uint32(l.Wait / time.Millisecond)
+	r.Sequence = s.reports.sequence.Add(1)
+	return r
+}
+
+func (s *Sidecar) serveDocuments(stream *toucanwire.Stream, _ *toucanwire.DocumentsRequest) {
+	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Documents{Documents: &toucanwire.DocumentsReply{}}})
+}
--- /dev/null
+++ b/toucansidecar/refusal.go
@@ -0,0 +1,70 @@
+package toucansidecar
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucanstream"
+	"toucanport/toucanwire"
+)
+
+// What a refusal says about whether the request ran.
+const (
+	ranNo      = toucanwire.RanNo
+	ranUnknown = toucanwire.RanUnknown
+	ranPartly  = toucanwire.RanPartly
+)
+
+// Codes of refusals.
+const (
+	codeOverloaded        = toucanwire.CodeOverloaded
+	codeLeaving           = toucanwire.CodeLeaving
+	codeDeadline          = toucanwire.CodeDeadline
+	codeCancelled         = toucanwire.CodeCancelled
+	codeEngineLost        = toucanwire.CodeEngineLost
+	codeUnknownGeneration = toucanwire.CodeUnknownGeneration
+	codeGenerationClosed  = toucanwire.CodeGenerationClosed
+	codeTokensDropped     = toucanwire.CodeTokensDropped
+	codeEndpointFailed    = toucanwire.CodeEndpointFailed
+)
+
+func refusal(code, ran, message string) *toucanwire.Refusal {
+	return &toucanwire.Refusal{Code: code, Ran: ran, Message: message, Retryable: ran == ranNo}
+}
+
+func overloadRefusal(err error) *toucanwire.Refusal {
+	r := refusal(codeOverloaded, ranNo, "the endpoint is overloaded")
+	var refused *toucanadmit.RefusalError
+	if errors.As(err, &refused) {
+		r.RetryAfterMillis = uint32(refused.RetryAfter / time.Millisecond)
+	}
+	return r
+}
+
+// endRefusal describes a generation that ended without being complete after so many tokens.
+func endRefusal(end toucanstream.End, tokens int) *toucanwire.Refusal {
+	ran := ranUnknown
+	switch {
+	case end.Failure == codeDeadline:
+		ran = ranNo
+	case tokens > 0:
+		ran = ranPartly
+	}
+	r := refusal(end.Failure, ran, end.Message)
+	r.Retryable = end.Failure != codeCancelled
+	return r
+}
+
+func (s *Sidecar) refuse(stream *toucanwire.Stream, r *toucanwire.Refusal) {
+	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Refusal{Refusal: r}, Load: s.loadReport()})
+}
+
+// sendTimeout bounds how long a link may take nothing before its reader is given up. The generation stays.
+const sendTimeout = 5 * time.Minute
+
+func (s *Sidecar) send(stream *toucanwire.Stream, e *toucanwire.Event) error {
+	stream.SetWriteDeadline(time.Now().Add(sendTimeout))
+	return stream.Send(e)
+}
--- /dev/null
+++ b/toucansidecar/schedule.go
@@ -0,0 +1,100 @@
+package toucansidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"toucanport/toucanadmit"
+)
+
+// schedule runs the admission policy: it serializes access to it and carries out what it decides.
+type schedule struct {
+	start  func(id string, priority int)
+	expire func(id string)
+	// poke has room for one pending wake-up.
+	poke chan struct{}
+
+	mu     sync.Mutex
+	policy toucanadmit.Policy
+}
+
+func newSchedule(policy toucanadmit.Policy, start func(string, int), expire func(string)) *schedule {
+	return &schedule{start: start, expire: expire, poke: make(chan struct{}, 1), policy: policy}
+}
+
+func (s *schedule) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		wake := s.step()
+		timer.Reset(wake)
+		select {
+		case <-s.poke:
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// step carries out the policy's decisions and returns the time until the next one at the latest.
+func (s *schedule) step() time.Duration {
+	s.mu.Lock()
+	now := time.Now()
+	expired := s.policy.Expired(now)
+	starts := s.policy.Next(now)
+	wake := s.policy.Wake(now)
+	s.mu.Unlock()
+	for _, id := range expired {
+		s.expire(id)
+	}
+	for _, st := range starts {
+		s.start(st.ID, st.Priority)
+	}
+	if wake.IsZero() {
+		return time.Hour
+	}
+	return max(wake.Sub(now), time.Millisecond)
+}
+
+func (s *schedule) wake() {
+	select {
+	case s.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (s *schedule) offer(r toucanadmit.Request) error {
+	s.mu.Lock()
+	err := s.policy.Offer(time.Now(), r)
+	s.mu.Unlock()
+	s.wake()
+	return err
+}
+
+func (s *schedule) progress(id string, generated int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.policy.Progress(time.Now(), id, generated)
+}
+
+func (s *schedule) done(id string, generated int, complete bool) {
+	s.mu.Lock()
+	s.policy.Done(time.Now(), id, generated, complete)
+	s.mu.Unlock()
+	s.wake()
+}
+
+func (s *schedule) report(r toucanadmit.EngineReport) {
+	s.mu.Lock()
+	s.policy.Report(time.Now(), r)
+	s.mu.Unlock()
+	s.wake()
+}
+
+func (s *schedule) load() toucanadmit.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.policy.Load(time.Now())
+}
--- /dev/null
+++ b/toucanstream/id.go
@@ -0,0 +1,94 @@
+// Package toucanstream holds what makes a generation resumable: its id and the buffer of its tokens.
+package toucanstream
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// ErrForeignID is returned for an id that was not issued to the asking workspace, or not issued at all.
+var ErrForeignID = errors.New("generation id does not belong to this workspace")
+
+const (
+	idVersion = 1
+	macBytes  = 16
+	// idFixedBytes are the version, boot id and serial.
+	idFixedBytes = 1 + 8 + 8
+	maxIDBytes   = 96
+)
+
+// ID names one generation at one endpoint. Its text form carries a MAC bound to the workspace, so that no
+// directory is needed and no other workspace can use it.
+type ID struct {
+	// Address is the inner listener of the sidecar that holds the generation.
+	Address netip.AddrPort
+	// Boot is the boot id of the entry that issued the id.
+	Boot uint64
+	// Serial is unique within Boot.
+	Serial uint64
+}
+
+// Signer issues and checks ids.
+type Signer struct{ secret []byte }
+
+// NewSigner returns a signer with a secret that all entries and sidecars share.
+func NewSigner(secret []byte) *Signer { return &Signer{secret: secret} }
+
+// Sign returns the text form of id for a workspace.
+func (s *Signer) Sign(id ID, workspace string) string {
+	b := appendID(make([]byte, 0, 64), id)
+	b = append(b, s.mac(b, workspace)...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Verify parses text and checks that it was issued to workspace. Any failure is ErrForeignID, so that a
+// caller cannot tell a malformed id from one of another workspace.
+func (s *Signer) Verify(text, workspace string) (ID, error) {
+	if len(text) > base64.RawURLEncoding.EncodedLen(maxIDBytes) {
+		return ID{}, ErrForeignID
+	}
+	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(b) < idFixedBytes+macBytes {
+		return ID{}, ErrForeignID
+	}
+	payload, mac := b[:len(b)-macBytes], b[len(b)-macBytes:]
+	if subtle.ConstantTimeCompare(mac, s.mac(payload, workspace)) != 1 {
+		return ID{}, ErrForeignID
+	}
+	return parseID(payload)
+}
+
+func (s *Signer) mac(payload []byte, workspace string) []byte {
+	h := hmac.New(sha256.New, s.secret)
+	h.Write(payload)
+	h.Write([]byte(workspace))
+	return h.Sum(nil)[:macBytes]
+}
+
+func appendID(b []byte, id ID) []byte {
+	b = append(b, idVersion)
+	b = binary.BigEndian.AppendUint64(b, id.Boot)
+	b = binary.BigEndian.AppendUint64(b, id.Serial)
+	addr, _ := id.Address.MarshalBinary() // never fails
+	return append(b, addr...)
+}
+
+func parseID(b []byte) (ID, error) {
+	if b[0] != idVersion {
+		return ID{}, ErrForeignID
+	}
+	id := ID{
+		Boot:   binary.BigEndian.Uint64(b[1:]),
+		Serial: binary.BigEndian.Uint64(b[9:]),
+	}
+	if err := id.Address.UnmarshalBinary(b[idFixedBytes:]); err != nil {
+		return ID{}, ErrForeignID
+	}
+	return id, nil
+}
--- /dev/null
+++ b/toucanwire/codes.go
@@ -0,0 +1,59 @@
+package toucanwire
+
+import "net/http"
+
+// What a refusal says about whether the request ran. RanNo is only said on proof.
+const (
+	RanNo      = "no"
+	RanUnknown = "unknown"
+	RanPartly  = "partly"
+)
+
+// Codes of refusals between processes and to callers.
+const (
+	// CodeOverloaded: the endpoint's queue would not keep its bounds.
+	CodeOverloaded = "overloaded"
+	// CodeLeaving: the endpoint takes no new work.
+	CodeLeaving = "leaving"
+	// CodeDeadline: the request could not start before its deadline.
+	CodeDeadline = "deadlineExceeded"
+	// CodeCancelled: the caller cancelled.
+	CodeCancelled = "cancelled"
+	// CodeEngineLost: the engine died or lost the generation.
+	CodeEngineLost = "engineLost"
+	// CodeUnknownGeneration: neither sidecar nor engine knows the generation.
+	CodeUnknownGeneration = "unknownGeneration"
+	// CodeGenerationClosed: the generation has ended or was cancelled, and its tokens are gone.
+	CodeGenerationClosed = "generationClosed"
+	// CodeTokensDropped: the asked tokens are no longer, or not yet, in the buffer.
+	CodeTokensDropped = "tokensDropped"
+	// CodeEndpointFailed: the endpoint did not answer.
+	CodeEndpointFailed = "endpointFailed"
+	// CodeStoreUnavailable: the platform's store did not take the order's claim.
+	CodeStoreUnavailable = "storeUnavailable"
+)
+
+// HeadersOf returns h in the form of the inner protocol, without the headers that belong to one connection.
+func HeadersOf(h http.Header) []*Header {
+	out := make([]*Header, 0, len(h))
+	for name, values := range h {
+		if connectionHeaders[name] {
+			continue
+		}
+		out = append(out, &Header{Name: name, Values: values})
+	}
+	return out
+}
+
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
