--- /dev/null
+++ b/toucanentry/auth.go
@@ -0,0 +1,154 @@
+package toucanentry
+
+import (
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"toucanport/toucanapi"
+	"toucanport/toucanlimit"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucanwire"
+)
+
+// Codes of errors that callers get besides those of the inner protocol.
+const (
+	codeBadRequest     = "badRequest"
+	codeBadKey         = "invalidKey"
+	codeUnknownModel   = "unknownModel"
+	codeUnknownService = "unknownService"
+	codeNotFound       = "notFound"
+	codeTooLarge       = "bodyTooLarge"
+	codeLimited        = "workspaceLimit"
+	codeNoEndpoint     = "noEndpoint"
+	codeInternal       = "internal"
+)
+
+// headerRequestID carries the request id of every answer.
+const headerRequestID = "X-Request-Id"
+
+// failure is an error that is answered to the caller as it is.
+type failure struct {
+	status     int
+	body       toucanapi.Error
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (f *failure) Error() string { return f.body.Code + ": " + f.body.Message }
+
+func fail(status int, code, message string) *failure {
+	return &failure{status: status, body: toucanapi.Error{Code: code, Message: message, Ran: toucanwire.RanNo}}
+}
+
+func badRequest(err error) *failure { return fail(http.StatusBadRequest, codeBadRequest, err.Error()) }
+
+// identify gives every request an id.
+func (e *Entry) identify(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		var b [12]byte
+		for i := range b {
+			b[i] = byte(rand.Uint32())
+		}
+		c.Response().Header().Set(headerRequestID, hex.EncodeToString(b[:]))
+		return next(c)
+	}
+}
+
+func requestID(c *echo.Context) string { return c.Response().Header().Get(headerRequestID) }
+
+type workspaceHandler func(c *echo.Context, w toucansettings.Workspace) error
+
+// authenticated finds the workspace of the caller's key.
+func (e *Entry) authenticated(next workspaceHandler) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		key, ok := toucanapi.BearerKey(c.Request().Header.Get("Authorization"))
+		if !ok {
+			return fail(http.StatusUnauthorized, codeBadKey, "send a workspace key as 'Authorization: Bearer KEY'")
+		}
+		w, ok := e.cfg.Settings.Tree().WorkspaceByKey(key)
+		if !ok {
+			return fail(http.StatusUnauthorized, codeBadKey, "the workspace key is not valid")
+		}
+		return next(c, w)
+	}
+}
+
+// handleError answers err as the JSON error, unless the answer has begun.
+func (e *Entry) handleError(c *echo.Context, err error) {
+	f := e.asFailure(err)
+	if resp, unwrapErr := echo.UnwrapResponse(c.Response()); unwrapErr == nil && resp.Committed {
+		return
+	}
+	if f.status >= http.StatusInternalServerError && f.body.Code == codeInternal {
+		e.log.Error("request failed", "requestId", requestID(c), "error", err.Error())
+	}
+	if f.retryAfter > 0 {
+		c.Response().Header().Set("Retry-After", retryAfterSeconds(f.retryAfter))
+	}
+	f.body.RequestID = requestID(c)
+	f.body.Type = errorType(f.status)
+	_ = c.JSON(f.status, toucanapi.ErrorBody{Error: f.body})
+}
+
+func (e *Entry) asFailure(err error) *failure {
+	var f *failure
+	var badField *toucanapi.BadRequestError
+	var limited *toucanlimit.Error
+	var none *toucanroute.NoEndpointError
+	switch {
+	case errors.As(err, &f):
+		return f
+	case errors.As(err, &badField):
+		return badRequest(badField)
+	case errors.Is(err, toucanapi.ErrBodyTooLarge):
+		return fail(http.StatusRequestEntityTooLarge, codeTooLarge, err.Error())
+	case errors.As(err, &limited):
+		f := fail(http.StatusTooManyRequests, codeLimited, limited.Error())
+		f.retryAfter, f.body.Retryable = limited.RetryAfter, true
+		return f
+	case errors.As(err, &none):
+		f := fail(http.StatusServiceUnavailable, codeNoEndpoint, none.Error())
+		f.retryAfter, f.body.Retryable = none.RetryAfter, true
+		return f
+	}
+	return echoFailure(err)
+}
+
+func echoFailure(err error) *failure {
+	var coder echo.HTTPStatusCoder
+	if errors.As(err, &coder) {
+		switch coder.StatusCode() {
+		case http.StatusNotFound:
+			return fail(http.StatusNotFound, codeNotFound, "there is nothing at this path")
+		case http.StatusMethodNotAllowed:
+			return fail(http.StatusMethodNotAllowed, "methodNotAllowed", "the path does not take this method")
+		}
+	}
+	return fail(http.StatusInternalServerError, codeInternal, "the request could not be served")
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusNotFound:
+		return "not_found_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+// retryAfterSeconds rounds up, since the header has whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+}
--- /dev/null
+++ b/toucanentry/call.go
@@ -0,0 +1,200 @@
+package toucanentry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"toucanport/toucanapi"
+	"toucanport/toucanretry"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucanwire"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	// maxIdempotencyKeyBytes bounds an order's key.
+	maxIdempotencyKeyBytes = 255
+	// maxCallBodyBytes bounds the body of a call to a plain service.
+	maxCallBodyBytes = 4 << 20
+)
+
+// callService carries one call to a plain service.
+func (e *Entry) callService(c *echo.Context, w toucansettings.Workspace) error {
+	s, err := e.plainService(w, c.Param("service"))
+	if err != nil {
+		return err
+	}
+	call, err := e.newCall(c, w, s)
+	if err != nil {
+		return err
+	}
+	release, err := e.cfg.Limiter.Acquire(time.Now(), limitsOf(w), 0)
+	if err != nil {
+		return err
+	}
+	defer release(time.Now(), 0)
+	response, err := e.dispatchCall(c.Request().Context(), call)
+	if err != nil {
+		return err
+	}
+	return writeResponse(c, response)
+}
+
+func (e *Entry) plainService(w toucansettings.Workspace, name string) (toucansettings.Service, error) {
+	s, ok := e.cfg.Settings.Tree().Service(w.Team, name)
+	if !ok || s.Kind != toucansettings.KindPlain || !slices.Contains(w.Services, name) {
+		return s, fail(http.StatusNotFound, codeUnknownService, "there is no service "+strconv.Quote(name)+" for this workspace")
+	}
+	return s, nil
+}
+
+func (e *Entry) newCall(c *echo.Context, w toucansettings.Workspace, s toucansettings.Service) (*toucanwire.Call, error) {
+	key := c.Request().Header.Get(headerIdempotencyKey)
+	if len(key) > maxIdempotencyKeyBytes {
+		return nil, &toucanapi.BadRequestError{Field: headerIdempotencyKey, Message: "must have at most 255 bytes"}
+	}
+	deadline, err := startDeadline(c)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(e.body(c), maxCallBodyBytes+1))
+	if err != nil {
+		return nil, &toucanapi.BadRequestError{Field: "body", Message: "could not be read"}
+	}
+	if len(body) > maxCallBodyBytes {
+		return nil, toucanapi.ErrBodyTooLarge
+	}
+	return &toucanwire.Call{
+		RequestId:          requestID(c),
+		Workspace:          workspaceKey(w),
+		Service:            serviceKey(s),
+		Method:             c.Request().Method,
+		Path:               callPath(c, s.Name),
+		Headers:            callHeaders(c.Request().Header),
+		Body:               body,
+		IdempotencyKey:     key,
+		DeadlineUnixMillis: deadline.UnixMilli(),
+	}, nil
+}
+
+// callPath is what follows the service's name, with the raw query.
+func callPath(c *echo.Context, service string) string {
+	u := c.Request().URL
+	path := strings.TrimPrefix(u.EscapedPath(), "/services/"+service)
+	if path == "" {
+		path = "/"
+	}
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return path
+}
+
+// callHeaders leaves out the workspace key, which no endpoint needs to know.
+func callHeaders(h http.Header) []*toucanwire.Header {
+	h = h.Clone()
+	h.Del("Authorization")
+	return toucanwire.HeadersOf(h)
+}
+
+func (e *Entry) dispatchCall(ctx context.Context, call *toucanwire.Call) (*toucanwire.CallResponse, error) {
+	deadline := time.UnixMilli(call.DeadlineUnixMillis)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	query := toucanroute.Query{Service: call.Service, Key: call.IdempotencyKey}
+	plan := toucanretry.NewPlan(time.Now(), e.cfg.Budget, call.Service, deadline)
+	mayHaveRun := false
+	for {
+		ep, err := e.cfg.Router.Pick(time.Now(), query)
+		if err != nil {
+			return nil, e.noEndpoint(err, &progress{mayHaveRun: mayHaveRun})
+		}
+		response, ref := e.callAt(ctx, ep, query, call)
+		if response != nil {
+			return response, nil
+		}
+		mayHaveRun = mayHaveRun || ref.Ran != toucanwire.RanNo
+		f := toucanretry.Failure{NotRun: ref.Ran == toucanwire.RanNo, Repeatable: repeatable(call.Method)}
+		delay, again := plan.Next(time.Now(), f)
+		if !again || !pause(ctx, delay) {
+			return nil, refusalFailure(truthful(result{refusal: ref}, &progress{mayHaveRun: mayHaveRun}).refusal)
+		}
+		query.Exclude = append(query.Exclude, ep.Name)
+	}
+}
+
+// repeatable reports whether HTTP defines the method as idempotent.
+func repeatable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// callAt sends a call to one endpoint once.
+func (e *Entry) callAt(ctx context.Context, ep toucanroute.Endpoint, q toucanroute.Query, call *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+	sent := time.Now()
+	e.cfg.Router.Sent(sent, ep.Name, q)
+	response, ref := e.tryCall(ctx, ep, call)
+	outcome := toucanroute.Completed
+	switch {
+	case ref != nil && ref.Ran == toucanwire.RanNo && ref.Code != toucanwire.CodeEndpointFailed:
+		outcome = toucanroute.Refused
+	case ref != nil:
+		outcome = toucanroute.Failed
+	}
+	e.cfg.Router.Finished(time.Now(), ep.Name, q, outcome, time.Since(sent))
+	return response, ref
+}
+
+func (e *Entry) tryCall(ctx context.Context, ep toucanroute.Endpoint, call *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+	p, err := e.links.get(ctx, ep.Address.String())
+	if err != nil {
+		return nil, notConnected().refusal
+	}
+	stream, err := p.link.Open(&toucanwire.Open{Request: &toucanwire.Open_Call{Call: call}})
+	if err != nil {
+		return nil, lostSidecar().refusal
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.SetReadDeadline(time.Now()) })
+	defer stop()
+	event := &toucanwire.Event{}
+	if err := stream.Receive(event); err != nil {
+		return nil, lostSidecar().refusal
+	}
+	e.takeReport(event.Load)
+	switch ev := event.Event.(type) {
+	case *toucanwire.Event_Response:
+		return ev.Response, nil
+	case *toucanwire.Event_Refusal:
+		return nil, ev.Refusal
+	}
+	return nil, lostSidecar().refusal
+}
+
+// headerReplayed marks the recorded outcome of an earlier call with the same key.
+const headerReplayed = "Idempotent-Replayed"
+
+func writeResponse(c *echo.Context, r *toucanwire.CallResponse) error {
+	w := c.Response()
+	for _, h := range r.Headers {
+		w.Header()[h.Name] = h.Values
+	}
+	if r.Replayed {
+		w.Header().Set(headerReplayed, "true")
+	}
+	w.WriteHeader(int(r.Status))
+	_, err := w.Write(r.Body)
+	return errors.Wrap(err, "write answer")
+}
--- /dev/null
+++ b/toucanentry/entry.go
@@ -0,0 +1,232 @@
+// Package toucanentry is the thin entry instance: callers' HTTP, authentication, limits, the choice of an
+// endpoint, and the relay of answers. It holds nothing that another entry cannot do without.
+package toucanentry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"toucanport/toucanlimit"
+	"toucanport/toucanretry"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucanstream"
+	"toucanport/toucanwire"
+)
+
+// Timeouts and bounds towards callers.
+const (
+	// readHeaderTimeout bounds how long a caller may take to send its headers.
+	readHeaderTimeout = 5 * time.Second
+	// readBodyTimeout bounds how long a caller may take to send its body.
+	readBodyTimeout = 30 * time.Second
+	// idleTimeout bounds how long a connection may wait for its next request.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 32 << 10
+	// DefaultStartWithin is how long a request may wait for its first token or its service's answer when
+	// the caller sets no timeout.
+	DefaultStartWithin = 30 * time.Second
+)
+
+// Dialer opens a connection to a sidecar's inner listener.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Settings gives the settings in force.
+type Settings interface {
+	Tree() *toucansettings.Tree
+}
+
+// Config says what an entry is.
+type Config struct {
+	Instance      string
+	FailureDomain string
+	Settings      Settings
+	Signer        *toucanstream.Signer
+	Dial          Dialer
+	Router        toucanroute.Router
+	Limiter       toucanlimit.Limiter
+	Budget        *toucanretry.Budget
+}
+
+// Option changes an entry.
+type Option func(*Entry)
+
+// WithLogger sets the logger.
+func WithLogger(log *slog.Logger) Option { return func(e *Entry) { e.log = log } }
+
+// Entry serves callers.
+type Entry struct {
+	cfg    Config
+	log    *slog.Logger
+	boot   uint64
+	serial atomic.Uint64
+	links  *links
+	server *http.Server
+	// stopping is true once a graceful stop has begun.
+	stopping atomic.Bool
+}
+
+// New returns an entry that does nothing until Run.
+func New(cfg Config, opts ...Option) *Entry {
+	if cfg.Limiter == nil {
+		cfg.Limiter = toucanlimit.NewUnlimited()
+	}
+	if cfg.Budget == nil {
+		cfg.Budget = toucanretry.NewBudget()
+	}
+	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64()}
+	for _, opt := range opts {
+		opt(e)
+	}
+	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
+	e.server = &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+	return e
+}
+
+func (e *Entry) hello() *toucanwire.Hello {
+	return &toucanwire.Hello{
+		Role:          "entry",
+		Instance:      e.cfg.Instance,
+		BootId:        e.boot,
+		FailureDomain: e.cfg.FailureDomain,
+	}
+}
+
+func (e *Entry) routes() http.Handler {
+	r := echo.New()
+	r.Logger = e.log
+	r.HTTPErrorHandler = e.handleError
+	r.Use(e.identify)
+	r.GET("/healthz", e.health)
+	r.GET("/v1/models", e.authenticated(e.listModels))
+	r.POST("/v1/chat/completions", e.authenticated(e.chat))
+	r.POST("/v1/completions", e.authenticated(e.completion))
+	r.GET("/v1/generations/:id", e.authenticated(e.resumeGeneration))
+	r.DELETE("/v1/generations/:id", e.authenticated(e.cancelGeneration))
+	r.Any("/services/:service", e.authenticated(e.callService))
+	r.Any("/services/:service/*", e.authenticated(e.callService))
+	return r
+}
+
+// Run serves callers from ln until Shutdown or until ctx is done, which ends everything at once.
+func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go e.maintain(ctx)
+	stop := context.AfterFunc(ctx, func() { e.server.Close() })
+	defer stop()
+	err := e.server.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	return err
+}
+
+// Shutdown takes no new connections, lets requests in progress end, and then closes the links.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.stopping.Store(true)
+	err := e.server.Shutdown(ctx)
+	e.links.closeAll()
+	return errors.Wrap(err, "requests were still in progress")
+}
+
+// maintainInterval is the time between looks at the settings for endpoints to keep links to.
+const maintainInterval = 500 * time.Millisecond
+
+// maintain keeps the router's endpoints and the links in step with the settings.
+func (e *Entry) maintain(ctx context.Context) {
+	var last *toucansettings.Tree
+	for {
+		if tree := e.cfg.Settings.Tree(); tree != last {
+			last = tree
+			e.useTree(tree)
+		}
+		e.links.ensure(ctx)
+		select {
+		case <-time.After(maintainInterval):
+		case <-ctx.Done():
+			e.links.closeAll()
+			return
+		}
+	}
+}
+
+func (e *Entry) useTree(tree *toucansettings.Tree) {
+	wanted := make(map[string]bool)
+	for _, team := range tree.Teams() {
+		for _, s := range team.Services {
+			es := routeEndpoints(tree, s)
+			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), es)
+			for _, ep := range es {
+				wanted[ep.Address.String()] = true
+			}
+		}
+	}
+	e.links.want(wanted)
+}
+
+func routeEndpoints(tree *toucansettings.Tree, s toucansettings.Service) []toucanroute.Endpoint {
+	var es []toucanroute.Endpoint
+	for _, ep := range tree.Endpoints(s.Team, s.Name) {
+		if ep.Draining {
+			continue
+		}
+		es = append(es, toucanroute.Endpoint{
+			Name:          endpointKey(ep.Team, ep.Name),
+			Service:       serviceKey(s),
+			FailureDomain: ep.FailureDomain,
+			Address:       ep.Address,
+		})
+	}
+	return es
+}
+
+// serviceKey names a service uniquely over all teams.
+func serviceKey(s toucansettings.Service) string { return s.Team + "/" + s.Name }
+
+// endpointKey names an endpoint uniquely over all teams; sidecars report under the same name.
+func endpointKey(team, endpoint string) string { return team + "/" + endpoint }
+
+func (e *Entry) takeReport(l *toucanwire.LoadReport) {
+	if l == nil {
+		return
+	}
+	e.cfg.Router.Report(time.Now(), toucanroute.Load{
+		BootID:         l.BootId,
+		Sequence:       l.Sequence,
+		Endpoint:       l.Endpoint,
+		Running:        int(l.Running),
+		Queued:         int(l.Queued),
+		QueuedTokens:   int(l.QueuedTokens),
+		UsedBlocks:     int(l.MemoryUsedBlocks),
+		TotalBlocks:    int(l.MemoryTotalBlocks),
+		ForecastBlocks: int(l.MemoryForecastBlocks),
+		StepTime:       time.Duration(l.StepMicros) * time.Microsecond,
+		Wait:           time.Duration(l.WaitMillis) * time.Millisecond,
+		Leaving:        l.Leaving,
+		Healthy:        l.Healthy,
+		CachedPrefixes: l.CachedPrefixes,
+	})
+}
+
+func (e *Entry) health(c *echo.Context) error {
+	if e.stopping.Load() {
+		return c.String(http.StatusServiceUnavailable, "stopping\n")
+	}
+	return c.String(http.StatusOK, "ok\n")
+}
--- /dev/null
+++ b/toucanentry/generate.go
@@ -0,0 +1,285 @@
+package toucanentry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"toucanport/toucanapi"
+	"toucanport/toucanlimit"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucanstream"
+	"toucanport/toucanwire"
+)
+
+// Headers of generation requests and answers.
+const (
+	headerGenerationID = "Toucan-Generation-Id"
+	headerClass        = "Toucan-Class"
+	headerTimeout      = "Toucan-Timeout"
+	headerLastEventID  = "Last-Event-ID"
+)
+
+// briefTokens is the most tokens a caller may ask for to count as a brief question by itself.
+const briefTokens = 256
+
+const (
+	classBrief = "brief"
+	classPlan  = "plan"
+)
+
+func (e *Entry) chat(c *echo.Context, w toucansettings.Workspace) error {
+	r, err := toucanapi.ParseChat(e.body(c))
+	if err != nil {
+		return err
+	}
+	return e.serveGeneration(c, w, r)
+}
+
+func (e *Entry) completion(c *echo.Context, w toucansettings.Workspace) error {
+	r, err := toucanapi.ParseCompletion(e.body(c))
+	if err != nil {
+		return err
+	}
+	return e.serveGeneration(c, w, r)
+}
+
+// body bounds how long the caller may take to send it.
+func (e *Entry) body(c *echo.Context) io.Reader {
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout)) // not every writer has deadlines
+	return c.Request().Body
+}
+
+func (e *Entry) serveGeneration(c *echo.Context, w toucansettings.Workspace, r toucanapi.Request) error {
+	s, err := e.generationService(w, r.Model)
+	if err != nil {
+		return err
+	}
+	gen, err := e.newGeneration(c, w, s, r)
+	if err != nil {
+		return err
+	}
+	release, err := e.cfg.Limiter.Acquire(time.Now(), limitsOf(w), r.PromptTokens)
+	if err != nil {
+		return err
+	}
+	tokens := 0
+	defer func() { release(time.Now(), r.PromptTokens+tokens) }()
+	out := newSink(c, r)
+	res, prog, err := e.dispatch(c.Request().Context(), gen, out)
+	tokens = prog.next
+	return e.answer(c, out, res, err)
+}
+
+// answer says the last thing to the caller.
+func (e *Entry) answer(c *echo.Context, out answerSink, res result, err error) error {
+	if err != nil {
+		return out.failed(err)
+	}
+	if res.refusal != nil {
+		return out.failed(e.requestFailure(c, refusalFailure(res.refusal)))
+	}
+	return out.end(res.end)
+}
+
+func (e *Entry) requestFailure(c *echo.Context, f *failure) *failure {
+	f.body.RequestID = requestID(c)
+	f.body.Type = errorType(f.status)
+	return f
+}
+
+func (e *Entry) generationService(w toucansettings.Workspace, model string) (toucansettings.Service, error) {
+	s, ok := e.cfg.Settings.Tree().Service(w.Team, model)
+	if !ok || s.Kind != toucansettings.KindGeneration || !slices.Contains(w.Services, model) {
+		return s, fail(http.StatusNotFound, codeUnknownModel, "model: there is no model "+strconv.Quote(model)+" for this workspace; see /v1/models")
+	}
+	return s, nil
+}
+
+func (e *Entry) newGeneration(c *echo.Context, w toucansettings.Workspace, s toucansettings.Service, r toucanapi.Request) (*generationRequest, error) {
+	deadline, err := startDeadline(c)
+	if err != nil {
+		return nil, err
+	}
+	class, err := classOf(c, r)
+	if err != nil {
+		return nil, err
+	}
+	return &generationRequest{
+		message: &toucanwire.Generate{
+			RequestId:          requestID(c),
+			Workspace:          workspaceKey(w),
+			Service:            serviceKey(s),
+			Model:              s.Model,
+			Class:              class,
+			Prompt:             r.Prompt,
+			Chat:               r.Chat,
+			PromptTokens:       uint32(r.PromptTokens),
+			MaxTokens:          uint32(r.MaxTokens),
+			DeadlineUnixMillis: deadline.UnixMilli(),
+			Weight:             w.Weight,
+			PrefixHash:         r.PrefixHash,
+			Parameters:         r.Parameters,
+		},
+		workspace: workspaceKey(w),
+		query: toucanroute.Query{
+			Service:      serviceKey(s),
+			PrefixHash:   r.PrefixHash,
+			PromptTokens: r.PromptTokens,
+			MaxTokens:    r.MaxTokens,
+		},
+		chat:     r.Chat,
+		deadline: deadline,
+	}, nil
+}
+
+// workspaceKey names a workspace uniquely over all teams.
+func workspaceKey(w toucansettings.Workspace) string { return w.Team + "/" + w.Name }
+
+func limitsOf(w toucansettings.Workspace) toucanlimit.Workspace {
+	return toucanlimit.Workspace{
+		Name:               workspaceKey(w),
+		ConcurrentRequests: w.ConcurrentRequests,
+		TokensPerMinute:    w.TokensPerMinute,
+	}
+}
+
+// startDeadline is when the answer must have begun.
+func startDeadline(c *echo.Context) (time.Time, error) {
+	text := c.Request().Header.Get(headerTimeout)
+	if text == "" {
+		return time.Now().Add(DefaultStartWithin), nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return time.Time{}, &toucanapi.BadRequestError{Field: headerTimeout, Message: "must be a duration such as 20s"}
+	}
+	return time.Now().Add(d), nil
+}
+
+func classOf(c *echo.Context, r toucanapi.Request) (string, error) {
+	switch class := c.Request().Header.Get(headerClass); class {
+	case classBrief, classPlan:
+		return class, nil
+	case "":
+		if r.MaxTokens > 0 && r.MaxTokens <= briefTokens {
+			return classBrief, nil
+		}
+		return classPlan, nil
+	}
+	return "", &toucanapi.BadRequestError{Field: headerClass, Message: `must be "brief" or "plan"`}
+}
+
+// resumeGeneration goes on with a generation behind the caller's Last-Event-ID.
+func (e *Entry) resumeGeneration(c *echo.Context, w toucansettings.Workspace) error {
+	text := c.Param("id")
+	id, err := e.cfg.Signer.Verify(text, workspaceKey(w))
+	if err != nil {
+		return unknownGeneration()
+	}
+	next, err := nextIndex(c.Request().Header.Get(headerLastEventID), text)
+	if err != nil {
+		return err
+	}
+	out := newSink(c, toucanapi.Request{Chat: id.Chat, Stream: true, IncludeUsage: true, Model: e.serviceAt(id, w)})
+	if err := out.begin(text); err != nil {
+		return err
+	}
+	run := &run{
+		entry:     e,
+		id:        text,
+		workspace: workspaceKey(w),
+		address:   id.Address,
+		prog:      &progress{next: next, mayHaveRun: true},
+		out:       out,
+	}
+	res, err := run.resume(c.Request().Context())
+	return e.answer(c, out, res, err)
+}
+
+func unknownGeneration() *failure {
+	f := fail(http.StatusNotFound, toucanwire.CodeUnknownGeneration, "there is no such generation")
+	f.body.Ran = toucanwire.RanUnknown
+	return f
+}
+
+// nextIndex reads the index behind the last event that the caller has; without one it starts at the beginning.
+func nextIndex(lastEventID, id string) (int, error) {
+	if lastEventID == "" {
+		return 0, nil
+	}
+	bad := &toucanapi.BadRequestError{Field: headerLastEventID, Message: "must be the id of an event of this generation"}
+	text, ok := strings.CutPrefix(lastEventID, id+":")
+	if !ok {
+		return 0, bad
+	}
+	index, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		return 0, bad
+	}
+	return int(index) + 1, nil
+}
+
+// serviceAt returns the name of the service whose endpoint holds a generation.
+func (e *Entry) serviceAt(id toucanstream.ID, w toucansettings.Workspace) string {
+	tree := e.cfg.Settings.Tree()
+	for _, name := range w.Services {
+		for _, ep := range tree.Endpoints(w.Team, name) {
+			if ep.Address == id.Address {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+func (e *Entry) cancelGeneration(c *echo.Context, w toucansettings.Workspace) error {
+	text := c.Param("id")
+	id, err := e.cfg.Signer.Verify(text, workspaceKey(w))
+	if err != nil {
+		return unknownGeneration()
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), cancelWindow)
+	defer cancel()
+	if err := e.tryCancel(ctx, id.Address, text, workspaceKey(w)); err != nil {
+		f := fail(http.StatusBadGateway, toucanwire.CodeEndpointFailed, "the cancel did not reach the endpoint; it may still run")
+		f.body.Ran, f.body.Retryable = toucanwire.RanUnknown, true
+		return f
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+func (e *Entry) listModels(c *echo.Context, w toucansettings.Workspace) error {
+	list := modelList{Object: "list", Data: []model{}}
+	for _, name := range w.Services {
+		s, ok := e.cfg.Settings.Tree().Service(w.Team, name)
+		if ok && s.Kind == toucansettings.KindGeneration {
+			list.Data = append(list.Data, model{ID: s.Name, Object: "model", OwnedBy: s.Team})
+		}
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+// errSinkBroken says that the caller's connection failed.
+var errSinkBroken = errors.New("the caller's connection broke")
--- a/toucanstream/id.go
+++ b/toucanstream/id.go
@@ -18,8 +18,8 @@
 const (
 	idVersion = 1
 	macBytes  = 16
-	// idFixedBytes are the version, boot id and serial.
-	idFixedBytes = 1 + 8 + 8
+	// idFixedBytes are the version, form, boot id and serial.
+	idFixedBytes = 1 + 1 + 8 + 8
 	maxIDBytes   = 96
 )
 
@@ -32,6 +32,8 @@
 	Boot uint64
 	// Serial is unique within Boot.
 	Serial uint64
+	// Chat is true when the caller gets the chat form.
+	Chat bool
 }
 
 // Signer issues and checks ids.
@@ -72,20 +74,34 @@
 }
 
 func appendID(b []byte, id ID) []byte {
-	b = append(b, idVersion)
+	b = append(b, idVersion, form(id.Chat))
 	b = binary.BigEndian.AppendUint64(b, id.Boot)
 	b = binary.BigEndian.AppendUint64(b, id.Serial)
 	addr, _ := id.Address.MarshalBinary() // never fails
 	return append(b, addr...)
 }
 
+// The forms of answer.
+const (
+	completionForm = 0
+	chatForm       = 1
+)
+
+func form(chat bool) byte {
+	if chat {
+		return chatForm
+	}
+	return completionForm
+}
+
 func parseID(b []byte) (ID, error) {
 	if b[0] != idVersion {
 		return ID{}, ErrForeignID
 	}
 	id := ID{
-		Boot:   binary.BigEndian.Uint64(b[1:]),
-		Serial: binary.BigEndian.Uint64(b[9:]),
+		Chat:   b[1] == chatForm,
+		Boot:   binary.BigEndian.Uint64(b[2:]),
+		Serial: binary.BigEndian.Uint64(b[10:]),
 	}
 	if err := id.Address.UnmarshalBinary(b[idFixedBytes:]); err != nil {
 		return ID{}, ErrForeignID
