--- /dev/null
+++ b/toucanengine/client.go
@@ -0,0 +1,193 @@
+// Package toucanengine is the client of one model engine: OpenAI-compatible completions as server-sent
+// events, and small control calls for load reports, cache events and orders.
+package toucanengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrNotSent means that no byte of the request reached the engine.
+	ErrNotSent = errors.New("request did not reach the engine")
+	// ErrOutcomeUnknown means that the engine may have taken the request.
+	ErrOutcomeUnknown = errors.New("engine may have taken the request")
+	// ErrInterrupted means that the connection ended before the generation did.
+	ErrInterrupted = errors.New("engine stream was interrupted")
+	// ErrUnknownGeneration means that the engine holds no generation of this id.
+	ErrUnknownGeneration = errors.New("engine does not know the generation")
+	// ErrFenced means that the engine has seen a higher fencing number.
+	ErrFenced = errors.New("order carries an old fencing number")
+	// ErrRejected means that the engine refused the request and did not run it.
+	ErrRejected = errors.New("engine refused the request")
+)
+
+const (
+	maxReplyBytes = 1 << 20
+	maxErrorBytes = 4 << 10
+)
+
+// Client calls one engine. It is safe for concurrent use.
+type Client struct {
+	baseURL string
+	http    *http.Client
+}
+
+// Option changes a Client as New builds it.
+type Option func(*Client)
+
+// WithTransport makes the client send its requests through rt.
+func WithTransport(rt http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = rt }
+}
+
+// New returns a client of the engine at baseURL, for example "http://127.0.0.1:9000".
+func New(baseURL string, opts ...Option) *Client {
+	c := &Client{baseURL: baseURL, http: &http.Client{}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Generate starts the generation of r.ID, or attaches to it from token 0 when the engine already runs it.
+func (c *Client) Generate(ctx context.Context, r Request) (Stream, error) {
+	body, err := r.encode()
+	if err != nil {
+		return nil, err
+	}
+	path := "/v1/completions"
+	if r.Chat {
+		path = "/v1/chat/completions"
+	}
+	return c.stream(ctx, http.MethodPost, path, body)
+}
+
+// Resume attaches to a generation that the engine runs or has lately ended, beginning with token from.
+// It returns ErrUnknownGeneration when the engine holds none of this id.
+func (c *Client) Resume(ctx context.Context, id string, from int) (Stream, error) {
+	path := generationPath(id) + "?from=" + strconv.Itoa(from)
+	return c.stream(ctx, http.MethodGet, path, nil)
+}
+
+// Cancel ends a generation and frees its memory. It returns ErrUnknownGeneration when the engine holds
+// none of this id; the engine will not start that id later.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	return c.call(ctx, http.MethodDelete, generationPath(id), nil, nil)
+}
+
+// Report returns the engine's latest load report, which lags behind its state.
+func (c *Client) Report(ctx context.Context) (Report, error) {
+	var r Report
+	err := c.call(ctx, http.MethodGet, "/control/report", nil, &r)
+	return r, err
+}
+
+// CacheEvents returns the published cache events with sequence numbers above after, oldest first. Events
+// come late, and a missing sequence number is an event that was lost.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	path := "/control/cacheEvents?after=" + strconv.FormatUint(after, 10)
+	err := c.call(ctx, http.MethodGet, path, nil, &events)
+	return events, err
+}
+
+// Order gives the engine an order and waits until it has been carried out. It returns ErrFenced when the
+// engine refused the order's fencing number.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	return c.call(ctx, http.MethodPost, "/control/orders", body, nil)
+}
+
+func generationPath(id string) string {
+	return "/v1/generations/" + url.PathEscape(id)
+}
+
+func (c *Client) stream(ctx context.Context, method, path string, body []byte) (Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.do(ctx, method, path, body) //nolint:bodyclose // the stream closes it
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newStream(resp.Body, cancel), nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
+	resp, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return errors.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	if reply == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(b, reply), "decode engine reply")
+}
+
+// do sends a request and returns its response when the status is 2xx.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	if method == http.MethodPost {
+		// The transport takes a second connection for a POST only when it wrote nothing to the first.
+		trace.GetConn = func(string) { sent.Store(false) }
+	}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, outcome(err, sent.Load())
+	}
+	if resp.StatusCode/100 == 2 {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	return nil, statusError(resp)
+}
+
+// outcome wraps a transport error in the sentinel that tells whether the engine can have seen the request.
+func outcome(err error, sent bool) error {
+	if sent {
+		return errors.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	return errors.Wrap(ErrNotSent, err.Error())
+}
+
+func statusError(resp *http.Response) error {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		text = []byte(err.Error())
+	}
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return errors.Wrapf(ErrUnknownGeneration, "%s", text)
+	case http.StatusConflict:
+		return errors.Wrapf(ErrFenced, "%s", text)
+	case http.StatusBadRequest, http.StatusServiceUnavailable:
+		return errors.Wrapf(ErrRejected, "status %d: %s", resp.StatusCode, text)
+	}
+	return errors.Wrapf(ErrOutcomeUnknown, "status %d: %s", resp.StatusCode, text)
+}
--- /dev/null
+++ b/toucanengine/stream.go
@@ -0,0 +1,106 @@
+package toucanengine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"iter"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/tmaxmax/go-sse"
+)
+
+// doneData is the data of the event that ends a complete stream.
+const doneData = "[DONE]"
+
+// Stream is the tokens of one generation as they come.
+type Stream interface {
+	// Next waits for more tokens. It returns io.EOF after the last batch, and ErrInterrupted when the
+	// connection ended before the generation did.
+	Next() (Batch, error)
+	// Close drops the connection and wakes a waiting Next. The engine goes on with the generation.
+	Close() error
+}
+
+// chunk is the part of a completion event that is read.
+type chunk struct {
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage"`
+}
+
+type choice struct {
+	Tokens       []string `json:"tokens"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens int `json:"prompt_tokens"`
+}
+
+type eventStream struct {
+	body   io.Closer
+	cancel context.CancelFunc
+	// mu is held while next or stop runs.
+	mu   sync.Mutex
+	next func() (sse.Event, error, bool)
+	stop func()
+	done bool
+}
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc) *eventStream {
+	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(body, nil)))
+	return &eventStream{body: body, cancel: cancel, next: next, stop: stop}
+}
+
+// Next implements Stream.
+func (s *eventStream) Next() (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done {
+		return Batch{}, io.EOF
+	}
+	ev, err, ok := s.next()
+	if err != nil {
+		return Batch{}, errors.Wrap(ErrInterrupted, err.Error())
+	}
+	if !ok {
+		return Batch{}, errors.Wrap(ErrInterrupted, "connection closed")
+	}
+	if ev.Data == doneData {
+		s.done = true
+		return Batch{}, io.EOF
+	}
+	return parseBatch(ev)
+}
+
+func parseBatch(ev sse.Event) (Batch, error) {
+	first, err := strconv.Atoi(ev.LastEventID)
+	if err != nil {
+		return Batch{}, errors.Wrapf(ErrInterrupted, "event id %q is no token index", ev.LastEventID)
+	}
+	var c chunk
+	if err := json.Unmarshal([]byte(ev.Data), &c); err != nil {
+		return Batch{}, errors.Wrapf(ErrInterrupted, "decode event: %v", err)
+	}
+	if len(c.Choices) != 1 {
+		return Batch{}, errors.Wrapf(ErrInterrupted, "event has %d choices", len(c.Choices))
+	}
+	b := Batch{FirstIndex: first, Text: c.Choices[0].Tokens, Finish: c.Choices[0].FinishReason}
+	if c.Usage != nil {
+		b.PromptTokens = c.Usage.PromptTokens
+	}
+	return b, nil
+}
+
+// Close implements Stream.
+func (s *eventStream) Close() error {
+	s.cancel()
+	err := s.body.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+	s.stop()
+	return err
+}
--- /dev/null
+++ b/toucanfake/weights.go
@@ -0,0 +1,36 @@
+package toucanfake
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// WeightStore is the platform's rate-limited store of model weights, shared by engines.
+type WeightStore struct {
+	limiter *rate.Limiter
+	// transfer is the duration of one load once it may start.
+	transfer time.Duration
+}
+
+// NewWeightStore returns a store that starts at most one load each interval.
+func NewWeightStore(interval, transfer time.Duration) *WeightStore {
+	return &WeightStore{limiter: rate.NewLimiter(rate.Every(interval), 1), transfer: transfer}
+}
+
+// load waits for a place and for the transfer.
+func (w *WeightStore) load(ctx context.Context) error {
+	if w == nil {
+		return nil
+	}
+	if err := w.limiter.Wait(ctx); err != nil {
+		return err
+	}
+	select {
+	case <-time.After(w.transfer):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
