--- /dev/null
+++ b/toucanstore/client.go
@@ -0,0 +1,402 @@
+package toucanstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
+)
+
+// Defaults of a client.
+const (
+	defaultReadsPerSecond  = 20
+	defaultWritesPerSecond = 15
+	defaultTries           = 3
+	defaultTimeout         = 2 * time.Second
+	firstBackoff           = 20 * time.Millisecond
+	maxBackoff             = time.Second
+)
+
+// Counts are the calls that a client has sent. A waiting watch counts once.
+type Counts struct {
+	Reads, Writes, Watches int64
+}
+
+// Client speaks to the platform's service over HTTP.
+type Client struct {
+	base    string
+	http    *http.Client
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	tries   uint
+	timeout time.Duration
+	wait    time.Duration
+	scope   tally.Scope
+	flights singleflight.Group
+	// epoch grows when a write begins and when it ends, so that a read never joins one that began before.
+	epoch atomic.Uint64
+
+	readCount, writeCount, watchCount atomic.Int64
+}
+
+var _ Store = (*Client)(nil)
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTransport sends the calls through t.
+func WithTransport(t http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = t }
+}
+
+// WithBudget bounds this process's calls; reads include watches.
+func WithBudget(readsPerSecond, writesPerSecond float64) Option {
+	return func(c *Client) {
+		c.reads = newLimiter(readsPerSecond)
+		c.writes = newLimiter(writesPerSecond)
+	}
+}
+
+// WithTries bounds how often a call is sent while it was surely not carried out.
+func WithTries(n uint) Option {
+	return func(c *Client) { c.tries = n }
+}
+
+// WithTimeout bounds the time of one attempt; a watch has its wait besides.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// WithWait bounds the waiting part of a watch.
+func WithWait(d time.Duration) Option {
+	return func(c *Client) { c.wait = min(d, MaxWait) }
+}
+
+// WithScope reports call counts and latencies to s.
+func WithScope(s tally.Scope) Option {
+	return func(c *Client) { c.scope = s }
+}
+
+// NewClient returns a client of the service at base, such as http://127.0.0.1:8500.
+func NewClient(base string, opts ...Option) *Client {
+	c := &Client{
+		base:    strings.TrimSuffix(base, "/"),
+		http:    &http.Client{},
+		reads:   newLimiter(defaultReadsPerSecond),
+		writes:  newLimiter(defaultWritesPerSecond),
+		tries:   defaultTries,
+		timeout: defaultTimeout,
+		wait:    MaxWait,
+		scope:   tally.NoopScope,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// Counts returns the calls sent so far.
+func (c *Client) Counts() Counts {
+	return Counts{Reads: c.readCount.Load(), Writes: c.writeCount.Load(), Watches: c.watchCount.Load()}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	values, err := c.share(ctx, "get", key, "")
+	if err != nil {
+		return Value{}, err
+	}
+	if len(values) == 0 {
+		return Value{}, errors.Wrapf(ErrNotFound, "get %s", key)
+	}
+	return values[0], nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Value, error) {
+	return c.share(ctx, "list", prefix, "&recurse=")
+}
+
+// share sends one read for all callers that ask for the same at the same time. The read is not bound to the
+// first caller's ctx, so that its leaving does not fail the others.
+func (c *Client) share(ctx context.Context, verb, key, query string) ([]Value, error) {
+	flight := fmt.Sprintf("%s %s %d", verb, key, c.epoch.Load())
+	ch := c.flights.DoChan(flight, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout*time.Duration(c.tries))
+		defer cancel()
+		return c.read(ctx, verb, key, query)
+	})
+	select {
+	case r := <-ch:
+		values, _ := r.Val.([]Value)
+		return values, r.Err
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ErrUnavailable, "%s %s: %v", verb, key, ctx.Err())
+	}
+}
+
+func (c *Client) read(ctx context.Context, verb, key, query string) ([]Value, error) {
+	call := call{verb: verb, method: http.MethodGet, path: kvPath(key) + "?consistent=" + query, timeout: c.timeout}
+	reply, err := c.send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return reply.values()
+}
+
+// CompareAndSwap implements Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, body []byte, expected uint64, opts ...SwapOption) (uint64, error) {
+	if len(body) > MaxValueBytes {
+		return 0, errors.Wrapf(ErrTooLarge, "swap %s: %d bytes", key, len(body))
+	}
+	ops := []TxnOp{{KV: TxnKV{Verb: VerbCAS, Key: key, Value: body, Index: expected}}}
+	if o := NewSwapOptions(opts...); o.LeaseID != "" {
+		ops = append(ops, TxnOp{KV: TxnKV{Verb: VerbLock, Key: key, Value: body, Session: o.LeaseID}})
+	}
+	reply, err := c.write(ctx, "swap", http.MethodPut, PathTxn, ops)
+	if err != nil {
+		return 0, err
+	}
+	var txn TxnReply
+	if err := json.Unmarshal(reply.body, &txn); err != nil || len(txn.Results) == 0 {
+		return 0, errors.Wrapf(ErrUnknownOutcome, "swap %s: malformed reply", key)
+	}
+	return txn.Results[len(txn.Results)-1].KV.ModifyIndex, nil
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
+	path := kvPath(key) + "?cas=" + strconv.FormatUint(expected, 10)
+	reply, err := c.write(ctx, "delete", http.MethodDelete, path, nil)
+	if err != nil {
+		return err
+	}
+	if strings.TrimSpace(string(reply.body)) != "true" {
+		return errors.Wrapf(ErrConflict, "delete %s", key)
+	}
+	return nil
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Value, uint64, error) {
+	path := fmt.Sprintf("%s?recurse=&index=%d&wait=%s", kvPath(prefix), after, c.wait)
+	call := call{verb: "watch", method: http.MethodGet, path: path, timeout: c.wait + c.timeout, waiting: true}
+	reply, err := c.send(ctx, call)
+	if err != nil {
+		return nil, after, err
+	}
+	values, err := reply.values()
+	if err != nil {
+		return nil, after, err
+	}
+	if reply.index < after {
+		return values, reply.index, nil
+	}
+	return changedAfter(values, after), reply.index, nil
+}
+
+func changedAfter(values []Value, after uint64) []Value {
+	var changed []Value
+	for _, v := range values {
+		if v.Revision > after {
+			changed = append(changed, v)
+		}
+	}
+	return changed
+}
+
+// GrantLease implements Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (Lease, error) {
+	s := Session{TTL: ttl.String(), Behavior: BehaviorDelete, LockDelay: "0s"}
+	reply, err := c.write(ctx, "grant", http.MethodPut, PathSessionCreate, s)
+	if err != nil {
+		return Lease{}, err
+	}
+	if err := json.Unmarshal(reply.body, &s); err != nil || s.ID == "" {
+		return Lease{}, errors.Wrap(ErrUnknownOutcome, "grant lease: malformed reply")
+	}
+	return Lease{ID: s.ID, TTL: ttl}, nil
+}
+
+// KeepAlive implements Store.
+func (c *Client) KeepAlive(ctx context.Context, l Lease) error {
+	_, err := c.write(ctx, "renew", http.MethodPut, PathSessionRenew+l.ID, nil)
+	return err
+}
+
+// Revoke implements Store.
+func (c *Client) Revoke(ctx context.Context, l Lease) error {
+	_, err := c.write(ctx, "revoke", http.MethodPut, PathSessionDestroy+l.ID, nil)
+	return err
+}
+
+func (c *Client) write(ctx context.Context, verb, method, path string, body any) (reply, error) {
+	var encoded []byte
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return reply{}, errors.Wrap(err, verb)
+		}
+	}
+	c.epoch.Add(1)
+	defer c.epoch.Add(1)
+	return c.send(ctx, call{verb: verb, method: method, path: path, body: encoded, timeout: c.timeout, write: true})
+}
+
+// call is one request to the service.
+type call struct {
+	verb, method, path string
+	body               []byte
+	timeout            time.Duration
+	// write is true when the call may change the store, so that a lost reply leaves its outcome unknown.
+	write bool
+	// waiting is true for a watch.
+	waiting bool
+}
+
+type reply struct {
+	body  []byte
+	index uint64
+}
+
+func (r reply) values() ([]Value, error) {
+	if len(r.body) == 0 {
+		return nil, nil
+	}
+	var pairs []KVPair
+	if err := json.Unmarshal(r.body, &pairs); err != nil {
+		return nil, errors.Wrapf(ErrUnavailable, "malformed reply: %v", err)
+	}
+	values := make([]Value, len(pairs))
+	for i, p := range pairs {
+		values[i] = Value{Key: p.Key, Body: p.Value, Revision: p.ModifyIndex}
+	}
+	return values, nil
+}
+
+// send repeats cl, with jittered backoff, as long as it was surely not carried out and tries are left.
+func (c *Client) send(ctx context.Context, cl call) (reply, error) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstBackoff
+	b.MaxInterval = maxBackoff
+	attempt := func() (reply, error) {
+		r, err := c.attempt(ctx, cl)
+		if err != nil && !errors.Is(err, ErrUnavailable) {
+			return r, backoff.Permanent(err)
+		}
+		return r, err
+	}
+	r, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(b), backoff.WithMaxTries(c.tries))
+	var permanent *backoff.PermanentError
+	if errors.As(err, &permanent) {
+		err = permanent.Unwrap()
+	}
+	return r, wrapCancelled(err, cl.verb)
+}
+
+// wrapCancelled turns a context's error, which the backoff returns between two attempts, into ErrUnavailable.
+func wrapCancelled(err error, verb string) error {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return errors.Wrapf(ErrUnavailable, "%s: %v", verb, err)
+	}
+	return err
+}
+
+func (c *Client) attempt(ctx context.Context, cl call) (reply, error) {
+	if err := c.limiter(cl).Wait(ctx); err != nil {
+		return reply{}, errors.Wrapf(ErrUnavailable, "%s: budget of calls: %v", cl.verb, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, cl.method, c.base+cl.path, bytes.NewReader(cl.body))
+	if err != nil {
+		return reply{}, errors.Wrap(err, cl.verb)
+	}
+	// A transport repeats a request of its own accord only if it can rewind the body.
+	req.GetBody = nil
+	c.count(cl)
+	started := time.Now()
+	resp, err := c.http.Do(req)
+	c.scope.Tagged(map[string]string{"verb": cl.verb}).Timer("store_call").Record(time.Since(started))
+	if err != nil {
+		return reply{}, lost(cl, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}, lost(cl, err)
+	}
+	return readReply(cl, resp, body)
+}
+
+func (c *Client) limiter(cl call) *rate.Limiter {
+	if cl.write {
+		return c.writes
+	}
+	return c.reads
+}
+
+func (c *Client) count(cl call) {
+	switch {
+	case cl.waiting:
+		c.watchCount.Add(1)
+	case cl.write:
+		c.writeCount.Add(1)
+	default:
+		c.readCount.Add(1)
+	}
+}
+
+// lost names the outcome of a call without a reply: a refused connection proves that it was not carried out.
+func lost(cl call, err error) error {
+	var op *net.OpError
+	if !cl.write || (errors.As(err, &op) && op.Op == "dial") {
+		return errors.Wrapf(ErrUnavailable, "%s: %v", cl.verb, err)
+	}
+	return errors.Wrapf(ErrUnknownOutcome, "%s: %v", cl.verb, err)
+}
+
+func readReply(cl call, resp *http.Response, body []byte) (reply, error) {
+	index, _ := strconv.ParseUint(resp.Header.Get(HeaderIndex), 10, 64)
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return reply{body: body, index: index}, nil
+	case resp.StatusCode == http.StatusNotFound && !cl.write:
+		return reply{index: index}, nil
+	case resp.StatusCode == http.StatusNotFound:
+		return reply{}, errors.Wrap(ErrNotFound, cl.verb)
+	case resp.StatusCode == http.StatusConflict:
+		return reply{}, errors.Wrap(ErrConflict, cl.verb)
+	case resp.StatusCode == http.StatusRequestEntityTooLarge:
+		return reply{}, errors.Wrap(ErrTooLarge, cl.verb)
+	case resp.StatusCode == http.StatusTooManyRequests:
+		return reply{}, errors.Wrapf(ErrUnavailable, "%s: rate limit of the store", cl.verb)
+	case resp.StatusCode < http.StatusInternalServerError:
+		return reply{}, errors.Errorf("store: %s: status %d: %s", cl.verb, resp.StatusCode, body)
+	case cl.write:
+		return reply{}, errors.Wrapf(ErrUnknownOutcome, "%s: status %d", cl.verb, resp.StatusCode)
+	}
+	return reply{}, errors.Wrapf(ErrUnavailable, "%s: status %d", cl.verb, resp.StatusCode)
+}
+
+func kvPath(key string) string {
+	return PathKV + strings.ReplaceAll(url.PathEscape(key), "%2F", "/")
+}
