Add strict documents, process settings, team documents and the command line

Cause: entry, sidecar and operators' commands all need settings that are refused whole when wrong. Change: toucandocument reads TOML with every problem at once and the nearest known key; toucanconfig and toucansettings build on it; toucancmd finds the command itself and gives flaggy only that command's flags, because flaggy ends the process with its help on wrong use.

--- /dev/null
+++ b/toucancmd/commands.go
@@ -0,0 +1,19 @@
+package toucancmd
+
+import (
+	"toucanport/toucancmd/check"
+	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/version"
+)
+
+// newRoot returns the root with every command. A new command is added to this list.
+func newRoot(f *factory.Factory) *factory.Command {
+	return &factory.Command{
+		Name:  "toucanport",
+		Short: "a serving system for generations of unknown length",
+		Commands: []*factory.Command{
+			check.NewCmdCheck(f, nil),
+			version.NewCmdVersion(f, nil),
+		},
+	}
+}
--- /dev/null
+++ b/toucandocument/table.go
@@ -0,0 +1,345 @@
+package toucandocument
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// NamePattern is what names of instances, failure domains, teams, services, workspaces and endpoints match.
+var NamePattern = regexp.MustCompile(`^[a-z0-9][a-zA-Z0-9-]{0,62}$`)
+
+// NameAllowed describes NamePattern.
+const NameAllowed = "1 to 63 letters, digits and hyphens, starting with a lower-case letter or a digit"
+
+// Table reads one TOML table. Each getter marks its key as known and notes a problem when the value does
+// not fit; Done notes the keys that no getter asked for.
+type Table struct {
+	file     string
+	path     string
+	values   map[string]any
+	known    []string
+	problems *Problems
+}
+
+// Parse reads data as TOML. A syntax error is reported as the only problem.
+func Parse(file string, data []byte) (*Table, *Problems) {
+	problems := &Problems{}
+	t := &Table{file: file, values: map[string]any{}, problems: problems}
+	_, err := toml.Decode(string(data), &t.values)
+	if err != nil {
+		t.syntaxError(err)
+	}
+	return t, problems
+}
+
+func (t *Table) syntaxError(err error) {
+	var parse toml.ParseError
+	p := Problem{File: t.file, Value: err.Error(), Allowed: "TOML"}
+	if ok := asParseError(err, &parse); ok {
+		p.File = fmt.Sprintf("%s:%d", t.file, parse.Position.Line)
+		p.Value = parse.Message
+	}
+	*t.problems = append(*t.problems, p)
+}
+
+func asParseError(err error, target *toml.ParseError) bool {
+	p, ok := err.(toml.ParseError) //nolint:errorlint // the library returns it unwrapped
+	if ok {
+		*target = p
+	}
+	return ok
+}
+
+// Note adds a problem at key.
+func (t *Table) Note(key string, value any, allowed string) {
+	*t.problems = append(*t.problems, Problem{File: t.file, Path: t.join(key), Value: show(value), Allowed: allowed})
+}
+
+func show(value any) string {
+	switch v := value.(type) {
+	case nil:
+		return ""
+	case string:
+		return fmt.Sprintf("%q", v)
+	case map[string]any:
+		return "a table"
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func (t *Table) join(key string) string {
+	if t.path == "" {
+		return key
+	}
+	if key == "" {
+		return t.path
+	}
+	return t.path + "." + key
+}
+
+func (t *Table) take(key string) (any, bool) {
+	t.known = append(t.known, key)
+	v, ok := t.values[key]
+	return v, ok
+}
+
+// Has reports whether key is present.
+func (t *Table) Has(key string) bool {
+	_, ok := t.values[key]
+	return ok
+}
+
+// Done notes each unknown key with the nearest known one.
+func (t *Table) Done() {
+	var unknown []string
+	for key := range t.values {
+		if !slices.Contains(t.known, key) {
+			unknown = append(unknown, key)
+		}
+	}
+	sort.Strings(unknown)
+	for _, key := range unknown {
+		t.Note(key, nil, t.suggest(key))
+	}
+}
+
+func (t *Table) suggest(key string) string {
+	if nearest := Nearest(key, t.known); nearest != "" {
+		return fmt.Sprintf("no key %q here; did you mean %q?", key, nearest)
+	}
+	known := slices.Clone(t.known)
+	sort.Strings(known)
+	return fmt.Sprintf("no key %q here, only %s", key, strings.Join(known, ", "))
+}
+
+// String returns the string at key, or "" after noting a problem. A missing key is a problem when required.
+func (t *Table) String(key string, required bool) string {
+	v, ok := t.take(key)
+	if !ok {
+		t.missing(key, required, "a string")
+		return ""
+	}
+	s, ok := v.(string)
+	if !ok || (required && s == "") {
+		t.Note(key, v, "a string that is not empty")
+	}
+	return s
+}
+
+func (t *Table) missing(key string, required bool, allowed string) {
+	if required {
+		t.Note(key, nil, allowed+"; it is required")
+	}
+}
+
+// OneOf returns the string at key, which must be one of allowed; fallback stands for a missing key, and an
+// empty fallback makes the key required.
+func (t *Table) OneOf(key, fallback string, allowed ...string) string {
+	v, ok := t.take(key)
+	want := "one of " + strings.Join(allowed, ", ")
+	if !ok {
+		t.missing(key, fallback == "", want)
+		return fallback
+	}
+	s, _ := v.(string)
+	if !slices.Contains(allowed, s) {
+		t.Note(key, v, want)
+	}
+	return s
+}
+
+// Bool returns the boolean at key, or false when it is missing.
+func (t *Table) Bool(key string) bool {
+	v, ok := t.take(key)
+	if !ok {
+		return false
+	}
+	b, ok := v.(bool)
+	if !ok {
+		t.Note(key, v, "true or false")
+	}
+	return b
+}
+
+// Int returns the integer at key, which must lie in [low, high], or fallback when it is missing.
+func (t *Table) Int(key string, fallback, low, high int) int {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	n, ok := v.(int64)
+	if !ok || n < int64(low) || n > int64(high) {
+		t.Note(key, v, fmt.Sprintf("an integer from %d to %d", low, high))
+		return fallback
+	}
+	return int(n)
+}
+
+// Float returns the number at key, which must lie in [low, high], or fallback when it is missing.
+func (t *Table) Float(key string, fallback, low, high float64) float64 {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	f, ok := v.(float64)
+	if n, isInt := v.(int64); isInt {
+		f, ok = float64(n), true
+	}
+	if !ok || !(f >= low && f <= high) {
+		t.Note(key, v, fmt.Sprintf("a number from %g to %g", low, high))
+		return fallback
+	}
+	return f
+}
+
+// Duration returns the duration at key, which must lie in [low, high], or fallback when it is missing.
+func (t *Table) Duration(key string, fallback, low, high time.Duration) time.Duration {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	s, _ := v.(string)
+	d, err := time.ParseDuration(s)
+	if err != nil || d < low || d > high {
+		t.Note(key, v, fmt.Sprintf("a duration from %s to %s such as \"250ms\" or \"1.5s\"", low, high))
+		return fallback
+	}
+	return d
+}
+
+// Size returns the size in bytes at key, which must lie in [low, high], or fallback when it is missing.
+func (t *Table) Size(key string, fallback, low, high int64) int64 {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	s, _ := v.(string)
+	n, err := ParseSize(s)
+	if err != nil || n < low || n > high {
+		t.Note(key, v, fmt.Sprintf("a size from %s to %s such as \"64KiB\" or \"8MiB\"", FormatSize(low), FormatSize(high)))
+		return fallback
+	}
+	return n
+}
+
+// Address returns the IP address and port at key.
+func (t *Table) Address(key string, required bool) netip.AddrPort {
+	const allowed = "an IP address with a port such as \"10.0.0.7:8080\"; host names are not resolved"
+	v, ok := t.take(key)
+	if !ok {
+		t.missing(key, required, allowed)
+		return netip.AddrPort{}
+	}
+	s, _ := v.(string)
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		t.Note(key, v, allowed)
+	}
+	return a
+}
+
+// Strings returns the array of strings at key.
+func (t *Table) Strings(key string) []string {
+	v, ok := t.take(key)
+	if !ok {
+		return nil
+	}
+	items, ok := v.([]any)
+	out := make([]string, 0, len(items))
+	for _, item := range items {
+		s, isString := item.(string)
+		ok = ok && isString
+		out = append(out, s)
+	}
+	if !ok {
+		t.Note(key, v, "an array of strings")
+	}
+	return out
+}
+
+// Name returns the name at key, which must be there and match NamePattern.
+func (t *Table) Name(key string) string {
+	v, ok := t.take(key)
+	if !ok {
+		t.missing(key, true, NameAllowed)
+		return ""
+	}
+	s, isString := v.(string)
+	if !isString || !NamePattern.MatchString(s) {
+		t.Note(key, v, NameAllowed)
+	}
+	return s
+}
+
+// Table returns the table at key, or nil when it is missing. A table that is absent is never a problem.
+func (t *Table) Table(key string) *Table {
+	v, ok := t.take(key)
+	if !ok {
+		return nil
+	}
+	values, ok := v.(map[string]any)
+	if !ok {
+		t.Note(key, v, "a table")
+		return nil
+	}
+	return t.child(key, values)
+}
+
+func (t *Table) child(key string, values map[string]any) *Table {
+	return &Table{file: t.file, path: t.join(key), values: values, problems: t.problems}
+}
+
+// Named is one table of a group, with the name that it stands under.
+type Named struct {
+	Name  string
+	Table *Table
+}
+
+// Group returns the tables under key, such as [services.NAME], in the order of their names.
+func (t *Table) Group(key string) []Named {
+	group := t.Table(key)
+	if group == nil {
+		return nil
+	}
+	names := make([]string, 0, len(group.values))
+	for name := range group.values {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	out := make([]Named, 0, len(names))
+	for _, name := range names {
+		if !NamePattern.MatchString(name) {
+			group.Note(name, name, NameAllowed)
+		}
+		if child := group.Table(name); child != nil {
+			out = append(out, Named{Name: name, Table: child})
+		}
+	}
+	return out
+}
+
+// List returns the tables of an array of tables such as [[changes]], in their order.
+func (t *Table) List(key string) []*Table {
+	v, ok := t.take(key)
+	if !ok {
+		return nil
+	}
+	items, ok := v.([]map[string]any)
+	if !ok {
+		t.Note(key, v, "an array of tables")
+		return nil
+	}
+	out := make([]*Table, len(items))
+	for i, item := range items {
+		out[i] = t.child(fmt.Sprintf("%s[%d]", key, i), item)
+	}
+	return out
+}
--- a/toucanio/iostreams.go
+++ b/toucanio/iostreams.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"os"
 
@@ -52,3 +53,9 @@
 	}
 	return "\x1b[" + code + "m" + text + "\x1b[0m"
 }
+
+// Printf writes to Out. A failed write means that nobody reads, so it is not reported.
+func (s *Streams) Printf(format string, args ...any) { _, _ = fmt.Fprintf(s.Out, format, args...) }
+
+// Errorf writes to Err.
+func (s *Streams) Errorf(format string, args ...any) { _, _ = fmt.Fprintf(s.Err, format, args...) }
--- /dev/null
+++ b/toucansettings/parse.go
@@ -0,0 +1,171 @@
+package toucansettings
+
+import (
+	"math"
+	"regexp"
+	"slices"
+	"time"
+
+	"toucanport/toucandocument"
+)
+
+const (
+	defaultFirstToken = 1200 * time.Millisecond
+	defaultInterToken = 68 * time.Millisecond
+
+	minLatencyBound = time.Millisecond
+	maxLatencyBound = time.Minute
+
+	minWeight = 0.001
+	maxWeight = 1000
+)
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// ParseTeam reads one team's document: the tables services, workspaces and endpoints by name. All problems
+// are reported at once as toucandocument.Problems; file is named in them.
+func ParseTeam(file, name string, data []byte) (Team, error) {
+	t, problems := toucandocument.Parse(file, data)
+	if err := problems.Err(); err != nil {
+		return Team{}, err
+	}
+	team := ReadTeam(t, name)
+	t.Done()
+	if err := problems.Err(); err != nil {
+		return Team{}, err
+	}
+	return team, nil
+}
+
+// ReadTeam reads a team's tables out of t and notes what is wrong with them there. Done is the caller's.
+func ReadTeam(t *toucandocument.Table, name string) Team {
+	team := Team{Name: name}
+	for _, n := range t.Group("services") {
+		team.Services = append(team.Services, readService(n, name))
+	}
+	for _, n := range t.Group("workspaces") {
+		team.Workspaces = append(team.Workspaces, readWorkspace(n, name))
+	}
+	for _, n := range t.Group("endpoints") {
+		team.Endpoints = append(team.Endpoints, readEndpoint(n, name))
+	}
+	noteReferences(t, team)
+	return team
+}
+
+func readService(n toucandocument.Named, team string) Service {
+	t := n.Table
+	defer t.Done()
+	s := Service{
+		Name:       n.Name,
+		Team:       team,
+		Kind:       Kind(t.OneOf("kind", "", string(KindGeneration), string(KindPlain))),
+		Model:      t.String("model", false),
+		Weigh:      Weigh(t.OneOf("weigh", string(WeighStallTime), string(WeighStallTime), string(WeighInterTokenLatency))),
+		Policy:     Policy(t.OneOf("policy", string(PolicyToucan), string(PolicyNaive), string(PolicyToucan))),
+		FirstToken: t.Duration("firstToken", defaultFirstToken, minLatencyBound, maxLatencyBound),
+		InterToken: t.Duration("interToken", defaultInterToken, minLatencyBound, maxLatencyBound),
+	}
+	if s.Kind == KindGeneration && s.Model == "" {
+		t.Note("model", nil, "the model's name; a generation service needs one")
+	}
+	if s.Kind == KindPlain && s.Model != "" {
+		t.Note("model", s.Model, "no model for a plain service")
+	}
+	return s
+}
+
+func readWorkspace(n toucandocument.Named, team string) Workspace {
+	t := n.Table
+	defer t.Done()
+	w := Workspace{
+		Name:               n.Name,
+		Team:               team,
+		KeyHashes:          t.Strings("keyHashes"),
+		Weight:             t.Float("weight", 1, minWeight, maxWeight),
+		Services:           t.Strings("services"),
+		ConcurrentRequests: t.Int("concurrentRequests", 0, 0, math.MaxInt32),
+		TokensPerMinute:    t.Int("tokensPerMinute", 0, 0, math.MaxInt32),
+	}
+	for _, h := range w.KeyHashes {
+		if !hashPattern.MatchString(h) {
+			t.Note("keyHashes", h, "hex SHA-256 digests of 64 characters, never keys themselves")
+		}
+	}
+	return w
+}
+
+func readEndpoint(n toucandocument.Named, team string) Endpoint {
+	t := n.Table
+	defer t.Done()
+	return Endpoint{
+		Name:          n.Name,
+		Team:          team,
+		Service:       t.String("service", true),
+		Address:       t.Address("address", true),
+		FailureDomain: t.Name("failureDomain"),
+		ChecksFencing: t.Bool("checksFencing"),
+		Draining:      t.Bool("draining"),
+	}
+}
+
+// noteReferences checks what spans several entries of the document.
+func noteReferences(t *toucandocument.Table, team Team) {
+	names := make([]string, len(team.Services))
+	for i, s := range team.Services {
+		names[i] = s.Name
+	}
+	served := noteEndpointReferences(t, team, names)
+	for _, name := range names {
+		if !served[name] {
+			t.Note("services."+name, nil, "at least one endpoint for each service")
+		}
+	}
+	noteWorkspaceReferences(t, team, names)
+}
+
+func noteEndpointReferences(t *toucandocument.Table, team Team, names []string) map[string]bool {
+	served := make(map[string]bool, len(names))
+	addresses := make(map[string]string, len(team.Endpoints))
+	for _, e := range team.Endpoints {
+		path := "endpoints." + e.Name
+		served[e.Service] = true
+		noteService(t, path+".service", e.Service, names)
+		address := e.Address.String()
+		if other, ok := addresses[address]; ok && e.Address.IsValid() {
+			t.Note(path+".address", address, "an address of its own; endpoints."+other+" has this one")
+		}
+		addresses[address] = e.Name
+	}
+	return served
+}
+
+func noteWorkspaceReferences(t *toucandocument.Table, team Team, names []string) {
+	owners := make(map[string]string)
+	for _, w := range team.Workspaces {
+		path := "workspaces." + w.Name
+		if len(w.Services) == 0 {
+			t.Note(path+".services", nil, "the names of one or more of the team's services")
+		}
+		for _, s := range w.Services {
+			noteService(t, path+".services", s, names)
+		}
+		for _, h := range w.KeyHashes {
+			if other, ok := owners[h]; ok {
+				t.Note(path+".keyHashes", h, "a key of its own; workspaces."+other+" has this one")
+			}
+			owners[h] = w.Name
+		}
+	}
+}
+
+func noteService(t *toucandocument.Table, path, name string, names []string) {
+	if name == "" || slices.Contains(names, name) {
+		return
+	}
+	allowed := "the name of one of the team's services"
+	if nearest := toucandocument.Nearest(name, names); nearest != "" {
+		allowed += "; did you mean \"" + nearest + "\"?"
+	}
+	t.Note(path, name, allowed)
+}
