--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -145,8 +145,8 @@
 	sentTo uint64
 	// answeredBy is the boot id of the sidecar at the other end of the last link.
 	answeredBy uint64
-	first  time.Time
-	broken bool
+	first      time.Time
+	broken     bool
 }
 
 func (r *run) firstToken(sent time.Time) time.Duration {
@@ -345,7 +345,7 @@
 
 // cancelAt carries a cancel to a sidecar, over a new link if it must.
 func (e *Entry) cancelAt(address netip.AddrPort, id, workspace string) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelWindow)
+	ctx, cancel := context.WithTimeout(e.life, cancelWindow)
 	defer cancel()
 	for {
 		if e.tryCancel(ctx, address, id, workspace) == nil {
@@ -391,6 +391,8 @@
 		return http.StatusNotFound
 	case toucanwire.CodeGenerationClosed, toucanwire.CodeTokensDropped:
 		return http.StatusGone
+	case toucanwire.CodeRejected:
+		return http.StatusBadRequest
 	case toucanwire.CodeDeadline:
 		return http.StatusGatewayTimeout
 	case toucanwire.CodeEngineLost, toucanwire.CodeEndpointFailed:
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -73,6 +73,11 @@
 	server *http.Server
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
+	// drained is closed when a graceful stop has ended.
+	drained chan struct{}
+	// life ends with Run; work that outlives its request, such as a cancel, ends with it.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // New returns an entry that does nothing until Run.
@@ -83,7 +88,8 @@
 	if cfg.Budget == nil {
 		cfg.Budget = toucanretry.NewBudget()
 	}
-	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64()}
+	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
+	e.life, e.end = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -125,21 +131,35 @@
 
 // Run serves callers from ln until Shutdown or until ctx is done, which ends everything at once.
 func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
+	defer e.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.maintain(ctx)
-	stop := context.AfterFunc(ctx, func() { e.server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
 	defer stop()
-	err := e.server.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
-		err = nil
+	if err := e.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	if e.stopping.Load() {
+		e.awaitDrained(ctx)
+	}
+	return nil
+}
+
+func (e *Entry) awaitDrained(ctx context.Context) {
+	select {
+	case <-e.drained:
+	case <-ctx.Done():
 	}
-	return err
 }
 
 // Shutdown takes no new connections, lets requests in progress end, and then closes the links.
 func (e *Entry) Shutdown(ctx context.Context) error {
-	e.stopping.Store(true)
+	if e.stopping.Swap(true) {
+		e.awaitDrained(ctx)
+		return ctx.Err()
+	}
+	defer close(e.drained)
 	err := e.server.Shutdown(ctx)
 	e.links.closeAll()
 	return errors.Wrap(err, "requests were still in progress")
--- /dev/null
+++ b/toucanentry/path_test.go
@@ -0,0 +1,244 @@
+package toucanentry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucanengine"
+	"toucanport/toucanentry"
+	"toucanport/toucanfake"
+	"toucanport/toucanrig"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucansidecar"
+	"toucanport/toucanstream"
+)
+
+const (
+	testKey       = "key-of-the-office"
+	otherKey      = "key-of-the-yard"
+	entryAddr     = "10.0.0.1:8080"
+	sidecarAddr   = "10.0.1.1:7000"
+	engineAddr    = "10.0.1.1:9000"
+	testSecret    = "0123456789abcdef0123456789abcdef"
+	testWorkspace = "office"
+)
+
+type fixedSettings struct{ tree *toucansettings.Tree }
+
+func (f fixedSettings) Tree() *toucansettings.Tree { return f.tree }
+
+// path is the whole path with one entry, one sidecar and one engine on an in-memory network.
+type path struct {
+	net     *toucanrig.Network
+	entry   *toucanentry.Entry
+	sidecar *toucansidecar.Sidecar
+	engine  *toucanfake.Engine
+	ledger  *toucanfake.Ledger
+	client  *http.Client
+	stop    func()
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func testTree() *toucansettings.Tree {
+	return toucansettings.NewTree([]toucansettings.Team{{
+		Name: "poteaux",
+		Services: []toucansettings.Service{{
+			Name: "redacteur", Team: "poteaux", Kind: toucansettings.KindGeneration, Model: "redacteur",
+		}},
+		Workspaces: []toucansettings.Workspace{
+			{Name: testWorkspace, Team: "poteaux", KeyHashes: []string{toucansettings.HashKey(testKey)}, Weight: 1, Services: []string{"redacteur"}},
+			{Name: "yard", Team: "poteaux", KeyHashes: []string{toucansettings.HashKey(otherKey)}, Weight: 1, Services: []string{"redacteur"}},
+		},
+		Endpoints: []toucansettings.Endpoint{{
+			Name: "r1", Team: "poteaux", Service: "redacteur", Address: netip.MustParseAddrPort(sidecarAddr), FailureDomain: "qc-east-a",
+		}},
+	}})
+}
+
+func startPath(t *testing.T) *path {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &path{net: toucanrig.NewNetwork(), ledger: toucanfake.NewLedger()}
+	listen := func(address string) net.Listener {
+		ln, err := p.net.Listen(address)
+		assert.NilError(t, err)
+		return ln
+	}
+	var wg sync.WaitGroup
+	p.engine = toucanfake.NewEngine(toucanfake.DefaultConfig("e1"), p.ledger)
+	engineLn := listen(engineAddr)
+	wg.Go(func() { _ = p.engine.Run(ctx, engineLn) })
+
+	signer := toucanstream.NewSigner([]byte(testSecret))
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return p.net.Dialer("10.0.1.1")(ctx, address)
+	}}
+	p.sidecar = toucansidecar.New(toucansidecar.Config{
+		Instance: "s1", Endpoint: "poteaux/r1", Service: "poteaux/redacteur", Kind: toucansettings.KindGeneration,
+		Engine: toucanengine.New("http://"+engineAddr, toucanengine.WithTransport(transport)),
+		Policy: toucanadmit.NewNaive(toucanadmit.Config{}),
+		Signer: signer,
+	}, toucansidecar.WithLogger(quiet()))
+	sidecarLn := listen(sidecarAddr)
+	wg.Go(func() { _ = p.sidecar.Run(ctx, sidecarLn) })
+
+	p.entry = toucanentry.New(toucanentry.Config{
+		Instance: "n1", Settings: fixedSettings{testTree()}, Signer: signer,
+		Dial: p.net.Dialer("10.0.0.1"), Router: toucanroute.NewNaive(),
+	}, toucanentry.WithLogger(quiet()))
+	entryLn := listen(entryAddr)
+	wg.Go(func() { _ = p.entry.Run(ctx, entryLn) })
+
+	callers := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return p.net.Dialer("10.0.9.9")(ctx, address)
+	}}
+	p.client = &http.Client{Transport: callers}
+	p.stop = func() {
+		callers.CloseIdleConnections()
+		cancel()
+		wg.Wait()
+		transport.CloseIdleConnections()
+	}
+	time.Sleep(time.Second)
+	return p
+}
+
+func (p *path) do(t *testing.T, method, target, key, body string, headers ...string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+entryAddr+target, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := p.client.Do(req)
+	assert.NilError(t, err)
+	return resp
+}
+
+// bubble runs f under a fake clock. Yamux keeps timers in a pool of the whole process, and a timer of one
+// bubble must not reach another; two collections empty the pool.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+const streamBody = `{"model":"redacteur","stream":true,"stream_options":{"include_usage":true},"prompt":"outputTokens=%d a plan"}`
+
+func TestStreamedGenerationIsWholeAndInOrder(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		resp := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 50))
+		defer resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		id := resp.Header.Get("Toucan-Generation-Id")
+		checkStream(t, resp.Body, id, 0, 50)
+	})
+}
+
+// checkStream reads events until [DONE] and checks that they are the tokens first to total-1 of id.
+func checkStream(t *testing.T, body io.Reader, id string, first, total int) {
+	t.Helper()
+	next, done := first, false
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if eventID, ok := strings.CutPrefix(line, "id: "); ok {
+			assert.Equal(t, eventID, fmt.Sprintf("%s:%d", id, next))
+			next++
+		}
+		if strings.Contains(line, `"text":" `) {
+			assert.Assert(t, strings.Contains(line, toucanfake.TokenText(id, next-1)+`"`), "%s", line)
+		}
+		done = done || line == "data: [DONE]"
+	}
+	assert.NilError(t, scanner.Err())
+	assert.Equal(t, next, total)
+	assert.Assert(t, done)
+}
+
+func TestCutLinkDoesNotReachTheCaller(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		go func() {
+			for range 5 {
+				time.Sleep(700 * time.Millisecond)
+				p.net.Cut(toucanrig.LinkName{From: "10.0.0.1", To: sidecarAddr})
+			}
+		}()
+		resp := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 400))
+		defer resp.Body.Close()
+		checkStream(t, resp.Body, resp.Header.Get("Toucan-Generation-Id"), 0, 400)
+		assert.Equal(t, len(p.ledger.Generations()), 1)
+	})
+}
+
+func TestOtherWorkspacesCannotReadAGeneration(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		resp := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 30))
+		id := resp.Header.Get("Toucan-Generation-Id")
+		checkStream(t, resp.Body, id, 0, 30)
+		resp.Body.Close()
+
+		again := p.do(t, http.MethodGet, "/v1/generations/"+id, testKey, "", "Last-Event-ID", id+":9")
+		checkStream(t, again.Body, id, 10, 30)
+		again.Body.Close()
+
+		foreign := p.do(t, http.MethodGet, "/v1/generations/"+id, otherKey, "")
+		defer foreign.Body.Close()
+		assert.Equal(t, foreign.StatusCode, http.StatusNotFound)
+	})
+}
+
+func TestCallerThatGoesAwayFreesTheEngine(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		resp := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 20000))
+		_, err := bufio.NewReader(resp.Body).ReadString('\n')
+		assert.NilError(t, err)
+		resp.Body.Close()
+		time.Sleep(time.Second)
+		generations := p.ledger.Generations()
+		assert.Equal(t, len(generations), 1)
+		assert.Assert(t, generations[0].Cancelled, "%+v", generations[0])
+	})
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		resp := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 200))
+		defer resp.Body.Close()
+		left := make(chan error, 2)
+		go func() { left <- p.sidecar.Shutdown(context.Background()) }()
+		go func() { left <- p.entry.Shutdown(context.Background()) }()
+		checkStream(t, resp.Body, resp.Header.Get("Toucan-Generation-Id"), 0, 200)
+		assert.NilError(t, <-left)
+		assert.NilError(t, <-left)
+	})
+}
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -27,7 +27,6 @@
 
 	mu       sync.Mutex
 	failures int
-	prefixes []uint64
 }
 
 func (r *reporter) healthy() bool {
@@ -42,11 +41,10 @@
 	r.failures++
 }
 
-func (r *reporter) succeeded(prefixes []uint64) {
+func (r *reporter) succeeded() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failures = 0
-	r.prefixes = prefixes
 }
 
 // pollEngine asks the engine for its load and hands it to the schedule.
@@ -67,7 +65,7 @@
 		s.reports.failed()
 		return
 	}
-	s.reports.succeeded(r.CachedPrefixes)
+	s.reports.succeeded()
 	s.schedule.report(admitReport(r))
 }
 
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -229,6 +229,8 @@
 			return *end
 		case g.ctx.Err() != nil:
 			return toucanstream.End{Failure: codeCancelled, Message: "the generation was cancelled"}
+		case errors.Is(err, toucanengine.ErrRejected):
+			return toucanstream.End{Failure: codeRejected, Message: "the engine refused the request: " + err.Error()}
 		case errors.Is(err, toucanengine.ErrUnknownGeneration), errors.Is(err, toucanstream.ErrGap):
 			return toucanstream.End{Failure: codeEngineLost, Message: "the engine lost the generation"}
 		}
--- a/toucansidecar/refusal.go
+++ b/toucansidecar/refusal.go
@@ -28,6 +28,7 @@
 	codeGenerationClosed  = toucanwire.CodeGenerationClosed
 	codeTokensDropped     = toucanwire.CodeTokensDropped
 	codeEndpointFailed    = toucanwire.CodeEndpointFailed
+	codeRejected          = toucanwire.CodeRejected
 )
 
 func refusal(code, ran, message string) *toucanwire.Refusal {
@@ -47,13 +48,13 @@
 func endRefusal(end toucanstream.End, tokens int) *toucanwire.Refusal {
 	ran := ranUnknown
 	switch {
-	case end.Failure == codeDeadline:
+	case end.Failure == codeDeadline, end.Failure == codeRejected:
 		ran = ranNo
 	case tokens > 0:
 		ran = ranPartly
 	}
 	r := refusal(end.Failure, ran, end.Message)
-	r.Retryable = end.Failure != codeCancelled
+	r.Retryable = end.Failure != codeCancelled && end.Failure != codeRejected
 	return r
 }
 
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/expirable"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
 	"toucanport/toucanadmit"
@@ -31,9 +31,8 @@
 	// DefaultResumeWindow is how long a generation runs on with nobody attached, and how long a finished
 	// one stays readable.
 	DefaultResumeWindow = 30 * time.Second
-	// finishedIDs and finishedIDWindow bound the ids that are refused because they were used before.
-	finishedIDs      = 100_000
-	finishedIDWindow = 15 * time.Minute
+	// closedIDBound is how many ids are remembered that must not start any more.
+	closedIDBound = 100_000
 )
 
 // Engine is what a sidecar needs of the model engine beside it.
@@ -105,20 +104,21 @@
 	// generations holds every generation that can be resumed, by id.
 	generations map[string]*generation
 	// closedIDs holds ids that must not start any more: finished, cancelled, or asked for before they came.
-	closedIDs *expirable.LRU[string, struct{}]
+	closedIDs *lru.Cache[string, struct{}]
 	links     map[*toucanwire.Link]struct{}
 }
 
 // New returns a sidecar that does nothing until Run.
 func New(cfg Config, opts ...Option) *Sidecar {
 	cfg = cfg.withDefaults()
+	closedIDs, _ := lru.New[string, struct{}](closedIDBound) // fails for a bound of zero only
 	s := &Sidecar{
 		cfg:         cfg,
 		log:         slog.Default(),
 		boot:        rand.Uint64(),
 		pool:        toucanstream.NewPool(cfg.BufferBytes),
 		generations: make(map[string]*generation),
-		closedIDs:   expirable.NewLRU[string, struct{}](finishedIDs, nil, finishedIDWindow),
+		closedIDs:   closedIDs,
 		links:       make(map[*toucanwire.Link]struct{}),
 	}
 	for _, opt := range opts {
--- a/toucanwire/codes.go
+++ b/toucanwire/codes.go
@@ -29,6 +29,8 @@
 	CodeTokensDropped = "tokensDropped"
 	// CodeEndpointFailed: the endpoint did not answer.
 	CodeEndpointFailed = "endpointFailed"
+	// CodeRejected: the engine does not take the request as it is.
+	CodeRejected = "rejectedByEngine"
 	// CodeStoreUnavailable: the platform's store did not take the order's claim.
 	CodeStoreUnavailable = "storeUnavailable"
 )
