Hold retries to 1.2 attempts a request at low rates too

Cause: with a reserve of 5 that refilled in 10 s or a minute, one request a second against refusing endpoints came to 1.250 attempts a request in TestAttemptsPerRequest.

--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -7,9 +7,11 @@
 
 const (
 	defaultFraction = 0.1
-	defaultReserve  = 5
+	// defaultReserve and reserveRefill keep a service of one request a second below 1.2 attempts a request in any
+	// minute: 0.1 earned, 4 of 60 from the reserve, and less than 1 of 60 refilled.
+	defaultReserve = 4
 	// reserveRefill is the time in which an unused reserve fills up, so that rare requests may retry too.
-	reserveRefill = 10 * time.Second
+	reserveRefill = 5 * time.Minute
 )
 
 // Budget bounds the retries of each service to a fraction of its requests and a small reserve. It is safe for
