--- /dev/null
+++ b/toucanroute/attempts_test.go
@@ -0,0 +1,91 @@
+package toucanroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanretry"
+	"toucanport/toucanroute"
+)
+
+// answer is how the endpoints of a test answer.
+type answer func(endpoint int) toucanroute.Outcome
+
+func halfDownRestRefuse(endpoint int) toucanroute.Outcome {
+	if endpoint%2 == 0 {
+		return toucanroute.Failed
+	}
+	return toucanroute.Refused
+}
+
+func halfDownRestServe(endpoint int) toucanroute.Outcome {
+	if endpoint%2 == 0 {
+		return toucanroute.Failed
+	}
+	return toucanroute.Completed
+}
+
+// TestAttemptsPerRequest holds attempts to 1.2 a request at several rates while half of the endpoints are down
+// and the others serve or refuse.
+func TestAttemptsPerRequest(t *testing.T) {
+	const maxAttemptsPerRequest = 1.2
+	for _, perSecond := range []int{1, 10, 100, 1000} {
+		for name, a := range map[string]answer{"refuse": halfDownRestRefuse, "serve": halfDownRestServe} {
+			t.Run(fmt.Sprintf("%s at %d a second", name, perSecond), func(t *testing.T) {
+				r := toucanroute.NewToucan(toucanroute.Config{Rand: rand.NewPCG(1, 2)})
+				got := attemptsPerRequest(r, a, perSecond)
+				t.Logf("attempts per request: toucan %.3f, naive %.3f", got, attemptsPerRequest(toucanroute.NewNaive(), a, perSecond))
+				assert.Assert(t, got <= maxAttemptsPerRequest)
+			})
+		}
+	}
+}
+
+func attemptsPerRequest(r toucanroute.Router, a answer, perSecond int) float64 {
+	const endpoints = 16
+	now := time.Unix(0, 0)
+	es := make([]toucanroute.Endpoint, 0, endpoints)
+	index := make(map[string]int)
+	for i := range endpoints {
+		es = append(es, toucanroute.Endpoint{Name: fmt.Sprint(i), Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:1")})
+		index[es[i].Name] = i
+	}
+	r.SetEndpoints(now, "s", es)
+	budget := toucanretry.NewBudget()
+	requests, attempts := 60*perSecond, 0
+	for range requests {
+		now = now.Add(time.Second / time.Duration(perSecond))
+		attempts += runRequest(r, a, index, budget, now)
+	}
+	return float64(attempts) / float64(requests)
+}
+
+func runRequest(r toucanroute.Router, a answer, index map[string]int, budget *toucanretry.Budget, now time.Time) int {
+	q := toucanroute.Query{Service: "s", PromptTokens: 100}
+	plan := toucanretry.NewPlan(now, budget, "s", now.Add(time.Second))
+	attempts := 0
+	for {
+		e, err := r.Pick(now, q)
+		if err != nil {
+			return attempts
+		}
+		attempts++
+		r.Sent(now, e.Name, q)
+		o := a(index[e.Name])
+		r.Finished(now, e.Name, q, o, 0)
+		if o == toucanroute.Completed {
+			return attempts
+		}
+		delay, ok := plan.Next(now, toucanretry.Failure{NotRun: true})
+		if !ok {
+			return attempts
+		}
+		now = now.Add(delay)
+		q.Exclude = append(q.Exclude, e.Name)
+	}
+}
--- a/toucanroute/naive.go
+++ b/toucanroute/naive.go
@@ -13,7 +13,13 @@
 type Naive struct {
 	mu       sync.Mutex
 	services map[string]*naiveService
-	loads    map[string]Load
+	// reports has an entry for each listed endpoint.
+	reports map[string]*naiveReport
+}
+
+type naiveReport struct {
+	order  reportOrder
+	usable bool
 }
 
 type naiveService struct {
@@ -23,7 +29,7 @@
 
 // NewNaive returns a round robin router.
 func NewNaive() Router {
-	return &Naive{services: make(map[string]*naiveService), loads: make(map[string]Load)}
+	return &Naive{services: make(map[string]*naiveService), reports: make(map[string]*naiveReport)}
 }
 
 // SetEndpoints implements Router.
@@ -35,22 +41,32 @@
 		s = &naiveService{}
 		n.services[service] = s
 	}
-	for _, old := range s.endpoints {
-		if !slices.ContainsFunc(es, func(e Endpoint) bool { return e.Name == old.Name }) {
-			delete(n.loads, old.Name)
+	n.listReports(s.endpoints, es)
+	s.endpoints = slices.Clone(es)
+}
+
+// listReports keeps one report for each endpoint that is listed now.
+func (n *Naive) listReports(before, now []Endpoint) {
+	for _, e := range before {
+		if !slices.ContainsFunc(now, func(kept Endpoint) bool { return kept.Name == e.Name }) {
+			delete(n.reports, e.Name)
+		}
+	}
+	for _, e := range now {
+		if n.reports[e.Name] == nil {
+			n.reports[e.Name] = &naiveReport{usable: true}
 		}
 	}
-	s.endpoints = slices.Clone(es)
 }
 
 // Report implements Router.
 func (n *Naive) Report(_ time.Time, l Load) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if old, ok := n.loads[l.Endpoint]; ok && old.BootID == l.BootID && l.Sequence <= old.Sequence {
-		return
+	r, ok := n.reports[l.Endpoint]
+	if ok && r.order.accept(l.BootID, l.Sequence) {
+		r.usable = l.Healthy && !l.Leaving
 	}
-	n.loads[l.Endpoint] = Load{BootID: l.BootID, Sequence: l.Sequence, Leaving: l.Leaving, Healthy: l.Healthy}
 }
 
 // Pick implements Router.
@@ -72,8 +88,7 @@
 }
 
 func (n *Naive) usable(name string) bool {
-	l, ok := n.loads[name]
-	return !ok || l.Healthy && !l.Leaving
+	return n.reports[name].usable
 }
 
 // Sent implements Router.
