Learn lengths from running outputs too

Cause: only ended outputs were counted, and the short ones end first, so a young engine's forecasts were short, its margin stood at 0.17 of the memory and the memory lay idle. Change: toucanlength counts, for each length, the outputs at risk and those that ended there, the running ones included, which makes the cut ones right as well.

--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -83,8 +83,9 @@
 	// started is when the job was handed to the engine; zero while queued.
 	started   time.Time
 	generated int
-	// demand is what the forecast holds for a running job, computed when it had generated accounted tokens.
-	demand    demand
+	// demand is what the forecast holds for a running job.
+	demand demand
+	// accounted is how many of the generated tokens the length estimates know of.
 	accounted int
 }
 
@@ -221,7 +222,6 @@
 
 // demand computes what j is expected to hold from now on.
 func (t *toucan) demand(j *job) demand {
-	j.accounted = j.generated
 	h := holding{
 		promptTokens: j.request.PromptTokens,
 		generated:    j.generated,
@@ -323,6 +323,8 @@
 }
 
 func (t *toucan) reforecast(j *job) {
+	t.lengths.Observe(j.key, j.accounted, j.generated, false)
+	j.accounted = j.generated
 	t.sum.remove(&j.demand)
 	j.demand = t.demand(j)
 	t.sum.add(&j.demand)
@@ -353,7 +355,7 @@
 		return
 	}
 	bounded := j.request.MaxTokens > 0 && j.generated >= j.request.MaxTokens
-	t.lengths.Observe(j.key, j.generated, complete && !bounded)
+	t.lengths.Observe(j.key, j.accounted, j.generated, complete && !bounded)
 	t.meanOutput += outputGain * (float64(j.generated) - t.meanOutput)
 }
 
--- a/toucanlength/curve.go
+++ b/toucanlength/curve.go
@@ -12,17 +12,24 @@
 // minSurvival keeps conditional probabilities defined beyond every length seen.
 const minSurvival = 1e-9
 
+// newCurve returns the curve of a distribution over the buckets.
 func newCurve(p *[bucketCount]float64) *Curve {
 	c := &Curve{}
 	c.survival[bucketCount] = minSurvival
 	for b := bucketCount - 1; b >= 0; b-- {
-		width := float64(bucketStart(b+1) - bucketStart(b))
 		c.survival[b] = c.survival[b+1] + p[b]
-		c.area[b] = c.area[b+1] + width*(c.survival[b]+c.survival[b+1])/2
 	}
+	c.integrate()
 	return c
 }
 
+func (c *Curve) integrate() {
+	for b := bucketCount - 1; b >= 0; b-- {
+		width := float64(bucketStart(b+1) - bucketStart(b))
+		c.area[b] = c.area[b+1] + width*(c.survival[b]+c.survival[b+1])/2
+	}
+}
+
 // Survival returns the probability that an output is at least n tokens long.
 func (c *Curve) Survival(n int) float64 {
 	n = clampLength(n)
--- a/toucanlength/estimator.go
+++ b/toucanlength/estimator.go
@@ -30,13 +30,13 @@
 const DefaultCapacity = 4096
 
 const (
-	// workspaceObservations and serviceObservations are how many outputs a distribution remembers at most.
-	workspaceObservations = 256
-	serviceObservations   = 4096
-	// priorStrength is how many observations a parent distribution is worth.
+	// workspaceOutputs and serviceOutputs are how many outputs are remembered at most.
+	workspaceOutputs = 256
+	serviceOutputs   = 4096
+	// priorStrength is how many outputs a parent distribution is worth.
 	priorStrength = 16
-	// refreshObservations is how many outputs of the service may be seen before a key's curve is drawn anew.
-	refreshObservations = 64
+	// maxPatience bounds how many changes a curve may miss.
+	maxPatience = 256
 )
 
 // Estimator learns the lengths of one service's outputs.
@@ -49,20 +49,19 @@
 
 // serviceLengths holds what the service's outputs of one class were like.
 type serviceLengths struct {
-	prior    [bucketCount]float64
-	seen     histogram
-	observed int
-	curve    *Curve
-	drawnAt  int
+	prior   *Curve
+	seen    history
+	curve   *Curve
+	drawnAt int
 }
 
 // keyLengths holds what one key's outputs were like.
 type keyLengths struct {
-	seen    histogram
+	seen    history
 	curve   *Curve
 	drawnAt int
-	// stale is how many outputs of the key were seen since the curve was drawn.
-	stale int
+	// parent is the service's curve that the key's was drawn from.
+	parent *Curve
 }
 
 // Option changes an Estimator at its construction.
@@ -89,40 +88,33 @@
 	return e
 }
 
-// Observe takes in an output of n tokens. complete is false when the output was cut short, so that it would have
-// been longer than n.
-func (e *Estimator) Observe(k Key, n int, complete bool) {
-	n = clampLength(n)
-	s := e.service(k.Class)
-	own := e.key(k)
-	if complete {
-		own.seen.add(bucketOf(n), 1)
-		s.seen.add(bucketOf(n), 1)
-	} else {
-		spreadBeyond(e.Curve(k), n, &own.seen, &s.seen)
+// Observe takes in that an output grew from one length to another and, when ended is true, ended there. An output
+// that was cut short has not ended. Outputs that still grow count too, so that the long ones among them are not
+// overlooked until they end.
+func (e *Estimator) Observe(k Key, from, to int, ended bool) {
+	from, to = clampLength(from), clampLength(to)
+	s, own := e.service(k.Class), e.key(k)
+	s.seen.passed(from, to)
+	own.seen.passed(from, to)
+	if ended {
+		s.seen.ended(to)
+		own.seen.ended(to)
 	}
-	own.seen.forget()
-	s.seen.forget()
-	own.stale++
-	s.observed++
 }
 
 // Curve returns the survival curve of k's outputs: what k's own were like, filled up with those of the service's
 // class where k has few, and those with the prior.
 func (e *Estimator) Curve(k Key) *Curve {
-	s := e.service(k.Class)
+	parent := e.service(k.Class).current()
 	own, ok := e.keys.Get(k)
 	if !ok {
-		return s.current()
+		return parent
 	}
-	if own.fresh(s) {
-		return own.curve
+	if own.curve == nil || own.parent != parent || own.seen.changes-own.drawnAt >= own.seen.patience() {
+		own.curve = own.seen.curve(parent, priorStrength)
+		own.parent = parent
+		own.drawnAt = own.seen.changes
 	}
-	parent := s.seen.mix(&s.prior, priorStrength)
-	p := own.seen.mix(&parent, priorStrength)
-	own.curve = newCurve(&p)
-	own.drawnAt = s.observed
-	own.stale = 0
 	return own.curve
 }
 
@@ -138,7 +130,7 @@
 	if !ok {
 		prior = DefaultPrior
 	}
-	s = &serviceLengths{prior: prior.buckets(), seen: histogram{limit: serviceObservations}}
+	s = &serviceLengths{prior: newCurve(prior.buckets()), seen: history{limit: serviceOutputs}}
 	e.services[class] = s
 	return s
 }
@@ -146,43 +138,24 @@
 func (e *Estimator) key(k Key) *keyLengths {
 	own, ok := e.keys.Get(k)
 	if !ok {
-		own = &keyLengths{seen: histogram{limit: workspaceObservations}}
+		own = &keyLengths{seen: history{limit: workspaceOutputs}}
 		e.keys.Add(k, own)
 	}
 	return own
 }
 
 func (s *serviceLengths) current() *Curve {
-	if s.curve == nil || s.observed-s.drawnAt >= refreshAfter(s.seen.total) {
-		p := s.seen.mix(&s.prior, priorStrength)
-		s.curve = newCurve(&p)
-		s.drawnAt = s.observed
+	if s.curve == nil || s.seen.changes-s.drawnAt >= s.seen.patience() {
+		s.curve = s.seen.curve(s.prior, priorStrength)
+		s.drawnAt = s.seen.changes
 	}
 	return s.curve
 }
 
-func (k *keyLengths) fresh(s *serviceLengths) bool {
-	return k.curve != nil &&
-		k.stale < refreshAfter(k.seen.total) &&
-		s.observed-k.drawnAt < refreshObservations
-}
-
-// refreshAfter returns how many new observations make a curve drawn from total ones stale.
-func refreshAfter(total float32) int { return 1 + int(total/16) }
-
-// spreadBeyond adds one observation that is longer than n, divided as c expects.
-func spreadBeyond(c *Curve, n int, into ...*histogram) {
-	alive := c.Survival(n)
-	for b := bucketOf(n); b < bucketCount; b++ {
-		from := c.Survival(max(n, bucketStart(b)))
-		share := float32((from - c.survival[b+1]) / alive)
-		for _, h := range into {
-			h.add(b, share)
-		}
-	}
-}
+// patience returns after how many changes a curve drawn now is stale.
+func (h *history) patience() int { return min(8+h.changes/8, maxPatience) }
 
-func (p Prior) buckets() [bucketCount]float64 {
+func (p Prior) buckets() *[bucketCount]float64 {
 	d := distuv.LogNormal{Mu: math.Log(p.MedianTokens), Sigma: p.Sigma}
 	var out [bucketCount]float64
 	below := 0.0
@@ -192,5 +165,5 @@
 		below = upTo
 	}
 	out[bucketCount-1] += 1 - below
-	return out
+	return &out
 }
--- a/toucanlength/estimator_test.go
+++ b/toucanlength/estimator_test.go
@@ -25,7 +25,7 @@
 		k := Key{Workspace: "w", Class: "plan"}
 		lengths := rapid.SliceOfN(rapid.IntRange(0, 2*MaxLength), 0, 50).Draw(t, "lengths")
 		for i, n := range lengths {
-			e.Observe(k, n, i%3 != 0)
+			e.Observe(k, 0, n, i%3 != 0)
 		}
 		c := e.Curve(k)
 		a := rapid.IntRange(0, MaxLength).Draw(t, "a")
@@ -44,8 +44,8 @@
 	e := New()
 	k := Key{Workspace: "w", Class: "plan"}
 	for range 100 {
-		e.Observe(k, 20, true)
-		e.Observe(k, 4000, true)
+		e.Observe(k, 0, 20, true)
+		e.Observe(k, 0, 4000, true)
 	}
 	c := e.Curve(k)
 	assert.Assert(t, c.Remaining(0, 0) < 2600)
@@ -56,7 +56,7 @@
 func TestColdWorkspaceFallsBackToService(t *testing.T) {
 	e := New()
 	for i := range 500 {
-		e.Observe(Key{Workspace: fmt.Sprint(i % 10), Class: "plan"}, 1000, true)
+		e.Observe(Key{Workspace: fmt.Sprint(i % 10), Class: "plan"}, 0, 1000, true)
 	}
 	rest := e.Curve(Key{Workspace: "new", Class: "plan"}).Remaining(0, 0)
 	assert.Assert(t, math.Abs(rest-1000) < 200, "%v", rest)
@@ -69,10 +69,10 @@
 	e := New()
 	k := Key{Workspace: "w", Class: "plan"}
 	for range 1000 {
-		e.Observe(k, 100, true)
+		e.Observe(k, 0, 100, true)
 	}
 	for range 600 {
-		e.Observe(k, 3000, true)
+		e.Observe(k, 0, 3000, true)
 	}
 	assert.Assert(t, e.Curve(k).Remaining(0, 0) > 2000)
 }
@@ -84,21 +84,33 @@
 	k := Key{Workspace: "w", Class: "plan"}
 	for range 2000 {
 		n := int(lengths.Rand())
-		whole.Observe(k, n, true)
+		whole.Observe(k, 0, n, true)
 		if limit := rnd.IntN(4000); n > limit {
-			cut.Observe(k, limit, false)
+			cut.Observe(k, 0, limit, false)
 		} else {
-			cut.Observe(k, n, true)
+			cut.Observe(k, 0, n, true)
 		}
 	}
 	want, got := whole.Curve(k).Remaining(0, 0), cut.Curve(k).Remaining(0, 0)
 	assert.Assert(t, got > 0.7*want && got < 1.4*want, "got %v, want about %v", got, want)
 }
 
+// While half of the outputs still run, those that ended are the short ones.
+func TestRunningOutputsCount(t *testing.T) {
+	e := New()
+	k := Key{Workspace: "w", Class: "plan"}
+	for range 200 {
+		e.Observe(k, 0, 100, true)
+		e.Observe(k, 0, 1000, false)
+	}
+	c := e.Curve(k)
+	assert.Assert(t, c.Survival(900) > 0.45, "%v", c.Survival(900))
+}
+
 func TestKeysAreBounded(t *testing.T) {
 	e := New(WithCapacity(100))
 	for i := range 1700 {
-		e.Observe(Key{Workspace: fmt.Sprint(i), Class: "brief"}, 10, true)
+		e.Observe(Key{Workspace: fmt.Sprint(i), Class: "brief"}, 0, 10, true)
 	}
 	assert.Equal(t, e.Keys(), 100)
 }
@@ -112,7 +124,7 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		k := keys[i%len(keys)]
-		e.Observe(k, i%3000, true)
+		e.Observe(k, 0, i%3000, true)
 		e.Curve(k)
 	}
 }
--- a/toucanlength/histogram.go
+++ b/toucanlength/histogram.go
@@ -37,34 +37,54 @@
 
 func clampLength(n int) int { return min(max(n, 0), MaxLength) }
 
-// histogram counts lengths and forgets old ones: whenever the total reaches limit, every count is halved.
-type histogram struct {
-	counts [bucketCount]float32
-	total  float32
-	limit  float32
+// history counts, for each bucket, the outputs that ended in it and those that reached it. Whenever as many as limit
+// outputs have ended, every count is halved.
+type history struct {
+	ends [bucketCount]float32
+	// tokens is how many tokens of the bucket's width outputs were at risk of ending in: all of them for an output
+	// that ended there or grew beyond, and those generated so far for one that is still within.
+	tokens  [bucketCount]float32
+	total   float32
+	limit   float32
+	changes int
 }
 
-func (h *histogram) add(bucket int, weight float32) {
-	h.counts[bucket] += weight
-	h.total += weight
+// passed counts the tokens that an output generated while it grew from one length to another.
+func (h *history) passed(from, to int) {
+	for b := bucketOf(from); from < to; b++ {
+		upTo := min(to, bucketStart(b+1))
+		h.tokens[b] += float32(upTo - from)
+		from = upTo
+	}
+	h.changes++
 }
 
-func (h *histogram) forget() {
+// ended counts an output that ended with length n, which it had grown to.
+func (h *history) ended(n int) {
+	b := bucketOf(n)
+	h.tokens[b] += float32(bucketStart(b+1) - n)
+	h.ends[b]++
+	h.total++
 	if h.total < h.limit {
 		return
 	}
-	for i := range h.counts {
-		h.counts[i] /= 2
+	for b := range h.ends {
+		h.ends[b] /= 2
+		h.tokens[b] /= 2
 	}
 	h.total /= 2
 }
 
-// mix returns the histogram's distribution with parent's as a prior worth strength observations.
-func (h *histogram) mix(parent *[bucketCount]float64, strength float64) [bucketCount]float64 {
-	var p [bucketCount]float64
-	scale := 1 / (float64(h.total) + strength)
-	for i := range p {
-		p[i] = (float64(h.counts[i]) + strength*parent[i]) * scale
+// curve returns the survival curve of the outputs, with parent's as a prior worth strength outputs.
+func (h *history) curve(parent *Curve, strength float64) *Curve {
+	c := &Curve{}
+	c.survival[0] = 1
+	for b := range h.ends {
+		width := float64(bucketStart(b+1) - bucketStart(b))
+		ends := float64(h.ends[b]) + strength*(parent.survival[b]-parent.survival[b+1])
+		atRisk := float64(h.tokens[b])/width + strength*parent.survival[b]
+		c.survival[b+1] = max(c.survival[b]*max(1-ends/atRisk, 0), minSurvival)
 	}
-	return p
+	c.integrate()
+	return c
 }
