Leave room for briefs and count only the time a request runs

Cause: when plans filled the memory, briefs found none for long and were refused; a brief was also held up by the use that others would reach when it had long ended. Change: plans leave the room of a Poisson number of briefs; the forecast for a newcomer looks only as far as it is likely to run; classes have priors of their own; predicted waits are corrected by the ratio of actual to predicted ones.

--- a/toucanadmit/forecast.go
+++ b/toucanadmit/forecast.go
@@ -90,9 +90,14 @@
 	f.sum.longest += sign * d.longest
 }
 
+// negligibleShare is the part of a request's first demand below which it no longer counts.
+const negligibleShare = 0.05
+
 // peak returns the highest use over time, in tokens, that is not exceeded at any one horizon with the probability that
-// z standard deviations stand for. extra, which may be nil, is a request to add. unaccounted is use that the engine
-// reported beyond the requests' own; a negative one is memory that requests share, and goes as they end.
+// z standard deviations stand for. extra, which may be nil, is a request to add; then only the time matters over which
+// it is likely to run, so that a brief one is not held up by what others will use when it has long ended. unaccounted
+// is use that the engine reported beyond the requests' own; a negative one is memory that requests share, and goes as
+// they end.
 func (f *forecast) peak(z float64, extra *demand, unaccounted float64) float64 {
 	if extra == nil {
 		extra = &demand{}
@@ -100,6 +105,9 @@
 	highest := 0.0
 	now := f.sum.mean[0] + extra.mean[0]
 	for i := range f.sum.mean {
+		if extra.mean[i] < negligibleShare*extra.mean[0] {
+			break
+		}
 		mean := f.sum.mean[i] + extra.mean[i]
 		variance := max(0, f.sum.variance[i]+extra.variance[i])
 		other := unaccounted
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -44,6 +44,8 @@
 	queue   *toucanfair.Queue
 	// jobs holds every queued and running request by id.
 	jobs map[string]*job
+	// now is the time of the latest call that asked for a decision.
+	now time.Time
 	// sum is the forecast of the running jobs.
 	sum    forecast
 	step   *stepModel
@@ -64,6 +66,8 @@
 	// queuedPrefill is the sum of the uncached prompts of queued jobs.
 	queuedPrefill int
 	running       int
+	briefs        reserve
+	bias          [toucanfair.Levels]waitBias
 	// ordinal numbers the started plans.
 	ordinal int
 	// briefTurns counts briefs started since a plan was, while plans waited; bypassed those started since the
@@ -80,6 +84,8 @@
 	item    toucanfair.Item
 	key     toucanlength.Key
 	running bool
+	// predicted is the wait that was expected when the job came, before the correction for past errors.
+	predicted time.Duration
 	// started is when the job was handed to the engine; zero while queued.
 	started   time.Time
 	generated int
@@ -89,16 +95,27 @@
 	accounted int
 }
 
+// Priors of the classes: a quick answer has tens of tokens, a document some thousand.
+var (
+	briefPrior = toucanlength.Prior{MedianTokens: 40, Sigma: 1.2}
+	planPrior  = toucanlength.Prior{MedianTokens: 1000, Sigma: 1.2}
+)
+
 // NewToucan returns the policy that admits by a forecast of the engine's memory.
 func NewToucan(cfg Config) Policy {
 	cfg = cfg.withDefaults()
 	t := &toucan{
-		cfg:        cfg,
-		lengths:    toucanlength.New(),
+		cfg: cfg,
+		lengths: toucanlength.New(
+			toucanlength.WithPrior(string(ClassBrief), briefPrior),
+			toucanlength.WithPrior(string(ClassPlan), planPrior),
+		),
 		queue:      toucanfair.New(),
 		jobs:       make(map[string]*job),
 		step:       newStepModel(),
 		throughput: meter{window: throughputWindow},
+		briefs:     newReserve(),
+		bias:       [toucanfair.Levels]waitBias{{factor: 1}, {factor: 1}},
 		meanOutput: toucanlength.DefaultPrior.MedianTokens,
 	}
 	if cfg.Quantile < 1 {
@@ -108,7 +125,11 @@
 }
 
 func (t *toucan) Offer(now time.Time, r Request) error {
+	t.now = now
 	j := t.newJob(r)
+	if j.item.Level == levelBrief {
+		t.briefs.offer(now)
+	}
 	if err := t.refuse(now, j); err != nil {
 		return err
 	}
@@ -143,6 +164,7 @@
 }
 
 func (t *toucan) Next(now time.Time) []Start {
+	t.now = now
 	t.blocked = false
 	var starts []Start
 	for {
@@ -187,7 +209,7 @@
 	if j == nil || !t.prefillAllows(j) {
 		return nil
 	}
-	if t.running >= t.batchBound() || !t.fits(j) {
+	if !t.hasSlot(j) || !t.fits(j) {
 		t.blocked = true
 		return nil
 	}
@@ -206,11 +228,13 @@
 	t.prefillTokens += j.request.uncached()
 	j.demand = t.demand(j)
 	t.sum.add(&j.demand)
+	t.bias[j.item.Level].learn(j.predicted, now.Sub(j.request.Arrived))
 	if j.item.Level == levelPlan {
 		t.briefTurns, t.bypassed = 0, 0
 		t.ordinal++
 		return Start{ID: j.item.ID, Priority: t.ordinal}
 	}
+	t.briefs.started(j.request.PromptTokens)
 	if planWaits {
 		if t.briefTurns >= briefsPerPlan {
 			t.bypassed++
@@ -243,8 +267,26 @@
 	if total == 0 {
 		return t.running < coldRunning
 	}
+	return t.shortfall(j) <= 0
+}
+
+// shortfall returns how many tokens of memory are missing for j.
+func (t *toucan) shortfall(j *job) float64 {
 	d := t.demand(j)
-	return t.peak(&d) <= total*(1-t.margin.share)
+	total := t.totalTokens() * (1 - t.margin.share)
+	if j.item.Level == levelPlan {
+		total -= t.briefs.memory(t.now, total)
+	}
+	return t.peak(&d) - total
+}
+
+// hasSlot says whether the batch has room for j.
+func (t *toucan) hasSlot(j *job) bool {
+	bound := t.batchBound()
+	if j.item.Level == levelPlan {
+		bound -= t.briefs.slots(t.now, bound)
+	}
+	return t.running == 0 || t.running < bound
 }
 
 // peak returns the most tokens that the running jobs and extra will hold, at the configured quantile.
@@ -346,6 +388,9 @@
 	delete(t.jobs, id)
 	t.running--
 	t.sum.remove(&j.demand)
+	if j.item.Level == levelBrief {
+		t.briefs.ended(j.request.PromptTokens, j.generated, now.Sub(j.started))
+	}
 	t.queue.Settle(j.item, float64(max(j.generated, 1)))
 	t.learn(j, complete)
 }
@@ -367,6 +412,7 @@
 }
 
 func (t *toucan) Load(now time.Time) Load {
+	t.now = now
 	queued := 0
 	if n := len(t.jobs) - t.running; n > 0 {
 		queued = n
@@ -380,6 +426,6 @@
 		TotalBlocks:    t.report.TotalBlocks,
 		ForecastBlocks: int(max(0, t.peak(nil))) / blockTokens,
 		StepTime:       t.step.predict(t.running, 0),
-		Wait:           t.wait(now, t.newJob(Request{Class: ClassPlan})),
+		Wait:           t.bias[levelPlan].correct(t.wait(now, t.newJob(Request{Class: ClassPlan}))),
 	}
 }
--- a/toucanadmit/wait.go
+++ b/toucanadmit/wait.go
@@ -14,7 +14,8 @@
 
 // refuse returns a refusal when j would get its first token too late, nil when it may be queued.
 func (t *toucan) refuse(now time.Time, j *job) error {
-	wait := t.wait(now, j)
+	j.predicted = t.wait(now, j)
+	wait := t.bias[j.item.Level].correct(j.predicted)
 	limit := t.waitLimit(now, j)
 	if wait <= limit {
 		return nil
@@ -37,7 +38,7 @@
 	return t.step.predict(t.running, j.request.uncached())
 }
 
-// wait predicts how long j would wait for its start if it came now.
+// wait predicts how long j would wait for its start if it came now, without the correction for past errors.
 func (t *toucan) wait(now time.Time, j *job) time.Duration {
 	if t.running == 0 && len(t.jobs) == 0 {
 		return 0
@@ -64,12 +65,11 @@
 	if !t.blocked {
 		ahead = 0
 	}
-	if t.running >= t.batchBound() {
+	if !t.hasSlot(j) {
 		ahead += t.meanOutput
 	}
-	if total := t.totalTokens(); total > 0 {
-		d := t.demand(j)
-		ahead += max(0, t.peak(&d)-total*(1-t.margin.share))
+	if t.running > 0 && t.report.TotalBlocks > 0 {
+		ahead += max(0, t.shortfall(j))
 	}
 	if ahead == 0 {
 		return 0
@@ -96,6 +96,7 @@
 		for _, it := range t.queue.Waiting(level) {
 			j := t.jobs[it.ID]
 			if t.late(now, j) {
+				t.bias[level].learn(j.predicted, now.Sub(j.request.Arrived))
 				t.drop(j)
 				expired = append(expired, it.ID)
 			}
