Choose the routing policy per service and tell first tokens as they come

Cause: the entry took one router for all services, learnt the first-token time of a generation only at its end, minutes later for a plan, and retried requests that every endpoint refuses alike. Change: toucanroute.PerService follows the service's policy setting, Router.Began carries the first token, a probe ends with it, and rejected or late requests get their final answer at once. Removed services lose their endpoints. Conclusion: slow endpoints can be judged while plans still run.

--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -85,11 +85,15 @@
 }
 
 func retryFailure(ref *toucanwire.Refusal, prog *progress) toucanretry.Failure {
-	return toucanretry.Failure{
-		NotRun:     ref.Ran == toucanwire.RanNo,
-		HandedOver: prog.next > 0,
-		Repeatable: ref.Code != toucanwire.CodeCancelled,
+	if everywhereTheSame(ref.Code) {
+		return toucanretry.Failure{}
 	}
+	return toucanretry.Failure{NotRun: ref.Ran == toucanwire.RanNo, HandedOver: prog.next > 0, Repeatable: true}
+}
+
+// everywhereTheSame reports whether every endpoint would refuse alike.
+func everywhereTheSame(code string) bool {
+	return code == toucanwire.CodeCancelled || code == toucanwire.CodeRejected || code == toucanwire.CodeDeadline
 }
 
 // noEndpoint is final: an earlier attempt decides what may be said about the request having run.
@@ -122,11 +126,12 @@
 		return result{}, err
 	}
 	run := &run{entry: e, id: text, workspace: r.workspace, address: ep.Address, prog: prog, out: out}
+	run.began = func() { e.cfg.Router.Began(time.Now(), ep.Name, time.Since(sent)) }
 	res, err := run.start(ctx, r.message)
 	if ctx.Err() != nil {
 		go e.cancelAt(ep.Address, text, r.workspace)
 	}
-	e.cfg.Router.Finished(time.Now(), ep.Name, r.query, run.outcome(ctx, res), run.firstToken(sent))
+	e.cfg.Router.Finished(time.Now(), ep.Name, r.query, run.outcome(ctx, res), 0)
 	if res.refusal == nil || res.refusal.Ran != toucanwire.RanNo {
 		prog.mayHaveRun = true
 	}
@@ -145,15 +150,9 @@
 	sentTo uint64
 	// answeredBy is the boot id of the sidecar at the other end of the last link.
 	answeredBy uint64
-	first      time.Time
-	broken     bool
-}
-
-func (r *run) firstToken(sent time.Time) time.Duration {
-	if r.first.IsZero() {
-		return 0
-	}
-	return r.first.Sub(sent)
+	// began is called at the first tokens; nil when nobody asks.
+	began  func()
+	broken bool
 }
 
 func (r *run) outcome(ctx context.Context, res result) toucanroute.Outcome {
@@ -309,8 +308,9 @@
 	if len(text) == 0 {
 		return nil
 	}
-	if r.first.IsZero() {
-		r.first = time.Now()
+	if r.began != nil {
+		r.began()
+		r.began = nil
 	}
 	err := r.out.tokens(r.prog.next, text)
 	r.prog.next += len(text)
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -71,6 +71,8 @@
 	serial atomic.Uint64
 	links  *links
 	server *http.Server
+	// services holds the services that the router knows; used by maintain only.
+	services map[string]bool
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
@@ -188,18 +190,38 @@
 
 func (e *Entry) useTree(tree *toucansettings.Tree) {
 	wanted := make(map[string]bool)
+	services := make(map[string]bool)
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
 			es := routeEndpoints(tree, s)
 			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), es)
+			e.setPolicy(s)
+			services[serviceKey(s)] = true
 			for _, ep := range es {
 				wanted[ep.Address.String()] = true
 			}
 		}
 	}
+	for name := range e.services {
+		if !services[name] {
+			e.cfg.Router.SetEndpoints(time.Now(), name, nil)
+		}
+	}
+	e.services = services
 	e.links.want(wanted)
 }
 
+// policySetter is a router that has a policy for each service.
+type policySetter interface {
+	SetPolicy(service string, p toucansettings.Policy)
+}
+
+func (e *Entry) setPolicy(s toucansettings.Service) {
+	if r, ok := e.cfg.Router.(policySetter); ok {
+		r.SetPolicy(serviceKey(s), s.Policy)
+	}
+}
+
 func routeEndpoints(tree *toucansettings.Tree, s toucansettings.Service) []toucanroute.Endpoint {
 	var es []toucanroute.Endpoint
 	for _, ep := range tree.Endpoints(s.Team, s.Name) {
--- a/toucanroute/naive.go
+++ b/toucanroute/naive.go
@@ -94,5 +94,8 @@
 // Sent implements Router.
 func (n *Naive) Sent(time.Time, string, Query) {}
 
+// Began implements Router.
+func (n *Naive) Began(time.Time, string, time.Duration) {}
+
 // Finished implements Router.
 func (n *Naive) Finished(time.Time, string, Query, Outcome, time.Duration) {}
--- /dev/null
+++ b/toucanroute/perservice.go
@@ -0,0 +1,75 @@
+package toucanroute
+
+import (
+	"sync"
+	"time"
+
+	"toucanport/toucansettings"
+)
+
+// PerService chooses with the policy that each service's settings name. Both policies learn of everything, so
+// that a change of policy takes effect with the next choice.
+type PerService struct {
+	naive  Router
+	toucan Router
+
+	mu sync.RWMutex
+	// naively has the services whose policy is naive.
+	naively map[string]bool
+}
+
+// NewPerService returns a router that uses toucan for every service until SetPolicy says otherwise.
+func NewPerService(cfg Config) *PerService {
+	return &PerService{naive: NewNaive(), toucan: NewToucan(cfg), naively: make(map[string]bool)}
+}
+
+// SetPolicy sets the policy of a service. Anything but the naive policy means toucan.
+func (p *PerService) SetPolicy(service string, policy toucansettings.Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.naively, service)
+	if policy == toucansettings.PolicyNaive {
+		p.naively[service] = true
+	}
+}
+
+// SetEndpoints implements Router.
+func (p *PerService) SetEndpoints(now time.Time, service string, es []Endpoint) {
+	p.naive.SetEndpoints(now, service, es)
+	p.toucan.SetEndpoints(now, service, es)
+}
+
+// Report implements Router.
+func (p *PerService) Report(now time.Time, l Load) {
+	p.naive.Report(now, l)
+	p.toucan.Report(now, l)
+}
+
+// Pick implements Router.
+func (p *PerService) Pick(now time.Time, q Query) (Endpoint, error) {
+	p.mu.RLock()
+	naive := p.naively[q.Service]
+	p.mu.RUnlock()
+	if naive {
+		return p.naive.Pick(now, q)
+	}
+	return p.toucan.Pick(now, q)
+}
+
+// Sent implements Router.
+func (p *PerService) Sent(now time.Time, endpoint string, q Query) {
+	p.naive.Sent(now, endpoint, q)
+	p.toucan.Sent(now, endpoint, q)
+}
+
+// Began implements Router.
+func (p *PerService) Began(now time.Time, endpoint string, firstToken time.Duration) {
+	p.naive.Began(now, endpoint, firstToken)
+	p.toucan.Began(now, endpoint, firstToken)
+}
+
+// Finished implements Router.
+func (p *PerService) Finished(now time.Time, endpoint string, q Query, o Outcome, firstToken time.Duration) {
+	p.naive.Finished(now, endpoint, q, o, firstToken)
+	p.toucan.Finished(now, endpoint, q, o, firstToken)
+}
--- a/toucanroute/route.go
+++ b/toucanroute/route.go
@@ -107,7 +107,9 @@
 	Pick(now time.Time, q Query) (Endpoint, error)
 	// Sent records that q was sent to the endpoint.
 	Sent(now time.Time, endpoint string, q Query)
+	// Began records the time from Sent to the first token of a generation, which may end much later.
+	Began(now time.Time, endpoint string, firstToken time.Duration)
 	// Finished records how q ended there. Each Sent is followed by one Finished. firstToken is the time from
-	// Sent to the first token, or to the answer of a plain service; zero when none came.
+	// Sent to the answer of a plain service; zero when none came or Began has told it.
 	Finished(now time.Time, endpoint string, q Query, o Outcome, firstToken time.Duration)
 }
--- a/toucanroute/script_test.go
+++ b/toucanroute/script_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/pkg/errors"
+
+	"toucanport/toucansettings"
 )
 
 // script runs the commands of one testdata file against one router.
@@ -42,6 +44,16 @@
 		s.report(d)
 	case "pick":
 		return s.pick(d)
+	case "perService":
+		s.r = NewPerService(Config{FailureDomain: "a", Rand: rand.NewPCG(1, 2)})
+	case "policy":
+		var name string
+		d.ScanArgs(t, "is", &name)
+		s.r.(*PerService).SetPolicy("s", toucansettings.Policy(name))
+	case "began":
+		var endpoint string
+		d.ScanArgs(t, "endpoint", &endpoint)
+		s.r.Began(s.now, endpoint, s.duration(d, "firstToken"))
 	case "finished":
 		s.finished(d)
 	default:
--- a/toucanroute/state.go
+++ b/toucanroute/state.go
@@ -41,7 +41,7 @@
 	load Load
 	// reported is the time of the last report, or the time at which the endpoint was first listed.
 	reported time.Time
-	// answered is the time of the last complete answer.
+	// answered is the time of the last first token or answer.
 	answered time.Time
 	// hasLoad is true once a report was taken in.
 	hasLoad bool
--- a/toucanroute/toucan.go
+++ b/toucanroute/toucan.go
@@ -120,6 +120,20 @@
 	}
 }
 
+// Began implements Router. A first token ends a probe: it shows that the endpoint works, and how fast.
+func (t *Toucan) Began(now time.Time, endpoint string, firstToken time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.byName[endpoint]
+	if !ok {
+		return
+	}
+	probed := s.probing
+	s.probing = false
+	s.observe(firstToken)
+	t.answered(now, s, probed)
+}
+
 // Finished implements Router.
 func (t *Toucan) Finished(now time.Time, endpoint string, q Query, o Outcome, firstToken time.Duration) {
 	t.mu.Lock()
@@ -134,7 +148,7 @@
 	s.observe(firstToken)
 	switch o {
 	case Completed:
-		t.completed(now, s, probed)
+		t.answered(now, s, probed)
 	case Refused:
 		s.refused(now, &q, &t.cfg)
 	case Failed, Stalled:
@@ -143,8 +157,8 @@
 	}
 }
 
-// completed takes an answer as a sign of life, and judges the speed of an endpoint that was set aside for it.
-func (t *Toucan) completed(now time.Time, s *state, probed bool) {
+// answered takes an answer as a sign of life, and judges the speed of an endpoint that was set aside for it.
+func (t *Toucan) answered(now time.Time, s *state, probed bool) {
 	s.answered = now
 	v, ok := t.services[s.endpoint.Service]
 	if !ok {
