--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"toucanport/toucancmd/check"
+	"toucanport/toucancmd/dev"
 	"toucanport/toucancmd/factory"
 	"toucanport/toucancmd/version"
 )
@@ -13,6 +14,7 @@
 		Short: "a serving system for generations of unknown length",
 		Commands: []*factory.Command{
 			check.NewCmdCheck(f, nil),
+			dev.NewCmdDev(f, nil),
 			version.NewCmdVersion(f, nil),
 		},
 	}
--- /dev/null
+++ b/toucandeploy/deployment.go
@@ -0,0 +1,165 @@
+// Package toucandeploy describes a whole deployment in one file: how many endpoints serve what, in which
+// failure domains, for which workspaces. The dev command and the measuring rig build stand-ins from it.
+package toucandeploy
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucandocument"
+	"toucanport/toucansettings"
+)
+
+// Bounds of a deployment's numbers.
+const (
+	maxEndpoints = 64
+	maxWeight    = 1000
+	minWeight    = 0.001
+)
+
+// Bounds of latency that every service of a deployment keeps.
+const (
+	firstToken = 1200 * time.Millisecond
+	interToken = 68 * time.Millisecond
+)
+
+// Service is one service of a deployment.
+type Service struct {
+	Name      string
+	Kind      toucansettings.Kind
+	Endpoints int
+	Weigh     toucansettings.Weigh
+}
+
+// Workspace is one workspace of a deployment; it may call every service.
+type Workspace struct {
+	Name string
+	// Weight is both the workspace's fair share and its part of the traffic.
+	Weight float64
+}
+
+// Deployment is one team's services and workspaces.
+type Deployment struct {
+	Team string
+	// FailureDomains is never empty; endpoints are spread over it in turn.
+	FailureDomains []string
+	Services       []Service
+	Workspaces     []Workspace
+}
+
+// Load reads a deployment file.
+func Load(file string) (Deployment, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Deployment{}, errors.Wrap(err, "reading the deployment")
+	}
+	return Parse(file, data)
+}
+
+// Parse reads a deployment; file is named in errors.
+func Parse(file string, data []byte) (Deployment, error) {
+	t, problems := toucandocument.Parse(file, data)
+	if err := problems.Err(); err != nil {
+		return Deployment{}, err
+	}
+	d := Deployment{Team: t.Name("team"), FailureDomains: t.Strings("failureDomains")}
+	if len(d.FailureDomains) == 0 {
+		t.Note("failureDomains", d.FailureDomains, "at least one failure domain")
+	}
+	for _, n := range t.Group("services") {
+		d.Services = append(d.Services, readService(n))
+	}
+	if w := t.Table("workspaces"); w != nil {
+		d.Workspaces = readWorkspaces(w)
+	}
+	t.Done()
+	return d, problems.Err()
+}
+
+func readService(n toucandocument.Named) Service {
+	t := n.Table
+	defer t.Done()
+	plain, generation := string(toucansettings.KindPlain), string(toucansettings.KindGeneration)
+	latency, stall := string(toucansettings.WeighInterTokenLatency), string(toucansettings.WeighStallTime)
+	return Service{
+		Name:      n.Name,
+		Kind:      toucansettings.Kind(t.OneOf("kind", generation, generation, plain)),
+		Endpoints: t.Int("endpoints", 1, 1, maxEndpoints),
+		Weigh:     toucansettings.Weigh(t.OneOf("weigh", latency, latency, stall)),
+	}
+}
+
+func readWorkspaces(t *toucandocument.Table) []Workspace {
+	defer t.Done()
+	var ws []Workspace
+	for _, name := range t.Keys() {
+		ws = append(ws, Workspace{Name: name, Weight: t.Float(name, 1, minWeight, maxWeight)})
+	}
+	return ws
+}
+
+// Place says where the endpoint of a service with an index stands.
+type Place func(service Service, index int) netip.AddrPort
+
+// Settings returns the team's settings with its endpoints at the given places. Workspace keys are those of Key.
+func (d Deployment) Settings(policy toucansettings.Policy, seed uint64, place Place) toucansettings.Team {
+	team := toucansettings.Team{Name: d.Team, Revision: 1}
+	var names []string
+	for _, s := range d.Services {
+		names = append(names, s.Name)
+		team.Services = append(team.Services, d.service(s, policy))
+		team.Endpoints = append(team.Endpoints, d.endpoints(s, place)...)
+	}
+	for _, w := range d.Workspaces {
+		team.Workspaces = append(team.Workspaces, toucansettings.Workspace{
+			Name:      w.Name,
+			Team:      d.Team,
+			KeyHashes: []string{toucansettings.HashKey(Key(seed, d.Team, w.Name))},
+			Weight:    w.Weight,
+			Services:  names,
+		})
+	}
+	return team
+}
+
+func (d Deployment) service(s Service, policy toucansettings.Policy) toucansettings.Service {
+	out := toucansettings.Service{
+		Name:       s.Name,
+		Team:       d.Team,
+		Kind:       s.Kind,
+		Weigh:      s.Weigh,
+		Policy:     policy,
+		FirstToken: firstToken,
+		InterToken: interToken,
+	}
+	if s.Kind == toucansettings.KindGeneration {
+		out.Model = s.Name
+	}
+	return out
+}
+
+func (d Deployment) endpoints(s Service, place Place) []toucansettings.Endpoint {
+	var es []toucansettings.Endpoint
+	for i := range s.Endpoints {
+		es = append(es, toucansettings.Endpoint{
+			Name:          fmt.Sprintf("%s%d", s.Name, i+1),
+			Team:          d.Team,
+			Service:       s.Name,
+			Address:       place(s, i),
+			FailureDomain: d.FailureDomains[i%len(d.FailureDomains)],
+		})
+	}
+	return es
+}
+
+// Key returns the key of a workspace in a deployment of stand-ins. It is no secret: the seed gives it away.
+func Key(seed uint64, team, workspace string) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d/%s/%s", seed, team, workspace))
+	return "tk-" + base64.RawURLEncoding.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/toucandev/dev.go
@@ -0,0 +1,250 @@
+// Package toucandev runs a whole deployment on loopback in one process, with stand-ins for the platform and
+// the endpoints, and the real entries and sidecars between them.
+package toucandev
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucandeploy"
+	"toucanport/toucanengine"
+	"toucanport/toucanentry"
+	"toucanport/toucanfake"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucansidecar"
+	"toucanport/toucanstream"
+)
+
+// loopback is where everything listens but the callers' listener, on ports that the system chooses.
+const loopback = "127.0.0.1:0"
+
+// Config says what to run.
+type Config struct {
+	Deployment toucandeploy.Deployment
+	// Listen is the callers' listener of the first entry; the others are on ports that the system chooses.
+	Listen  string
+	Entries int
+	Policy  toucansettings.Policy
+	Seed    uint64
+	// Fault is the fault that the first engine starts with; empty for none.
+	Fault toucanfake.Fault
+	Log   *slog.Logger
+}
+
+// System is a running deployment.
+type System struct {
+	cfg    Config
+	signer *toucanstream.Signer
+	ledger *toucanfake.Ledger
+	wg     sync.WaitGroup
+
+	entries  []*toucanentry.Entry
+	sidecars []*toucansidecar.Sidecar
+	// listeners are the sidecars' inner listeners in the order of the team's endpoints.
+	listeners map[string][]net.Listener
+	tree      *toucansettings.Tree
+	addresses []string
+}
+
+// Start begins a deployment, which runs until ctx is done.
+func Start(ctx context.Context, cfg Config) (*System, error) {
+	s := &System{
+		cfg:       cfg,
+		signer:    toucanstream.NewSigner([]byte(toucandeploy.Key(cfg.Seed, "generationSecret", ""))),
+		ledger:    toucanfake.NewLedger(),
+		listeners: make(map[string][]net.Listener),
+	}
+	entryLns, err := s.listenEntries()
+	if err != nil {
+		return nil, err
+	}
+	if err := s.listenSidecars(); err != nil {
+		return nil, err
+	}
+	team := cfg.Deployment.Settings(cfg.Policy, cfg.Seed, s.place)
+	s.tree = toucansettings.NewTree([]toucansettings.Team{team})
+	if err := s.startSidecars(ctx, team); err != nil {
+		return nil, err
+	}
+	for i, ln := range entryLns {
+		s.startEntry(ctx, i, ln)
+	}
+	return s, nil
+}
+
+func (s *System) listenEntries() ([]net.Listener, error) {
+	var lns []net.Listener
+	for i := range s.cfg.Entries {
+		address := loopback
+		if i == 0 {
+			address = s.cfg.Listen
+		}
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "callers' listener")
+		}
+		lns = append(lns, ln)
+		s.addresses = append(s.addresses, ln.Addr().String())
+	}
+	return lns, nil
+}
+
+func (s *System) listenSidecars() error {
+	for _, service := range s.cfg.Deployment.Services {
+		for range service.Endpoints {
+			ln, err := net.Listen("tcp", loopback)
+			if err != nil {
+				return errors.Wrap(err, "sidecar's listener")
+			}
+			s.listeners[service.Name] = append(s.listeners[service.Name], ln)
+		}
+	}
+	return nil
+}
+
+func (s *System) place(service toucandeploy.Service, index int) netip.AddrPort {
+	return netip.MustParseAddrPort(s.listeners[service.Name][index].Addr().String())
+}
+
+func (s *System) startSidecars(ctx context.Context, team toucansettings.Team) error {
+	used := make(map[string]int)
+	for i, ep := range team.Endpoints {
+		index := used[ep.Service]
+		used[ep.Service]++
+		service, _ := s.tree.Service(team.Name, ep.Service)
+		cfg := toucansidecar.Config{
+			Instance:      ep.Name,
+			FailureDomain: ep.FailureDomain,
+			Endpoint:      team.Name + "/" + ep.Name,
+			Service:       team.Name + "/" + ep.Service,
+			Kind:          service.Kind,
+			Signer:        s.signer,
+		}
+		if err := s.standIn(ctx, &cfg, service, i); err != nil {
+			return err
+		}
+		s.startSidecar(ctx, cfg, s.listeners[ep.Service][index])
+	}
+	return nil
+}
+
+func (s *System) startSidecar(ctx context.Context, cfg toucansidecar.Config, ln net.Listener) {
+	sidecar := toucansidecar.New(cfg, toucansidecar.WithLogger(s.cfg.Log.With("endpoint", cfg.Endpoint)))
+	s.sidecars = append(s.sidecars, sidecar)
+	s.wg.Go(func() { s.report("sidecar", sidecar.Run(ctx, ln)) })
+}
+
+// standIn starts what stands beside a sidecar and points cfg at it.
+func (s *System) standIn(ctx context.Context, cfg *toucansidecar.Config, service toucansettings.Service, index int) error {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.Wrap(err, "stand-in's listener")
+	}
+	url := "http://" + ln.Addr().String()
+	if service.Kind == toucansettings.KindPlain {
+		cfg.ServiceURL = url
+		cfg.ServiceTransport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
+		s.startService(ctx, ln)
+		return nil
+	}
+	engineCfg := toucanfake.DefaultConfig(cfg.Endpoint)
+	engineCfg.Seed = s.cfg.Seed
+	engine := toucanfake.NewEngine(engineCfg, s.ledger)
+	if index == 0 && s.cfg.Fault != "" {
+		if err := engine.Inject(s.cfg.Fault); err != nil {
+			return err
+		}
+	}
+	s.wg.Go(func() { s.report("engine", engine.Run(ctx, ln)) })
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
+	cfg.Engine = toucanengine.New(url, toucanengine.WithTransport(transport))
+	cfg.Policy = newPolicy(service)
+	return nil
+}
+
+// maxIdleConnections bounds idle connections to one stand-in.
+const maxIdleConnections = 256
+
+func newPolicy(service toucansettings.Service) toucanadmit.Policy {
+	return toucanadmit.NewNaive(toucanadmit.Config{
+		Weigh:      service.Weigh,
+		FirstToken: service.FirstToken,
+		InterToken: service.InterToken,
+	})
+}
+
+func (s *System) startEntry(ctx context.Context, index int, ln net.Listener) {
+	domains := s.cfg.Deployment.FailureDomains
+	entry := toucanentry.New(toucanentry.Config{
+		Instance:      fmt.Sprintf("entry%d", index+1),
+		FailureDomain: domains[index%len(domains)],
+		Settings:      fixedSettings{s.tree},
+		Signer:        s.signer,
+		Dial:          dial,
+		Router:        toucanroute.NewNaive(),
+	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
+	s.entries = append(s.entries, entry)
+	s.wg.Go(func() { s.report("entry", entry.Run(ctx, ln)) })
+}
+
+type fixedSettings struct{ tree *toucansettings.Tree }
+
+// Tree implements toucanentry.Settings.
+func (f fixedSettings) Tree() *toucansettings.Tree { return f.tree }
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (s *System) report(what string, err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, context.Canceled) {
+		s.cfg.Log.Error("stopped", "what", what, "error", err.Error())
+	}
+}
+
+// Shutdown takes no new requests and waits until those in progress have ended or ctx is done.
+func (s *System) Shutdown(ctx context.Context) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(s.entries))
+	for i, e := range s.entries {
+		wg.Go(func() { errs[i] = e.Shutdown(ctx) })
+	}
+	wg.Wait()
+	for _, sidecar := range s.sidecars {
+		errs = append(errs, sidecar.Shutdown(ctx))
+	}
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Wait returns when everything has ended.
+func (s *System) Wait() { s.wg.Wait() }
+
+// Entries returns the callers' addresses.
+func (s *System) Entries() []string { return s.addresses }
+
+// WorkspaceKey is a workspace with its key.
+type WorkspaceKey struct{ Workspace, Key string }
+
+// WorkspaceKeys returns the keys of all workspaces.
+func (s *System) WorkspaceKeys() []WorkspaceKey {
+	var keys []WorkspaceKey
+	for _, w := range s.cfg.Deployment.Workspaces {
+		keys = append(keys, WorkspaceKey{w.Name, toucandeploy.Key(s.cfg.Seed, s.cfg.Deployment.Team, w.Name)})
+	}
+	return keys
+}
--- a/toucandocument/table.go
+++ b/toucandocument/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -97,6 +98,11 @@
 	return ok
 }
 
+// Keys returns the keys of t in order.
+func (t *Table) Keys() []string {
+	return slices.Sorted(maps.Keys(t.values))
+}
+
 // Done notes each unknown key with the nearest known one.
 func (t *Table) Done() {
 	var unknown []string
