--- /dev/null
+++ b/toucanorder/measure_test.go
@@ -0,0 +1,90 @@
+package toucanorder_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanfakestore"
+	"toucanport/toucanorder"
+)
+
+const (
+	ordersPerSecond = 5000
+	storeDelay      = 5 * time.Millisecond
+	endpointTime    = 40 * time.Millisecond
+	// The targets are those of the issue.
+	maxWritesPerSecond = 150
+	maxAddedMedian     = 60 * time.Millisecond
+)
+
+// load is one run of orders at a steady rate, each shard's through a process of its own.
+type load struct {
+	store     *toucanfakestore.Memory
+	processes []*toucanorder.Claims
+	mu        sync.Mutex
+	added     *hdrhistogram.Histogram
+	refused   int
+}
+
+func (l *load) order(ctx context.Context, i int) {
+	k := toucanorder.Key{Team: "pcl", Workspace: "dealers", Service: "comptoir", IdempotencyKey: fmt.Sprint(i), RequestHash: 1}
+	claims := l.processes[k.Shard(len(l.processes))]
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	started := time.Now()
+	claim, err := claims.Claim(ctx, k)
+	l.record(time.Since(started), err)
+	if err != nil {
+		return
+	}
+	time.Sleep(endpointTime)
+	_ = claims.Finish(claim, toucanorder.Outcome{Status: 201, Body: []byte(`{"order":"4711","state":"accepted","panels":2}`)})
+}
+
+func (l *load) record(d time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.refused++
+		return
+	}
+	_ = l.added.RecordValue(d.Microseconds())
+}
+
+func TestGroupedClaimsAtFiveThousandOrdersASecond(t *testing.T) {
+	seconds := 5
+	synctest.Test(t, func(t *testing.T) {
+		l := &load{store: toucanfakestore.New(), added: hdrhistogram.New(1, 60_000_000, 3)}
+		for range toucanorder.DefaultShards {
+			l.processes = append(l.processes, toucanorder.New(l.store))
+		}
+		l.store.SetFaults(toucanfakestore.Faults{Delay: storeDelay})
+		started := time.Now()
+		var wg sync.WaitGroup
+		for i := range seconds * ordersPerSecond {
+			wg.Go(func() { l.order(t.Context(), i) })
+			time.Sleep(time.Second / ordersPerSecond)
+		}
+		wg.Wait()
+		took := time.Since(started).Seconds()
+		counts := l.store.Counts()
+		writes := float64(counts.Writes) / took
+		median := time.Duration(l.added.ValueAtQuantile(50)) * time.Microsecond
+		t.Logf("%d orders in %.1f s: %.1f store writes/s, %.1f reads/s, %.0f KB/s written, added p50 %v p95 %.1f ms p99 %.1f ms max %.1f ms, %d refused",
+			l.added.TotalCount(), took, writes, float64(counts.Reads)/took, float64(counts.WrittenBytes)/took/1000, median,
+			float64(l.added.ValueAtQuantile(95))/1000, float64(l.added.ValueAtQuantile(99))/1000, float64(l.added.Max())/1000, l.refused)
+		assert.Equal(t, l.refused, 0)
+		assert.Assert(t, writes <= maxWritesPerSecond)
+		assert.Assert(t, median <= maxAddedMedian)
+		for _, c := range l.processes {
+			assert.NilError(t, c.Close(t.Context()))
+		}
+	})
+}
