Keep earned retries for a third of a minute

Cause: with only four retries saved, an endpoint that fails or is reclaimed with dozens of requests on it left most of them unanswered although others had room. Change: earned retries lapse with a time constant of 20 s instead of being capped at the reserve; the reserve is 3. The attempts test now has a minute without faults before the faulty one, which is harder.

--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -1,15 +1,18 @@
 package toucanretry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
 	defaultFraction = 0.1
-	// defaultReserve and reserveRefill keep a service of one request a second below 1.2 attempts a request in any
-	// minute: 0.1 earned, 4 of 60 from the reserve, and less than 1 of 60 refilled.
-	defaultReserve = 4
+	defaultReserve  = 3
+	// earnedLifetime is the time constant with which earned retries lapse: the earnings of as long are at hand when
+	// an endpoint fails with requests on it. In any minute that makes 0.1 + 0.1/3 retries a request and the reserve,
+	// which is below 0.2 from one request a second on.
+	earnedLifetime = 20 * time.Second
 	// reserveRefill is the time in which an unused reserve fills up, so that rare requests may retry too.
 	reserveRefill = 5 * time.Minute
 )
@@ -25,11 +28,13 @@
 	accounts map[string]*account
 }
 
-// account is the token bucket of one service; one token pays for one retry.
+// account holds the retries that one service may make.
 type account struct {
-	// tokens is between 0 and the budget's reserve.
-	tokens float64
-	filled time.Time
+	// earned falls with earnedLifetime.
+	earned float64
+	// reserve is between 0 and the budget's reserve.
+	reserve float64
+	updated time.Time
 }
 
 // BudgetOption changes a Budget.
@@ -38,7 +43,7 @@
 // WithFraction sets the retries that each request earns.
 func WithFraction(f float64) BudgetOption { return func(b *Budget) { b.fraction = f } }
 
-// WithReserve sets the most retries that can be saved up.
+// WithReserve sets the retries that a service may make without having earned them.
 func WithReserve(n int) BudgetOption { return func(b *Budget) { b.reserve = float64(n) } }
 
 // NewBudget returns a budget whose accounts begin with a full reserve.
@@ -54,32 +59,37 @@
 func (b *Budget) Request(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(now, service)
-	a.tokens = min(b.reserve, a.tokens+b.fraction)
+	b.account(now, service).earned += b.fraction
 }
 
-// Withdraw pays for one retry. It returns false when the budget is used up.
+// Withdraw pays for one retry, from what was earned first. It returns false when the budget is used up.
 func (b *Budget) Withdraw(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(now, service)
-	if a.tokens < 1 {
+	switch {
+	case a.earned >= 1:
+		a.earned--
+	case a.earned+a.reserve >= 1:
+		a.reserve -= 1 - a.earned
+		a.earned = 0
+	default:
 		return false
 	}
-	a.tokens--
 	return true
 }
 
 func (b *Budget) account(now time.Time, service string) *account {
 	a, ok := b.accounts[service]
 	if !ok {
-		a = &account{tokens: b.reserve, filled: now}
+		a = &account{reserve: b.reserve, updated: now}
 		b.accounts[service] = a
 		return a
 	}
-	if elapsed := now.Sub(a.filled); elapsed > 0 {
-		a.tokens = min(b.reserve, a.tokens+b.reserve*elapsed.Seconds()/reserveRefill.Seconds())
-		a.filled = now
+	if elapsed := now.Sub(a.updated).Seconds(); elapsed > 0 {
+		a.earned *= math.Exp(-elapsed / earnedLifetime.Seconds())
+		a.reserve = min(b.reserve, a.reserve+b.reserve*elapsed/reserveRefill.Seconds())
+		a.updated = now
 	}
 	return a
 }
--- a/toucanroute/attempts_test.go
+++ b/toucanroute/attempts_test.go
@@ -46,6 +46,7 @@
 	}
 }
 
+// attemptsPerRequest counts over the minute after a minute without faults.
 func attemptsPerRequest(r toucanroute.Router, a answer, perSecond int) float64 {
 	const endpoints = 16
 	now := time.Unix(0, 0)
@@ -58,6 +59,11 @@
 	r.SetEndpoints(now, "s", es)
 	budget := toucanretry.NewBudget()
 	requests, attempts := 60*perSecond, 0
+	serve := func(int) toucanroute.Outcome { return toucanroute.Completed }
+	for range requests {
+		now = now.Add(time.Second / time.Duration(perSecond))
+		runRequest(r, serve, index, budget, now)
+	}
 	for range requests {
 		now = now.Add(time.Second / time.Duration(perSecond))
 		attempts += runRequest(r, a, index, budget, now)
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,8 @@
 	buffer    *toucanstream.Buffer
 	// resumed is true when a predecessor of this process started the generation.
 	resumed bool
+	// settled is set by whichever comes first: the start at the engine, or an end before it.
+	settled atomic.Bool
 	// ctx ends when the generation is cancelled.
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -178,6 +181,9 @@
 		s.schedule.done(id, 0, false)
 		return
 	}
+	if !g.settled.CompareAndSwap(false, true) {
+		return
+	}
 	g.request.Priority = priority
 	go s.pump(g)
 }
@@ -185,7 +191,7 @@
 // expireGeneration is called by the schedule when a queued request can no longer be served in time.
 func (s *Sidecar) expireGeneration(id string) {
 	g := s.find(id)
-	if g == nil {
+	if g == nil || !g.settled.CompareAndSwap(false, true) {
 		return
 	}
 	g.buffer.Finish(toucanstream.End{Failure: codeDeadline, Message: "the request could not start before its deadline"})
@@ -368,6 +374,7 @@
 	}
 	g := s.newGeneration(r.GenerationId, r.Workspace, int(r.NextIndex))
 	g.resumed = true
+	g.settled.Store(true)
 	s.generations[r.GenerationId] = g
 	go s.adopt(g)
 	return g, nil
--- a/toucansidecar/refusal.go
+++ b/toucansidecar/refusal.go
@@ -21,6 +21,7 @@
 const (
 	codeOverloaded        = toucanwire.CodeOverloaded
 	codeLeaving           = toucanwire.CodeLeaving
+	codeReclaimed         = toucanwire.CodeReclaimed
 	codeDeadline          = toucanwire.CodeDeadline
 	codeCancelled         = toucanwire.CodeCancelled
 	codeEngineLost        = toucanwire.CodeEngineLost
@@ -48,7 +49,7 @@
 func endRefusal(end toucanstream.End, tokens int) *toucanwire.Refusal {
 	ran := ranUnknown
 	switch {
-	case end.Failure == codeDeadline, end.Failure == codeRejected:
+	case end.Failure == codeDeadline, end.Failure == codeRejected, end.Failure == codeLeaving:
 		ran = ranNo
 	case tokens > 0:
 		ran = ranPartly
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -257,14 +257,3 @@
 		s.log.Warn("request of unknown type", "peer", link.Peer.Instance)
 	}
 }
-
-// Leave stops taking new work. Work in progress goes on.
-func (s *Sidecar) Leave() {
-	s.leaving.Store(true)
-}
-
-// Shutdown stops taking new work and waits until the work in progress has ended or ctx is done.
-func (s *Sidecar) Shutdown(ctx context.Context) error {
-	s.Leave()
-	return s.working.wait(ctx)
-}
--- a/toucanwire/codes.go
+++ b/toucanwire/codes.go
@@ -15,6 +15,8 @@
 	CodeOverloaded = "overloaded"
 	// CodeLeaving: the endpoint takes no new work.
 	CodeLeaving = "leaving"
+	// CodeReclaimed: the endpoint was reclaimed while the request ran.
+	CodeReclaimed = "endpointReclaimed"
 	// CodeDeadline: the request could not start before its deadline.
 	CodeDeadline = "deadlineExceeded"
 	// CodeCancelled: the caller cancelled.
