Add stored documents, settings writes and the holder of what is in force

Cause: settings need one revision per team document, writes that a lost reply can't make untrue, and instances that never take a lower revision. Conclusion: a random race under outages agrees with a plain map.

--- /dev/null
+++ b/toucanchange/writer_test.go
@@ -0,0 +1,177 @@
+package toucanchange_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"toucanport/toucanchange"
+	"toucanport/toucanfakestore"
+	"toucanport/toucanrevision"
+	"toucanport/toucansettings"
+	"toucanport/toucanspread"
+)
+
+const document = "/teams/laval"
+
+const seedTOML = `
+[services.redacteur]
+kind = "generation"
+model = "m"
+[endpoints.e1]
+service = "redacteur"
+address = "10.0.0.1:7000"
+failureDomain = "qc-east-a"
+`
+
+// seed writes a valid document to store and returns a writer to it.
+func seed(t testing.TB, store *toucanfakestore.Memory) *toucanchange.Writer {
+	w := toucanchange.New(store, toucanspread.NewHolder())
+	d, err := toucanrevision.ParseDeclaration("seed", document, []byte(seedTOML))
+	assert.NilError(t, err)
+	edits, err := toucanrevision.Diff(toucanrevision.NewDocument(document), d)
+	assert.NilError(t, err)
+	_, err = w.Apply(context.Background(), toucanchange.Request{ID: "seed", Document: document, Edits: edits, Author: "laval"})
+	assert.NilError(t, err)
+	return w
+}
+
+func workspaceEdit(name string, tokens int) toucanrevision.Edit {
+	return toucanrevision.Edit{
+		Path:      toucansettings.Path{Document: document, Group: toucansettings.GroupWorkspaces, Name: name},
+		Operation: toucanrevision.OpReplace,
+		Body:      fmt.Sprintf("services = [\"redacteur\"]\ntokensPerMinute = %d\n", tokens),
+	}
+}
+
+// told is what a racing writer was told about one change.
+type told struct {
+	id     string
+	name   string
+	tokens int
+	err    error
+}
+
+// race lets writers change a few workspaces at random while the store has faults.
+func race(t testing.TB, store *toucanfakestore.Memory, seedValue uint64, writers, changes int) []told {
+	var mu sync.Mutex
+	var out []told
+	var wg sync.WaitGroup
+	for i := range writers {
+		w := toucanchange.New(store, toucanspread.NewHolder(), toucanchange.WithTimeout(3*time.Second))
+		r := rand.New(rand.NewPCG(seedValue, uint64(i)))
+		wg.Go(func() {
+			for n := range changes {
+				c := told{id: fmt.Sprintf("c-%d-%d", i, n), name: fmt.Sprintf("w%d", r.IntN(4)), tokens: 1 + r.IntN(1000)}
+				time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
+				c.err = change(w, c)
+				mu.Lock()
+				out = append(out, c)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func change(w *toucanchange.Writer, c told) error {
+	ctx := context.Background()
+	d, err := w.Read(ctx, document)
+	if err != nil {
+		return err
+	}
+	_, err = w.Apply(ctx, toucanchange.Request{
+		ID: c.id, Document: document, Base: d.Revision, Author: "laval",
+		Edits: []toucanrevision.Edit{workspaceEdit(c.name, c.tokens)},
+	})
+	return err
+}
+
+// faults turns outages and lost messages on and off until ctx ends.
+func faults(ctx context.Context, store *toucanfakestore.Memory, r *rand.Rand) {
+	for ctx.Err() == nil {
+		store.SetFaults(toucanfakestore.Faults{
+			Down:        r.IntN(5) == 0,
+			LoseReply:   0.3 * r.Float64(),
+			LoseRequest: 0.2 * r.Float64(),
+			Delay:       time.Duration(r.IntN(50)) * time.Millisecond,
+		})
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(r.IntN(600)) * time.Millisecond):
+		}
+	}
+	store.SetFaults(toucanfakestore.Faults{})
+}
+
+// checkAgainstModel replays the recorded changes on a plain map and compares with what the store holds, and
+// with what every writer was told.
+func checkAgainstModel(t testing.TB, d toucanrevision.Document, all []told) {
+	byID := make(map[string]told, len(all))
+	for _, c := range all {
+		byID[c.id] = c
+	}
+	model := make(map[string]int)
+	recorded := make(map[string]bool)
+	for i, c := range d.Changes {
+		assert.Equal(t, c.Revision, uint64(i+1))
+		assert.Assert(t, !recorded[c.ID], "change %s twice", c.ID)
+		recorded[c.ID] = true
+		if w, ok := byID[c.ID]; ok {
+			model[w.name] = w.tokens
+		}
+	}
+	team, err := d.Team()
+	assert.NilError(t, err)
+	held := make(map[string]int)
+	for _, w := range team.Workspaces {
+		held[w.Name] = w.TokensPerMinute
+	}
+	assert.Assert(t, maps.Equal(held, model), "held %v, model %v", held, model)
+	for _, c := range all {
+		checkTold(t, c, recorded[c.id])
+	}
+}
+
+func checkTold(t testing.TB, c told, recorded bool) {
+	switch {
+	case c.err == nil:
+	case errors.Is(c.err, toucanchange.ErrOutcomeUnknown):
+		return
+	default:
+		assert.Assert(t, !recorded, "%s was told %v but is in the document", c.id, c.err)
+	}
+}
+
+func TestRacingWritersAgainstModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seedValue := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			store := toucanfakestore.New(toucanfakestore.WithSeed(seedValue))
+			seed(t, store)
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { faults(ctx, store, rand.New(rand.NewPCG(seedValue, 99))) })
+			all := race(t, store, seedValue, 5, 8)
+			cancel()
+			wg.Wait()
+			d, err := seedReader(store).Read(context.Background(), document)
+			assert.NilError(t, err)
+			checkAgainstModel(t, d, all)
+		})
+	})
+}
+
+func seedReader(store *toucanfakestore.Memory) *toucanchange.Writer {
+	return toucanchange.New(store, toucanspread.NewHolder())
+}
--- a/toucandocument/table.go
+++ b/toucandocument/table.go
@@ -343,3 +343,19 @@
 	}
 	return out
 }
+
+// New returns a table over values that were decoded already; file is named in problems.
+func New(file string, values map[string]any) (*Table, *Problems) {
+	problems := &Problems{}
+	return &Table{file: file, values: values, problems: problems}, problems
+}
+
+// Time returns the time at key, or the zero time after noting a problem.
+func (t *Table) Time(key string) time.Time {
+	v, _ := t.take(key)
+	at, ok := v.(time.Time)
+	if !ok {
+		t.Note(key, v, "a date with time")
+	}
+	return at
+}
--- a/toucansettings/parse.go
+++ b/toucansettings/parse.go
@@ -1,6 +1,7 @@
 package toucansettings
 
 import (
+	"fmt"
 	"math"
 	"regexp"
 	"slices"
@@ -87,12 +88,22 @@
 		ConcurrentRequests: t.Int("concurrentRequests", 0, 0, math.MaxInt32),
 		TokensPerMinute:    t.Int("tokensPerMinute", 0, 0, math.MaxInt32),
 	}
-	for _, h := range w.KeyHashes {
+	noteHashes(t, "keyHashes", w.KeyHashes)
+	return w
+}
+
+func noteHashes(t *toucandocument.Table, key string, hashes []string) {
+	for _, h := range hashes {
 		if !hashPattern.MatchString(h) {
-			t.Note("keyHashes", h, "hex SHA-256 digests of 64 characters, never keys themselves")
+			t.Note(key, h, "hex SHA-256 digests of 64 characters, never keys themselves")
 		}
 	}
-	return w
+}
+
+func noteCount(t *toucandocument.Table, group string, n, bound int) {
+	if n > bound {
+		t.Note(group, n, fmt.Sprintf("at most %d in one team, by the fleet's bounds", bound))
+	}
 }
 
 func readEndpoint(n toucandocument.Named, team string) Endpoint {
--- a/toucansettings/tree.go
+++ b/toucansettings/tree.go
@@ -95,6 +95,9 @@
 	byKey       map[string]Workspace
 	byService   map[serviceKey]Service
 	byEndpoints map[serviceKey][]Endpoint
+	// byAddress gives the team that owns an endpoint's address.
+	byAddress map[netip.AddrPort]string
+	operators Operators
 }
 
 type serviceKey struct{ team, service string }
@@ -106,6 +109,8 @@
 		byKey:       make(map[string]Workspace),
 		byService:   make(map[serviceKey]Service),
 		byEndpoints: make(map[serviceKey][]Endpoint),
+		byAddress:   make(map[netip.AddrPort]string),
+		operators:   Operators{Fleet: defaultFleet()},
 	}
 	for _, team := range teams {
 		t.index(team)
@@ -125,9 +130,20 @@
 	for _, e := range team.Endpoints {
 		k := serviceKey{team.Name, e.Service}
 		t.byEndpoints[k] = append(t.byEndpoints[k], e)
+		t.byAddress[e.Address] = team.Name
 	}
 }
 
+// WithOperators returns a tree that has o for its operators' document and shares everything else.
+func (t *Tree) WithOperators(o Operators) *Tree {
+	next := *t
+	next.operators = o
+	return &next
+}
+
+// Operators returns the operators' document.
+func (t *Tree) Operators() Operators { return t.operators }
+
 // Teams returns every team; callers must not change the result.
 func (t *Tree) Teams() []Team { return t.teams }
 
