Spread settings on heartbeats and settle their writes, with tables of cases

Cause: a change that a team was told of must outlive the entry that took it, and a lost reply must not make an answer untrue. Change: heartbeats carry a digest, revisions when they differ, and patches or whole documents on request; the author is answered after one peer holds the change; a watcher writes back what a restored store lost.

--- a/toucanchange/writer_test.go
+++ b/toucanchange/writer_test.go
@@ -58,7 +58,9 @@
 	id     string
 	name   string
 	tokens int
-	err    error
+	// unchanged is true when the document already said so.
+	unchanged bool
+	err       error
 }
 
 // race lets writers change a few workspaces at random while the store has faults.
@@ -73,7 +75,7 @@
 			for n := range changes {
 				c := told{id: fmt.Sprintf("c-%d-%d", i, n), name: fmt.Sprintf("w%d", r.IntN(4)), tokens: 1 + r.IntN(1000)}
 				time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
-				c.err = change(w, c)
+				c.unchanged, c.err = change(w, c)
 				mu.Lock()
 				out = append(out, c)
 				mu.Unlock()
@@ -84,17 +86,17 @@
 	return out
 }
 
-func change(w *toucanchange.Writer, c told) error {
+func change(w *toucanchange.Writer, c told) (unchanged bool, err error) {
 	ctx := context.Background()
 	d, err := w.Read(ctx, document)
 	if err != nil {
-		return err
+		return false, err
 	}
-	_, err = w.Apply(ctx, toucanchange.Request{
+	r, err := w.Apply(ctx, toucanchange.Request{
 		ID: c.id, Document: document, Base: d.Revision, Author: "laval",
 		Edits: []toucanrevision.Edit{workspaceEdit(c.name, c.tokens)},
 	})
-	return err
+	return r.Unchanged, err
 }
 
 // faults turns outages and lost messages on and off until ctx ends.
@@ -146,6 +148,7 @@
 func checkTold(t testing.TB, c told, recorded bool) {
 	switch {
 	case c.err == nil:
+		assert.Assert(t, recorded != c.unchanged, "%s was told accepted; unchanged %v, recorded %v", c.id, c.unchanged, recorded)
 	case errors.Is(c.err, toucanchange.ErrOutcomeUnknown):
 		return
 	default:
--- a/toucansettings/path.go
+++ b/toucansettings/path.go
@@ -92,7 +92,7 @@
 	rest, ok := strings.CutPrefix(s, teamsPrefix)
 	team, rest, _ := strings.Cut(rest, "/")
 	if !ok || !toucandocument.NamePattern.MatchString(team) {
-		return "", "", nil, errors.Wrapf(ErrPath, "%q: want /operators/... or /teams/{team}/...", s)
+		return "", "", nil, errors.Wrapf(ErrPath, "%q: want /operators/{group}/{name} or /teams/{team}/{group}/{name}", s)
 	}
 	return TeamPath(team), rest, teamGroups, nil
 }
--- a/toucanspread/holder.go
+++ b/toucanspread/holder.go
@@ -35,6 +35,10 @@
 	digest    uint64
 	// changed is closed and replaced when a document is taken.
 	changed chan struct{}
+	// replicas are the highest revisions that any peer was known to hold; confirmed is closed and replaced
+	// when one of them grows.
+	replicas  map[string]uint64
+	confirmed chan struct{}
 }
 
 // NewHolder returns a holder with an empty tree.
@@ -44,6 +48,8 @@
 		teams:     make(map[string]toucansettings.Team),
 		operators: toucansettings.NewTree(nil).Operators(),
 		changed:   make(chan struct{}),
+		replicas:  make(map[string]uint64),
+		confirmed: make(chan struct{}),
 	}
 	h.tree.Store(toucansettings.NewTree(nil))
 	h.digest = digestOf(nil)
