End work truthfully when an endpoint or entry must stop at short notice

Cause: a stop with a deadline closed the links under what still ran, so callers heard of a lost endpoint after 12 s, and queued work was not handed back while it could still run elsewhere. Protected dialers and listeners wrap the inner link.

--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -79,7 +79,7 @@
 		}
 		r.query.Exclude = append(r.query.Exclude, ep.Name)
 		if !pause(ctx, delay) {
-			return result{}, prog, ctx.Err()
+			return result{}, prog, gone(ctx, prog)
 		}
 	}
 }
@@ -128,10 +128,13 @@
 	run := &run{entry: e, id: text, workspace: r.workspace, address: ep.Address, prog: prog, out: out}
 	run.began = func() { e.cfg.Router.Began(time.Now(), ep.Name, time.Since(sent)) }
 	res, err := run.start(ctx, r.message)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !stopped(ctx) {
 		go e.cancelAt(ep.Address, text, r.workspace)
 	}
 	e.cfg.Router.Finished(time.Now(), ep.Name, r.query, run.outcome(ctx, res), 0)
+	if err != nil && ctx.Err() != nil {
+		err = gone(ctx, prog)
+	}
 	if res.refusal == nil || res.refusal.Ran != toucanwire.RanNo {
 		prog.mayHaveRun = true
 	}
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -80,6 +80,9 @@
 	// life ends with Run; work that outlives its request, such as a cancel, ends with it.
 	life context.Context
 	end  context.CancelFunc
+	// requests is the parent of all requests' contexts; endRequests ends them for a cause.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns an entry that does nothing until Run.
@@ -92,6 +95,7 @@
 	}
 	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
 	e.life, e.end = context.WithCancel(context.Background())
+	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -101,6 +105,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
 	return e
@@ -134,6 +139,7 @@
 // Run serves callers from ln until Shutdown or until ctx is done, which ends everything at once.
 func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
 	defer e.end()
+	defer e.endRequests(nil)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.maintain(ctx)
@@ -148,25 +154,6 @@
 	return nil
 }
 
-func (e *Entry) awaitDrained(ctx context.Context) {
-	select {
-	case <-e.drained:
-	case <-ctx.Done():
-	}
-}
-
-// Shutdown takes no new connections, lets requests in progress end, and then closes the links.
-func (e *Entry) Shutdown(ctx context.Context) error {
-	if e.stopping.Swap(true) {
-		e.awaitDrained(ctx)
-		return ctx.Err()
-	}
-	defer close(e.drained)
-	err := e.server.Shutdown(ctx)
-	e.links.closeAll()
-	return errors.Wrap(err, "requests were still in progress")
-}
-
 // maintainInterval is the time between looks at the settings for endpoints to keep links to.
 const maintainInterval = 500 * time.Millisecond
 
--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -202,7 +202,11 @@
 		prog:      &progress{next: next, mayHaveRun: true},
 		out:       out,
 	}
-	res, err := run.resume(c.Request().Context())
+	ctx := c.Request().Context()
+	res, err := run.resume(ctx)
+	if err != nil && ctx.Err() != nil {
+		err = gone(ctx, run.prog)
+	}
 	return e.answer(c, out, res, err)
 }
 
--- a/toucanentry/sink.go
+++ b/toucanentry/sink.go
@@ -114,6 +114,7 @@
 
 func (s *wholeSink) begin(id string) error {
 	s.id = id
+	s.c.Response().Header().Set(headerGenerationID, id)
 	s.text.Reset()
 	return nil
 }
@@ -131,7 +132,6 @@
 	if err != nil {
 		return errors.Wrap(err, "write answer")
 	}
-	s.c.Response().Header().Set(headerGenerationID, s.id)
 	return s.c.JSONBlob(http.StatusOK, body)
 }
 
--- /dev/null
+++ b/toucantls/link_test.go
@@ -0,0 +1,62 @@
+package toucantls_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanrig"
+	"toucanport/toucantls"
+	"toucanport/toucanwire"
+)
+
+// TestLink runs the inner protocol over protected connections, and holds an expired entry to a refusal that names
+// the reason.
+func TestLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const address = "10.0.0.1:1"
+		a := newAuthority(t)
+		n := toucanrig.NewNetwork()
+		ln, err := n.Listen(address)
+		assert.NilError(t, err)
+		defer ln.Close()
+		protected := toucantls.NewListener(ln, issue(t, a, toucantls.RoleSidecar), toucantls.RoleEntry)
+		accepted := make(chan error, 1)
+		accept := func() {
+			conn, err := protected.Accept()
+			if err != nil {
+				accepted <- err
+				return
+			}
+			link, err := toucanwire.Accept(context.Background(), conn, &toucanwire.Hello{Role: "sidecar"})
+			if err == nil {
+				link.Close()
+			}
+			accepted <- err
+		}
+		dial := func(s toucantls.Source) error {
+			conn, err := toucantls.WrapDial(n.Dialer("10.0.0.2"), s, toucantls.RoleSidecar)(context.Background(), address)
+			if err != nil {
+				return err
+			}
+			link, err := toucanwire.Dial(context.Background(), conn, &toucanwire.Hello{Role: "entry"})
+			if err == nil {
+				link.Close()
+			}
+			return err
+		}
+		entry := issue(t, a, toucantls.RoleEntry)
+		go accept()
+		assert.NilError(t, dial(entry))
+		assert.NilError(t, <-accepted)
+
+		time.Sleep(lifetime + time.Second)
+		protected = toucantls.NewListener(ln, issue(t, a, toucantls.RoleSidecar), toucantls.RoleEntry)
+		go accept()
+		assert.Assert(t, dial(entry) != nil)
+		assert.ErrorContains(t, <-accepted, toucantls.ErrExpired.Error())
+	})
+}
