Carry out priorities and give-ups as the engine and callers expect

Cause: the engine preempts its lowest priority first while the policy numbers the last to be preempted lowest, so the sidecar inverted the order; and a request given up on for overload was answered as a missed deadline, without a time to come back, which the entry never retries elsewhere. Change: the schedule negates the priority; a given-up request ends as overloaded, not run, with the predicted wait as its retry-after, and as a missed deadline only when that lies beyond the caller's; first tokens wake the schedule while requests are queued.

--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -40,6 +40,8 @@
 	buffer    *toucanstream.Buffer
 	// resumed is true when a predecessor of this process started the generation.
 	resumed bool
+	// deadline is when the caller gives up; zero means never.
+	deadline time.Time
 	// settled is set by whichever comes first: the start at the engine, or an end before it.
 	settled atomic.Bool
 	// ctx ends when the generation is cancelled.
@@ -136,6 +138,9 @@
 	}
 	g := s.newGeneration(r.GenerationId, r.Workspace, 0)
 	g.request = engineRequest(r)
+	if r.DeadlineUnixMillis != 0 {
+		g.deadline = time.UnixMilli(r.DeadlineUnixMillis)
+	}
 	s.generations[r.GenerationId] = g
 	s.mu.Unlock()
 
@@ -189,12 +194,24 @@
 }
 
 // expireGeneration is called by the schedule when a queued request can no longer be served in time.
-func (s *Sidecar) expireGeneration(id string) {
+func (s *Sidecar) expireGeneration(id string, retryAfter time.Duration) {
 	g := s.find(id)
 	if g == nil || !g.settled.CompareAndSwap(false, true) {
 		return
 	}
-	g.buffer.Finish(toucanstream.End{Failure: codeDeadline, Message: "the request could not start before its deadline"})
+	g.buffer.Finish(expiryEnd(g.deadline, time.Now(), retryAfter))
+}
+
+// expiryEnd is the end of a request that was given up on before it ran.
+func expiryEnd(deadline, now time.Time, retryAfter time.Duration) toucanstream.End {
+	if !deadline.IsZero() && now.Add(retryAfter).After(deadline) {
+		return toucanstream.End{Failure: codeDeadline, Message: "the request could not start before its deadline"}
+	}
+	return toucanstream.End{
+		Failure:    codeOverloaded,
+		Message:    "the endpoint is overloaded",
+		RetryAfter: retryAfter,
+	}
 }
 
 func (s *Sidecar) find(id string) *generation {
--- a/toucansidecar/refusal.go
+++ b/toucansidecar/refusal.go
@@ -49,12 +49,14 @@
 func endRefusal(end toucanstream.End, tokens int) *toucanwire.Refusal {
 	ran := ranUnknown
 	switch {
-	case end.Failure == codeDeadline, end.Failure == codeRejected, end.Failure == codeLeaving:
+	case end.Failure == codeDeadline, end.Failure == codeRejected, end.Failure == codeLeaving,
+		end.Failure == codeOverloaded:
 		ran = ranNo
 	case tokens > 0:
 		ran = ranPartly
 	}
 	r := refusal(end.Failure, ran, end.Message)
+	r.RetryAfterMillis = uint32(end.RetryAfter / time.Millisecond)
 	r.Retryable = end.Failure != codeCancelled && end.Failure != codeRejected
 	return r
 }
--- a/toucansidecar/schedule.go
+++ b/toucansidecar/schedule.go
@@ -10,16 +10,23 @@
 
 // schedule runs the admission policy: it serializes access to it and carries out what it decides.
 type schedule struct {
-	start  func(id string, priority int)
-	expire func(id string)
+	// start hands a request to the engine, which preempts the lowest priority first.
+	start func(id string, priority int)
+	// expire ends a request that has not run; retryAfter is when another like it would be served in time.
+	expire func(id string, retryAfter time.Duration)
 	// poke has room for one pending wake-up.
 	poke chan struct{}
 
 	mu     sync.Mutex
 	policy toucanadmit.Policy
+	// queued is whether requests waited when the policy was asked last.
+	queued bool
 }
 
-func newSchedule(policy toucanadmit.Policy, start func(string, int), expire func(string)) *schedule {
+// minRetryAfter is the soonest that a request which was given up on may come back.
+const minRetryAfter = 200 * time.Millisecond
+
+func newSchedule(policy toucanadmit.Policy, start func(string, int), expire func(string, time.Duration)) *schedule {
 	return &schedule{start: start, expire: expire, poke: make(chan struct{}, 1), policy: policy}
 }
 
@@ -45,12 +52,17 @@
 	expired := s.policy.Expired(now)
 	starts := s.policy.Next(now)
 	wake := s.policy.Wake(now)
+	s.queued = !wake.IsZero()
+	var retryAfter time.Duration
+	if len(expired) > 0 {
+		retryAfter = max(s.policy.Load(now).Wait, minRetryAfter)
+	}
 	s.mu.Unlock()
 	for _, id := range expired {
-		s.expire(id)
+		s.expire(id, retryAfter)
 	}
 	for _, st := range starts {
-		s.start(st.ID, st.Priority)
+		s.start(st.ID, -st.Priority)
 	}
 	if wake.IsZero() {
 		return time.Hour
@@ -75,8 +87,12 @@
 
 func (s *schedule) progress(id string, generated int) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.policy.Progress(time.Now(), id, generated)
+	queued := s.queued
+	s.mu.Unlock()
+	if queued {
+		s.wake()
+	}
 }
 
 func (s *schedule) done(id string, generated int, complete bool) {
--- /dev/null
+++ b/toucansidecar/schedule_test.go
@@ -0,0 +1,54 @@
+package toucansidecar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucanstream"
+	"toucanport/toucanwire"
+)
+
+// scriptedPolicy hands out what it was told to.
+type scriptedPolicy struct {
+	toucanadmit.Policy
+	expired []string
+	starts  []toucanadmit.Start
+	wait    time.Duration
+}
+
+func (p *scriptedPolicy) Expired(time.Time) []string         { return p.expired }
+func (p *scriptedPolicy) Next(time.Time) []toucanadmit.Start { return p.starts }
+func (p *scriptedPolicy) Wake(time.Time) time.Time           { return time.Time{} }
+func (p *scriptedPolicy) Load(time.Time) toucanadmit.Load    { return toucanadmit.Load{Wait: p.wait} }
+func (p *scriptedPolicy) Progress(time.Time, string, int)    {}
+
+func TestStepCarriesOutDecisions(t *testing.T) {
+	p := &scriptedPolicy{
+		expired: []string{"late"},
+		starts:  []toucanadmit.Start{{ID: "first", Priority: 1}, {ID: "second", Priority: 2}},
+		wait:    3 * time.Second,
+	}
+	var got []string
+	start := func(id string, priority int) { got = append(got, fmt.Sprint(id, " ", priority)) }
+	expire := func(id string, after time.Duration) { got = append(got, fmt.Sprint(id, " ", after)) }
+	newSchedule(p, start, expire).step()
+	// The engine preempts its lowest priority first, the policy's highest number.
+	assert.DeepEqual(t, got, []string{"late 3s", "first -1", "second -2"})
+}
+
+func TestGivenUpRequestTellsWhenToComeBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ref := endRefusal(expiryEnd(time.Time{}, now, 2*time.Second), 0)
+	assert.Equal(t, ref.Code, toucanwire.CodeOverloaded)
+	assert.Equal(t, ref.Ran, toucanwire.RanNo)
+	assert.Equal(t, ref.RetryAfterMillis, uint32(2000))
+	assert.Assert(t, ref.Retryable)
+	end := expiryEnd(now.Add(time.Second), now, 2*time.Second)
+	assert.DeepEqual(t, end, toucanstream.End{
+		Failure: codeDeadline, Message: "the request could not start before its deadline",
+	})
+}
--- a/toucanstream/buffer.go
+++ b/toucanstream/buffer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -24,6 +25,8 @@
 	// Failure is the refusal code of a generation that could not be completed.
 	Failure string
 	Message string
+	// RetryAfter is when to come back after a failure; zero says nothing.
+	RetryAfter time.Duration
 }
 
 // Complete reports whether the generation ran to its own end.
