Run dev with keys in memory, shared limits and the toucan router

Cause: dev still dialled its sidecars in the clear, chose endpoints in turn and limited nobody. Change: each of its processes gets a certificate of an authority that lives in memory, entries share the workspaces' limits, and the service's policy chooses the router. Shown by a run of dev: models listed and a completion answered over protected links.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,10 +19,12 @@
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanlimit"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
 	"toucanport/toucanstream"
+	"toucanport/toucantls"
 )
 
 // loopback is where everything listens but the callers' listener, on ports that the system chooses.
@@ -45,7 +48,9 @@
 	cfg    Config
 	signer *toucanstream.Signer
 	ledger *toucanfake.Ledger
-	wg     sync.WaitGroup
+	// authority signs the keys of the inner links.
+	authority *toucantls.Authority
+	wg        sync.WaitGroup
 
 	entries  []*toucanentry.Entry
 	sidecars []*toucansidecar.Sidecar
@@ -57,8 +62,13 @@
 
 // Start begins a deployment, which runs until ctx is done.
 func Start(ctx context.Context, cfg Config) (*System, error) {
+	authority, err := toucantls.NewAuthority(time.Now(), keyLifetime)
+	if err != nil {
+		return nil, err
+	}
 	s := &System{
 		cfg:       cfg,
+		authority: authority,
 		signer:    toucanstream.NewSigner([]byte(toucandeploy.Key(cfg.Seed, "generationSecret", ""))),
 		ledger:    toucanfake.NewLedger(),
 		listeners: make(map[string][]net.Listener),
@@ -76,7 +86,9 @@
 		return nil, err
 	}
 	for i, ln := range entryLns {
-		s.startEntry(ctx, i, ln)
+		if err := s.startEntry(ctx, i, ln); err != nil {
+			return nil, err
+		}
 	}
 	return s, nil
 }
@@ -132,7 +144,11 @@
 		if err := s.standIn(ctx, &cfg, service, i); err != nil {
 			return err
 		}
-		s.startSidecar(ctx, cfg, s.listeners[ep.Service][index])
+		ln, err := s.protectListener(ep.Name, s.listeners[ep.Service][index])
+		if err != nil {
+			return err
+		}
+		s.startSidecar(ctx, cfg, ln)
 	}
 	return nil
 }
@@ -182,18 +198,26 @@
 	})
 }
 
-func (s *System) startEntry(ctx context.Context, index int, ln net.Listener) {
+func (s *System) startEntry(ctx context.Context, index int, ln net.Listener) error {
 	domains := s.cfg.Deployment.FailureDomains
+	domain := domains[index%len(domains)]
+	instance := fmt.Sprintf("entry%d", index+1)
+	protected, err := s.protectedDial(instance)
+	if err != nil {
+		return err
+	}
 	entry := toucanentry.New(toucanentry.Config{
-		Instance:      fmt.Sprintf("entry%d", index+1),
-		FailureDomain: domains[index%len(domains)],
+		Instance:      instance,
+		FailureDomain: domain,
 		Settings:      fixedSettings{s.tree},
 		Signer:        s.signer,
-		Dial:          dial,
-		Router:        toucanroute.NewNaive(),
+		Dial:          toucanentry.Dialer(protected),
+		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain}),
+		Limiter:       toucanlimit.NewShared(s.cfg.Entries),
 	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
 	s.entries = append(s.entries, entry)
 	s.wg.Go(func() { s.report("entry", entry.Run(ctx, ln)) })
+	return nil
 }
 
 type fixedSettings struct{ tree *toucansettings.Tree }
