Leave room for workspaces below their share

Change: absence saves up to 8192 tokens of a workspace's order; one that holds over twice its share leaves 8% of memory and batch and most of the prompt computation to the others, and never passes a blocked head that is within its share.

--- a/toucanadmit/observe.go
+++ b/toucanadmit/observe.go
@@ -16,6 +16,7 @@
 	t.reconcile(e)
 	t.step.observe(e.Running, t.prefills.within(e.At.Add(-e.StepTime), e.At.Add(e.StepTime)), e.StepTime)
 	t.redraw()
+	t.shares.expire(now)
 	t.checkForecast(now)
 }
 
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -23,6 +23,8 @@
 	briefsPerPlan = 8
 	// maxBypassed is how many briefs may start past a plan that does not fit; then all wait for the plan.
 	maxBypassed = 64
+	// burstTokens is the output that a workspace of weight 1 may have saved up while it got less than its share.
+	burstTokens = 8192
 	// refreshTokens is how many tokens a request generates before its demand is computed anew.
 	refreshTokens = 16
 	// throughputWindow is the time over which generated tokens are counted.
@@ -67,6 +69,7 @@
 	queuedPrefill int
 	running       int
 	briefs        reserve
+	shares        shares
 	bias          [toucanfair.Levels]waitBias
 	// ordinal numbers the started plans.
 	ordinal int
@@ -110,11 +113,12 @@
 			toucanlength.WithPrior(string(ClassBrief), briefPrior),
 			toucanlength.WithPrior(string(ClassPlan), planPrior),
 		),
-		queue:      toucanfair.New(),
+		queue:      toucanfair.New(toucanfair.WithBurst(burstTokens)),
 		jobs:       make(map[string]*job),
 		step:       newStepModel(),
 		throughput: meter{window: throughputWindow},
 		briefs:     newReserve(),
+		shares:     newShares(),
 		bias:       [toucanfair.Levels]waitBias{{factor: 1}, {factor: 1}},
 		meanOutput: toucanlength.DefaultPrior.MedianTokens,
 	}
@@ -127,6 +131,7 @@
 func (t *toucan) Offer(now time.Time, r Request) error {
 	t.now = now
 	j := t.newJob(r)
+	t.shares.offered(now, r.Workspace, j.item.Weight)
 	if j.item.Level == levelBrief {
 		t.briefs.offer(now)
 	}
@@ -180,20 +185,37 @@
 
 // pick returns the queued job to start now, nil when none may.
 func (t *toucan) pick() *job {
-	brief, plan := t.head(levelBrief), t.head(levelPlan)
-	if plan == nil {
-		return t.startable(brief)
-	}
-	if brief != nil && t.briefTurns < briefsPerPlan {
-		return t.startable(brief)
+	first, second := t.order()
+	if first == nil {
+		return nil
 	}
-	if j := t.startable(plan); j != nil {
+	if j := t.startable(first); j != nil || second == nil {
 		return j
 	}
-	if t.bypassed >= maxBypassed {
+	if t.overShare(second) && !t.overShare(first) {
 		return nil
 	}
-	return t.startable(brief)
+	if first.item.Level == levelPlan && t.bypassed >= maxBypassed {
+		return nil
+	}
+	return t.startable(second)
+}
+
+// order returns the heads of the two levels, the one whose turn it is first. Briefs go first for some turns, but
+// those of a workspace that holds more than its share leave the turn to others' plans.
+func (t *toucan) order() (first, second *job) {
+	brief, plan := t.head(levelBrief), t.head(levelPlan)
+	switch {
+	case plan == nil:
+		return brief, nil
+	case brief == nil:
+		return plan, nil
+	case t.briefTurns >= briefsPerPlan:
+		return plan, brief
+	case t.overShare(brief) && !t.overShare(plan):
+		return plan, brief
+	}
+	return brief, plan
 }
 
 func (t *toucan) head(level int) *job {
@@ -223,6 +245,7 @@
 	j.running = true
 	j.started = now
 	t.running++
+	t.shares.started(j.request.Workspace, j.item.Cost)
 	t.prefillRate.start(now, t.prefilling)
 	t.prefilling++
 	t.prefillTokens += j.request.uncached()
@@ -277,6 +300,9 @@
 	if j.item.Level == levelPlan {
 		total -= t.briefs.memory(t.now, total)
 	}
+	if t.overShare(j) {
+		total *= 1 - overShareRoom
+	}
 	return t.peak(&d) - total
 }
 
@@ -286,9 +312,16 @@
 	if j.item.Level == levelPlan {
 		bound -= t.briefs.slots(t.now, bound)
 	}
+	if t.overShare(j) {
+		bound -= int(overShareRoom * float64(bound))
+	}
 	return t.running == 0 || t.running < bound
 }
 
+func (t *toucan) overShare(j *job) bool {
+	return t.shares.over(j.request.Workspace, j.item.Cost)
+}
+
 // peak returns the most tokens that the running jobs and extra will hold, at the configured quantile.
 func (t *toucan) peak(extra *demand) float64 {
 	if t.cfg.Quantile < 1 {
@@ -339,6 +372,9 @@
 	if rate := t.prefillRate.perSecond(); rate > 0 {
 		allowed = min(allowed, rate*prefillAhead.Seconds())
 	}
+	if t.overShare(j) {
+		allowed *= overSharePrefill
+	}
 	return float64(t.prefillTokens+j.request.uncached()) <= allowed
 }
 
@@ -387,6 +423,7 @@
 	}
 	delete(t.jobs, id)
 	t.running--
+	t.shares.ended(j.request.Workspace, j.item.Cost)
 	t.sum.remove(&j.demand)
 	if j.item.Level == levelBrief {
 		t.briefs.ended(j.request.PromptTokens, j.generated, now.Sub(j.started))
--- a/toucanfair/queue.go
+++ b/toucanfair/queue.go
@@ -25,10 +25,12 @@
 
 // Queue holds waiting items. Each workspace has a virtual time, the work given to it divided by its weight; the head
 // of a level is the oldest item of the workspace with the lowest virtual time. A workspace that was away starts at
-// the virtual time of the queue, so that neither its absence nor its past counts.
+// the virtual time of the queue less the burst, so that absence earns no more than that.
 type Queue struct {
 	workspaces map[string]*workspace
 	byID       map[string]*workspace
+	// burst is the work for each unit of weight that a workspace may have saved up; at least zero.
+	burst float64
 	// clock is the highest virtual time that a popped item started at; it never falls.
 	clock float64
 	// serial numbers the workspaces in the order in which they came, to break ties.
@@ -43,7 +45,7 @@
 	name   string
 	serial uint64
 	weight float64
-	// time is the virtual time; at least the queue's clock at the moment the workspace last became active.
+	// time is the virtual time; at least the queue's clock less the burst when the workspace last became active.
 	time float64
 	// outstanding is how many items were popped and are not yet settled.
 	outstanding int
@@ -52,9 +54,19 @@
 	cost [Levels]float64
 }
 
+// Option changes a Queue at its construction.
+type Option func(*Queue)
+
+// WithBurst lets a workspace that got less than its share save up work, for each unit of weight.
+func WithBurst(work float64) Option { return func(q *Queue) { q.burst = work } }
+
 // New returns an empty Queue.
-func New() *Queue {
-	return &Queue{workspaces: make(map[string]*workspace), byID: make(map[string]*workspace)}
+func New(opts ...Option) *Queue {
+	q := &Queue{workspaces: make(map[string]*workspace), byID: make(map[string]*workspace)}
+	for _, opt := range opts {
+		opt(q)
+	}
+	return q
 }
 
 // Len returns how many items wait at a level.
@@ -135,7 +147,7 @@
 
 // Ahead returns the cost at a level that would be served before a new item of the workspace.
 func (q *Queue) Ahead(name string, weight float64, level int) float64 {
-	start, own := q.clock, 0.0
+	start, own := q.clock-q.burst, 0.0
 	if w, ok := q.workspaces[name]; ok {
 		own = w.cost[level]
 		start = max(w.time, q.floor(w)) + own/weight
@@ -201,19 +213,19 @@
 }
 
 // floor returns the least virtual time that w may have: one with items waiting keeps its place, any other starts at
-// the clock.
+// the clock less the burst.
 func (q *Queue) floor(w *workspace) float64 {
 	if len(w.waiting[0]) > 0 || len(w.waiting[1]) > 0 {
 		return w.time
 	}
-	return q.clock
+	return q.clock - q.burst
 }
 
 func (q *Queue) active(name string) *workspace {
 	w, ok := q.workspaces[name]
 	if !ok {
 		q.serial++
-		w = &workspace{name: name, serial: q.serial, time: q.clock}
+		w = &workspace{name: name, serial: q.serial, time: q.clock - q.burst}
 		q.workspaces[name] = w
 	}
 	w.time = max(w.time, q.floor(w))
@@ -242,9 +254,9 @@
 	return nil, Item{}, false
 }
 
-// forget drops a workspace that its return would set to the clock anyway.
+// forget drops a workspace whose return would set its virtual time anew anyway.
 func (q *Queue) forget(w *workspace) {
-	if w.idle() && w.time <= q.clock {
+	if w.idle() && w.time <= q.clock-q.burst {
 		delete(q.workspaces, w.name)
 	}
 }
