Gather the writes of a link and measure processor time a token

Cause: yamux writes the header and the body of every frame with a system call of their own, for each token of each stream. Change: writes to a link are gathered while an earlier one is under way; a benchmark compares processor time a token through entry and sidecar with the stand-in engine alone, in one run.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -37,7 +37,9 @@
 	Seed    uint64
 	// Fault is the fault that the first engine starts with; empty for none.
 	Fault toucanfake.Fault
-	Log   *slog.Logger
+	// Engine returns the stand-in of an endpoint; nil means toucanfake.DefaultConfig.
+	Engine func(name string) toucanfake.Config
+	Log    *slog.Logger
 }
 
 // System is a running deployment.
@@ -57,6 +59,9 @@
 
 // Start begins a deployment, which runs until ctx is done.
 func Start(ctx context.Context, cfg Config) (*System, error) {
+	if cfg.Engine == nil {
+		cfg.Engine = toucanfake.DefaultConfig
+	}
 	s := &System{
 		cfg:       cfg,
 		signer:    toucanstream.NewSigner([]byte(toucandeploy.Key(cfg.Seed, "generationSecret", ""))),
@@ -156,7 +161,7 @@
 		s.startService(ctx, ln)
 		return nil
 	}
-	engineCfg := toucanfake.DefaultConfig(cfg.Endpoint)
+	engineCfg := s.cfg.Engine(cfg.Endpoint)
 	engineCfg.Seed = s.cfg.Seed
 	engine := toucanfake.NewEngine(engineCfg, s.ledger)
 	if index == 0 && s.cfg.Fault != "" {
--- a/toucanwire/link.go
+++ b/toucanwire/link.go
@@ -61,7 +61,7 @@
 	if calling {
 		start = yamux.Client
 	}
-	session, err := start(conn, sessionConfig())
+	session, err := start(newCoalescer(conn), sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, errors.Wrap(err, "start session")
