Let entries borrow what others leave unused of a limit

Cause: with equal parts only, a workspace whose calls reach one entry of three gets a third of its limit.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -100,6 +100,7 @@
 		opt(e)
 	}
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
+	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/toucanentry/links.go
+++ b/toucanentry/links.go
@@ -38,6 +38,9 @@
 	report func(*toucanwire.LoadReport)
 	log    *slog.Logger
 	flight singleflight.Group
+	// uses gives what heartbeats to an address tell of workspaces; takeUses gets what they bring.
+	uses     func(address string) []*toucanwire.EntryUse
+	takeUses func([]*toucanwire.EntryUse)
 
 	mu sync.Mutex
 	// peers holds links by address; a link that has ended is removed.
@@ -119,7 +122,7 @@
 
 // keep exchanges heartbeats until the link ends or stalls.
 func (l *links) keep(address string, p *peer) {
-	err := l.heartbeats(p)
+	err := l.heartbeats(address, p)
 	p.link.Close()
 	l.mu.Lock()
 	if l.peers[address] == p {
@@ -132,7 +135,7 @@
 	}
 }
 
-func (l *links) heartbeats(p *peer) error {
+func (l *links) heartbeats(address string, p *peer) error {
 	stream, err := p.link.Open(&toucanwire.Open{Request: &toucanwire.Open_Control{Control: l.hello}})
 	if err != nil {
 		return err
@@ -141,7 +144,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for sequence := uint64(1); ; sequence++ {
-		if err := l.heartbeat(stream, sequence); err != nil {
+		if err := l.heartbeat(stream, &toucanwire.Heartbeat{Sequence: sequence, Uses: l.uses(address)}); err != nil {
 			return err
 		}
 		select {
@@ -152,9 +155,9 @@
 	}
 }
 
-func (l *links) heartbeat(stream *toucanwire.Stream, sequence uint64) error {
+func (l *links) heartbeat(stream *toucanwire.Stream, own *toucanwire.Heartbeat) error {
 	stream.SetWriteDeadline(time.Now().Add(heartbeatTimeout))
-	if err := stream.Send(&toucanwire.Heartbeat{Sequence: sequence}); err != nil {
+	if err := stream.Send(own); err != nil {
 		return err
 	}
 	stream.SetReadDeadline(time.Now().Add(heartbeatTimeout))
@@ -163,6 +166,7 @@
 		return err
 	}
 	l.report(beat.Load)
+	l.takeUses(beat.Uses)
 	return nil
 }
 
--- a/toucanlimit/limit_test.go
+++ b/toucanlimit/limit_test.go
@@ -158,7 +158,7 @@
 		uses = append(uses, Use{Workspace: names[i], Running: 1, TokensPerMinute: 1000})
 	}
 	for i := range 3 {
-		s.Observe(now, fmt.Sprint(i), uses)
+		s.Observe(now, fmt.Sprint(i), Uses{List: uses, Complete: true})
 	}
 	b.ReportAllocs()
 	i := 0
--- a/toucanlimit/shared.go
+++ b/toucanlimit/shared.go
@@ -14,6 +14,8 @@
 	useTimeout = 3 * time.Second
 	// maxPeers bounds the peers whose use is kept; any further are taken to use their equal part.
 	maxPeers = 32
+	// maxUses bounds what an entry tells of itself at once.
+	maxUses = 32
 	// sweepInterval is the time between two removals of idle workspaces.
 	sweepInterval = 10 * time.Second
 	// concurrentRetryAfter is when a workspace at its limit of concurrent requests should come back.
@@ -24,13 +26,20 @@
 	rateWindow = 10 * time.Second
 )
 
-// Use is what one entry carries of a workspace. Entries tell it to their peers on heartbeats.
+// Use is what one entry carries of a workspace.
 type Use struct {
 	Workspace       string
 	Running         int
 	TokensPerMinute int
 }
 
+// Uses is what one entry tells its peers, on heartbeats.
+type Uses struct {
+	List []Use
+	// Complete is true when workspaces that are not listed have no work at the entry.
+	Complete bool
+}
+
 // Shared enforces one entry's part of every workspace's limits: an equal part, and what the peers leave unused
 // up to BurstFactor times that.
 type Shared struct {
@@ -55,8 +64,9 @@
 
 // peer is what another entry told last.
 type peer struct {
-	heard time.Time
-	uses  map[string]Use
+	heard    time.Time
+	uses     map[string]Use
+	complete bool
 }
 
 // NewShared returns a limiter for one of n entries.
@@ -72,7 +82,7 @@
 }
 
 // Observe takes in what a peer carries; it replaces what the peer told before.
-func (s *Shared) Observe(now time.Time, name string, uses []Use) {
+func (s *Shared) Observe(now time.Time, name string, uses Uses) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forgetPeers(now)
@@ -85,8 +95,9 @@
 		s.peers[name] = p
 	}
 	p.heard = now
-	p.uses = make(map[string]Use, len(uses))
-	for _, u := range uses {
+	p.complete = uses.Complete
+	p.uses = make(map[string]Use, len(uses.List))
+	for _, u := range uses.List {
 		p.uses[u.Workspace] = u
 	}
 }
@@ -99,17 +110,22 @@
 	}
 }
 
-// Uses returns what this entry carries, for its peers.
-func (s *Shared) Uses(now time.Time) []Use {
+// Uses returns what this entry carries, for its peers: at most maxUses workspaces.
+func (s *Shared) Uses(now time.Time) Uses {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
-	uses := make([]Use, 0, len(s.workspaces))
+	uses := Uses{Complete: true}
 	for name, u := range s.workspaces {
 		rate := int(u.rate(now))
-		if u.running > 0 || rate > 0 {
-			uses = append(uses, Use{Workspace: name, Running: u.running, TokensPerMinute: rate})
+		if u.running == 0 && rate == 0 {
+			continue
+		}
+		if len(uses.List) == maxUses {
+			uses.Complete = false
+			break
 		}
+		uses.List = append(uses.List, Use{Workspace: name, Running: u.running, TokensPerMinute: rate})
 	}
 	return uses
 }
@@ -160,14 +176,15 @@
 	return min(max(equal, limit-others), min(limit, BurstFactor*equal))
 }
 
-// others sums what the peers take. Those not heard of lately are taken to use their equal part.
+// others sums what the peers take. Where a peer said nothing lately it is taken to use its equal part.
 func (s *Shared) others(now time.Time, workspace string, limit float64, measure func(Use) int) float64 {
 	heard := 0
 	sum := 0.0
 	for _, p := range s.peers {
-		if now.Sub(p.heard) <= useTimeout {
+		use, listed := p.uses[workspace]
+		if now.Sub(p.heard) <= useTimeout && (listed || p.complete) {
 			heard++
-			sum += float64(measure(p.uses[workspace]))
+			sum += float64(measure(use))
 		}
 	}
 	unheard := max(0, s.entries-1-heard)
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -83,13 +83,14 @@
 }
 
 // serveControl answers each heartbeat of an entry with one of its own.
-func (s *Sidecar) serveControl(ctx context.Context, stream *toucanwire.Stream) {
+func (s *Sidecar) serveControl(ctx context.Context, link *toucanwire.Link, stream *toucanwire.Stream) {
 	for ctx.Err() == nil {
 		beat := &toucanwire.Heartbeat{}
 		if err := stream.Receive(beat); err != nil {
 			return
 		}
 		answer := &toucanwire.Heartbeat{Sequence: beat.Sequence, Load: s.loadReport()}
+		answer.Uses = s.uses.take(time.Now(), link.Peer.Instance, beat.Uses)
 		if err := stream.Send(answer); err != nil {
 			return
 		}
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -99,6 +99,7 @@
 	working work
 	calls   callClient
 	reports reporter
+	uses    useRelay
 
 	mu sync.Mutex
 	// generations holds every generation that can be resumed, by id.
@@ -250,7 +251,7 @@
 	case *toucanwire.Open_Call:
 		s.serveCall(ctx, stream, r.Call)
 	case *toucanwire.Open_Control:
-		s.serveControl(ctx, stream)
+		s.serveControl(ctx, link, stream)
 	case *toucanwire.Open_Documents:
 		s.serveDocuments(stream, r.Documents)
 	default:
