--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -71,6 +71,8 @@
 	serial atomic.Uint64
 	links  *links
 	server *http.Server
+	// services holds the services that the router knows; used by maintain only.
+	services map[string]bool
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
@@ -78,6 +80,9 @@
 	// life ends with Run; work that outlives its request, such as a cancel, ends with it.
 	life context.Context
 	end  context.CancelFunc
+	// requests is the parent of all requests' contexts; endRequests ends them for a cause.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns an entry that does nothing until Run.
@@ -90,15 +95,18 @@
 	}
 	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
 	e.life, e.end = context.WithCancel(context.Background())
+	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(e)
 	}
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
+	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
 	return e
@@ -132,6 +140,7 @@
 // Run serves callers from ln until Shutdown or until ctx is done, which ends everything at once.
 func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
 	defer e.end()
+	defer e.endRequests(nil)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.maintain(ctx)
@@ -146,25 +155,6 @@
 	return nil
 }
 
-func (e *Entry) awaitDrained(ctx context.Context) {
-	select {
-	case <-e.drained:
-	case <-ctx.Done():
-	}
-}
-
-// Shutdown takes no new connections, lets requests in progress end, and then closes the links.
-func (e *Entry) Shutdown(ctx context.Context) error {
-	if e.stopping.Swap(true) {
-		e.awaitDrained(ctx)
-		return ctx.Err()
-	}
-	defer close(e.drained)
-	err := e.server.Shutdown(ctx)
-	e.links.closeAll()
-	return errors.Wrap(err, "requests were still in progress")
-}
-
 // maintainInterval is the time between looks at the settings for endpoints to keep links to.
 const maintainInterval = 500 * time.Millisecond
 
@@ -188,18 +178,38 @@
 
 func (e *Entry) useTree(tree *toucansettings.Tree) {
 	wanted := make(map[string]bool)
+	services := make(map[string]bool)
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
 			es := routeEndpoints(tree, s)
 			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), es)
+			e.setPolicy(s)
+			services[serviceKey(s)] = true
 			for _, ep := range es {
 				wanted[ep.Address.String()] = true
 			}
 		}
 	}
+	for name := range e.services {
+		if !services[name] {
+			e.cfg.Router.SetEndpoints(time.Now(), name, nil)
+		}
+	}
+	e.services = services
 	e.links.want(wanted)
 }
 
+// policySetter is a router that has a policy for each service.
+type policySetter interface {
+	SetPolicy(service string, p toucansettings.Policy)
+}
+
+func (e *Entry) setPolicy(s toucansettings.Service) {
+	if r, ok := e.cfg.Router.(policySetter); ok {
+		r.SetPolicy(serviceKey(s), s.Policy)
+	}
+}
+
 func routeEndpoints(tree *toucansettings.Tree, s toucansettings.Service) []toucanroute.Endpoint {
 	var es []toucanroute.Endpoint
 	for _, ep := range tree.Endpoints(s.Team, s.Name) {
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -99,6 +99,7 @@
 	working work
 	calls   callClient
 	reports reporter
+	uses    useRelay
 
 	mu sync.Mutex
 	// generations holds every generation that can be resumed, by id.
@@ -250,21 +251,10 @@
 	case *toucanwire.Open_Call:
 		s.serveCall(ctx, stream, r.Call)
 	case *toucanwire.Open_Control:
-		s.serveControl(ctx, stream)
+		s.serveControl(ctx, link, stream)
 	case *toucanwire.Open_Documents:
 		s.serveDocuments(stream, r.Documents)
 	default:
 		s.log.Warn("request of unknown type", "peer", link.Peer.Instance)
 	}
 }
-
-// Leave stops taking new work. Work in progress goes on.
-func (s *Sidecar) Leave() {
-	s.leaving.Store(true)
-}
-
-// Shutdown stops taking new work and waits until the work in progress has ended or ctx is done.
-func (s *Sidecar) Shutdown(ctx context.Context) error {
-	s.Leave()
-	return s.working.wait(ctx)
-}
