Record what callers experience in histograms and a log line a request

Cause: neither stall time nor tail latency could be seen on a running system. Change: tally histograms of the time to the first token, between tokens and of stall by workspace and class, refusals by code and by whether the request ran, a log line for each generation with its endpoint and failure domain.

--- a/toucanentry/auth.go
+++ b/toucanentry/auth.go
@@ -83,6 +83,7 @@
 // handleError answers err as the JSON error, unless the answer has begun.
 func (e *Entry) handleError(c *echo.Context, err error) {
 	f := e.asFailure(err)
+	e.callers.Refused(f.body.Code, f.body.Ran)
 	if resp, unwrapErr := echo.UnwrapResponse(c.Response()); unwrapErr == nil && resp.Committed {
 		return
 	}
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -51,6 +51,8 @@
 	mayHaveRun bool
 	// attempts counts the endpoints tried.
 	attempts int
+	// endpoint is the last one tried.
+	endpoint toucanroute.Endpoint
 }
 
 // result is how a generation ended at one endpoint; exactly one of its fields is set.
@@ -69,6 +71,7 @@
 			return result{}, prog, e.noEndpoint(err, prog)
 		}
 		prog.attempts++
+		prog.endpoint = ep
 		res, err := e.runAt(ctx, ep, r, prog, out)
 		if err != nil || res.end != nil {
 			return res, prog, err
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -13,8 +13,10 @@
 
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanlimit"
+	"toucanport/toucanmetric"
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
@@ -55,6 +57,8 @@
 	Router        toucanroute.Router
 	Limiter       toucanlimit.Limiter
 	Budget        *toucanretry.Budget
+	// Scope records metrics; nil records none.
+	Scope tally.Scope
 }
 
 // Option changes an entry.
@@ -65,12 +69,13 @@
 
 // Entry serves callers.
 type Entry struct {
-	cfg    Config
-	log    *slog.Logger
-	boot   uint64
-	serial atomic.Uint64
-	links  *links
-	server *http.Server
+	cfg     Config
+	log     *slog.Logger
+	boot    uint64
+	serial  atomic.Uint64
+	links   *links
+	callers *toucanmetric.Callers
+	server  *http.Server
 	// services holds the services that the router knows; used by maintain only.
 	services map[string]bool
 	// stopping is true once a graceful stop has begun.
@@ -90,6 +95,9 @@
 	if cfg.Limiter == nil {
 		cfg.Limiter = toucanlimit.NewUnlimited()
 	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
 	if cfg.Budget == nil {
 		cfg.Budget = toucanretry.NewBudget()
 	}
@@ -99,6 +107,7 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.callers = toucanmetric.NewCallers(cfg.Scope)
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
 	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -74,12 +74,41 @@
 	}
 	tokens := 0
 	defer func() { release(time.Now(), r.PromptTokens+tokens) }()
-	out := newSink(c, r)
+	series := e.callers.Series(gen.workspace, gen.message.Class)
+	out := &measuredSink{answerSink: newSink(c, r), generation: series.Begin(time.Now())}
 	res, prog, err := e.dispatch(c.Request().Context(), gen, out)
 	tokens = prog.next
+	e.logGeneration(gen, res, prog, err)
 	return e.answer(c, out, res, err)
 }
 
+// logGeneration writes the line of one generation and counts a refusal that came behind the first token.
+func (e *Entry) logGeneration(gen *generationRequest, res result, prog *progress, err error) {
+	outcome, ran := "completed", ""
+	switch {
+	case res.refusal != nil:
+		outcome, ran = res.refusal.Code, res.refusal.Ran
+	case err != nil:
+		outcome = "unanswered"
+	}
+	if res.refusal != nil && prog.next > 0 {
+		e.callers.Refused(outcome, ran)
+	}
+	e.log.Info("generation",
+		"requestId", gen.message.RequestId,
+		"workspace", gen.workspace,
+		"service", gen.message.Service,
+		"class", gen.message.Class,
+		"endpoint", prog.endpoint.Name,
+		"failureDomain", prog.endpoint.FailureDomain,
+		"attempts", prog.attempts,
+		"tokens", prog.next,
+		"outcome", outcome,
+		"ran", ran,
+		"error", errorText(err),
+	)
+}
+
 // answer says the last thing to the caller.
 func (e *Entry) answer(c *echo.Context, out answerSink, res result, err error) error {
 	if err != nil {
--- a/toucanentry/sink.go
+++ b/toucanentry/sink.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanapi"
+	"toucanport/toucanmetric"
 	"toucanport/toucanwire"
 )
 
@@ -104,6 +105,29 @@
 	return s.flush()
 }
 
+// measuredSink records the progress of the answer that it hands on.
+type measuredSink struct {
+	answerSink
+	generation *toucanmetric.Generation
+}
+
+func (s *measuredSink) tokens(first int, text []string) error {
+	err := s.answerSink.tokens(first, text)
+	s.generation.Tokens(time.Now(), len(text))
+	return err
+}
+
+func (s *measuredSink) end(end *toucanwire.End) error {
+	err := s.answerSink.end(end)
+	s.generation.End(time.Now(), err == nil)
+	return err
+}
+
+func (s *measuredSink) failed(err error) error {
+	s.generation.End(time.Now(), false)
+	return s.answerSink.failed(err)
+}
+
 // wholeSink collects an answer that is sent in one piece.
 type wholeSink struct {
 	c    *echo.Context
