--- a/toucanfake/engine_test.go
+++ b/toucanfake/engine_test.go
@@ -210,6 +210,7 @@
 				assert.DeepEqual(t, tokens, expected("g1", 0, len(tokens)))
 				if f == toucanfake.FaultDead || f == toucanfake.FaultReclaimed {
 					assert.ErrorIs(t, err, toucanengine.ErrInterrupted)
+					time.Sleep(time.Second)
 					_, err = b.client.Generate(t.Context(), request("g2", 1))
 					assert.ErrorIs(t, err, toucanengine.ErrNotSent)
 					return
