--- /dev/null
+++ b/toucanrig/deployment.go
@@ -0,0 +1,145 @@
+package toucanrig
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanfake"
+	"toucanport/toucansettings"
+)
+
+// ErrDeployment is returned for the name of no deployment.
+var ErrDeployment = errors.New("unknown deployment")
+
+// Service is one service of a deployment and the requests that come to it.
+type Service struct {
+	Name    string
+	Engines int
+	// PlanShare is the share of requests of the class plan; the others are brief.
+	PlanShare float64
+}
+
+// Deployment is what one of the users runs.
+type Deployment struct {
+	Name           string
+	FailureDomains []string
+	Weigh          toucansettings.Weigh
+	Services       []Service
+	// Engine is the size of every engine.
+	Engine toucanfake.Config
+}
+
+// workspaceShares are the parts of the requests that the workspaces send, the largest first.
+var workspaceShares = []float64{0.30, 0.20, 0.14, 0.09, 0.07, 0.06, 0.05, 0.04, 0.03, 0.02}
+
+// Deployments returns the deployments by name.
+func Deployments() []Deployment {
+	return []Deployment{
+		{
+			Name:           "cordeauLaval",
+			FailureDomains: []string{"qc-east-a", "qc-east-b", "qc-east-c"},
+			Weigh:          toucansettings.WeighStallTime,
+			Services:       []Service{{"redacteur", 14, 0.25}, {"comptoir", 3, 0.05}},
+			Engine:         measuredEngine(),
+		},
+		{
+			Name:           "totora",
+			FailureDomains: []string{"lima-a", "lima-b", "lima-c"},
+			Weigh:          toucansettings.WeighInterTokenLatency,
+			Services:       []Service{{"assistant", 14, 0.25}, {"workshop", 3, 0.05}},
+			Engine:         measuredEngine(),
+		},
+	}
+}
+
+// DeploymentByName returns ErrDeployment for a name that is not in Deployments.
+func DeploymentByName(name string) (Deployment, error) {
+	all := Deployments()
+	i := slices.IndexFunc(all, func(d Deployment) bool { return d.Name == name })
+	if i < 0 {
+		return Deployment{}, errors.Wrapf(ErrDeployment, "%q", name)
+	}
+	return all[i], nil
+}
+
+// measuredEngine decodes about 40 sequences in steps of 45 ms, so that a measurement ends in a minute.
+func measuredEngine() toucanfake.Config {
+	cfg := toucanfake.DefaultConfig("")
+	cfg.Blocks = 2048
+	cfg.MaxSequences = 96
+	cfg.StepBase = 28 * time.Millisecond
+	cfg.StepPerSequence = 400 * time.Microsecond
+	cfg.StepPerPrefillToken = 50 * time.Microsecond
+	cfg.PrefillChunk = 256
+	return cfg
+}
+
+// endpointSpec is the place of one endpoint.
+type endpointSpec struct {
+	name, service, failureDomain string
+	sidecar, engine              netip.AddrPort
+}
+
+// endpoints spreads each service's endpoints over the failure domains.
+func (d Deployment) endpoints() []endpointSpec {
+	var specs []endpointSpec
+	for si, s := range d.Services {
+		for i := range s.Engines {
+			ip := netip.AddrFrom4([4]byte{10, 1, byte(si), byte(i + 1)})
+			specs = append(specs, endpointSpec{
+				name:          fmt.Sprintf("%s-%d", s.Name, i),
+				service:       s.Name,
+				failureDomain: d.FailureDomains[i%len(d.FailureDomains)],
+				sidecar:       netip.AddrPortFrom(ip, 7000),
+				engine:        netip.AddrPortFrom(ip, 9000),
+			})
+		}
+	}
+	return specs
+}
+
+// workspaceName returns the name of workspace i; its key is workspaceSecret.
+func workspaceName(i int) string   { return fmt.Sprintf("workspace-%d", i) }
+func workspaceSecret(i int) string { return fmt.Sprintf("key-of-workspace-%d", i) }
+
+// tree returns the deployment's settings with policy for every service.
+func (d Deployment) tree(policy toucansettings.Policy) *toucansettings.Tree {
+	team := toucansettings.Team{Name: d.Name, Revision: 1}
+	var names []string
+	for _, s := range d.Services {
+		names = append(names, s.Name)
+		team.Services = append(team.Services, toucansettings.Service{
+			Name:       s.Name,
+			Team:       d.Name,
+			Kind:       toucansettings.KindGeneration,
+			Model:      s.Name,
+			Weigh:      d.Weigh,
+			Policy:     policy,
+			FirstToken: firstTokenBound,
+			InterToken: interTokenBound,
+		})
+	}
+	for i, share := range workspaceShares {
+		team.Workspaces = append(team.Workspaces, toucansettings.Workspace{
+			Name:      workspaceName(i),
+			Team:      d.Name,
+			KeyHashes: []string{toucansettings.HashKey(workspaceSecret(i))},
+			Weight:    share * float64(len(workspaceShares)),
+			Services:  names,
+		})
+	}
+	for _, spec := range d.endpoints() {
+		team.Endpoints = append(team.Endpoints, toucansettings.Endpoint{
+			Name:          spec.name,
+			Team:          d.Name,
+			Service:       spec.service,
+			Address:       spec.sidecar,
+			FailureDomain: spec.failureDomain,
+		})
+	}
+	return toucansettings.NewTree([]toucansettings.Team{team})
+}
--- /dev/null
+++ b/toucanrig/measure_test.go
@@ -0,0 +1,71 @@
+package toucanrig_test
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanrig"
+	"toucanport/toucansettings"
+)
+
+// The flags of script/measure, which runs TestMeasure alone.
+var (
+	deploymentName = flag.String("deployment", "", "deployment to measure; empty skips the measurement")
+	policies       = flag.String("policy", "naive,toucan", "policies, separated by commas")
+	load           = flag.Float64("load", 1, "load as a multiple of the deployment's capacity")
+	seed           = flag.Uint64("seed", 1, "seed of arrivals and lengths")
+	duration       = flag.Duration("duration", 120*time.Second, "time over which requests arrive")
+	fault          = flag.String("fault", "", "fault of the first engine or its link")
+	output         = flag.String("output", "", "file that the JSON lines are written to")
+)
+
+// bubble runs f under a fake clock. Yamux keeps timers in a pool of the whole process, and a timer of one
+// bubble must not reach another; two collections empty the pool.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+// TestMeasure writes one JSON line for each policy of the command line.
+func TestMeasure(t *testing.T) {
+	if *deploymentName == "" {
+		t.Skip("run by script/measure")
+	}
+	d, err := toucanrig.DeploymentByName(*deploymentName)
+	assert.NilError(t, err)
+	out, err := os.Create(*output)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, out.Close()) }()
+	for policy := range strings.SplitSeq(*policies, ",") {
+		m := toucanrig.Measurement{
+			Deployment: d,
+			Policy:     toucansettings.Policy(policy),
+			Load:       *load,
+			Seed:       *seed,
+			Duration:   *duration,
+			Fault:      *fault,
+		}
+		assert.NilError(t, json.NewEncoder(out).Encode(measure(t, m)))
+	}
+}
+
+func measure(t *testing.T, m toucanrig.Measurement) toucanrig.Row {
+	t.Helper()
+	var row toucanrig.Row
+	bubble(t, func(t *testing.T) {
+		var err error
+		row, err = m.Run()
+		assert.NilError(t, err)
+	})
+	return row
+}
--- a/toucanrig/network.go
+++ b/toucanrig/network.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -12,11 +11,8 @@
 	"time"
 )
 
-const (
-	linkBufferChunks = 64
-	linkChunkBytes   = 16 << 10
-	acceptBacklog    = 4096
-)
+// acceptBacklog bounds the connections that wait for Accept.
+const acceptBacklog = 4096
 
 // Any stands for every address in a LinkName.
 const Any = "*"
@@ -43,7 +39,7 @@
 	states    map[LinkName]LinkState
 	// changed is closed and replaced whenever states change.
 	changed chan struct{}
-	conns   map[*linkConn]struct{}
+	conns   map[*connection]struct{}
 }
 
 // NewNetwork returns a network without listeners.
@@ -52,7 +48,7 @@
 		listeners: make(map[string]*listener),
 		states:    make(map[LinkName]LinkState),
 		changed:   make(chan struct{}),
-		conns:     make(map[*linkConn]struct{}),
+		conns:     make(map[*connection]struct{}),
 	}
 }
 
@@ -81,7 +77,7 @@
 }
 
 // Set changes how a link's open and later connections behave. A state for both addresses goes before one
-// for the dialed address, that before one for the dialing address, and that before the one for Any, Any.
+// for the dialing address, that before one for the dialed address, and that before the one for Any, Any.
 func (n *Network) Set(name LinkName, s LinkState) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -93,7 +89,7 @@
 // Cut closes the link's open connections. Either side of name may be Any.
 func (n *Network) Cut(name LinkName) {
 	n.mu.Lock()
-	var cut []*linkConn
+	var cut []*connection
 	for c := range n.conns {
 		if matches(name.From, c.name.From) && matches(name.To, c.name.To) {
 			cut = append(cut, c)
@@ -101,17 +97,27 @@
 	}
 	n.mu.Unlock()
 	for _, c := range cut {
-		c.close()
+		c.cut()
 	}
 }
 
+// Close refuses every later connection and closes the open ones.
+func (n *Network) Close() {
+	n.mu.Lock()
+	n.states = map[LinkName]LinkState{{Any, Any}: {Refused: true}}
+	close(n.changed)
+	n.changed = make(chan struct{})
+	n.mu.Unlock()
+	n.Cut(LinkName{Any, Any})
+}
+
 func matches(pattern, address string) bool { return pattern == Any || pattern == address }
 
 // state returns a link's state and a channel that is closed when any state changes.
 func (n *Network) state(name LinkName) (LinkState, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, k := range []LinkName{name, {Any, name.To}, {name.From, Any}} {
+	for _, k := range []LinkName{name, {name.From, Any}, {Any, name.To}} {
 		if s, ok := n.states[k]; ok {
 			return s, n.changed
 		}
@@ -130,16 +136,30 @@
 	if l == nil || s.Refused {
 		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: memAddr(name.To), Err: syscall.ECONNREFUSED}
 	}
-	c := newLinkConn(n, name)
+	c := n.connect(name)
 	select {
 	case l.accepted <- c.dialed:
 		return c.dialer, nil
 	case <-l.closed:
-		c.close()
+		c.cut()
 		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: memAddr(name.To), Err: syscall.ECONNREFUSED}
 	}
 }
 
+func (n *Network) connect(name LinkName) *connection {
+	c := newConnection(n, name)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = struct{}{}
+	return c
+}
+
+func (n *Network) forget(c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
 // waitDial takes a round trip of the link, longer while it is stalled.
 func (n *Network) waitDial(ctx context.Context, name LinkName) (LinkState, error) {
 	for {
@@ -158,112 +178,6 @@
 	}
 }
 
-// linkConn is one connection: two pipes with a goroutine pair for each direction between them.
-type linkConn struct {
-	network *Network
-	name    LinkName
-	// dialer and dialed are what the two processes hold; near and far are the other ends of their pipes.
-	dialer, dialed net.Conn
-	near, far      net.Conn
-	once           sync.Once
-	closed         chan struct{}
-}
-
-func newLinkConn(n *Network, name LinkName) *linkConn {
-	c := &linkConn{network: n, name: name, closed: make(chan struct{})}
-	var dialer, dialed net.Conn
-	dialer, c.near = net.Pipe()
-	dialed, c.far = net.Pipe()
-	c.dialer = addressed{dialer, memAddr(name.From), memAddr(name.To)}
-	c.dialed = addressed{dialed, memAddr(name.To), memAddr(name.From)}
-	n.mu.Lock()
-	n.conns[c] = struct{}{}
-	n.mu.Unlock()
-	c.pump(c.near, c.far, func(s LinkState) (bool, bool) { return s.RequestsStalled, false })
-	c.pump(c.far, c.near, func(s LinkState) (bool, bool) { return s.RepliesStalled, s.RepliesLost })
-	return c
-}
-
-func (c *linkConn) close() {
-	c.once.Do(func() { close(c.closed) })
-	c.network.mu.Lock()
-	delete(c.network.conns, c)
-	c.network.mu.Unlock()
-	c.near.Close()
-	c.far.Close()
-}
-
-type timedChunk struct {
-	due  time.Time
-	data []byte
-}
-
-// pump moves bytes from one pipe to the other. direction picks that direction's faults from the state.
-func (c *linkConn) pump(from, to net.Conn, direction func(LinkState) (stalled, lost bool)) {
-	chunks := make(chan timedChunk, linkBufferChunks)
-	go func() {
-		defer close(chunks)
-		buf := make([]byte, linkChunkBytes)
-		for {
-			k, err := from.Read(buf)
-			if err != nil {
-				return
-			}
-			s, _ := c.network.state(c.name)
-			chunks <- timedChunk{time.Now().Add(s.Delay), append([]byte(nil), buf[:k]...)}
-		}
-	}()
-	go func() {
-		defer c.drain(chunks)
-		for chunk := range chunks {
-			time.Sleep(time.Until(chunk.due))
-			lost, err := c.waitOpen(direction)
-			if err != nil {
-				return
-			}
-			if lost {
-				continue
-			}
-			if _, err := to.Write(chunk.data); err != nil {
-				return
-			}
-		}
-	}()
-}
-
-// drain ends a direction: it closes the connection and lets the reading goroutine finish.
-func (c *linkConn) drain(chunks <-chan timedChunk) {
-	c.close()
-	for range chunks {
-		continue
-	}
-}
-
-// waitOpen waits while the direction is stalled. It returns an error once the connection is closed.
-func (c *linkConn) waitOpen(direction func(LinkState) (stalled, lost bool)) (bool, error) {
-	for {
-		s, changed := c.network.state(c.name)
-		stalled, lost := direction(s)
-		if !stalled {
-			return lost, nil
-		}
-		select {
-		case <-changed:
-		case <-c.closed:
-			return false, io.ErrClosedPipe
-		}
-	}
-}
-
-// addressed is a pipe's end with the addresses of the link.
-type addressed struct {
-	net.Conn
-	local, remote memAddr
-}
-
-func (a addressed) LocalAddr() net.Addr  { return a.local }
-func (a addressed) RemoteAddr() net.Addr { return a.remote }
-
 type memAddr string
 
 func (a memAddr) Network() string { return "tcp" }
--- /dev/null
+++ b/toucanrig/rig.go
@@ -0,0 +1,288 @@
+package toucanrig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucanengine"
+	"toucanport/toucanentry"
+	"toucanport/toucanfake"
+	"toucanport/toucanretry"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucansidecar"
+	"toucanport/toucanstream"
+)
+
+const (
+	callerDelay = 3 * time.Millisecond
+	innerDelay  = time.Millisecond
+	callerName  = "caller"
+	signerKey   = "key of the rig, which guards nothing"
+)
+
+// Config says what a rig runs.
+type Config struct {
+	Deployment Deployment
+	Policy     toucansettings.Policy
+	Entries    int
+	Seed       uint64
+	// WrapEngine replaces what the sidecars see of their engines; nil leaves it.
+	WrapEngine func(toucansidecar.Engine) toucansidecar.Engine
+	// Signer replaces the rig's signer of generation ids; nil leaves it.
+	Signer *toucanstream.Signer
+}
+
+// Rig is real entries and sidecars with stand-in engines, joined in memory. It must be used inside one
+// bubble of testing/synctest.
+type Rig struct {
+	Network *Network
+	Ledger  *toucanfake.Ledger
+	cfg     Config
+	tree    *treeHolder
+	log     *slog.Logger
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	callers *http.Transport
+	entries []*entryProcess
+	// endpoints are in the order of the deployment.
+	endpoints []*endpointProcesses
+	// Attempts counts the requests that entries sent to endpoints.
+	Attempts *attempts
+}
+
+type treeHolder struct {
+	mu   sync.Mutex
+	tree *toucansettings.Tree
+}
+
+func (h *treeHolder) Tree() *toucansettings.Tree {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tree
+}
+
+// process is one incarnation of a program; its name is the address it dials from.
+type process struct {
+	name string
+	kill context.CancelFunc
+}
+
+type entryProcess struct {
+	process
+	address     string
+	incarnation int
+	entry       *toucanentry.Entry
+}
+
+type endpointProcesses struct {
+	spec        endpointSpec
+	incarnation int
+	sidecarRun  process
+	sidecar     *toucansidecar.Sidecar
+	engine      *toucanfake.Engine
+	transport   *http.Transport
+}
+
+// New starts a rig. It returns once every entry had time to link to every sidecar.
+func New(cfg Config) (*Rig, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &Rig{
+		Network:  NewNetwork(),
+		Ledger:   toucanfake.NewLedger(),
+		cfg:      cfg,
+		tree:     &treeHolder{tree: cfg.Deployment.tree(cfg.Policy)},
+		log:      slog.New(slog.NewJSONHandler(io.Discard, nil)),
+		ctx:      ctx,
+		stop:     stop,
+		Attempts: &attempts{},
+	}
+	if r.cfg.Signer == nil {
+		r.cfg.Signer = toucanstream.NewSigner([]byte(signerKey))
+	}
+	for _, spec := range cfg.Deployment.endpoints() {
+		ep := &endpointProcesses{spec: spec}
+		r.endpoints = append(r.endpoints, ep)
+		r.Network.Set(LinkName{Any, spec.sidecar.String()}, LinkState{Delay: innerDelay})
+		if err := r.startEngine(ep); err != nil {
+			return nil, err
+		}
+		if err := r.startSidecar(ep); err != nil {
+			return nil, err
+		}
+	}
+	for i := range cfg.Entries {
+		e := &entryProcess{address: fmt.Sprintf("10.0.0.%d:8080", i+1)}
+		r.entries = append(r.entries, e)
+		r.Network.Set(LinkName{Any, e.address}, LinkState{Delay: callerDelay})
+		if err := r.startEntry(e); err != nil {
+			return nil, err
+		}
+	}
+	r.callers = r.transport(callerName)
+	time.Sleep(time.Second)
+	return r, nil
+}
+
+// Stop ends every process.
+func (r *Rig) Stop() {
+	r.callers.CloseIdleConnections()
+	r.stop()
+	r.Network.Close()
+	r.running.Wait()
+	for _, ep := range r.endpoints {
+		ep.transport.CloseIdleConnections()
+	}
+}
+
+func (r *Rig) transport(from string) *http.Transport {
+	dial := r.Network.Dialer(from)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return dial(ctx, address)
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 512,
+	}
+}
+
+func (r *Rig) startEngine(ep *endpointProcesses) error {
+	ln, err := r.Network.Listen(ep.spec.engine.String())
+	if err != nil {
+		return err
+	}
+	cfg := r.cfg.Deployment.Engine
+	cfg.Name = ep.spec.name
+	cfg.Seed = r.cfg.Seed
+	ep.engine = toucanfake.NewEngine(cfg, r.Ledger)
+	engine := ep.engine
+	r.run(func() error { return engine.Run(r.ctx, ln) })
+	return nil
+}
+
+// run starts one process's goroutine, whose error has no one to go to but the log.
+func (r *Rig) run(f func() error) {
+	r.running.Go(func() {
+		if err := f(); err != nil && !errors.Is(err, net.ErrClosed) {
+			r.log.Error("process ended", "error", err.Error())
+		}
+	})
+}
+
+func (r *Rig) startSidecar(ep *endpointProcesses) error {
+	ln, err := r.Network.Listen(ep.spec.sidecar.String())
+	if err != nil {
+		return err
+	}
+	ep.incarnation++
+	name := fmt.Sprintf("sidecar-%s.%d", ep.spec.name, ep.incarnation)
+	ep.transport = r.transport(name)
+	url := "http://" + ep.spec.engine.String()
+	var engine toucansidecar.Engine = toucanengine.New(url, toucanengine.WithTransport(ep.transport))
+	if r.cfg.WrapEngine != nil {
+		engine = r.cfg.WrapEngine(engine)
+	}
+	d := r.cfg.Deployment
+	ep.sidecar = toucansidecar.New(toucansidecar.Config{
+		Instance:      name,
+		FailureDomain: ep.spec.failureDomain,
+		Endpoint:      d.Name + "/" + ep.spec.name,
+		Service:       d.Name + "/" + ep.spec.service,
+		Kind:          toucansettings.KindGeneration,
+		Engine:        engine,
+		Policy:        r.admission(),
+		Signer:        r.cfg.Signer,
+	}, toucansidecar.WithLogger(r.log))
+	ctx, kill := context.WithCancel(r.ctx)
+	ep.sidecarRun = process{name, kill}
+	sidecar := ep.sidecar
+	r.run(func() error { return sidecar.Run(ctx, ln) })
+	return nil
+}
+
+func (r *Rig) admission() toucanadmit.Policy {
+	cfg := toucanadmit.Config{
+		Weigh:      r.cfg.Deployment.Weigh,
+		FirstToken: firstTokenBound,
+		InterToken: interTokenBound,
+	}
+	if r.cfg.Policy == toucansettings.PolicyNaive {
+		return toucanadmit.NewNaive(cfg)
+	}
+	return toucanadmit.NewToucan(cfg)
+}
+
+func (r *Rig) startEntry(e *entryProcess) error {
+	ln, err := r.Network.Listen(e.address)
+	if err != nil {
+		return err
+	}
+	e.incarnation++
+	name := fmt.Sprintf("entry-%s.%d", e.address, e.incarnation)
+	domain := r.cfg.Deployment.FailureDomains[0]
+	e.entry = toucanentry.New(toucanentry.Config{
+		Instance:      name,
+		FailureDomain: domain,
+		Settings:      r.tree,
+		Signer:        r.cfg.Signer,
+		Dial:          r.Network.Dialer(name),
+		Router:        &countingRouter{Router: r.router(name, domain), attempts: r.Attempts},
+		Budget:        toucanretry.NewBudget(),
+	}, toucanentry.WithLogger(r.log))
+	ctx, kill := context.WithCancel(r.ctx)
+	e.process = process{name, kill}
+	entry := e.entry
+	r.run(func() error { return entry.Run(ctx, ln) })
+	return nil
+}
+
+func (r *Rig) router(name, domain string) toucanroute.Router {
+	if r.cfg.Policy == toucansettings.PolicyNaive {
+		return toucanroute.NewNaive()
+	}
+	return toucanroute.NewToucan(toucanroute.Config{
+		FailureDomain: domain,
+		Rand:          rand.NewPCG(r.cfg.Seed, uint64(toucanfake.IDHash(name))),
+		BlockTokens:   r.cfg.Deployment.Engine.BlockTokens,
+	})
+}
+
+// attempts counts requests that entries sent to endpoints.
+type attempts struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (a *attempts) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.n++
+}
+
+// Count returns the attempts so far.
+func (a *attempts) Count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.n
+}
+
+type countingRouter struct {
+	toucanroute.Router
+	attempts *attempts
+}
+
+func (c *countingRouter) Sent(now time.Time, endpoint string, q toucanroute.Query) {
+	c.attempts.add()
+	c.Router.Sent(now, endpoint, q)
+}
