Add the operators' interface, its client and the commands over it

Cause: teams and operators change settings from version control and need to be told truthfully what became of each change. Change: an entry's operators' listener (documents, changes, settle, status, fleet), a typed client that sends a change again under the same id until its outcome is known, and the commands settings, workspace, endpoint, service and status with exit codes 0 to 4.

--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -3,8 +3,13 @@
 import (
 	"toucanport/toucancmd/check"
 	"toucanport/toucancmd/dev"
+	"toucanport/toucancmd/endpoint"
 	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/service"
+	"toucanport/toucancmd/settings"
+	"toucanport/toucancmd/status"
 	"toucanport/toucancmd/version"
+	"toucanport/toucancmd/workspace"
 )
 
 // newRoot returns the root with every command. A new command is added to this list.
@@ -15,7 +20,12 @@
 		Commands: []*factory.Command{
 			check.NewCmdCheck(f, nil),
 			dev.NewCmdDev(f, nil),
+			endpoint.NewCmdEndpoint(f),
+			service.NewCmdService(f),
+			settings.NewCmdSettings(f),
+			status.NewCmdStatus(f, nil),
 			version.NewCmdVersion(f, nil),
+			workspace.NewCmdWorkspace(f),
 		},
 	}
 }
--- a/toucancmd/factory/command.go
+++ b/toucancmd/factory/command.go
@@ -6,15 +6,12 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"toucanport/toucanchange"
 	"toucanport/toucandocument"
 )
 
-// Errors that decide the exit code.
-var (
-	ErrUsage          = errors.New("wrong use")
-	ErrConflict       = errors.New("conflict")
-	ErrOutcomeUnknown = errors.New("outcome unknown")
-)
+// ErrUsage is matched by errors of wrong use.
+var ErrUsage = errors.New("wrong use")
 
 // Exit codes of every command.
 const (
@@ -32,9 +29,9 @@
 		return ExitDone
 	case errors.Is(err, ErrUsage):
 		return ExitUsage
-	case errors.Is(err, ErrConflict):
+	case errors.Is(err, toucanchange.ErrConflict), errors.Is(err, toucanchange.ErrBaseTooOld):
 		return ExitConflict
-	case errors.Is(err, ErrOutcomeUnknown):
+	case errors.Is(err, toucanchange.ErrOutcomeUnknown):
 		return ExitOutcomeUnknown
 	}
 	return ExitFailed
--- a/toucancmd/main.go
+++ b/toucancmd/main.go
@@ -2,6 +2,8 @@
 package toucancmd
 
 import (
+	"strings"
+
 	"github.com/pkg/errors"
 
 	"toucanport/toucancmd/factory"
@@ -26,12 +28,6 @@
 
 // message drops the sentinel's own text from the end of a wrapped error: the line already says what is wrong.
 func message(err error) string {
-	text := err.Error()
-	for _, sentinel := range []error{factory.ErrUsage, factory.ErrConflict, factory.ErrOutcomeUnknown} {
-		suffix := ": " + sentinel.Error()
-		if len(text) > len(suffix) && text[len(text)-len(suffix):] == suffix {
-			return text[:len(text)-len(suffix)]
-		}
-	}
-	return text
+	text, suffix := err.Error(), ": "+factory.ErrUsage.Error()
+	return strings.TrimSuffix(text, suffix)
 }
--- /dev/null
+++ b/toucancmd/settings/apply/apply.go
@@ -0,0 +1,203 @@
+// Package apply is the command that brings the stored settings to the declarations of a directory.
+package apply
+
+import (
+	"context"
+	"time"
+
+	"github.com/MakeNowJust/heredoc/v2"
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"toucanport/toucancmd/declaration"
+	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/render"
+	"toucanport/toucancmd/submit"
+	"toucanport/toucanio"
+	"toucanport/toucanoperate"
+	"toucanport/toucanspread"
+)
+
+const (
+	defaultTimeout = time.Minute
+	pollInterval   = 250 * time.Millisecond
+)
+
+// Options are the command's inputs.
+type Options struct {
+	IO     *toucanio.Streams
+	Target factory.Target
+	Client func(factory.Target) (submit.Client, error)
+	// Dir holds one TOML file for each team, and operators.toml.
+	Dir      string
+	ChangeID string
+	DryRun   bool
+	// Wait makes the command end when the change is in force everywhere, or after Timeout with an error.
+	Wait    bool
+	Timeout time.Duration
+	JSON    bool
+}
+
+// NewCmdApply returns the command. Tests pass runF to see the options instead of running it.
+func NewCmdApply(f *factory.Factory, runF func(*Options) error) *factory.Command {
+	opts := &Options{
+		IO:      f.IO,
+		Client:  func(t factory.Target) (submit.Client, error) { return f.Client(t) },
+		Timeout: defaultTimeout,
+	}
+	return &factory.Command{
+		Name:  "apply",
+		Short: "bring the stored settings to the declarations of a directory",
+		Bind: func(p *flaggy.Parser) {
+			p.String(&opts.Dir, "f", "file", "the directory of declarations: one TOML file for each team, and operators.toml")
+			opts.Target.Bind(p)
+			p.String(&opts.ChangeID, "i", "change", "the change id, to repeat a command safely (a new one when empty)")
+			p.Bool(&opts.DryRun, "n", "dry-run", "show the plan and stop")
+			p.Bool(&opts.Wait, "w", "wait", "wait until the change is in force on every instance")
+			p.Duration(&opts.Timeout, "t", "timeout", "how long to wait")
+			p.Bool(&opts.JSON, "j", "json", "print JSON")
+			p.AdditionalHelpAppend = heredoc.Doc(`
+				Examples:
+				  toucanport settings apply -f deploy/settings --dry-run
+				  toucanport settings apply -f deploy/settings --wait
+			`)
+		},
+		Run: func() error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return applyRun(context.Background(), opts)
+		},
+	}
+}
+
+// result is what --json prints.
+type result struct {
+	ChangeID string                   `json:"changeId"`
+	DryRun   bool                     `json:"dryRun,omitempty"`
+	Plans    []declaration.Plan       `json:"plans"`
+	Accepted []toucanoperate.Accepted `json:"accepted"`
+	// InForce is true when --wait saw the change on every instance.
+	InForce bool `json:"inForce,omitempty"`
+}
+
+func applyRun(ctx context.Context, opts *Options) error {
+	if opts.Dir == "" {
+		return errors.Wrap(factory.ErrUsage, "toucanport settings apply: -f DIR is required")
+	}
+	declared, err := declaration.Load(opts.Dir)
+	if err != nil {
+		return err
+	}
+	client, err := opts.Client(opts.Target)
+	if err != nil {
+		return err
+	}
+	plans, err := declaration.Make(ctx, client, declared)
+	if err != nil {
+		return err
+	}
+	if !opts.JSON {
+		declaration.Print(opts.IO, plans)
+	}
+	r := result{ChangeID: opts.ChangeID, DryRun: opts.DryRun, Plans: plans, Accepted: []toucanoperate.Accepted{}}
+	if r.ChangeID == "" {
+		r.ChangeID = submit.NewID()
+	}
+	if !opts.DryRun {
+		err = send(ctx, opts, client, &r)
+	}
+	if opts.JSON {
+		return errors.Wrap(joinError(err, render.JSON(opts.IO, r)), "apply")
+	}
+	return err
+}
+
+func joinError(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
+// send applies every plan under one change id. Each document is atomic; an error leaves the later ones as
+// they were.
+func send(ctx context.Context, opts *Options, client submit.Client, r *result) error {
+	for _, p := range r.Plans {
+		if len(p.Steps) == 0 {
+			continue
+		}
+		accepted, err := submit.Change(ctx, client, r.ChangeID, p.Document, p.Base, p.Edits())
+		if err != nil {
+			return errors.WithMessage(err, p.Document)
+		}
+		r.Accepted = append(r.Accepted, accepted)
+		if !opts.JSON {
+			opts.IO.Printf("accepted: %s at revision %d, change %s\n", accepted.Document, accepted.Revision, accepted.ID)
+		}
+	}
+	if !opts.Wait || len(r.Accepted) == 0 {
+		return nil
+	}
+	err := wait(ctx, opts, client, r.Accepted)
+	r.InForce = err == nil
+	return err
+}
+
+// wait shows progress until every instance has what was accepted.
+func wait(ctx context.Context, opts *Options, client submit.Client, accepted []toucanoperate.Accepted) error {
+	ctx, cancel := context.WithTimeout(ctx, opts.Timeout)
+	defer cancel()
+	shown := progress{}
+	for {
+		fleet, err := client.Fleet(ctx)
+		if err == nil {
+			shown = shown.show(opts, count(fleet, accepted))
+			if shown.done() {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return errors.Errorf("accepted, but in force on %d of %d instances only after %s; see 'toucanport settings status'",
+				shown.inForce, shown.live, opts.Timeout)
+		}
+	}
+}
+
+// progress is how many live instances have the change.
+type progress struct{ inForce, live int }
+
+func (p progress) done() bool { return p.live > 0 && p.inForce == p.live }
+
+func count(fleet toucanoperate.Fleet, accepted []toucanoperate.Accepted) progress {
+	var want []toucanspread.Revision
+	for _, a := range accepted {
+		want = append(want, toucanspread.Revision{Path: a.Document, Revision: a.Revision})
+	}
+	var p progress
+	for _, i := range fleet.Instances {
+		if !i.Answers {
+			continue
+		}
+		p.live++
+		if len(toucanspread.Lags(i.Documents, want)) == 0 {
+			p.inForce++
+		}
+	}
+	return p
+}
+
+// show prints one progress line, over the earlier one at a terminal.
+func (p progress) show(opts *Options, now progress) progress {
+	if opts.JSON || now == p {
+		return now
+	}
+	line, end := "in force on %d of %d instances", "\n"
+	if opts.IO.IsTerminal() && !now.done() {
+		line, end = "\r"+line, ""
+	}
+	opts.IO.Printf(line+end, now.inForce, now.live)
+	return now
+}
--- /dev/null
+++ b/toucancmd/status/status.go
@@ -0,0 +1,87 @@
+// Package status is the command that shows the state of the whole system in one view.
+package status
+
+import (
+	"context"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/render"
+	"toucanport/toucanio"
+	"toucanport/toucanoperate"
+	"toucanport/toucanspread"
+)
+
+// Options are the command's inputs.
+type Options struct {
+	IO     *toucanio.Streams
+	Target factory.Target
+	Client func(factory.Target) (Client, error)
+	JSON   bool
+	Now    func() time.Time
+}
+
+// Client is what the command needs of an entry.
+type Client interface {
+	Fleet(ctx context.Context) (toucanoperate.Fleet, error)
+}
+
+// NewCmdStatus returns the command. Tests pass runF to see the options instead of running it.
+func NewCmdStatus(f *factory.Factory, runF func(*Options) error) *factory.Command {
+	opts := &Options{IO: f.IO, Now: time.Now, Client: func(t factory.Target) (Client, error) { return f.Client(t) }}
+	return &factory.Command{
+		Name:  "status",
+		Short: "show every instance: whether it is heard, and whether its settings are the newest",
+		Bind: func(p *flaggy.Parser) {
+			opts.Target.Bind(p)
+			p.Bool(&opts.JSON, "j", "json", "print JSON")
+		},
+		Run: func() error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return statusRun(context.Background(), opts)
+		},
+	}
+}
+
+func statusRun(ctx context.Context, opts *Options) error {
+	client, err := opts.Client(opts.Target)
+	if err != nil {
+		return err
+	}
+	fleet, err := client.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	if opts.JSON {
+		return render.JSON(opts.IO, fleet)
+	}
+	if !fleet.StoreAnswers {
+		opts.IO.Errorf("the store does not answer; changes are refused, what is in force stays\n")
+	}
+	table := render.NewTable(opts.IO, "ROLE", "INSTANCE", "FAILURE DOMAIN", "HEARD", "SETTINGS")
+	for _, i := range fleet.Instances {
+		table.Row(i.Role, i.Instance, i.FailureDomain, heard(i, opts.Now()), settings(i, fleet))
+	}
+	return table.Print()
+}
+
+func heard(i toucanoperate.Instance, now time.Time) string {
+	if !i.Answers {
+		return "no answer"
+	}
+	return now.Sub(i.HeardAt).Round(100*time.Millisecond).String() + " ago"
+}
+
+func settings(i toucanoperate.Instance, fleet toucanoperate.Fleet) string {
+	switch {
+	case !i.Answers:
+		return "unknown"
+	case len(toucanspread.Lags(i.Documents, fleet.Newest)) > 0:
+		return "behind"
+	}
+	return "newest"
+}
--- /dev/null
+++ b/toucancmd/workspace/revokekey/revokekey.go
@@ -0,0 +1,106 @@
+// Package revokekey is the command that removes a key from a workspace.
+package revokekey
+
+import (
+	"context"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"toucanport/toucanclient"
+	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/submit"
+	"toucanport/toucancmd/teamview"
+	"toucanport/toucanio"
+	"toucanport/toucansettings"
+)
+
+// Options are the command's inputs.
+type Options struct {
+	IO     *toucanio.Streams
+	Target factory.Target
+	Client func(factory.Target) (teamview.Client, error)
+	// Workspace is NAME or TEAM/NAME.
+	Workspace string
+	// Key is the key itself, its hash, or the beginning of its hash.
+	Key  string
+	JSON bool
+}
+
+// NewCmdRevokeKey returns the command. Tests pass runF to see the options instead of running it.
+func NewCmdRevokeKey(f *factory.Factory, runF func(*Options) error) *factory.Command {
+	opts := &Options{IO: f.IO, Client: func(t factory.Target) (teamview.Client, error) { return f.Client(t) }}
+	return &factory.Command{
+		Name:  "revoke-key",
+		Short: "remove a key from a workspace",
+		Bind: func(p *flaggy.Parser) {
+			p.AddPositionalValue(&opts.Workspace, "WORKSPACE", 1, true, "NAME, or TEAM/NAME when several teams have it")
+			p.AddPositionalValue(&opts.Key, "KEY", 2, true, "the key, or the first 8 or more characters of its hash")
+			opts.Target.Bind(p)
+			p.Bool(&opts.JSON, "j", "json", "print JSON")
+		},
+		Run: func() error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return revokeKeyRun(context.Background(), opts)
+		},
+	}
+}
+
+// minHashPrefix keeps a mistyped prefix from matching by chance.
+const minHashPrefix = 8
+
+// keys are what the command sets.
+type keys struct {
+	KeyHashes []string `toml:"keyHashes"`
+}
+
+func revokeKeyRun(ctx context.Context, opts *Options) error {
+	client, err := opts.Client(opts.Target)
+	if err != nil {
+		return err
+	}
+	path, d, err := teamview.Find(ctx, client, toucansettings.GroupWorkspaces, opts.Workspace)
+	if err != nil {
+		return err
+	}
+	team, err := d.Team()
+	if err != nil {
+		return err
+	}
+	left, err := without(team, path.Name, opts.Key)
+	if err != nil {
+		return err
+	}
+	accepted, err := teamview.Merge(ctx, client, "", path, d, keys{KeyHashes: left})
+	if err != nil {
+		return err
+	}
+	return submit.Told(opts.IO, opts.JSON, accepted)
+}
+
+// without returns the workspace's hashes but the one that key names.
+func without(team toucansettings.Team, workspace, key string) ([]string, error) {
+	left, removed := []string{}, 0
+	for _, w := range team.Workspaces {
+		if w.Name != workspace {
+			continue
+		}
+		for _, h := range w.KeyHashes {
+			if h == toucansettings.HashKey(key) || (len(key) >= minHashPrefix && strings.HasPrefix(h, key)) {
+				removed++
+				continue
+			}
+			left = append(left, h)
+		}
+	}
+	switch removed {
+	case 0:
+		return nil, errors.Wrapf(toucanclient.ErrNotFound, "workspace %q has no such key", workspace)
+	case 1:
+		return left, nil
+	}
+	return nil, errors.Wrapf(factory.ErrUsage, "%q is the beginning of %d hashes; write more of it", key, removed)
+}
--- /dev/null
+++ b/toucanoperate/errors.go
@@ -0,0 +1,81 @@
+package toucanoperate
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"toucanport/toucanchange"
+	"toucanport/toucandocument"
+	"toucanport/toucanrevision"
+	"toucanport/toucansettings"
+	"toucanport/toucanstore"
+)
+
+var errMalformed = errors.New("malformed request")
+
+// changeError carries the id of the change that an error is about.
+type changeError struct {
+	id  string
+	err error
+}
+
+func (e *changeError) Error() string { return e.err.Error() }
+
+func (e *changeError) Unwrap() error { return e.err }
+
+// answer is how one kind of error is answered.
+type answer struct {
+	kind   error
+	status int
+	code   string
+}
+
+var answers = []answer{
+	{errUnauthorized, http.StatusUnauthorized, CodeUnauthorized},
+	{errForbidden, http.StatusForbidden, CodeForbidden},
+	{errMalformed, http.StatusBadRequest, CodeInvalid},
+	{toucansettings.ErrPath, http.StatusBadRequest, CodeInvalid},
+	{toucandocument.ErrInvalid, http.StatusUnprocessableEntity, CodeInvalid},
+	{toucanstore.ErrTooLarge, http.StatusUnprocessableEntity, CodeInvalid},
+	{toucanrevision.ErrNoTable, http.StatusNotFound, CodeNotFound},
+	{toucanchange.ErrConflict, http.StatusConflict, CodeConflict},
+	{toucanchange.ErrBaseTooOld, http.StatusConflict, CodeBaseTooOld},
+	{toucanchange.ErrRefused, http.StatusConflict, CodeRefused},
+	{toucanchange.ErrStoreDown, http.StatusServiceUnavailable, CodeStoreDown},
+	{toucanchange.ErrStoreBehind, http.StatusServiceUnavailable, CodeStoreDown},
+	{toucanchange.ErrOutcomeUnknown, http.StatusGatewayTimeout, CodeOutcomeUnknown},
+}
+
+func (s *Server) handleError(c *echo.Context, err error) {
+	status, body := describe(err)
+	if status >= http.StatusInternalServerError {
+		s.cfg.Log.Warn("operator's request failed", "path", c.Request().URL.Path, "error", err.Error())
+	}
+	_ = c.JSON(status, ErrorBody{Error: body})
+}
+
+func describe(err error) (int, Error) {
+	body := Error{Code: CodeInternal, Message: err.Error()}
+	var conflict *toucanchange.ConflictError
+	if errors.As(err, &conflict) {
+		body.Paths = conflict.Paths
+	}
+	var change *changeError
+	if errors.As(err, &change) {
+		body.ChangeID = change.id
+	}
+	for _, a := range answers {
+		if errors.Is(err, a.kind) {
+			body.Code = a.code
+			return a.status, body
+		}
+	}
+	var coder echo.HTTPStatusCoder
+	if errors.As(err, &coder) && coder.StatusCode() == http.StatusNotFound {
+		body.Code = CodeNotFound
+		return http.StatusNotFound, body
+	}
+	return http.StatusInternalServerError, body
+}
--- a/toucanrevision/document.go
+++ b/toucanrevision/document.go
@@ -312,3 +312,20 @@
 	names[e.Path.Name] = next
 	return nil
 }
+
+// FromEntries returns a document with the tables of entries.
+func FromEntries(path string, revision uint64, entries []Entry) (Document, error) {
+	d := Document{Path: path, Revision: revision, tables: make(groups)}
+	for _, e := range entries {
+		if err := d.apply(Edit{Path: e.Path, Operation: OpReplace, Body: e.Body}); err != nil {
+			return Document{}, err
+		}
+	}
+	return d, nil
+}
+
+// Has reports whether there is a table at path.
+func (d Document) Has(path toucansettings.Path) bool {
+	_, ok := d.tables[path.Group][path.Name]
+	return ok
+}
--- a/toucanrevision/edit.go
+++ b/toucanrevision/edit.go
@@ -4,6 +4,7 @@
 	"maps"
 	"reflect"
 	"sort"
+	"strings"
 
 	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
@@ -108,3 +109,78 @@
 	sort.Slice(edits, func(i, j int) bool { return edits[i].Path.String() < edits[j].Path.String() })
 	return edits, nil
 }
+
+// keptKeys are set by commands of their own and usually not declared in files.
+var keptKeys = []string{"keyHashes", "credentialHashes", "draining"}
+
+// WithKept returns the declared document with the keys that commands set, such as keyHashes, taken over from
+// current wherever the declaration of the same path leaves them out.
+func (d Document) WithKept(current Document) Document {
+	next := d
+	next.Revision = current.Revision
+	next.tables = cloneGroups(d.tables)
+	for group, names := range next.tables {
+		for name, body := range names {
+			names[name] = withKept(body, current.tables[group][name])
+		}
+	}
+	return next
+}
+
+func withKept(body, current table) table {
+	next := maps.Clone(body)
+	for _, key := range keptKeys {
+		v, kept := current[key]
+		if _, declared := body[key]; kept && !declared {
+			next[key] = v
+		}
+	}
+	return next
+}
+
+// KeyChange is one key that an edit changes; Old and New are TOML values, empty when the key is absent.
+type KeyChange struct {
+	Key string `json:"key"`
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+}
+
+// Explain returns which keys of the table at its path an edit changes, in their order.
+func (d Document) Explain(e Edit) ([]KeyChange, error) {
+	current, present := d.tables[e.Path.Group][e.Path.Name]
+	next, err := e.apply(current, present)
+	if err != nil {
+		return nil, err
+	}
+	var out []KeyChange
+	for key := range joined(current, next) {
+		old, hadOld := current[key]
+		value, hasNew := next[key]
+		if hadOld && hasNew && reflect.DeepEqual(old, value) {
+			continue
+		}
+		out = append(out, KeyChange{Key: key, Old: valueText(old), New: valueText(value)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, nil
+}
+
+func joined(a, b table) table {
+	out := maps.Clone(a)
+	if out == nil {
+		out = table{}
+	}
+	maps.Copy(out, b)
+	return out
+}
+
+func valueText(v any) string {
+	if v == nil {
+		return ""
+	}
+	text, err := toucansettings.EncodeTOML(table{"v": v})
+	if err != nil {
+		return "?"
+	}
+	return strings.TrimSpace(strings.TrimPrefix(string(text), "v = "))
+}
--- a/toucanspread/holder.go
+++ b/toucanspread/holder.go
@@ -25,6 +25,8 @@
 type Holder struct {
 	// tree is replaced whole, so that readers never wait for a writer.
 	tree atomic.Pointer[toucansettings.Tree]
+	// links counts open links.
+	links atomic.Int64
 
 	mu sync.Mutex
 	// held has one document per path; its revisions only grow.
--- a/toucanspread/peer.go
+++ b/toucanspread/peer.go
@@ -32,8 +32,14 @@
 	whole map[string]bool
 }
 
-// NewPeer returns the state of a new link.
-func NewPeer(h *Holder) *Peer { return &Peer{holder: h, whole: make(map[string]bool)} }
+// NewPeer returns the state of a new link. Close it when the link ends.
+func NewPeer(h *Holder) *Peer {
+	h.links.Add(1)
+	return &Peer{holder: h, whole: make(map[string]bool)}
+}
+
+// Close ends the link's state.
+func (p *Peer) Close() { p.holder.links.Add(-1) }
 
 // Fill adds to a heartbeat what it carries about settings: eight bytes while both sides hold the same.
 func (p *Peer) Fill(beat *toucanwire.Heartbeat) error {
--- a/toucanspread/replica.go
+++ b/toucanspread/replica.go
@@ -25,6 +25,9 @@
 	}
 }
 
+// Linked reports whether there is a link to any peer.
+func (h *Holder) Linked() bool { return h.links.Load() > 0 }
+
 // replica returns the highest revision of a document that a peer was known to hold, and a channel that is
 // closed when that changes.
 func (h *Holder) replica(path string) (uint64, <-chan struct{}) {
