--- a/toucanconfig/config.go
+++ b/toucanconfig/config.go
@@ -27,6 +27,9 @@
 	InstanceList netip.AddrPort
 	// GenerationSecret keys the MAC in generation ids; at least 32 characters and the same on all instances.
 	GenerationSecret string
+	// BootstrapCredentialHash lets the credential of this hex SHA-256 digest write the first operators'
+	// document; it counts for nothing once there is one. Empty for none.
+	BootstrapCredentialHash string
 	// TLS protects the inner links; nil only when the file says insecure = true.
 	TLS    *TLSFiles
 	Bounds EntryBounds
@@ -112,15 +115,16 @@
 		return EntryConfig{}, err
 	}
 	cfg := EntryConfig{
-		Instance:         t.Name("instance"),
-		FailureDomain:    t.Name("failureDomain"),
-		Listen:           t.Address("listen", true),
-		OperatorListen:   t.Address("operatorListen", true),
-		Store:            t.Address("store", true),
-		InstanceList:     t.Address("instanceList", true),
-		GenerationSecret: secret(t),
-		TLS:              tlsFiles(t),
-		Bounds:           entryBounds(t),
+		Instance:                t.Name("instance"),
+		FailureDomain:           t.Name("failureDomain"),
+		Listen:                  t.Address("listen", true),
+		OperatorListen:          t.Address("operatorListen", true),
+		Store:                   t.Address("store", true),
+		InstanceList:            t.Address("instanceList", true),
+		GenerationSecret:        secret(t),
+		BootstrapCredentialHash: t.String("bootstrapCredentialHash", false),
+		TLS:                     tlsFiles(t),
+		Bounds:                  entryBounds(t),
 	}
 	t.Done()
 	return cfg, problems.Err()
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -18,6 +18,7 @@
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
+	"toucanport/toucanspread"
 	"toucanport/toucanstream"
 	"toucanport/toucanwire"
 )
@@ -49,12 +50,17 @@
 type Config struct {
 	Instance      string
 	FailureDomain string
-	Settings      Settings
-	Signer        *toucanstream.Signer
-	Dial          Dialer
-	Router        toucanroute.Router
-	Limiter       toucanlimit.Limiter
-	Budget        *toucanretry.Budget
+	// Settings is what requests are served by. When it is left out, Spread is.
+	Settings Settings
+	// Spread holds the settings that heartbeats carry; a new one when it is left out.
+	Spread *toucanspread.Holder
+	// Seeds returns addresses of sidecars to learn settings from while none are known; may be nil.
+	Seeds   func() []string
+	Signer  *toucanstream.Signer
+	Dial    Dialer
+	Router  toucanroute.Router
+	Limiter toucanlimit.Limiter
+	Budget  *toucanretry.Budget
 }
 
 // Option changes an entry.
@@ -93,6 +99,12 @@
 	if cfg.Budget == nil {
 		cfg.Budget = toucanretry.NewBudget()
 	}
+	if cfg.Spread == nil {
+		cfg.Spread = toucanspread.NewHolder()
+	}
+	if cfg.Settings == nil {
+		cfg.Settings = cfg.Spread
+	}
 	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
 	e.life, e.end = context.WithCancel(context.Background())
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
@@ -100,6 +112,7 @@
 		opt(e)
 	}
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
+	e.links.spread = cfg.Spread
 	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
 		Handler:           e.routes(),
@@ -166,6 +179,7 @@
 			last = tree
 			e.useTree(tree)
 		}
+		e.useSeeds(last)
 		e.links.ensure(ctx)
 		select {
 		case <-time.After(maintainInterval):
@@ -199,6 +213,24 @@
 	e.links.want(wanted)
 }
 
+// seedLinks is how many sidecars an entry without settings learns them from.
+const seedLinks = 3
+
+// useSeeds links to a few sidecars that the platform lists while there are no settings to say where any are,
+// as when an entry starts during an outage of the store.
+func (e *Entry) useSeeds(tree *toucansettings.Tree) {
+	if e.cfg.Seeds == nil || len(tree.Teams()) > 0 {
+		return
+	}
+	seeds := e.cfg.Seeds()
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	wanted := make(map[string]bool)
+	for _, address := range seeds[:min(seedLinks, len(seeds))] {
+		wanted[address] = true
+	}
+	e.links.want(wanted)
+}
+
 // policySetter is a router that has a policy for each service.
 type policySetter interface {
 	SetPolicy(service string, p toucansettings.Policy)
--- a/toucanentry/links.go
+++ b/toucanentry/links.go
@@ -4,19 +4,17 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
 
+	"toucanport/toucanspread"
 	"toucanport/toucanwire"
 )
 
 const (
-	// heartbeatInterval is the time between heartbeats on a link.
-	heartbeatInterval = 500 * time.Millisecond
-	// heartbeatTimeout is how long a heartbeat may stay unanswered before the link counts as stalled.
-	heartbeatTimeout = 1200 * time.Millisecond
 	// dialTimeout bounds the start of one link.
 	dialTimeout = 1500 * time.Millisecond
 	// redialDelay is the pause after a failed dial before the same address is dialled in the background again.
@@ -29,6 +27,8 @@
 // peer is a live link to one sidecar.
 type peer struct {
 	link *toucanwire.Link
+	// heard is what the sidecar last told; nil before its first heartbeat.
+	heard atomic.Pointer[heard]
 }
 
 // links keeps one link to each sidecar that the entry works with.
@@ -41,6 +41,8 @@
 	// uses gives what heartbeats to an address tell of workspaces; takeUses gets what they bring.
 	uses     func(address string) []*toucanwire.EntryUse
 	takeUses func([]*toucanwire.EntryUse)
+	// spread holds the settings that heartbeats carry.
+	spread *toucanspread.Holder
 
 	mu sync.Mutex
 	// peers holds links by address; a link that has ended is removed.
@@ -135,41 +137,6 @@
 	}
 }
 
-func (l *links) heartbeats(address string, p *peer) error {
-	stream, err := p.link.Open(&toucanwire.Open{Request: &toucanwire.Open_Control{Control: l.hello}})
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for sequence := uint64(1); ; sequence++ {
-		if err := l.heartbeat(stream, &toucanwire.Heartbeat{Sequence: sequence, Uses: l.uses(address)}); err != nil {
-			return err
-		}
-		select {
-		case <-ticker.C:
-		case <-p.link.Done():
-			return errors.New("link closed")
-		}
-	}
-}
-
-func (l *links) heartbeat(stream *toucanwire.Stream, own *toucanwire.Heartbeat) error {
-	stream.SetWriteDeadline(time.Now().Add(heartbeatTimeout))
-	if err := stream.Send(own); err != nil {
-		return err
-	}
-	stream.SetReadDeadline(time.Now().Add(heartbeatTimeout))
-	beat := &toucanwire.Heartbeat{}
-	if err := stream.Receive(beat); err != nil {
-		return err
-	}
-	l.report(beat.Load)
-	l.takeUses(beat.Uses)
-	return nil
-}
-
 // want replaces the addresses that links are kept to.
 func (l *links) want(addresses map[string]bool) {
 	l.mu.Lock()
--- a/toucanoperate/fleet.go
+++ b/toucanoperate/fleet.go
@@ -25,7 +25,7 @@
 // getFleet asks every other entry for its status and joins the answers. Nothing of this costs anything
 // while nobody asks.
 func (s *Server) getFleet(c *echo.Context, from caller) error {
-	statuses := []Status{visible(s.cfg.Local.Status(), from)}
+	statuses := []Status{s.status(from)}
 	others, silent := s.askEntries(c.Request().Context(), from.credential)
 	return c.JSON(http.StatusOK, join(append(statuses, others...), silent))
 }
--- a/toucanoperate/server.go
+++ b/toucanoperate/server.go
@@ -26,7 +26,7 @@
 	replicaWait = time.Second
 )
 
-// Local tells the state of this entry and of the sidecars that it hears.
+// Local tells the state of this entry and of the sidecars that it hears; StoreAnswers is left out.
 type Local interface {
 	Status() Status
 }
@@ -36,6 +36,8 @@
 	Holder *toucanspread.Holder
 	Writer *toucanchange.Writer
 	Local  Local
+	// StoreAnswers reports whether the platform's store answers this entry.
+	StoreAnswers func() bool
 	// Entries returns the operators' addresses of the other entries; nil means none.
 	Entries func() []string
 	// BootstrapHash lets its credential write the first operators' document; empty for none.
@@ -273,7 +275,14 @@
 }
 
 func (s *Server) getStatus(c *echo.Context, from caller) error {
-	return c.JSON(http.StatusOK, visible(s.cfg.Local.Status(), from))
+	return c.JSON(http.StatusOK, s.status(from))
+}
+
+// status returns this entry's state as far as the caller may see it.
+func (s *Server) status(from caller) Status {
+	status := s.cfg.Local.Status()
+	status.StoreAnswers = s.cfg.StoreAnswers()
+	return visible(status, from)
 }
 
 // visible leaves out the documents of other teams.
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -9,6 +9,7 @@
 	"toucanport/toucanadmit"
 	"toucanport/toucanengine"
 	"toucanport/toucansettings"
+	"toucanport/toucanspread"
 	"toucanport/toucanwire"
 )
 
@@ -84,13 +85,21 @@
 
 // serveControl answers each heartbeat of an entry with one of its own.
 func (s *Sidecar) serveControl(ctx context.Context, link *toucanwire.Link, stream *toucanwire.Stream) {
+	spread := toucanspread.NewPeer(s.cfg.Spread)
+	defer spread.Close()
 	for ctx.Err() == nil {
 		beat := &toucanwire.Heartbeat{}
 		if err := stream.Receive(beat); err != nil {
 			return
 		}
+		if _, err := spread.Take(beat); err != nil {
+			s.log.Error("settings not taken", "peer", link.Peer.Instance, "error", err.Error())
+		}
 		answer := &toucanwire.Heartbeat{Sequence: beat.Sequence, Load: s.loadReport()}
 		answer.Uses = s.uses.take(time.Now(), link.Peer.Instance, beat.Uses)
+		if err := spread.Fill(answer); err != nil {
+			s.log.Error("settings not sent", "peer", link.Peer.Instance, "error", err.Error())
+		}
 		if err := stream.Send(answer); err != nil {
 			return
 		}
@@ -122,7 +131,3 @@
 	r.Sequence = s.reports.sequence.Add(1)
 	return r
 }
-
-func (s *Sidecar) serveDocuments(stream *toucanwire.Stream, _ *toucanwire.DocumentsRequest) {
-	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Documents{Documents: &toucanwire.DocumentsReply{}}})
-}
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"toucanport/toucanadmit"
 	"toucanport/toucanengine"
 	"toucanport/toucansettings"
+	"toucanport/toucanspread"
 	"toucanport/toucanstream"
 	"toucanport/toucanwire"
 )
@@ -56,8 +57,10 @@
 	ServiceURL       string
 	ServiceTransport http.RoundTripper
 	// Policy decides admission; never nil for generation services.
-	Policy          toucanadmit.Policy
-	Signer          *toucanstream.Signer
+	Policy toucanadmit.Policy
+	Signer *toucanstream.Signer
+	// Spread holds the settings that heartbeats carry; a new one when it is left out.
+	Spread          *toucanspread.Holder
 	GenerationBytes int
 	BufferBytes     int
 	ResumeWindow    time.Duration
@@ -70,6 +73,9 @@
 	if c.BufferBytes == 0 {
 		c.BufferBytes = DefaultBufferBytes
 	}
+	if c.Spread == nil {
+		c.Spread = toucanspread.NewHolder()
+	}
 	if c.ResumeWindow == 0 {
 		c.ResumeWindow = DefaultResumeWindow
 	}
@@ -252,8 +258,6 @@
 		s.serveCall(ctx, stream, r.Call)
 	case *toucanwire.Open_Control:
 		s.serveControl(ctx, link, stream)
-	case *toucanwire.Open_Documents:
-		s.serveDocuments(stream, r.Documents)
 	default:
 		s.log.Warn("request of unknown type", "peer", link.Peer.Instance)
 	}
