Let prompts fill the engine's steps and plans more of its memory

Change: four steps of prompts ahead, 0.90 and 0.94 of the bound, a reserve of 6%, of 25% against workspaces over their share, kept for briefs within theirs; quantile 0.9.

--- a/toucanadmit/engine_test.go
+++ b/toucanadmit/engine_test.go
@@ -15,7 +15,7 @@
 type modelEngine struct {
 	policy      Policy
 	now         time.Time
-	blocks      int
+	size        engineSize
 	running     []*generation
 	waiting     []*generation
 	byID        map[string]*generation
@@ -27,10 +27,24 @@
 	steps       int
 }
 
+// engineSize is the size and speed of a model engine.
+type engineSize struct {
+	blocks, chunk, sequences int
+	base, sequence, prefill  time.Duration
+	// cached is how many tokens of each prompt are in the engine's prefix cache.
+	cached int
+}
+
+// largeEngine returns an engine of so many blocks that runs up to 256 sequences.
+func largeEngine(blocks int) engineSize {
+	return engineSize{blocks, 512, 256, 18 * time.Millisecond, 250 * time.Microsecond, 25 * time.Microsecond, 0}
+}
+
+// smallEngine is an engine that decodes about 40 sequences at once.
+var smallEngine = engineSize{2048, 256, 96, 28 * time.Millisecond, 400 * time.Microsecond, 50 * time.Microsecond, 256}
+
 const (
 	modelBlockTokens = 16
-	modelChunk       = 512
-	modelSequences   = 256
 	modelReportEvery = 250 * time.Millisecond
 	modelReportLag   = 500 * time.Millisecond
 )
@@ -56,9 +70,9 @@
 	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.arrival, b.arrival))
 }
 
-func newModelEngine(p Policy, blocks int) *modelEngine {
+func newModelEngine(p Policy, size engineSize) *modelEngine {
 	return &modelEngine{
-		policy: p, blocks: blocks, slowdown: 1, now: time.Unix(1000, 0), byID: make(map[string]*generation),
+		policy: p, size: size, slowdown: 1, now: time.Unix(1000, 0), byID: make(map[string]*generation),
 	}
 }
 
@@ -103,16 +117,16 @@
 
 func (e *modelEngine) admit() {
 	used := e.used()
-	for len(e.waiting) > 0 && len(e.running) < modelSequences {
+	for len(e.waiting) > 0 && len(e.running) < e.size.sequences {
 		g := e.waiting[0]
 		need := modelBlocks(g.request.PromptTokens + g.produced + 1)
-		if used+need > e.blocks {
+		if used+need > e.size.blocks {
 			return
 		}
 		e.waiting = e.waiting[1:]
 		e.running = append(e.running, g)
 		g.blocks = need
-		g.prefill = g.request.PromptTokens + g.produced
+		g.prefill = max(1, g.request.PromptTokens+g.produced-e.size.cached)
 		used += need
 	}
 }
@@ -123,19 +137,19 @@
 	if len(e.running) == 0 {
 		return false
 	}
-	left := modelChunk
+	left := e.size.chunk
 	for _, g := range e.running {
 		n := min(left, g.prefill)
 		g.prefill -= n
 		left -= n
 	}
 	decoding := e.reserve()
-	d := 18*time.Millisecond + time.Duration(len(decoding))*250*time.Microsecond
-	d += time.Duration(modelChunk-left) * 25 * time.Microsecond
+	d := e.size.base + time.Duration(len(decoding))*e.size.sequence
+	d += time.Duration(e.size.chunk-left) * e.size.prefill
 	e.step = time.Duration(float64(d) * e.slowdown)
 	e.now = e.now.Add(e.step)
 	e.steps++
-	e.usedSum += float64(e.used()) / float64(e.blocks)
+	e.usedSum += float64(e.used()) / float64(e.size.blocks)
 	for _, g := range decoding {
 		e.token(g)
 	}
@@ -153,7 +167,7 @@
 			continue
 		}
 		need := modelBlocks(g.request.PromptTokens + g.produced + 1)
-		for need > g.blocks && used+need-g.blocks > e.blocks && i < len(ranked) {
+		for need > g.blocks && used+need-g.blocks > e.size.blocks && i < len(ranked) {
 			last := ranked[len(ranked)-1]
 			ranked = ranked[:len(ranked)-1]
 			used -= last.blocks
@@ -192,7 +206,7 @@
 
 func (e *modelEngine) sample() {
 	e.reports = append(e.reports, EngineReport{
-		At: e.now, UsedBlocks: e.used(), TotalBlocks: e.blocks, BlockTokens: modelBlockTokens,
+		At: e.now, UsedBlocks: e.used(), TotalBlocks: e.size.blocks, BlockTokens: modelBlockTokens,
 		Running: len(e.running), Waiting: len(e.waiting), StepTime: e.step, Preemptions: e.preemptions,
 	})
 	for len(e.reports) > 0 && e.now.Sub(e.reports[0].At) >= modelReportLag {
@@ -227,14 +241,15 @@
 
 // workload describes arrivals at one engine.
 type workload struct {
-	rate    float64
-	seed    uint64
-	length  time.Duration
-	brief   float64
-	heavy   float64
-	plan    float64
-	drift   float64
-	maxOnly bool
+	rate   float64
+	seed   uint64
+	length time.Duration
+	brief  float64
+	heavy  float64
+	plan   float64
+	drift  float64
+	// paretoPlans gives part of the plans a heavy tail.
+	paretoPlans bool
 }
 
 func (w workload) arrivals(start time.Time) []*generation {
@@ -242,6 +257,7 @@
 	gap := distuv.Exponential{Rate: w.rate, Src: rnd}
 	briefs := distuv.LogNormal{Mu: math.Log(40), Sigma: 0.8, Src: rnd}
 	plans := distuv.LogNormal{Mu: math.Log(w.plan), Sigma: 1.1, Src: rnd}
+	tail := distuv.Pareto{Xm: 1.5 * w.plan, Alpha: 2, Src: rnd}
 	prompts := distuv.LogNormal{Mu: math.Log(300), Sigma: 0.8, Src: rnd}
 	var all []*generation
 	burst := false
@@ -270,14 +286,13 @@
 		if rnd.Float64() > w.brief {
 			r.Class = ClassPlan
 			n = plans.Rand()
+			if w.paretoPlans && rnd.Float64() < 0.4 {
+				n = tail.Rand()
+			}
 			if at > w.length.Seconds()/2 && w.drift > 0 {
 				n *= w.drift
 			}
 		}
-		if w.maxOnly {
-			r.MaxTokens = 1024
-			n = min(n, 1024)
-		}
 		all = append(all, &generation{request: r, output: 1 + int(min(n, 30000))})
 	}
 	return all
@@ -346,8 +361,8 @@
 	return r
 }
 
-func simulate(p Policy, w workload, blocks int) result {
-	e := newModelEngine(p, blocks)
+func simulate(p Policy, w workload, size engineSize) result {
+	e := newModelEngine(p, size)
 	all := w.arrivals(e.now)
 	e.run(all, w.length)
 	return summarize(e, all)
--- a/toucanadmit/margin.go
+++ b/toucanadmit/margin.go
@@ -28,6 +28,8 @@
 	// preemptionStep is added for each preemption reported, up to preemptionStepMax in one report.
 	preemptionStep    = 0.01
 	preemptionStepMax = 0.04
+	// excessDeviations is how many standard deviations a forecast may be exceeded by.
+	excessDeviations = 1.65
 	// excessGain is the part of a forecast's excess that is added to the margin.
 	excessGain     = 0.5
 	marginHalfLife = 60 * time.Second
@@ -51,9 +53,9 @@
 }
 
 // compare holds what the requests of the checkpoint really use, in tokens, against the forecast made for them.
-func (m *margin) compare(used, total, z float64) {
+func (m *margin) compare(used, total float64) {
 	mean, deviation := m.check.forecast.at(m.check.steps)
-	if excess := used - mean - z*deviation; excess > 0 {
+	if excess := used - mean - excessDeviations*deviation; excess > 0 {
 		m.widen(excessGain * excess / total)
 	}
 	m.check.set = false
--- a/toucanadmit/observe.go
+++ b/toucanadmit/observe.go
@@ -71,7 +71,7 @@
 			}
 		}
 		c.steps = checkpointSteps
-		t.margin.compare(used, total, t.z)
+		t.margin.compare(used, total)
 	}
 	*c = checkpoint{set: true, forecast: t.sum, at: now}
 }
--- a/toucanadmit/policy.go
+++ b/toucanadmit/policy.go
@@ -129,7 +129,7 @@
 const (
 	DefaultFirstToken = 1200 * time.Millisecond
 	DefaultInterToken = 68 * time.Millisecond
-	DefaultQuantile   = 0.95
+	DefaultQuantile   = 0.9
 )
 
 func (c Config) withDefaults() Config {
--- a/toucanadmit/property_test.go
+++ b/toucanadmit/property_test.go
@@ -168,7 +168,7 @@
 	assert.Assert(t, p.margin.share < 0.51*widened)
 	var m margin
 	m.check.steps = checkpointSteps
-	m.compare(500, 1000, 1)
+	m.compare(500, 1000)
 	assert.Equal(t, m.share, excessGain*0.5)
 }
 
--- a/toucanadmit/reserve.go
+++ b/toucanadmit/reserve.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// reserve is the room that plans leave to briefs. Briefs come at random and are soon done, so that the number that
+// reserve is the room that others leave to favoured briefs. Briefs come at random and are soon done, so that the number that
 // would run at once, if none had to wait, is Poisson distributed around their rate times their duration.
 type reserve struct {
 	offered meter
@@ -19,8 +19,10 @@
 
 const (
 	reserveWindow = 10 * time.Second
-	// reserveShare bounds the reserve in the memory and in the batch.
-	reserveShare = 0.25
+	// reserveShare bounds the reserve in the memory and in the batch, reserveShareOver for
+	// workspaces that hold more than their share.
+	reserveShare     = 0.06
+	reserveShareOver = 0.25
 	// reserveDeviations is how many standard deviations above the mean the reserve holds.
 	reserveDeviations = 2
 	reserveGain       = 0.05
@@ -43,16 +45,16 @@
 	r.tokens += reserveGain * (float64(promptTokens+generated) - r.tokens)
 }
 
-// slots returns the places in the batch that plans leave free out of bound.
-func (r *reserve) slots(now time.Time, bound int) int {
+// slots returns the places in the batch that others leave free, at most a share of bound.
+func (r *reserve) slots(now time.Time, bound int, share float64) int {
 	free := max(0, r.wanted(now)-float64(r.running))
-	return int(min(free, reserveShare*float64(bound)))
+	return int(min(free, share*float64(bound)))
 }
 
-// memory returns the tokens that plans leave free out of total.
-func (r *reserve) memory(now time.Time, total float64) float64 {
+// memory returns the tokens that others leave free, at most a share of total.
+func (r *reserve) memory(now time.Time, total, share float64) float64 {
 	free := max(0, r.wanted(now)*r.tokens-r.held)
-	return min(free, reserveShare*total)
+	return min(free, share*total)
 }
 
 // wanted returns how many briefs would run at once at most.
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -29,8 +29,9 @@
 	refreshTokens = 16
 	// throughputWindow is the time over which generated tokens are counted.
 	throughputWindow = 2 * time.Second
-	// prefillAhead is how much prompt computation is handed to the engine in advance.
-	prefillAhead = 100 * time.Millisecond
+	// prefillAheadSteps is how many steps of prompt computation are handed to the engine in advance. A prompt alone
+	// takes up to two, so that more are needed to find out what the engine can do.
+	prefillAheadSteps = 4
 	// defaultBlockTokens stands in until the engine's first report.
 	defaultBlockTokens = 16
 	// outputGain is the weight of the newest output in the mean output.
@@ -87,6 +88,8 @@
 	item    toucanfair.Item
 	key     toucanlength.Key
 	running bool
+	// favoured is true for a brief of a workspace that held no more than its share when it came.
+	favoured bool
 	// predicted is the wait that was expected when the job came, before the correction for past errors.
 	predicted time.Duration
 	// started is when the job was handed to the engine; zero while queued.
@@ -132,7 +135,8 @@
 	t.now = now
 	j := t.newJob(r)
 	t.shares.offered(now, r.Workspace, j.item.Weight)
-	if j.item.Level == levelBrief {
+	j.favoured = j.item.Level == levelBrief && !t.overShare(j)
+	if j.favoured {
 		t.briefs.offer(now)
 	}
 	if err := t.refuse(now, j); err != nil {
@@ -257,7 +261,9 @@
 		t.ordinal++
 		return Start{ID: j.item.ID, Priority: t.ordinal}
 	}
-	t.briefs.started(j.request.PromptTokens)
+	if j.favoured {
+		t.briefs.started(j.request.PromptTokens)
+	}
 	if planWaits {
 		if t.briefTurns >= briefsPerPlan {
 			t.bypassed++
@@ -297,10 +303,11 @@
 func (t *toucan) shortfall(j *job) float64 {
 	d := t.demand(j)
 	total := t.totalTokens() * (1 - t.margin.share)
-	if j.item.Level == levelPlan {
-		total -= t.briefs.memory(t.now, total)
+	over := t.overShare(j)
+	if !j.favoured {
+		total -= t.briefs.memory(t.now, total, reserveFor(over))
 	}
-	if t.overShare(j) {
+	if over {
 		total *= 1 - overShareRoom
 	}
 	return t.peak(&d) - total
@@ -309,15 +316,23 @@
 // hasSlot says whether the batch has room for j.
 func (t *toucan) hasSlot(j *job) bool {
 	bound := t.batchBound()
-	if j.item.Level == levelPlan {
-		bound -= t.briefs.slots(t.now, bound)
+	over := t.overShare(j)
+	if !j.favoured {
+		bound -= t.briefs.slots(t.now, bound, reserveFor(over))
 	}
-	if t.overShare(j) {
+	if over {
 		bound -= int(overShareRoom * float64(bound))
 	}
 	return t.running == 0 || t.running < bound
 }
 
+func reserveFor(over bool) float64 {
+	if over {
+		return reserveShareOver
+	}
+	return reserveShare
+}
+
 func (t *toucan) overShare(j *job) bool {
 	return t.shares.over(j.request.Workspace, j.item.Cost)
 }
@@ -347,8 +362,8 @@
 
 // Shares of the bound between tokens that steps are planned for, without and with prefill.
 const (
-	decodeShareInterToken = 0.80
-	decodeShareStall      = 0.85
+	decodeShareInterToken = 0.90
+	decodeShareStall      = 0.94
 	prefillShare          = 0.97
 )
 
@@ -370,7 +385,8 @@
 	bound := time.Duration(prefillShare * float64(t.cfg.InterToken))
 	allowed := float64(t.step.prefillWithin(bound, t.running+1))
 	if rate := t.prefillRate.perSecond(); rate > 0 {
-		allowed = min(allowed, rate*prefillAhead.Seconds())
+		ahead := prefillAheadSteps * t.step.predict(t.running+1, 0)
+		allowed = min(allowed, rate*ahead.Seconds())
 	}
 	if t.overShare(j) {
 		allowed *= overSharePrefill
@@ -425,7 +441,7 @@
 	t.running--
 	t.shares.ended(j.request.Workspace, j.item.Cost)
 	t.sum.remove(&j.demand)
-	if j.item.Level == levelBrief {
+	if j.favoured {
 		t.briefs.ended(j.request.PromptTokens, j.generated, now.Sub(j.started))
 	}
 	t.queue.Settle(j.item, float64(max(j.generated, 1)))
--- a/toucanadmit/toucan_test.go
+++ b/toucanadmit/toucan_test.go
@@ -37,8 +37,8 @@
 				w.plan = float64(plan)
 			}
 			cfg := Config{Weigh: toucansettings.Weigh(weigh)}
-			naive := simulate(NewNaive(cfg), w, blocks)
-			toucan := simulate(NewToucan(cfg), w, blocks)
+			naive := simulate(NewNaive(cfg), w, largeEngine(blocks))
+			toucan := simulate(NewToucan(cfg), w, largeEngine(blocks))
 			t.Logf("%s naive:  %v", d.CmdArgs, naive)
 			t.Logf("%s toucan: %v", d.CmdArgs, toucan)
 			assert.Check(t, toucan.preemptions <= naive.preemptions, "%s", d.CmdArgs)
