Bound what callers and peers can make a process hold

Cause: an announced message size took its memory at once, bodies of all requests together had no bound, idle and slow connections could use up descriptors, and a caller that reads nothing held its handler for ever. Change: large inner messages take memory as they arrive; an entry holds at most 32 MiB of bodies, half of it for one workspace, and 4096 connections of which the longest waiting gives way; an answer that is not read for a minute ends.

--- a/toucanentry/auth.go
+++ b/toucanentry/auth.go
@@ -76,6 +76,9 @@
 		if !ok {
 			return fail(http.StatusUnauthorized, codeBadKey, "the workspace key is not valid")
 		}
+		e.connections.serving(c.Request().Context())
+		defer e.poolBody(c, workspaceKey(w))()
+		defer unlimitWrite(c)
 		return next(c, w)
 	}
 }
@@ -92,6 +95,9 @@
 	if f.retryAfter > 0 {
 		c.Response().Header().Set("Retry-After", retryAfterSeconds(f.retryAfter))
 	}
+	if f.status == http.StatusRequestTimeout || f.status == http.StatusRequestEntityTooLarge {
+		c.Response().Header().Set("Connection", "close")
+	}
 	f.body.RequestID = requestID(c)
 	f.body.Type = errorType(f.status)
 	_ = c.JSON(f.status, toucanapi.ErrorBody{Error: f.body})
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -66,9 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(e.body(c), maxCallBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxCallBodyBytes+1))
 	if err != nil {
-		return nil, &toucanapi.BadRequestError{Field: "body", Message: "could not be read"}
+		return nil, errors.Wrap(err, "read body")
 	}
 	if len(body) > maxCallBodyBytes {
 		return nil, toucanapi.ErrBodyTooLarge
@@ -194,6 +194,7 @@
 	if r.Replayed {
 		w.Header().Set(headerReplayed, "true")
 	}
+	limitWrite(c)
 	w.WriteHeader(int(r.Status))
 	_, err := w.Write(r.Body)
 	return errors.Wrap(err, "write answer")
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -63,6 +63,9 @@
 // WithLogger sets the logger.
 func WithLogger(log *slog.Logger) Option { return func(e *Entry) { e.log = log } }
 
+// WithConnections sets the bound on callers' open connections.
+func WithConnections(n int) Option { return func(e *Entry) { e.connections = newConnections(n) } }
+
 // Entry serves callers.
 type Entry struct {
 	cfg    Config
@@ -71,6 +74,9 @@
 	serial atomic.Uint64
 	links  *links
 	server *http.Server
+	// connections and bodies bound what callers make the entry hold.
+	connections *connections
+	bodies      *bodyPool
 	// services holds the services that the router knows; used by maintain only.
 	services map[string]bool
 	// stopping is true once a graceful stop has begun.
@@ -93,7 +99,14 @@
 	if cfg.Budget == nil {
 		cfg.Budget = toucanretry.NewBudget()
 	}
-	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
+	e := &Entry{
+		cfg:         cfg,
+		log:         slog.Default(),
+		boot:        rand.Uint64(),
+		drained:     make(chan struct{}),
+		connections: newConnections(DefaultConnections),
+		bodies:      newBodyPool(),
+	}
 	e.life, e.end = context.WithCancel(context.Background())
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
@@ -106,6 +119,8 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       e.connections.context,
+		ConnState:         e.connections.changed,
 		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,7 +36,7 @@
 )
 
 func (e *Entry) chat(c *echo.Context, w toucansettings.Workspace) error {
-	r, err := toucanapi.ParseChat(e.body(c))
+	r, err := toucanapi.ParseChat(c.Request().Body)
 	if err != nil {
 		return err
 	}
@@ -45,20 +44,13 @@
 }
 
 func (e *Entry) completion(c *echo.Context, w toucansettings.Workspace) error {
-	r, err := toucanapi.ParseCompletion(e.body(c))
+	r, err := toucanapi.ParseCompletion(c.Request().Body)
 	if err != nil {
 		return err
 	}
 	return e.serveGeneration(c, w, r)
 }
 
-// body bounds how long the caller may take to send it.
-func (e *Entry) body(c *echo.Context) io.Reader {
-	control := http.NewResponseController(c.Response())
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout)) // not every writer has deadlines
-	return c.Request().Body
-}
-
 func (e *Entry) serveGeneration(c *echo.Context, w toucansettings.Workspace, r toucanapi.Request) error {
 	s, err := e.generationService(w, r.Model)
 	if err != nil {
--- a/toucanentry/sink.go
+++ b/toucanentry/sink.go
@@ -35,6 +35,8 @@
 	id      string
 	events  *toucanapi.Events
 	buf     []byte
+	// limited is when the write deadline was last moved.
+	limited time.Time
 }
 
 func (s *streamSink) begin(id string) error {
@@ -71,6 +73,7 @@
 }
 
 func (s *streamSink) flush() error {
+	s.limitWrite(time.Now())
 	_, err := s.c.Response().Write(s.buf)
 	s.buf = s.buf[:0]
 	if err != nil {
@@ -82,6 +85,15 @@
 	return nil
 }
 
+// limitWrite moves the write deadline, though not with every token.
+func (s *streamSink) limitWrite(now time.Time) {
+	if now.Sub(s.limited) < writeTimeout/4 {
+		return
+	}
+	s.limited = now
+	limitWrite(s.c)
+}
+
 func (s *streamSink) end(end *toucanwire.End) error {
 	if err := s.open(); err != nil {
 		return err
@@ -132,6 +144,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write answer")
 	}
+	limitWrite(s.c)
 	return s.c.JSONBlob(http.StatusOK, body)
 }
 
--- a/toucanwire/link.go
+++ b/toucanwire/link.go
@@ -179,8 +179,7 @@
 
 // Receive reads one message into m. It returns io.EOF when the peer has closed the stream.
 func (s *Stream) Receive(m proto.Message) error {
-	opts := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
-	err := opts.UnmarshalFrom(s.in, m)
+	err := readDelimited(s.in, m)
 	if err == nil || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return err
 	}
