--- a/toucanentry/auth.go
+++ b/toucanentry/auth.go
@@ -95,9 +95,6 @@
 	if f.retryAfter > 0 {
 		c.Response().Header().Set("Retry-After", retryAfterSeconds(f.retryAfter))
 	}
-	if f.status == http.StatusRequestTimeout || f.status == http.StatusRequestEntityTooLarge {
-		c.Response().Header().Set("Connection", "close")
-	}
 	f.body.RequestID = requestID(c)
 	f.body.Type = errorType(f.status)
 	_ = c.JSON(f.status, toucanapi.ErrorBody{Error: f.body})
--- a/toucanentry/path_test.go
+++ b/toucanentry/path_test.go
@@ -115,6 +115,8 @@
 		cancel()
 		wg.Wait()
 		transport.CloseIdleConnections()
+		// The HTTP server holds a connection for half a second after an answer that came before the whole request.
+		time.Sleep(time.Second)
 	}
 	time.Sleep(time.Second)
 	return p
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -33,6 +33,10 @@
 	DefaultResumeWindow = 30 * time.Second
 	// closedIDBound is how many ids are remembered that must not start any more.
 	closedIDBound = 100_000
+	// maxLinks bounds the links of one sidecar, those included that have not said hello yet.
+	maxLinks = 1024
+	// maxStreamsPerLink bounds the requests that one entry has open.
+	maxStreamsPerLink = 4096
 )
 
 // Engine is what a sidecar needs of the model engine beside it.
@@ -107,6 +111,8 @@
 	// closedIDs holds ids that must not start any more: finished, cancelled, or asked for before they came.
 	closedIDs *lru.Cache[string, struct{}]
 	links     map[*toucanwire.Link]struct{}
+	// connections counts accepted connections, with and without a link.
+	connections atomic.Int64
 }
 
 // New returns a sidecar that does nothing until Run.
@@ -168,7 +174,16 @@
 		if err != nil {
 			return err
 		}
-		wg.Go(func() { s.serveConn(ctx, conn) })
+		if s.connections.Load() >= maxLinks {
+			s.log.Warn("link refused", "remote", conn.RemoteAddr().String(), "error", "too many links")
+			conn.Close()
+			continue
+		}
+		s.connections.Add(1)
+		wg.Go(func() {
+			defer s.connections.Add(-1)
+			s.serveConn(ctx, conn)
+		})
 	}
 }
 
@@ -187,6 +202,10 @@
 		if err != nil {
 			return
 		}
+		if link.NumStreams() > maxStreamsPerLink {
+			stream.Close()
+			continue
+		}
 		go s.serveStream(ctx, link, stream)
 	}
 }
