Let the service's settings choose the admission policy of its sidecars

Cause: a sidecar starts before it knows its settings, and a changed policy must not disturb what it holds. Change: a switch that leaves each request with the policy it was offered to and retires a replaced policy with its last request; the sidecar follows the settings that heartbeats carry. Conclusion: policy = "naive" or "toucan" takes effect without a restart.

--- /dev/null
+++ b/toucanadmit/switch.go
@@ -0,0 +1,125 @@
+package toucanadmit
+
+import "time"
+
+// Switch is a Policy that can be replaced while requests are held: each request stays with the policy that it
+// was offered to, and a policy that was replaced goes on until its last request has ended.
+type Switch struct {
+	current Policy
+	// replaced are former policies that still hold requests.
+	replaced []Policy
+	// owners maps each held request to its policy.
+	owners map[string]Policy
+}
+
+// NewSwitch returns a switch that begins with p.
+func NewSwitch(p Policy) *Switch {
+	return &Switch{current: p, owners: make(map[string]Policy)}
+}
+
+// Replace makes p the policy of requests that are offered from now on.
+func (s *Switch) Replace(p Policy) {
+	s.replaced = append(s.replaced, s.current)
+	s.current = p
+	s.dropEmpty()
+}
+
+func (s *Switch) dropEmpty() {
+	holding := make(map[Policy]bool, len(s.replaced))
+	for _, p := range s.owners {
+		holding[p] = true
+	}
+	kept := s.replaced[:0]
+	for _, p := range s.replaced {
+		if holding[p] {
+			kept = append(kept, p)
+		}
+	}
+	s.replaced = kept
+}
+
+// each calls f with every policy, those replaced first, since their requests came first.
+func (s *Switch) each(f func(Policy)) {
+	for _, p := range s.replaced {
+		f(p)
+	}
+	f(s.current)
+}
+
+// Offer implements Policy.
+func (s *Switch) Offer(now time.Time, r Request) error {
+	if err := s.current.Offer(now, r); err != nil {
+		return err
+	}
+	s.owners[r.ID] = s.current
+	return nil
+}
+
+// Next implements Policy.
+func (s *Switch) Next(now time.Time) []Start {
+	var starts []Start
+	s.each(func(p Policy) { starts = append(starts, p.Next(now)...) })
+	return starts
+}
+
+// Expired implements Policy.
+func (s *Switch) Expired(now time.Time) []string {
+	var ids []string
+	s.each(func(p Policy) { ids = append(ids, p.Expired(now)...) })
+	for _, id := range ids {
+		s.forget(id)
+	}
+	return ids
+}
+
+// Progress implements Policy.
+func (s *Switch) Progress(now time.Time, id string, generated int) {
+	if p, ok := s.owners[id]; ok {
+		p.Progress(now, id, generated)
+	}
+}
+
+// Done implements Policy.
+func (s *Switch) Done(now time.Time, id string, generated int, complete bool) {
+	p, ok := s.owners[id]
+	if !ok {
+		return
+	}
+	p.Done(now, id, generated, complete)
+	s.forget(id)
+}
+
+func (s *Switch) forget(id string) {
+	delete(s.owners, id)
+	if len(s.replaced) > 0 {
+		s.dropEmpty()
+	}
+}
+
+// Report implements Policy.
+func (s *Switch) Report(now time.Time, e EngineReport) {
+	s.each(func(p Policy) { p.Report(now, e) })
+}
+
+// Load implements Policy. Blocks and times are those of the present policy, which sees the whole engine.
+func (s *Switch) Load(now time.Time) Load {
+	l := s.current.Load(now)
+	for _, p := range s.replaced {
+		old := p.Load(now)
+		l.Running += old.Running
+		l.Queued += old.Queued
+		l.QueuedTokens += old.QueuedTokens
+	}
+	return l
+}
+
+// Wake implements Policy.
+func (s *Switch) Wake(now time.Time) time.Time {
+	var first time.Time
+	s.each(func(p Policy) {
+		if w := p.Wake(now); !w.IsZero() && (first.IsZero() || w.Before(first)) {
+			first = w
+		}
+	})
+	return first
+}
--- a/toucansidecar/schedule.go
+++ b/toucansidecar/schedule.go
@@ -18,7 +18,7 @@
 	poke chan struct{}
 
 	mu     sync.Mutex
-	policy toucanadmit.Policy
+	policy *toucanadmit.Switch
 	// queued is whether requests waited when the policy was asked last.
 	queued bool
 }
@@ -27,7 +27,15 @@
 const minRetryAfter = 200 * time.Millisecond
 
 func newSchedule(policy toucanadmit.Policy, start func(string, int), expire func(string, time.Duration)) *schedule {
-	return &schedule{start: start, expire: expire, poke: make(chan struct{}, 1), policy: policy}
+	return &schedule{start: start, expire: expire, poke: make(chan struct{}, 1), policy: toucanadmit.NewSwitch(policy)}
+}
+
+// replace makes policy decide about requests that come from now on.
+func (s *schedule) replace(policy toucanadmit.Policy) {
+	s.mu.Lock()
+	s.policy.Replace(policy)
+	s.mu.Unlock()
+	s.wake()
 }
 
 func (s *schedule) run(ctx context.Context) {
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -56,7 +56,7 @@
 	// ServiceURL and ServiceTransport reach the application instance of plain services.
 	ServiceURL       string
 	ServiceTransport http.RoundTripper
-	// Policy decides admission; never nil for generation services.
+	// Policy decides admission whatever the settings say; without it the service's settings choose.
 	Policy toucanadmit.Policy
 	Signer *toucanstream.Signer
 	// Spread holds the settings that heartbeats carry; a new one when it is left out.
@@ -131,7 +131,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.schedule = newSchedule(cfg.Policy, s.startGeneration, s.expireGeneration)
+	s.schedule = newSchedule(startPolicy(cfg), s.startGeneration, s.expireGeneration)
 	s.calls = newCallClient(cfg)
 	return s
 }
@@ -165,7 +165,19 @@
 	if s.cfg.Kind == toucansettings.KindPlain {
 		return nil
 	}
-	return []func(context.Context){s.schedule.run, s.pollEngine, s.reapGenerations}
+	duties := []func(context.Context){s.schedule.run, s.pollEngine, s.reapGenerations}
+	if s.cfg.Policy == nil {
+		duties = append(duties, s.followSettings)
+	}
+	return duties
+}
+
+// startPolicy is in force until the settings are known.
+func startPolicy(cfg Config) toucanadmit.Policy {
+	if cfg.Policy != nil {
+		return cfg.Policy
+	}
+	return rule{}.newPolicy()
 }
 
 func (s *Sidecar) acceptLinks(ctx context.Context, ln net.Listener, wg *sync.WaitGroup) error {
