--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -4,9 +4,11 @@
 	"toucanport/toucancmd/check"
 	"toucanport/toucancmd/dev"
 	"toucanport/toucancmd/endpoint"
+	"toucanport/toucancmd/entry"
 	"toucanport/toucancmd/factory"
 	"toucanport/toucancmd/service"
 	"toucanport/toucancmd/settings"
+	"toucanport/toucancmd/sidecar"
 	"toucanport/toucancmd/status"
 	"toucanport/toucancmd/version"
 	"toucanport/toucancmd/workspace"
@@ -21,8 +23,10 @@
 			check.NewCmdCheck(f, nil),
 			dev.NewCmdDev(f, nil),
 			endpoint.NewCmdEndpoint(f),
+			entry.NewCmdEntry(f, nil),
 			service.NewCmdService(f),
 			settings.NewCmdSettings(f),
+			sidecar.NewCmdSidecar(f, nil),
 			status.NewCmdStatus(f, nil),
 			version.NewCmdVersion(f, nil),
 			workspace.NewCmdWorkspace(f),
--- /dev/null
+++ b/toucancmd/entry/entry.go
@@ -0,0 +1,56 @@
+// Package entry is the command that runs one entry.
+package entry
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/MakeNowJust/heredoc/v2"
+	"github.com/integrii/flaggy"
+
+	"toucanport/toucancmd/factory"
+	"toucanport/toucanconfig"
+	"toucanport/toucaninstance"
+	"toucanport/toucanio"
+	"toucanport/toucanprocess"
+)
+
+// Options are the command's inputs.
+type Options struct {
+	IO   *toucanio.Streams
+	File string
+}
+
+// NewCmdEntry returns the command. Tests pass runF to see the options instead of running it.
+func NewCmdEntry(f *factory.Factory, runF func(*Options) error) *factory.Command {
+	opts := &Options{IO: f.IO}
+	return &factory.Command{
+		Name:  "entry",
+		Short: "run one entry: callers, operators and the choice of endpoints",
+		Bind: func(p *flaggy.Parser) {
+			p.AddPositionalValue(&opts.File, "FILE", 1, true, "the entry's settings in TOML; see docs/OPERATING.md")
+			p.AdditionalHelpAppend = heredoc.Doc(`
+				Examples:
+				  toucanport check --kind entry entry.toml
+				  toucanport entry entry.toml
+			`)
+		},
+		Run: func() error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return entryRun(opts)
+		},
+	}
+}
+
+func entryRun(opts *Options) error {
+	cfg, err := toucanconfig.LoadEntry(opts.File)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(opts.IO.Err, nil)).With("instance", cfg.Instance, "failureDomain", cfg.FailureDomain)
+	return toucanprocess.Run(log, cfg.Bounds.StopGrace, func(ctx context.Context) (toucanprocess.Stopper, error) {
+		return toucaninstance.StartEntry(ctx, cfg, log)
+	})
+}
--- a/toucancontrol/control.go
+++ b/toucancontrol/control.go
@@ -26,7 +26,9 @@
 	Entries func() []string
 	// BootstrapHash lets its credential write the first operators' document; empty for none.
 	BootstrapHash string
-	Log           *slog.Logger
+	// Metrics serves the scrape endpoint; nil means none.
+	Metrics http.Handler
+	Log     *slog.Logger
 	// Transport reaches the other entries; nil means the default.
 	Transport http.RoundTripper
 }
@@ -51,6 +53,7 @@
 		StoreAnswers:  c.storeAnswers.Load,
 		Entries:       cfg.Entries,
 		BootstrapHash: cfg.BootstrapHash,
+		Metrics:       cfg.Metrics,
 		Log:           cfg.Log,
 		Transport:     cfg.Transport,
 	})
--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -263,6 +263,9 @@
 // Wait returns when everything has ended.
 func (s *System) Wait() { s.wg.Wait() }
 
+// Err implements toucanprocess.Stopper: a stand-in that fails is logged and ends nothing else.
+func (s *System) Err() error { return nil }
+
 // Entries returns the callers' addresses.
 func (s *System) Entries() []string { return s.addresses }
 
--- a/toucanoperate/message.go
+++ b/toucanoperate/message.go
@@ -17,6 +17,7 @@
 	PathSettle    = "/v1/changes/settle"
 	PathStatus    = "/v1/status"
 	PathFleet     = "/v1/fleet"
+	PathMetrics   = "/metrics"
 )
 
 // Codes of errors.
--- a/toucanoperate/server.go
+++ b/toucanoperate/server.go
@@ -42,7 +42,9 @@
 	Entries func() []string
 	// BootstrapHash lets its credential write the first operators' document; empty for none.
 	BootstrapHash string
-	Log           *slog.Logger
+	// Metrics serves the scrape endpoint, which asks for no credential; nil means none.
+	Metrics http.Handler
+	Log     *slog.Logger
 	// Transport reaches the other entries; nil means the default.
 	Transport http.RoundTripper
 }
@@ -87,6 +89,9 @@
 	e.POST(PathSettle, s.authenticated(s.postSettle))
 	e.GET(PathStatus, s.authenticated(s.getStatus))
 	e.GET(PathFleet, s.authenticated(s.getFleet))
+	if s.cfg.Metrics != nil {
+		e.GET(PathMetrics, echo.WrapHandler(s.cfg.Metrics))
+	}
 	return e
 }
 
--- a/toucanprocess/process.go
+++ b/toucanprocess/process.go
@@ -22,6 +22,8 @@
 	Shutdown(ctx context.Context) error
 	// Wait returns when the program has ended by itself or after its context was done.
 	Wait()
+	// Err returns what made the program end by itself; nil when nothing did.
+	Err() error
 }
 
 // Run starts a program and blocks until it has stopped. A graceful stop takes at most grace.
@@ -46,7 +48,7 @@
 	}()
 	select {
 	case <-ended:
-		return nil
+		return program.Err()
 	case s := <-signals:
 		log.Info("stopping", "signal", s.String())
 	}
--- /dev/null
+++ b/toucanprocess/process_test.go
@@ -0,0 +1,82 @@
+package toucanprocess
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// program ends its requests after a while once it is asked to.
+type program struct {
+	ctx      context.Context
+	requests time.Duration
+	err      error
+	failed   chan struct{}
+}
+
+func (p *program) Shutdown(ctx context.Context) error {
+	select {
+	case <-time.After(p.requests):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *program) Wait() {
+	select {
+	case <-p.ctx.Done():
+	case <-p.failed:
+	}
+}
+
+func (p *program) Err() error { return p.err }
+
+func TestRun(t *testing.T) {
+	errFailed := errors.New("failed")
+	tests := []struct {
+		name string
+		// signals are sent at once, in order.
+		signals  []os.Signal
+		requests time.Duration
+		fails    bool
+		want     error
+		// took is the fake time that the run takes.
+		took time.Duration
+	}{
+		{name: "requests end within the grace", signals: []os.Signal{syscall.SIGTERM}, requests: 3 * time.Second, took: 3 * time.Second},
+		{name: "requests outlast the grace", signals: []os.Signal{syscall.SIGTERM}, requests: time.Hour, want: context.DeadlineExceeded, took: time.Minute},
+		{name: "a second signal ends at once", signals: []os.Signal{syscall.SIGTERM, os.Interrupt}, requests: time.Hour, want: ErrStopped},
+		{name: "a program that fails", fails: true, want: errFailed},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				signals := make(chan os.Signal, 2)
+				for _, s := range tc.signals {
+					signals <- s
+				}
+				log := slog.New(slog.NewTextHandler(io.Discard, nil))
+				began := time.Now()
+				err := run(log, time.Minute, signals, func(ctx context.Context) (Stopper, error) {
+					p := &program{ctx: ctx, requests: tc.requests, failed: make(chan struct{})}
+					if tc.fails {
+						p.err = errFailed
+						close(p.failed)
+					}
+					return p, nil
+				})
+				assert.Assert(t, errors.Is(err, tc.want), "%v", err)
+				assert.Equal(t, time.Since(began), tc.took)
+			})
+		})
+	}
+}
