Run settings in dev and script the operators' commands under faults

Cause: the commands need an entry to speak to, and their promises (one change id, truthful outcomes, whose subtree) need runs against a store that fails.

--- a/toucancmd/dev/dev.go
+++ b/toucancmd/dev/dev.go
@@ -130,6 +130,9 @@
 	for _, address := range system.Entries() {
 		opts.IO.Printf("entry      http://%s\n", address)
 	}
+	for _, address := range system.Operators() {
+		opts.IO.Printf("operators  %s, credential %s\n", address, system.OperatorCredential())
+	}
 	for _, s := range cfg.Deployment.Services {
 		opts.IO.Printf("service    %-12s %s, %d endpoint(s)\n", s.Name, s.Kind, s.Endpoints)
 		if model == "" && s.Kind == toucansettings.KindGeneration {
@@ -145,15 +148,17 @@
 
 func newReadiness(cfg toucandev.Config, system *toucandev.System) readiness {
 	r := readiness{
-		Ready:           true,
-		Entries:         system.Entries(),
-		WorkspaceKeys:   make(map[string]string),
-		TeamCredentials: make(map[string]string),
-		Operators:       []string{},
+		Ready:              true,
+		Entries:            system.Entries(),
+		WorkspaceKeys:      make(map[string]string),
+		TeamCredentials:    make(map[string]string),
+		Operators:          system.Operators(),
+		OperatorCredential: system.OperatorCredential(),
 	}
 	for _, k := range system.WorkspaceKeys() {
 		r.WorkspaceKeys[k.Workspace] = k.Key
 	}
+	r.TeamCredentials[cfg.Deployment.Team] = system.TeamCredential()
 	for _, s := range cfg.Deployment.Services {
 		r.Services = append(r.Services, s.Name)
 	}
--- /dev/null
+++ b/toucancmd/operators_test.go
@@ -0,0 +1,142 @@
+package toucancmd
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanclient"
+	"toucanport/toucancmd/factory"
+	"toucanport/toucancontrol"
+	"toucanport/toucanfakestore"
+	"toucanport/toucanoperate"
+	"toucanport/toucansettings"
+	"toucanport/toucanspread"
+)
+
+const bootstrapCredential = "first-credential"
+
+// control is one entry's control side with a stand-in store, for scripts.
+type control struct {
+	store  *toucanfakestore.Memory
+	holder *toucanspread.Holder
+
+	mu sync.Mutex
+	// lag holds what the sidecar has in force while it lags; nil while it keeps up.
+	lag []toucanspread.Revision
+}
+
+// Status implements toucanoperate.Local with the entry itself and one sidecar.
+func (c *control) Status() toucanoperate.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	self := toucanoperate.Instance{Instance: "entry-1", Role: "entry", Documents: c.holder.Revisions(), Answers: true}
+	sidecar := toucanoperate.Instance{Instance: "sidecar-1", Role: "sidecar", Documents: self.Documents, Answers: true}
+	if c.lag != nil {
+		sidecar.Documents = c.lag
+	}
+	return toucanoperate.Status{Self: self, Peers: []toucanoperate.Instance{sidecar}}
+}
+
+// startControl serves operators on loopback until the test ends and returns the address.
+func startControl(env *testscript.Env) (*control, error) {
+	c := &control{store: toucanfakestore.New(), holder: toucanspread.NewHolder()}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	side := toucancontrol.New(toucancontrol.Config{
+		Store:         c.store,
+		Holder:        c.holder,
+		Local:         c,
+		BootstrapHash: toucansettings.HashKey(bootstrapCredential),
+		Log:           slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	done := make(chan struct{})
+	go func() {
+		_ = side.Run(ctx, ln)
+		close(done)
+	}()
+	env.Defer(func() {
+		cancel()
+		<-done
+	})
+	env.Setenv(factory.EnvAddress, ln.Addr().String())
+	env.Setenv("BOOTSTRAP", bootstrapCredential)
+	for _, name := range []string{"ann", "laval", "totora"} {
+		env.Setenv(name, "credential-of-"+name)
+		env.Setenv(name+"Hash", toucansettings.HashKey("credential-of-"+name))
+	}
+	return c, nil
+}
+
+type controlKey struct{}
+
+// TestOperatorScripts runs scripts against a control side. The commands store and lag bring about faults.
+func TestOperatorScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/operators",
+		Setup: func(env *testscript.Env) error {
+			c, err := startControl(env)
+			env.Values[controlKey{}] = c
+			return err
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"store": storeCmd,
+			"lag":   lagCmd,
+		},
+	})
+}
+
+var scriptFaults = map[string]toucanfakestore.Faults{
+	"up":            {},
+	"down":          {Down: true},
+	"losesReplies":  {LoseReply: 1},
+	"losesRequests": {LoseRequest: 1},
+}
+
+func storeCmd(ts *testscript.TestScript, _ bool, args []string) {
+	c := ts.Value(controlKey{}).(*control)
+	c.store.SetFaults(scriptFaults[args[0]])
+}
+
+// lagCmd freezes what the sidecar has in force, or lets it keep up again.
+func lagCmd(ts *testscript.TestScript, _ bool, args []string) {
+	c := ts.Value(controlKey{}).(*control)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lag = nil
+	if args[0] == "on" {
+		c.lag = c.holder.Revisions()
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	answered := func(code string) error {
+		return errors.WithMessage(&toucanclient.APIError{Body: toucanoperate.Error{Code: code}}, "set")
+	}
+	for _, c := range []struct {
+		err  error
+		want int
+	}{
+		{nil, factory.ExitDone},
+		{errors.Wrap(factory.ErrUsage, "flag"), factory.ExitUsage},
+		{factory.Reported(factory.ErrUsage), factory.ExitUsage},
+		{answered(toucanoperate.CodeConflict), factory.ExitConflict},
+		{answered(toucanoperate.CodeBaseTooOld), factory.ExitConflict},
+		{answered(toucanoperate.CodeOutcomeUnknown), factory.ExitOutcomeUnknown},
+		{answered(toucanoperate.CodeStoreDown), factory.ExitFailed},
+		{answered(toucanoperate.CodeRefused), factory.ExitFailed},
+		{answered(toucanoperate.CodeInvalid), factory.ExitFailed},
+	} {
+		assert.Equal(t, factory.ExitCode(c.err), c.want, "%v", c.err)
+	}
+}
--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -19,7 +19,9 @@
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanfakestore"
 	"toucanport/toucanlimit"
+	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
@@ -60,6 +62,10 @@
 	listeners map[string][]net.Listener
 	tree      *toucansettings.Tree
 	addresses []string
+	// store stands in for the platform's key-value service; documents are what it starts with.
+	store     *toucanfakestore.Memory
+	documents []toucanrevision.Document
+	operators []string
 }
 
 // Start begins a deployment, which runs until ctx is done.
@@ -77,6 +83,7 @@
 		signer:    toucanstream.NewSigner([]byte(toucandeploy.Key(cfg.Seed, "generationSecret", ""))),
 		ledger:    toucanfake.NewLedger(),
 		listeners: make(map[string][]net.Listener),
+		store:     toucanfakestore.New(toucanfakestore.WithSeed(cfg.Seed)),
 	}
 	entryLns, err := s.listenEntries()
 	if err != nil {
@@ -87,11 +94,18 @@
 	}
 	team := cfg.Deployment.Settings(cfg.Policy, cfg.Seed, s.place)
 	s.tree = toucansettings.NewTree([]toucansettings.Team{team})
+	if err := s.writeSettings(ctx, team); err != nil {
+		return nil, err
+	}
+	operatorLns, err := s.listenOperators()
+	if err != nil {
+		return nil, err
+	}
 	if err := s.startSidecars(ctx, team); err != nil {
 		return nil, err
 	}
 	for i, ln := range entryLns {
-		if err := s.startEntry(ctx, i, ln); err != nil {
+		if err := s.startEntry(ctx, i, ln, operatorLns[i]); err != nil {
 			return nil, err
 		}
 	}
@@ -203,7 +217,7 @@
 	})
 }
 
-func (s *System) startEntry(ctx context.Context, index int, ln net.Listener) error {
+func (s *System) startEntry(ctx context.Context, index int, ln, operatorLn net.Listener) error {
 	domains := s.cfg.Deployment.FailureDomains
 	domain := domains[index%len(domains)]
 	instance := fmt.Sprintf("entry%d", index+1)
@@ -211,25 +225,25 @@
 	if err != nil {
 		return err
 	}
+	settings, err := s.newHolder()
+	if err != nil {
+		return err
+	}
 	entry := toucanentry.New(toucanentry.Config{
 		Instance:      instance,
 		FailureDomain: domain,
-		Settings:      fixedSettings{s.tree},
+		Spread:        settings,
 		Signer:        s.signer,
 		Dial:          toucanentry.Dialer(protected),
 		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain}),
 		Limiter:       toucanlimit.NewShared(s.cfg.Entries),
 	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
 	s.entries = append(s.entries, entry)
+	s.startControl(ctx, index, entry, settings, operatorLn)
 	s.wg.Go(func() { s.report("entry", entry.Run(ctx, ln)) })
 	return nil
 }
 
-type fixedSettings struct{ tree *toucansettings.Tree }
-
-// Tree implements toucanentry.Settings.
-func (f fixedSettings) Tree() *toucansettings.Tree { return f.tree }
-
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
--- a/toucanrevision/document.go
+++ b/toucanrevision/document.go
@@ -15,8 +15,12 @@
 	"toucanport/toucansettings"
 )
 
-// maxChanges bounds the history in a document.
-const maxChanges = 128
+const (
+	// maxChanges bounds the history in a document.
+	maxChanges = 128
+	// maxChangePaths bounds the paths in one record; a larger change is recorded as one of the whole document.
+	maxChangePaths = 32
+)
 
 var (
 	// ErrUnchanged is returned when edits leave a document as it is.
@@ -31,7 +35,8 @@
 	At       time.Time `toml:"at" json:"at"`
 	Author   string    `toml:"author" json:"author"`
 	Revision uint64    `toml:"revision" json:"revision"`
-	Paths    []string  `toml:"paths,omitempty" json:"paths,omitempty"`
+	// Paths are what the change touched; the document's own path stands for all of them.
+	Paths []string `toml:"paths,omitempty" json:"paths,omitempty"`
 	// Refused marks an id that was settled as not accepted: a late attempt with it is refused too.
 	Refused bool `toml:"refused,omitempty" json:"refused,omitempty"`
 }
@@ -238,8 +243,8 @@
 		if c.Revision <= revision {
 			continue
 		}
-		for _, p := range c.Paths {
-			if slices.Contains(paths, p) && !slices.Contains(touched, p) {
+		for _, p := range paths {
+			if (c.touches(d.Path) || c.touches(p)) && !slices.Contains(touched, p) {
 				touched = append(touched, p)
 			}
 		}
@@ -247,6 +252,8 @@
 	return touched
 }
 
+func (c Change) touches(path string) bool { return slices.Contains(c.Paths, path) }
+
 // WithChange returns the document after edits, with revision and history moved on. It returns ErrUnchanged
 // when nothing differs. The result is not validated.
 func (d Document) WithChange(c Change, edits []Edit) (Document, error) {
@@ -261,6 +268,9 @@
 		return d, ErrUnchanged
 	}
 	c.Paths = EditPaths(edits)
+	if len(c.Paths) > maxChangePaths {
+		c.Paths = []string{d.Path}
+	}
 	return next.withRecord(c), nil
 }
 
--- a/toucanrevision/patch.go
+++ b/toucanrevision/patch.go
@@ -36,7 +36,8 @@
 	return xxhash.Sum64(data), err
 }
 
-// PatchFrom returns the patch from an earlier revision to d, or false when the history does not reach back.
+// PatchFrom returns the patch from an earlier revision to d, or false when the history does not reach back or
+// has a change of the whole document.
 func (d Document) PatchFrom(revision uint64) (Patch, bool, error) {
 	if revision == 0 || revision >= d.Revision || !d.HistoryReaches(revision) {
 		return Patch{}, false, nil
@@ -44,10 +45,14 @@
 	p := Patch{From: revision, To: d.Revision}
 	var paths []string
 	for _, c := range d.Changes {
-		if c.Revision > revision {
-			p.Changes = append(p.Changes, c)
-			paths = append(paths, c.Paths...)
+		if c.Revision <= revision {
+			continue
 		}
+		if c.touches(d.Path) {
+			return Patch{}, false, nil
+		}
+		p.Changes = append(p.Changes, c)
+		paths = append(paths, c.Paths...)
 	}
 	slices.Sort(paths)
 	for _, path := range slices.Compact(paths) {
