--- a/toucanconfig/config.go
+++ b/toucanconfig/config.go
@@ -60,6 +60,8 @@
 	FailureDomain string
 	// InnerListen is the listener for entries.
 	InnerListen netip.AddrPort
+	// MetricsListen is the listener of the scrape endpoint; invalid for none.
+	MetricsListen netip.AddrPort
 	// Store is the platform's key-value service.
 	Store        netip.AddrPort
 	InstanceList netip.AddrPort
@@ -167,6 +169,7 @@
 		Service:          t.Name("service"),
 		FailureDomain:    t.Name("failureDomain"),
 		InnerListen:      t.Address("innerListen", true),
+		MetricsListen:    t.Address("metricsListen", false),
 		Store:            t.Address("store", true),
 		InstanceList:     t.Address("instanceList", true),
 		Engine:           t.Address("engine", false),
--- a/toucaninstance/sidecar.go
+++ b/toucaninstance/sidecar.go
@@ -4,9 +4,13 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/netip"
+
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanconfig"
 	"toucanport/toucanengine"
+	"toucanport/toucanmetric"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
 	"toucanport/toucanstream"
@@ -42,7 +46,12 @@
 	if err != nil {
 		return err
 	}
-	s.sidecar = toucansidecar.New(sidecarConfig(cfg), toucansidecar.WithLogger(s.log))
+	sidecarCfg := sidecarConfig(cfg)
+	if sidecarCfg.Scope, err = s.metrics(ctx, cfg.MetricsListen); err != nil {
+		ln.Close()
+		return err
+	}
+	s.sidecar = toucansidecar.New(sidecarCfg, toucansidecar.WithLogger(s.log))
 	s.run("links", func() error {
 		defer s.cancel()
 		return s.sidecar.Run(ctx, protect(ln, reloader))
@@ -50,6 +59,23 @@
 	return nil
 }
 
+// metrics serves the scrape endpoint and returns the scope behind it, or none without a listener.
+func (s *Sidecar) metrics(ctx context.Context, address netip.AddrPort) (tally.Scope, error) {
+	if !address.IsValid() {
+		return nil, nil
+	}
+	ln, err := listen("metrics listener", address)
+	if err != nil {
+		return nil, err
+	}
+	scope, scrape, closer := toucanmetric.New()
+	s.run("metrics", func() error {
+		defer closer.Close()
+		return serveMetrics(ctx, ln, scrape)
+	})
+	return scope, nil
+}
+
 func sidecarConfig(cfg toucanconfig.SidecarConfig) toucansidecar.Config {
 	out := toucansidecar.Config{
 		Instance:        cfg.Instance,
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -68,6 +68,7 @@
 	}
 	s.reports.succeeded()
 	s.schedule.report(admitReport(r))
+	s.engine.Report(r.Preemptions, r.Running, r.UsedBlocks, r.TotalBlocks, s.schedule.load().Queued)
 }
 
 func admitReport(r toucanengine.Report) toucanadmit.EngineReport {
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -14,9 +14,11 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanadmit"
 	"toucanport/toucanengine"
+	"toucanport/toucanmetric"
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
 	"toucanport/toucanstream"
@@ -60,7 +62,9 @@
 	Policy toucanadmit.Policy
 	Signer *toucanstream.Signer
 	// Spread holds the settings that heartbeats carry; a new one when it is left out.
-	Spread          *toucanspread.Holder
+	Spread *toucanspread.Holder
+	// Scope records metrics; nil records none.
+	Scope           tally.Scope
 	GenerationBytes int
 	BufferBytes     int
 	ResumeWindow    time.Duration
@@ -73,6 +77,9 @@
 	if c.BufferBytes == 0 {
 		c.BufferBytes = DefaultBufferBytes
 	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
 	if c.Spread == nil {
 		c.Spread = toucanspread.NewHolder()
 	}
@@ -105,6 +112,7 @@
 	working work
 	calls   callClient
 	reports reporter
+	engine  *toucanmetric.Engine
 	uses    useRelay
 
 	mu sync.Mutex
@@ -131,6 +139,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.engine = toucanmetric.NewEngine(cfg.Scope)
 	s.schedule = newSchedule(startPolicy(cfg), s.startGeneration, s.expireGeneration)
 	s.calls = newCallClient(cfg)
 	return s
