--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -19,7 +19,9 @@
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanfakestore"
 	"toucanport/toucanlimit"
+	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
@@ -40,7 +42,9 @@
 	Seed    uint64
 	// Fault is the fault that the first engine starts with; empty for none.
 	Fault toucanfake.Fault
-	Log   *slog.Logger
+	// Engine returns the stand-in of an endpoint; nil means toucanfake.DefaultConfig.
+	Engine func(name string) toucanfake.Config
+	Log    *slog.Logger
 }
 
 // System is a running deployment.
@@ -58,10 +62,17 @@
 	listeners map[string][]net.Listener
 	tree      *toucansettings.Tree
 	addresses []string
+	// store stands in for the platform's key-value service; documents are what it starts with.
+	store     *toucanfakestore.Memory
+	documents []toucanrevision.Document
+	operators []string
 }
 
 // Start begins a deployment, which runs until ctx is done.
 func Start(ctx context.Context, cfg Config) (*System, error) {
+	if cfg.Engine == nil {
+		cfg.Engine = toucanfake.DefaultConfig
+	}
 	authority, err := toucantls.NewAuthority(time.Now(), keyLifetime)
 	if err != nil {
 		return nil, err
@@ -72,6 +83,7 @@
 		signer:    toucanstream.NewSigner([]byte(toucandeploy.Key(cfg.Seed, "generationSecret", ""))),
 		ledger:    toucanfake.NewLedger(),
 		listeners: make(map[string][]net.Listener),
+		store:     toucanfakestore.New(toucanfakestore.WithSeed(cfg.Seed)),
 	}
 	entryLns, err := s.listenEntries()
 	if err != nil {
@@ -82,11 +94,18 @@
 	}
 	team := cfg.Deployment.Settings(cfg.Policy, cfg.Seed, s.place)
 	s.tree = toucansettings.NewTree([]toucansettings.Team{team})
+	if err := s.writeSettings(ctx, team); err != nil {
+		return nil, err
+	}
+	operatorLns, err := s.listenOperators()
+	if err != nil {
+		return nil, err
+	}
 	if err := s.startSidecars(ctx, team); err != nil {
 		return nil, err
 	}
 	for i, ln := range entryLns {
-		if err := s.startEntry(ctx, i, ln); err != nil {
+		if err := s.startEntry(ctx, i, ln, operatorLns[i]); err != nil {
 			return nil, err
 		}
 	}
@@ -172,7 +191,7 @@
 		s.startService(ctx, ln)
 		return nil
 	}
-	engineCfg := toucanfake.DefaultConfig(cfg.Endpoint)
+	engineCfg := s.cfg.Engine(cfg.Endpoint)
 	engineCfg.Seed = s.cfg.Seed
 	engine := toucanfake.NewEngine(engineCfg, s.ledger)
 	if index == 0 && s.cfg.Fault != "" {
@@ -198,7 +217,7 @@
 	})
 }
 
-func (s *System) startEntry(ctx context.Context, index int, ln net.Listener) error {
+func (s *System) startEntry(ctx context.Context, index int, ln, operatorLn net.Listener) error {
 	domains := s.cfg.Deployment.FailureDomains
 	domain := domains[index%len(domains)]
 	instance := fmt.Sprintf("entry%d", index+1)
@@ -206,25 +225,25 @@
 	if err != nil {
 		return err
 	}
+	settings, err := s.newHolder()
+	if err != nil {
+		return err
+	}
 	entry := toucanentry.New(toucanentry.Config{
 		Instance:      instance,
 		FailureDomain: domain,
-		Settings:      fixedSettings{s.tree},
+		Spread:        settings,
 		Signer:        s.signer,
 		Dial:          toucanentry.Dialer(protected),
 		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain}),
 		Limiter:       toucanlimit.NewShared(s.cfg.Entries),
 	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
 	s.entries = append(s.entries, entry)
+	s.startControl(ctx, index, entry, settings, operatorLn)
 	s.wg.Go(func() { s.report("entry", entry.Run(ctx, ln)) })
 	return nil
 }
 
-type fixedSettings struct{ tree *toucansettings.Tree }
-
-// Tree implements toucanentry.Settings.
-func (f fixedSettings) Tree() *toucansettings.Tree { return f.tree }
-
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
@@ -258,6 +277,9 @@
 // Wait returns when everything has ended.
 func (s *System) Wait() { s.wg.Wait() }
 
+// Err implements toucanprocess.Stopper: a stand-in that fails is logged and ends nothing else.
+func (s *System) Err() error { return nil }
+
 // Entries returns the callers' addresses.
 func (s *System) Entries() []string { return s.addresses }
 
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -14,10 +14,13 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanadmit"
 	"toucanport/toucanengine"
+	"toucanport/toucanmetric"
 	"toucanport/toucansettings"
+	"toucanport/toucanspread"
 	"toucanport/toucanstream"
 	"toucanport/toucanwire"
 )
@@ -59,9 +62,13 @@
 	// ServiceURL and ServiceTransport reach the application instance of plain services.
 	ServiceURL       string
 	ServiceTransport http.RoundTripper
-	// Policy decides admission; never nil for generation services.
-	Policy          toucanadmit.Policy
-	Signer          *toucanstream.Signer
+	// Policy decides admission whatever the settings say; without it the service's settings choose.
+	Policy toucanadmit.Policy
+	Signer *toucanstream.Signer
+	// Spread holds the settings that heartbeats carry; a new one when it is left out.
+	Spread *toucanspread.Holder
+	// Scope records metrics; nil records none.
+	Scope           tally.Scope
 	GenerationBytes int
 	BufferBytes     int
 	ResumeWindow    time.Duration
@@ -74,6 +81,12 @@
 	if c.BufferBytes == 0 {
 		c.BufferBytes = DefaultBufferBytes
 	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	if c.Spread == nil {
+		c.Spread = toucanspread.NewHolder()
+	}
 	if c.ResumeWindow == 0 {
 		c.ResumeWindow = DefaultResumeWindow
 	}
@@ -103,6 +116,7 @@
 	working work
 	calls   callClient
 	reports reporter
+	engine  *toucanmetric.Engine
 	uses    useRelay
 
 	mu sync.Mutex
@@ -131,7 +145,8 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.schedule = newSchedule(cfg.Policy, s.startGeneration, s.expireGeneration)
+	s.engine = toucanmetric.NewEngine(cfg.Scope)
+	s.schedule = newSchedule(startPolicy(cfg), s.startGeneration, s.expireGeneration)
 	s.calls = newCallClient(cfg)
 	return s
 }
@@ -165,7 +180,19 @@
 	if s.cfg.Kind == toucansettings.KindPlain {
 		return nil
 	}
-	return []func(context.Context){s.schedule.run, s.pollEngine, s.reapGenerations}
+	duties := []func(context.Context){s.schedule.run, s.pollEngine, s.reapGenerations}
+	if s.cfg.Policy == nil {
+		duties = append(duties, s.followSettings)
+	}
+	return duties
+}
+
+// startPolicy is in force until the settings are known.
+func startPolicy(cfg Config) toucanadmit.Policy {
+	if cfg.Policy != nil {
+		return cfg.Policy
+	}
+	return rule{}.newPolicy()
 }
 
 func (s *Sidecar) acceptLinks(ctx context.Context, ln net.Listener, wg *sync.WaitGroup) error {
@@ -271,8 +298,6 @@
 		s.serveCall(ctx, stream, r.Call)
 	case *toucanwire.Open_Control:
 		s.serveControl(ctx, link, stream)
-	case *toucanwire.Open_Documents:
-		s.serveDocuments(stream, r.Documents)
 	default:
 		s.log.Warn("request of unknown type", "peer", link.Peer.Instance)
 	}
