--- /dev/null
+++ b/toucaninstance/sidecar.go
@@ -0,0 +1,111 @@
+package toucaninstance
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"github.com/uber-go/tally/v4"
+
+	"toucanport/toucanconfig"
+	"toucanport/toucanengine"
+	"toucanport/toucanmetric"
+	"toucanport/toucansettings"
+	"toucanport/toucansidecar"
+	"toucanport/toucanstream"
+	"toucanport/toucantls"
+)
+
+// endpointConnections bounds idle connections to the endpoint.
+const endpointConnections = 512
+
+// Sidecar is a running sidecar process.
+type Sidecar struct {
+	process
+	sidecar *toucansidecar.Sidecar
+}
+
+// StartSidecar starts a sidecar, which runs until ctx is done or Shutdown has ended.
+func StartSidecar(ctx context.Context, cfg toucanconfig.SidecarConfig, log *slog.Logger) (*Sidecar, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Sidecar{process: process{log: log, cancel: cancel}}
+	if err := s.start(ctx, cfg); err != nil {
+		cancel()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Sidecar) start(ctx context.Context, cfg toucanconfig.SidecarConfig) error {
+	reloader, err := s.reloader(ctx, cfg.TLS)
+	if err != nil {
+		return err
+	}
+	ln, err := listen("inner listener", cfg.InnerListen)
+	if err != nil {
+		return err
+	}
+	sidecarCfg := sidecarConfig(cfg)
+	if sidecarCfg.Scope, err = s.metrics(ctx, cfg.MetricsListen); err != nil {
+		ln.Close()
+		return err
+	}
+	s.sidecar = toucansidecar.New(sidecarCfg, toucansidecar.WithLogger(s.log))
+	s.run("links", func() error {
+		defer s.cancel()
+		return s.sidecar.Run(ctx, protect(ln, reloader))
+	})
+	return nil
+}
+
+// metrics serves the scrape endpoint and returns the scope behind it, or none without a listener.
+func (s *Sidecar) metrics(ctx context.Context, address netip.AddrPort) (tally.Scope, error) {
+	if !address.IsValid() {
+		return nil, nil
+	}
+	ln, err := listen("metrics listener", address)
+	if err != nil {
+		return nil, err
+	}
+	scope, scrape, closer := toucanmetric.New()
+	s.run("metrics", func() error {
+		defer closer.Close()
+		return serveMetrics(ctx, ln, scrape)
+	})
+	return scope, nil
+}
+
+func sidecarConfig(cfg toucanconfig.SidecarConfig) toucansidecar.Config {
+	out := toucansidecar.Config{
+		Instance:        cfg.Instance,
+		FailureDomain:   cfg.FailureDomain,
+		Endpoint:        cfg.Team + "/" + cfg.Endpoint,
+		Service:         cfg.Team + "/" + cfg.Service,
+		Signer:          toucanstream.NewSigner([]byte(cfg.GenerationSecret)),
+		GenerationBytes: int(cfg.Bounds.BufferPerGeneration),
+		BufferBytes:     int(cfg.Bounds.BufferTotal),
+	}
+	if cfg.Application.IsValid() {
+		out.Kind = toucansettings.KindPlain
+		out.ServiceURL = "http://" + cfg.Application.String()
+		out.ServiceTransport = transport(endpointConnections)
+		return out
+	}
+	out.Kind = toucansettings.KindGeneration
+	out.Engine = toucanengine.New("http://"+cfg.Engine.String(), toucanengine.WithTransport(transport(endpointConnections)))
+	return out
+}
+
+func protect(ln net.Listener, r *toucantls.Reloader) net.Listener {
+	if r == nil {
+		return ln
+	}
+	return toucantls.NewListener(ln, r, toucantls.RoleEntry)
+}
+
+// Shutdown takes no new requests, waits until those in progress have ended or ctx is done, and ends the links.
+func (s *Sidecar) Shutdown(ctx context.Context) error {
+	defer s.cancel()
+	return s.sidecar.Shutdown(ctx)
+}
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -14,9 +14,11 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanadmit"
 	"toucanport/toucanengine"
+	"toucanport/toucanmetric"
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
 	"toucanport/toucanstream"
@@ -34,6 +36,10 @@
 	DefaultResumeWindow = 30 * time.Second
 	// closedIDBound is how many ids are remembered that must not start any more.
 	closedIDBound = 100_000
+	// maxLinks bounds the links of one sidecar, those included that have not said hello yet.
+	maxLinks = 1024
+	// maxStreamsPerLink bounds the requests that one entry has open.
+	maxStreamsPerLink = 4096
 )
 
 // Engine is what a sidecar needs of the model engine beside it.
@@ -56,11 +62,13 @@
 	// ServiceURL and ServiceTransport reach the application instance of plain services.
 	ServiceURL       string
 	ServiceTransport http.RoundTripper
-	// Policy decides admission; never nil for generation services.
+	// Policy decides admission whatever the settings say; without it the service's settings choose.
 	Policy toucanadmit.Policy
 	Signer *toucanstream.Signer
 	// Spread holds the settings that heartbeats carry; a new one when it is left out.
-	Spread          *toucanspread.Holder
+	Spread *toucanspread.Holder
+	// Scope records metrics; nil records none.
+	Scope           tally.Scope
 	GenerationBytes int
 	BufferBytes     int
 	ResumeWindow    time.Duration
@@ -73,6 +81,9 @@
 	if c.BufferBytes == 0 {
 		c.BufferBytes = DefaultBufferBytes
 	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
 	if c.Spread == nil {
 		c.Spread = toucanspread.NewHolder()
 	}
@@ -105,6 +116,7 @@
 	working work
 	calls   callClient
 	reports reporter
+	engine  *toucanmetric.Engine
 	uses    useRelay
 
 	mu sync.Mutex
@@ -113,6 +125,8 @@
 	// closedIDs holds ids that must not start any more: finished, cancelled, or asked for before they came.
 	closedIDs *lru.Cache[string, struct{}]
 	links     map[*toucanwire.Link]struct{}
+	// connections counts accepted connections, with and without a link.
+	connections atomic.Int64
 }
 
 // New returns a sidecar that does nothing until Run.
@@ -131,7 +145,8 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.schedule = newSchedule(cfg.Policy, s.startGeneration, s.expireGeneration)
+	s.engine = toucanmetric.NewEngine(cfg.Scope)
+	s.schedule = newSchedule(startPolicy(cfg), s.startGeneration, s.expireGeneration)
 	s.calls = newCallClient(cfg)
 	return s
 }
@@ -165,7 +180,19 @@
 	if s.cfg.Kind == toucansettings.KindPlain {
 		return nil
 	}
-	return []func(context.Context){s.schedule.run, s.pollEngine, s.reapGenerations}
+	duties := []func(context.Context){s.schedule.run, s.pollEngine, s.reapGenerations}
+	if s.cfg.Policy == nil {
+		duties = append(duties, s.followSettings)
+	}
+	return duties
+}
+
+// startPolicy is in force until the settings are known.
+func startPolicy(cfg Config) toucanadmit.Policy {
+	if cfg.Policy != nil {
+		return cfg.Policy
+	}
+	return rule{}.newPolicy()
 }
 
 func (s *Sidecar) acceptLinks(ctx context.Context, ln net.Listener, wg *sync.WaitGroup) error {
@@ -174,7 +201,16 @@
 		if err != nil {
 			return err
 		}
-		wg.Go(func() { s.serveConn(ctx, conn) })
+		if s.connections.Load() >= maxLinks {
+			s.log.Warn("link refused", "remote", conn.RemoteAddr().String(), "error", "too many links")
+			conn.Close()
+			continue
+		}
+		s.connections.Add(1)
+		wg.Go(func() {
+			defer s.connections.Add(-1)
+			s.serveConn(ctx, conn)
+		})
 	}
 }
 
@@ -193,6 +229,10 @@
 		if err != nil {
 			return
 		}
+		if link.NumStreams() > maxStreamsPerLink {
+			stream.Close()
+			continue
+		}
 		go s.serveStream(ctx, link, stream)
 	}
 }
