Balance endpoints by requests and average step time

Change: each request on an endpoint counts 10 ms times its slowness, which is the step time averaged over 2 s relative to the median; the failure domain weighs 1 ms and 3 in 100. Ruled out: dropping prefix affinity or the memory forecast changes nothing beyond chance. Conclusion: routing follows requests, and speed only where it stands out.

--- a/toucanroute/score.go
+++ b/toucanroute/score.go
@@ -11,22 +11,22 @@
 	// minStepSeconds is the step time assumed of an endpoint that has not reported one.
 	minStepSeconds = 0.005
 	// unseenSteps is how many steps a request that is not in the report yet delays the next one.
-	unseenSteps = 2
-	// stepsWeighed is how many steps of the endpoint's speed count like wait.
-	stepsWeighed = 16
+	unseenSteps = 0.5
 	// busySeconds is what each request on an endpoint adds; it balances endpoints that report no wait.
-	busySeconds = 0.001
+	busySeconds = 0.01
+	// usualSlowness is how far above the median a step time lies by chance.
+	usualSlowness = 1.25
 	// memorySeconds is what a full memory adds, and crowdedSeconds each further whole memory past crowdedMemory.
-	memorySeconds  = 0.2
+	memorySeconds  = 0.1
 	crowdedSeconds = 10
 	crowdedMemory  = 0.9
-	// domainSeconds and domainFactor are what another failure domain adds; more than tieSeconds and tieFactor,
-	// so that the entry's own is preferred among equals.
+	// domainSeconds and domainFactor are what another failure domain adds; more than tieSeconds and tieFactor, so
+	// that the entry's own is preferred among equals.
 	domainSeconds = 0.001
-	domainFactor  = 0.1
+	domainFactor  = 0.03
 	// tieSeconds and tieFactor bound the random part of a fresh report's score, ageFactor that of an old one.
 	tieSeconds = 0.0005
-	tieFactor  = 0.05
+	tieFactor  = 0.02
 	ageFactor  = 0.5
 )
 
@@ -52,6 +52,8 @@
 	meanBusy float64
 	// allSilent is true when so many endpoints are silent that silence tells nothing about one of them.
 	allSilent bool
+	// medianStep is in seconds; zero while it is not known.
+	medianStep float64
 	// meanFirstToken is the service's mean first-token time in seconds.
 	meanFirstToken float64
 }
@@ -82,12 +84,11 @@
 // score is the expected cost in seconds of sending the query to s; lower is better.
 func (c *choice) score(s *state, random float64) float64 {
 	trust := c.trust(s)
-	step := max(s.load.StepTime.Seconds(), minStepSeconds)
+	step := max(s.step, minStepSeconds)
 	wait := s.load.Wait.Seconds()
 	score := trust*wait + (1-trust)*max(wait, c.meanFirstToken)
 	score += float64(s.unseen) * unseenSteps * step
-	score += stepsWeighed * step
-	score += busySeconds * float64(s.busy())
+	score += busySeconds * float64(s.busy()+1) * c.slowness(s)
 	score += c.memory(s)
 	if s.endpoint.FailureDomain != c.cfg.FailureDomain {
 		score += domainSeconds + domainFactor*score
@@ -96,6 +97,14 @@
 	return score - c.affinity(s)
 }
 
+// slowness is how much slower than its peers the endpoint steps; 1 for those near the median or faster.
+func (c *choice) slowness(s *state) float64 {
+	if c.medianStep == 0 {
+		return 1
+	}
+	return max(1, s.step/c.medianStep/usualSlowness)
+}
+
 // trust is between 0 and 1 and falls with the age of the last report.
 func (c *choice) trust(s *state) float64 {
 	if !s.hasLoad {
--- a/toucanroute/service.go
+++ b/toucanroute/service.go
@@ -42,7 +42,7 @@
 
 // newChoice judges all candidates and takes the measures over them that single scores refer to.
 func (v *service) newChoice(now time.Time, q *Query, cfg *Config) choice {
-	c := choice{now: now, query: q, tokens: queryTokens(q), cfg: cfg, meanFirstToken: v.meanFirstToken}
+	c := choice{now: now, query: q, tokens: queryTokens(q), cfg: cfg, meanFirstToken: v.meanFirstToken, medianStep: v.medianStep}
 	silent := 0
 	for _, s := range v.states {
 		if s.silent(now, cfg) {
@@ -176,8 +176,8 @@
 	v.medianFirstToken = median(v.scratch)
 	v.scratch = v.scratch[:0]
 	for _, s := range v.states {
-		if s.load.StepTime > 0 && s.load.Running > 0 {
-			v.scratch = append(v.scratch, s.load.StepTime.Seconds())
+		if s.step > 0 {
+			v.scratch = append(v.scratch, s.step)
 		}
 	}
 	v.medianStep = median(v.scratch)
@@ -193,11 +193,10 @@
 
 // exceeds reports whether one of the endpoint's measures is above factor times its service's median.
 func (v *service) exceeds(s *state, factor float64) bool {
-	if v.medianFirstToken > 0 && s.samples >= slowSamples && s.firstToken > factor*v.medianFirstToken {
+	if s.step == 0 && v.medianFirstToken > 0 && s.samples >= slowSamples && s.firstToken > factor*v.medianFirstToken {
 		return true
 	}
-	step := s.load.StepTime.Seconds()
-	return v.medianStep > 0 && step > factor*v.medianStep
+	return v.medianStep > 0 && s.step > factor*v.medianStep
 }
 
 // judge sets an endpoint aside when it has become slow.
--- a/toucanroute/state.go
+++ b/toucanroute/state.go
@@ -1,6 +1,7 @@
 package toucanroute
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,8 @@
 	probeWeight = 0.5
 	// slowSamples is how many first tokens are seen before they can set an endpoint aside.
 	slowSamples = 5
+	// stepWindow is the time over which step times are averaged.
+	stepWindow = 2 * time.Second
 	// probeTimeout ends a probe that never finished, so that the next can be sent.
 	probeTimeout = 30 * time.Second
 )
@@ -57,6 +60,8 @@
 	prefixes   [sentPrefixes]uint64
 	nextPrefix int
 
+	// step is a moving average of the reported step times in seconds, with stepWindow.
+	step float64
 	// firstToken is a moving average in seconds over samples observations.
 	firstToken float64
 	samples    int
@@ -94,6 +99,7 @@
 func (s *state) report(now time.Time, l Load) {
 	cached := append(s.load.CachedPrefixes[:0], l.CachedPrefixes...)
 	slices.Sort(cached)
+	s.observeStep(now, l.StepTime)
 	s.load = l
 	s.load.CachedPrefixes = cached
 	s.hasLoad = true
@@ -140,6 +146,19 @@
 	}
 }
 
+// observeStep averages over time, since single steps vary with the prompts in them.
+func (s *state) observeStep(now time.Time, step time.Duration) {
+	if step <= 0 {
+		return
+	}
+	if s.step == 0 {
+		s.step = step.Seconds()
+		return
+	}
+	weight := 1 - math.Exp(-now.Sub(s.reported).Seconds()/stepWindow.Seconds())
+	s.step += weight * (step.Seconds() - s.step)
+}
+
 func (s *state) observe(firstToken time.Duration) {
 	if firstToken <= 0 {
 		return
