--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -123,7 +123,7 @@
 			return response, nil
 		}
 		mayHaveRun = mayHaveRun || ref.Ran != toucanwire.RanNo
-		f := toucanretry.Failure{NotRun: ref.Ran == toucanwire.RanNo, Repeatable: repeatable(call.Method)}
+		f := toucanretry.Failure{NotRun: ref.Ran == toucanwire.RanNo, Repeatable: repeatable(call.Method), Leaving: ref.Code == toucanwire.CodeLeaving}
 		delay, again := plan.Next(time.Now(), f)
 		if !again || !pause(ctx, delay) {
 			return nil, refusalFailure(truthful(result{refusal: ref}, &progress{mayHaveRun: mayHaveRun}).refusal)
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -91,7 +91,12 @@
 	if everywhereTheSame(ref.Code) {
 		return toucanretry.Failure{}
 	}
-	return toucanretry.Failure{NotRun: ref.Ran == toucanwire.RanNo, HandedOver: prog.next > 0, Repeatable: true}
+	return toucanretry.Failure{
+		NotRun:     ref.Ran == toucanwire.RanNo,
+		HandedOver: prog.next > 0,
+		Repeatable: true,
+		Leaving:    ref.Code == toucanwire.CodeLeaving || ref.Code == toucanwire.CodeReclaimed,
+	}
 }
 
 // everywhereTheSame reports whether every endpoint would refuse alike.
--- a/toucanretry/retry.go
+++ b/toucanretry/retry.go
@@ -16,6 +16,9 @@
 	HandedOver bool
 	// Repeatable is true when running the request again has no effect besides its answer, as for generations.
 	Repeatable bool
+	// Leaving is true when the endpoint gave the request back because it leaves. An endpoint does so once, so that
+	// it cannot cause a retry storm and costs no budget.
+	Leaving bool
 	// RetryAfter is what the endpoint asked for; zero when it asked for nothing.
 	RetryAfter time.Duration
 }
@@ -95,7 +98,7 @@
 	if !now.Add(delay).Before(p.deadline) {
 		return 0, false
 	}
-	if !p.budget.Withdraw(now, p.service) {
+	if !f.Leaving && !p.budget.Withdraw(now, p.service) {
 		return 0, false
 	}
 	p.attempts++
--- a/toucanretry/retry_test.go
+++ b/toucanretry/retry_test.go
@@ -48,6 +48,7 @@
 		NotRun:     d.HasArg("notRun"),
 		HandedOver: d.HasArg("handedOver"),
 		Repeatable: d.HasArg("repeatable"),
+		Leaving:    d.HasArg("leaving"),
 		RetryAfter: retryAfter,
 	})
 	if !ok {
