Put open-loop load on an entry and check every stream

Cause: nothing outside the tests could show what callers of a running system see. Conclusion: callers' latencies can be seen from outside.

--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -6,6 +6,7 @@
 	"toucanport/toucancmd/endpoint"
 	"toucanport/toucancmd/entry"
 	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/load"
 	"toucanport/toucancmd/service"
 	"toucanport/toucancmd/settings"
 	"toucanport/toucancmd/sidecar"
@@ -24,6 +25,7 @@
 			dev.NewCmdDev(f, nil),
 			endpoint.NewCmdEndpoint(f),
 			entry.NewCmdEntry(f, nil),
+			load.NewCmdLoad(f, nil),
 			service.NewCmdService(f),
 			settings.NewCmdSettings(f),
 			sidecar.NewCmdSidecar(f, nil),
