Remove an engine size that no admission test uses

Cause: the linter refuses the unused variable, so that nothing could land. Change: the variable goes.

--- a/toucanadmit/engine_test.go
+++ b/toucanadmit/engine_test.go
@@ -40,8 +40,6 @@
 	return engineSize{blocks, 512, 256, 18 * time.Millisecond, 250 * time.Microsecond, 25 * time.Microsecond, 0}
 }
 
-// smallEngine is an engine that decodes about 40 sequences at once.
-var smallEngine = engineSize{2048, 256, 96, 28 * time.Millisecond, 400 * time.Microsecond, 50 * time.Microsecond, 256}
 
 const (
 	modelBlockTokens = 16
