--- a/toucanadmit/engine_test.go
+++ b/toucanadmit/engine_test.go
@@ -40,7 +40,6 @@
 	return engineSize{blocks, 512, 256, 18 * time.Millisecond, 250 * time.Microsecond, 25 * time.Microsecond, 0}
 }
 
-
 const (
 	modelBlockTokens = 16
 	modelReportEvery = 250 * time.Millisecond
