--- a/toucanlimit/limit_test.go
+++ b/toucanlimit/limit_test.go
@@ -38,7 +38,11 @@
 		d.MaybeScanArgs(t, "perMinute", &s.w.TokensPerMinute)
 		s.entries, s.releases = nil, make([][]Release, n)
 		for range n {
-			s.entries = append(s.entries, NewShared(n))
+			known := n
+			if d.HasArg("alone") {
+				known = 1
+			}
+			s.entries = append(s.entries, NewShared(known))
 		}
 	case "acquire":
 		return s.acquire(t, entry, n, tokens)
--- a/toucanlimit/shared.go
+++ b/toucanlimit/shared.go
@@ -43,12 +43,14 @@
 // Shared enforces one entry's part of every workspace's limits: an equal part, and what the peers leave unused
 // up to BurstFactor times that.
 type Shared struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// entries is a lower bound; see count.
 	entries int
 	// workspaces has an entry for each workspace with work in progress or a bucket that is not full.
 	workspaces map[string]*usage
-	peers      map[string]*peer
-	swept      time.Time
+	// peers has those heard of within useTimeout of the last request; at most maxPeers.
+	peers map[string]*peer
+	swept time.Time
 }
 
 var _ Limiter = (*Shared)(nil)
@@ -69,7 +71,7 @@
 	complete bool
 }
 
-// NewShared returns a limiter for one of n entries.
+// NewShared returns a limiter for one of at least n entries.
 func NewShared(n int) *Shared {
 	return &Shared{entries: max(1, n), workspaces: make(map[string]*usage), peers: make(map[string]*peer)}
 }
@@ -138,8 +140,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
+	s.forgetPeers(now)
 	u := s.usage(now, w.Name)
-	if !s.admitsRunning(now, w, u) {
+	if !s.admitsRunning(w, u) {
 		return nil, &Error{Workspace: w.Name, Kind: ConcurrentRequests, RetryAfter: concurrentRetryAfter}
 	}
 	taken, wait := s.takeTokens(now, w, u, float64(tokens))
@@ -161,34 +164,37 @@
 
 // admitsRunning reports whether one more request fits. One request is always admitted, so that a limit below the
 // number of entries does not shut a workspace out of some of them.
-func (s *Shared) admitsRunning(now time.Time, w Workspace, u *usage) bool {
+func (s *Shared) admitsRunning(w Workspace, u *usage) bool {
 	if w.ConcurrentRequests <= 0 || u.running == 0 {
 		return true
 	}
 	limit := float64(w.ConcurrentRequests)
-	others := s.others(now, w.Name, limit, func(use Use) int { return use.Running })
+	others := s.others(w.Name, limit, func(use Use) int { return use.Running })
 	return u.running+1 <= int(s.part(limit, others))
 }
 
+// count is the number of entries: what SetEntries said, or more when more are heard of.
+func (s *Shared) count() int { return max(s.entries, 1+len(s.peers)) }
+
 // part is what this entry may take of a limit of which its peers take others.
 func (s *Shared) part(limit, others float64) float64 {
-	equal := limit / float64(s.entries)
+	equal := limit / float64(s.count())
 	return min(max(equal, limit-others), min(limit, BurstFactor*equal))
 }
 
 // others sums what the peers take. Where a peer said nothing lately it is taken to use its equal part.
-func (s *Shared) others(now time.Time, workspace string, limit float64, measure func(Use) int) float64 {
+func (s *Shared) others(workspace string, limit float64, measure func(Use) int) float64 {
 	heard := 0
 	sum := 0.0
 	for _, p := range s.peers {
 		use, listed := p.uses[workspace]
-		if now.Sub(p.heard) <= useTimeout && (listed || p.complete) {
+		if listed || p.complete {
 			heard++
 			sum += float64(measure(use))
 		}
 	}
-	unheard := max(0, s.entries-1-heard)
-	return sum + float64(unheard)*limit/float64(s.entries)
+	unheard := max(0, s.count()-1-heard)
+	return sum + float64(unheard)*limit/float64(s.count())
 }
 
 // takeTokens returns the tokens taken in advance, or the time to wait.
@@ -198,7 +204,7 @@
 		return 0, 0
 	}
 	limit := float64(w.TokensPerMinute)
-	others := s.others(now, w.Name, limit, func(use Use) int { return use.TokensPerMinute })
+	others := s.others(w.Name, limit, func(use Use) int { return use.TokensPerMinute })
 	u.bucket.setRate(now, s.part(limit, others))
 	taken, wait := u.bucket.take(now, tokens)
 	u.record(now, taken)
