Add membership: the lagging list joined with reports, and even subsets of endpoints

Cause: an entry can't keep a link to each of 3,400 endpoints, and the platform's list lags behind what instances say themselves.

--- /dev/null
+++ b/toucanlisting/client_test.go
@@ -0,0 +1,63 @@
+package toucanlisting_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanfakemember"
+	"toucanport/toucanlisting"
+	"toucanport/toucanmember"
+)
+
+// direct hands requests to a handler without a connection, and counts whole answers.
+type direct struct {
+	handler http.Handler
+	whole   atomic.Int64
+	calls   atomic.Int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (d *direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	d.calls.Add(1)
+	if w.Code == http.StatusOK {
+		d.whole.Add(1)
+	}
+	return w.Result(), nil
+}
+
+func TestListComesAfterItsLagAndOnlyWhenItChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := toucanfakemember.New(10 * time.Second)
+		transport := &direct{handler: list}
+		client := toucanlisting.New("http://10.0.0.3:80", toucanlisting.WithTransport(transport))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var latest atomic.Pointer[[]toucanmember.Listed]
+		go client.Run(ctx, func(l []toucanmember.Listed) { latest.Store(&l) })
+		list.Put(toucanmember.Listed{Instance: "a", State: toucanmember.StateLive})
+		time.Sleep(9 * time.Second)
+		assert.Equal(t, len(*latest.Load()), 0)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, len(*latest.Load()), 1)
+		list.SetDown(true)
+		list.Remove("a")
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(*latest.Load()), 1)
+		list.SetDown(false)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, len(*latest.Load()), 0)
+		assert.Equal(t, transport.whole.Load(), int64(3))
+		assert.Assert(t, transport.calls.Load() < 60)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/toucanmember/subset_test.go
@@ -0,0 +1,106 @@
+package toucanmember_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"toucanport/toucanmember"
+)
+
+func names(prefix string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s%d", prefix, i)
+	}
+	return out
+}
+
+// spreadOf returns each entry's subset, by entry.
+func spreadOf(entries, endpoints []string, want int) map[string][]string {
+	out := make(map[string][]string, len(entries))
+	for _, e := range entries {
+		out[e] = toucanmember.Subset(e, entries, endpoints, want)
+	}
+	return out
+}
+
+func coverage(subsets map[string][]string) map[string]int {
+	out := make(map[string]int)
+	for _, s := range subsets {
+		for _, e := range s {
+			out[e]++
+		}
+	}
+	return out
+}
+
+// TestSubsetsCoverEvenly holds at every size: each endpoint is in equally many subsets, at least three while
+// there are as many entries, and no entry takes on more than a quarter above its share.
+func TestSubsetsCoverEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := names("entry", rapid.IntRange(1, 40).Draw(t, "entries"))
+		endpoints := names("endpoint", rapid.IntRange(1, 120).Draw(t, "endpoints"))
+		subsets := spreadOf(entries, endpoints, 16)
+		covered := coverage(subsets)
+		least, most := len(entries), 0
+		for _, e := range endpoints {
+			least, most = min(least, covered[e]), max(most, covered[e])
+		}
+		assert.Assert(t, least >= min(3, len(entries)), "covered %d times", least)
+		assert.Assert(t, most-least <= 1, "covered %d to %d times", least, most)
+		share := float64(len(endpoints)*most) / float64(len(entries))
+		for e, s := range subsets {
+			assert.Assert(t, float64(len(s)) <= 1.25*share+1, "%s has %d, share %.1f", e, len(s), share)
+		}
+	})
+}
+
+// TestSubsetsMoveLittle takes an entry away, and an endpoint.
+func TestSubsetsMoveLittle(t *testing.T) {
+	entries, endpoints := names("entry", 60), names("endpoint", 189)
+	before := spreadOf(entries, endpoints, 16)
+	t.Run("entry", func(t *testing.T) {
+		after := spreadOf(slices.Delete(slices.Clone(entries), 20, 21), endpoints, 16)
+		delete(before, "entry20")
+		moved := moves(before, after)
+		assert.Assert(t, moved <= 8*16, "%d of %d links moved", moved, 60*16)
+	})
+	t.Run("endpoint", func(t *testing.T) {
+		after := spreadOf(entries, slices.Delete(slices.Clone(endpoints), 50, 51), 16)
+		moved := moves(before, after)
+		assert.Assert(t, moved <= 8*16, "%d of %d links moved", moved, 60*16)
+	})
+}
+
+// moves counts what entries have after and had not before.
+func moves(before, after map[string][]string) int {
+	n := 0
+	for entry, endpoints := range after {
+		for _, e := range endpoints {
+			if !slices.Contains(before[entry], e) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestSubsetDoesNotDependOnOrder(t *testing.T) {
+	entries, endpoints := names("entry", 30), names("endpoint", 100)
+	want := toucanmember.Subset("entry7", entries, endpoints, 16)
+	slices.Reverse(entries)
+	slices.Reverse(endpoints)
+	assert.DeepEqual(t, toucanmember.Subset("entry7", entries, endpoints, 16), want)
+}
+
+// BenchmarkSubset is one service of the design size: 189 endpoints, 420 entries.
+func BenchmarkSubset(b *testing.B) {
+	entries, endpoints := names("entry", 420), names("endpoint", 189)
+	for b.Loop() {
+		toucanmember.Subset("entry7", entries, endpoints, 8)
+	}
+}
