--- a/toucanmember/pace.go
+++ b/toucanmember/pace.go
@@ -5,8 +5,9 @@
 const (
 	// MinHeartbeatInterval is the time between heartbeats on one link of an instance with few links.
 	MinHeartbeatInterval = 500 * time.Millisecond
-	// MaxHeartbeatInterval keeps two heartbeats within the 8 s in which settings are in force everywhere.
-	MaxHeartbeatInterval = 3 * time.Second
+	// MaxHeartbeatInterval keeps three heartbeats within the 8 s in which settings are in force everywhere, and one
+	// within the 3 s in which a leaving endpoint gets no more work.
+	MaxHeartbeatInterval = 2500 * time.Millisecond
 	// beatBytes is what one idle heartbeat and its answer cost on the wire, both with load report, framing,
 	// TLS and TCP.
 	beatBytes = 320
--- a/toucanspread/holder.go
+++ b/toucanspread/holder.go
@@ -13,6 +13,7 @@
 
 	"toucanport/toucanrevision"
 	"toucanport/toucansettings"
+	"toucanport/toucanwire"
 )
 
 // Revision is the revision of one document.
@@ -41,6 +42,16 @@
 	// when one of them grows.
 	replicas  map[string]uint64
 	confirmed chan struct{}
+	// pulling says which peer each document is being pulled from, so that it comes once.
+	pulling map[string]*Peer
+	// packed caches what peers were sent of the held revisions.
+	packed map[packKey]*toucanwire.Document
+}
+
+// packKey names a document of the held revision as sent to a peer at the revision from.
+type packKey struct {
+	path string
+	from uint64
 }
 
 // NewHolder returns a holder with an empty tree.
@@ -52,6 +63,8 @@
 		changed:   make(chan struct{}),
 		replicas:  make(map[string]uint64),
 		confirmed: make(chan struct{}),
+		pulling:   make(map[string]*Peer),
+		packed:    make(map[packKey]*toucanwire.Document),
 	}
 	h.tree.Store(toucansettings.NewTree(nil))
 	h.digest = digestOf(nil)
@@ -80,6 +93,7 @@
 		return false, err
 	}
 	h.held[d.Path] = d
+	h.dropPacked(d.Path)
 	h.publish()
 	return true, nil
 }
@@ -137,6 +151,14 @@
 	h.changed = make(chan struct{})
 }
 
+func (h *Holder) dropPacked(path string) {
+	for k := range h.packed {
+		if k.path == path {
+			delete(h.packed, k)
+		}
+	}
+}
+
 // Document returns the held document at path.
 func (h *Holder) Document(path string) (toucanrevision.Document, bool) {
 	h.mu.Lock()
--- a/toucanspread/peer.go
+++ b/toucanspread/peer.go
@@ -39,7 +39,10 @@
 }
 
 // Close ends the link's state.
-func (p *Peer) Close() { p.holder.links.Add(-1) }
+func (p *Peer) Close() {
+	p.holder.links.Add(-1)
+	p.holder.release(p)
+}
 
 // Fill adds to a heartbeat what it carries about settings: eight bytes while both sides hold the same.
 func (p *Peer) Fill(beat *toucanwire.Heartbeat) error {
@@ -72,8 +75,9 @@
 	p.confirm()
 	p.asked = fromWire(beat.GetWanted().GetWanted())
 	p.want = nil
+	p.holder.release(p)
 	if p.heard != p.holder.Digest() {
-		p.want = p.behind()
+		p.want = p.holder.claim(p, p.behind())
 	}
 	newAsk := len(p.asked) > 0 && !slices.Equal(p.asked, p.sent)
 	newWant := len(p.want) > 0 && !slices.Equal(p.want, p.wanted)
--- a/toucanspread/replica.go
+++ b/toucanspread/replica.go
@@ -52,3 +52,28 @@
 		h.confirmed = make(chan struct{})
 	}
 }
+
+// claim returns those of wanted that no other peer is being asked for, and notes that p is.
+func (h *Holder) claim(p *Peer, wanted []Revision) []Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Revision
+	for _, r := range wanted {
+		if other := h.pulling[r.Path]; other == nil || other == p {
+			h.pulling[r.Path] = p
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// release ends what p was asked for.
+func (h *Holder) release(p *Peer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for path, other := range h.pulling {
+		if other == p {
+			delete(h.pulling, path)
+		}
+	}
+}
--- /dev/null
+++ b/toucanspread/watch_test.go
@@ -0,0 +1,128 @@
+package toucanspread_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanchange"
+	"toucanport/toucanfakestore"
+	"toucanport/toucanrevision"
+	"toucanport/toucansettings"
+	"toucanport/toucanspread"
+	"toucanport/toucanstore"
+)
+
+// TestWatchingCostsFewCalls counts a minute of an entry that watches a store with and without documents, over
+// the client and directly.
+func TestWatchingCostsFewCalls(t *testing.T) {
+	for _, documents := range []int{0, 1} {
+		for _, direct := range []bool{true, false} {
+			t.Run(fmt.Sprintf("documents=%d,direct=%v", documents, direct), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { countCalls(t, documents, direct) })
+			})
+		}
+	}
+}
+
+func countCalls(t *testing.T, documents int, direct bool) {
+	memory := toucanfakestore.New(toucanfakestore.WithWait(toucanstore.MaxWait))
+	var store toucanspread.Store = memory
+	if !direct {
+		transport, stop := memory.Pipe()
+		defer stop()
+		store = toucanstore.NewClient("http://store", toucanstore.WithTransport(transport))
+	}
+	if documents > 0 {
+		putDocument(t, memory, document, 1)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := toucanspread.NewWatcher(store, toucanchange.KeyPrefix, toucanspread.NewHolder(), quiet())
+	done := make(chan struct{})
+	go func() {
+		w.Run(ctx)
+		close(done)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	time.Sleep(time.Minute)
+	counts := memory.Counts()
+	const reads = 2
+	bound := reads + int64(documents+1)*int64(time.Minute/toucanstore.MaxWait+2)
+	assert.Assert(t, counts.Watches+counts.Reads <= bound, "%+v, bound %d", counts, bound)
+}
+
+// putDocument writes a valid document at a revision.
+func putDocument(t *testing.T, store *toucanfakestore.Memory, path string, revision uint64) toucanrevision.Document {
+	d, err := toucanrevision.ParseDeclaration(path, path, []byte(teamTOML))
+	assert.NilError(t, err)
+	d.Revision = revision
+	body, err := d.Encode()
+	assert.NilError(t, err)
+	key := toucanchange.Key(path)
+	v, _ := store.Get(context.Background(), key)
+	_, err = store.CompareAndSwap(context.Background(), key, body, v.Revision)
+	assert.NilError(t, err)
+	return d
+}
+
+// TestSweepFindsWhatNobodyWatches has one entry that watches nothing and has no peer.
+func TestSweepFindsWhatNobodyWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := toucanfakestore.New()
+		putDocument(t, store, document, 1)
+		h := toucanspread.NewHolder()
+		nothing := toucanspread.WithAssigned(func(string) bool { return false })
+		w := toucanspread.NewWatcher(store, toucanchange.KeyPrefix, h, quiet(), nothing)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			w.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(time.Second)
+		assert.Equal(t, h.RevisionOf(document), uint64(1))
+		putDocument(t, store, document, 2)
+		time.Sleep(10 * time.Minute)
+		assert.Equal(t, h.RevisionOf(document), uint64(2))
+		assert.Equal(t, store.Counts().Watches, int64(0))
+		cancel()
+		<-done
+	})
+}
+
+// TestOnePeerIsAskedForADocument links one new holder to three peers that all have the document.
+func TestOnePeerIsAskedForADocument(t *testing.T) {
+	d, err := toucanrevision.ParseDeclaration("team", document, []byte(teamTOML))
+	assert.NilError(t, err)
+	d.Revision = 1
+	fresh := toucanspread.NewHolder()
+	asked := 0
+	var own, theirs []*toucanspread.Peer
+	for range 3 {
+		h := toucanspread.NewHolder()
+		_, err := h.Offer(d)
+		assert.NilError(t, err)
+		own, theirs = append(own, toucanspread.NewPeer(fresh)), append(theirs, toucanspread.NewPeer(h))
+	}
+	for i := range own {
+		if send(t, theirs[i], own[i]) {
+			asked++
+		}
+	}
+	assert.Equal(t, asked, 1)
+	own[0].Close()
+	assert.Assert(t, send(t, theirs[1], own[1]))
+	for range 3 {
+		send(t, own[1], theirs[1])
+		send(t, theirs[1], own[1])
+	}
+	assert.Equal(t, fresh.RevisionOf(document), uint64(1))
+	assert.Equal(t, toucansettings.TeamOf(document), "laval")
+}
--- a/toucanspread/wire.go
+++ b/toucanspread/wire.go
@@ -39,7 +39,7 @@
 		if !ok || d.Revision <= r.Revision {
 			continue
 		}
-		packed, err := pack(d, r.Revision)
+		packed, err := h.pack(d, r.Revision)
 		if err != nil {
 			return out, err
 		}
@@ -48,6 +48,30 @@
 	return out, nil
 }
 
+// maxPacked bounds the cache of packed documents.
+const maxPacked = 64
+
+// pack returns d as sent to a peer that holds the revision from. Many peers ask for the same.
+func (h *Holder) pack(d toucanrevision.Document, from uint64) (*toucanwire.Document, error) {
+	key := packKey{d.Path, from}
+	h.mu.Lock()
+	packed, ok := h.packed[key]
+	h.mu.Unlock()
+	if ok && packed.Revision == d.Revision {
+		return packed, nil
+	}
+	packed, err := pack(d, from)
+	if err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.packed) < maxPacked && h.held[d.Path].Revision == d.Revision {
+		h.packed[key] = packed
+	}
+	return packed, nil
+}
+
 func pack(d toucanrevision.Document, from uint64) (*toucanwire.Document, error) {
 	patch, ok, err := d.PatchFrom(from)
 	if err != nil {
