Let entries work with their subset of endpoints and heed the platform's list

Cause: entries linked to every endpoint at a fixed 500 ms and knew nothing of the instance list. Change: an entry keeps links to its subset, at an interval that grows with their number; it gives no new work to what the list shows leaving, and learns settings from listed sidecars when it has none; links that nothing wants close after a minute; dev serves the list's stand-in.

--- a/toucancontrol/control.go
+++ b/toucancontrol/control.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"toucanport/toucanchange"
+	"toucanport/toucanmember"
 	"toucanport/toucanoperate"
 	"toucanport/toucanspread"
 	"toucanport/toucanstore"
@@ -22,8 +23,10 @@
 	Holder *toucanspread.Holder
 	// Local tells the state of the entry.
 	Local toucanoperate.Local
-	// Entries returns the operators' addresses of the other entries; nil means none.
-	Entries func() []string
+	// Instance names the entry.
+	Instance string
+	// Members is what is known of the other entries; nil means none.
+	Members Members
 	// BootstrapHash lets its credential write the first operators' document; empty for none.
 	BootstrapHash string
 	Log           *slog.Logger
@@ -31,6 +34,30 @@
 	Transport http.RoundTripper
 }
 
+// Members tells of the other entries.
+type Members interface {
+	// Entries returns the names of the entries that stay.
+	Entries() []string
+	// EntryAddresses returns the operators' addresses of the entries that stay but self.
+	EntryAddresses(self string) []string
+}
+
+// watchersPerDocument is how many entries watch each document; the others learn of changes by heartbeats.
+const watchersPerDocument = 3
+
+// assigned reports whether this entry watches a document.
+func (c Config) assigned(document string) bool {
+	return c.Members == nil || toucanmember.Chosen(c.Instance, document, c.Members.Entries(), watchersPerDocument)
+}
+
+// entries returns the operators' addresses of the other entries.
+func (c Config) entries() []string {
+	if c.Members == nil {
+		return nil
+	}
+	return c.Members.EntryAddresses(c.Instance)
+}
+
 // Control is the control side of one entry.
 type Control struct {
 	watcher *toucanspread.Watcher
@@ -43,13 +70,13 @@
 func New(cfg Config) *Control {
 	c := &Control{}
 	c.watcher = toucanspread.NewWatcher(cfg.Store, toucanchange.KeyPrefix, cfg.Holder, cfg.Log,
-		toucanspread.WithHealth(c.storeAnswers.Store))
+		toucanspread.WithHealth(c.storeAnswers.Store), toucanspread.WithAssigned(cfg.assigned))
 	c.server = toucanoperate.NewServer(toucanoperate.Config{
 		Holder:        cfg.Holder,
 		Writer:        toucanchange.New(cfg.Store, cfg.Holder),
 		Local:         cfg.Local,
 		StoreAnswers:  c.storeAnswers.Load,
-		Entries:       cfg.Entries,
+		Entries:       cfg.entries,
 		BootstrapHash: cfg.BootstrapHash,
 		Log:           cfg.Log,
 		Transport:     cfg.Transport,
--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,8 +18,10 @@
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanfakemember"
 	"toucanport/toucanfakestore"
 	"toucanport/toucanlimit"
+	"toucanport/toucanlisting"
 	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
@@ -66,6 +67,9 @@
 	store     *toucanfakestore.Memory
 	documents []toucanrevision.Document
 	operators []string
+	// list stands in for the platform's list of instances, which is served at listURL.
+	list    *toucanfakemember.List
+	listURL string
 }
 
 // Start begins a deployment, which runs until ctx is done.
@@ -101,6 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.startList(ctx, team); err != nil {
+		return nil, err
+	}
 	if err := s.startSidecars(ctx, team); err != nil {
 		return nil, err
 	}
@@ -220,11 +227,12 @@
 func (s *System) startEntry(ctx context.Context, index int, ln, operatorLn net.Listener) error {
 	domains := s.cfg.Deployment.FailureDomains
 	domain := domains[index%len(domains)]
-	instance := fmt.Sprintf("entry%d", index+1)
+	instance := entryName(index)
 	protected, err := s.protectedDial(instance)
 	if err != nil {
 		return err
 	}
+	members := toucanlisting.NewView(toucanlisting.New(s.listURL))
 	settings, err := s.newHolder()
 	if err != nil {
 		return err
@@ -233,13 +241,14 @@
 		Instance:      instance,
 		FailureDomain: domain,
 		Spread:        settings,
+		Members:       members,
 		Signer:        s.signer,
 		Dial:          toucanentry.Dialer(protected),
 		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain}),
 		Limiter:       toucanlimit.NewShared(s.cfg.Entries),
 	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
 	s.entries = append(s.entries, entry)
-	s.startControl(ctx, index, entry, settings, operatorLn)
+	s.startControl(ctx, index, entry, settings, members, operatorLn)
 	s.wg.Go(func() { s.report("entry", entry.Run(ctx, ln)) })
 	return nil
 }
--- a/toucandev/settings.go
+++ b/toucandev/settings.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,6 +13,9 @@
 	"toucanport/toucancontrol"
 	"toucanport/toucandeploy"
 	"toucanport/toucanentry"
+	"toucanport/toucanfakemember"
+	"toucanport/toucanlisting"
+	"toucanport/toucanmember"
 	"toucanport/toucanrevision"
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
@@ -110,23 +116,60 @@
 }
 
 // startControl runs the control side of an entry.
-func (s *System) startControl(ctx context.Context, index int, entry *toucanentry.Entry, h *toucanspread.Holder, ln net.Listener) {
+func (s *System) startControl(ctx context.Context, index int, entry *toucanentry.Entry, h *toucanspread.Holder, members *toucanlisting.View, ln net.Listener) {
 	control := toucancontrol.New(toucancontrol.Config{
-		Store:   s.store,
-		Holder:  h,
-		Local:   entry,
-		Entries: func() []string { return without(s.operators, index) },
-		Log:     s.cfg.Log.With("entry", index+1),
+		Store:    s.store,
+		Holder:   h,
+		Instance: entryName(index),
+		Local:    entry,
+		Members:  members,
+		Log:      s.cfg.Log.With("entry", index+1),
 	})
 	s.wg.Go(func() { s.report("control", control.Run(ctx, ln)) })
+	s.wg.Go(func() { members.Run(ctx) })
 }
 
-func without(addresses []string, index int) []string {
-	var others []string
-	for i, a := range addresses {
-		if i != index {
-			others = append(others, a)
-		}
+func entryName(index int) string { return fmt.Sprintf("entry%d", index+1) }
+
+// listLag is how far the stand-in's list of instances lags.
+const listLag = 2 * time.Second
+
+// startList serves the stand-in's list of instances.
+func (s *System) startList(ctx context.Context, team toucansettings.Team) error {
+	s.list = toucanfakemember.New(listLag)
+	for _, ep := range team.Endpoints {
+		s.list.Put(toucanmember.Listed{
+			Instance:      ep.Name,
+			Role:          toucanmember.RoleSidecar,
+			Address:       ep.Address.String(),
+			FailureDomain: ep.FailureDomain,
+			State:         toucanmember.StateLive,
+		})
+	}
+	domains := s.cfg.Deployment.FailureDomains
+	for i, address := range s.operators {
+		s.list.Put(toucanmember.Listed{
+			Instance:      entryName(i),
+			Role:          toucanmember.RoleEntry,
+			Address:       address,
+			FailureDomain: domains[i%len(domains)],
+			State:         toucanmember.StateLive,
+		})
+	}
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.Wrap(err, "instance list's listener")
+	}
+	s.listURL = "http://" + ln.Addr().String()
+	server := &http.Server{Handler: s.list, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	s.wg.Go(func() { s.report("instance list", ignoreClosed(server.Serve(ln))) })
+	return nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return others
+	return err
 }
--- a/toucanentry/control.go
+++ b/toucanentry/control.go
@@ -8,17 +8,14 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanmember"
 	"toucanport/toucanoperate"
 	"toucanport/toucanspread"
 	"toucanport/toucanwire"
 )
 
-const (
-	// heartbeatInterval is the time between heartbeats on a link.
-	heartbeatInterval = 500 * time.Millisecond
-	// heartbeatTimeout is how long a heartbeat may stay unanswered before the link counts as stalled.
-	heartbeatTimeout = 1200 * time.Millisecond
-)
+// heartbeatTimeout is how long a heartbeat may stay unanswered before the link counts as stalled.
+const heartbeatTimeout = 1200 * time.Millisecond
 
 // heard is what a sidecar told in its last heartbeat.
 type heard struct {
@@ -35,8 +32,8 @@
 	defer stream.Close()
 	spread := toucanspread.NewPeer(l.spread)
 	defer spread.Close()
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for sequence := uint64(1); ; sequence++ {
 		changed := l.spread.Changed()
 		own := &toucanwire.Heartbeat{Sequence: sequence, Uses: l.uses(address)}
@@ -47,8 +44,9 @@
 		if again {
 			continue
 		}
+		timer.Reset(toucanmember.HeartbeatInterval(l.count()))
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-changed:
 		case <-p.link.Done():
 			return errors.New("link closed")
@@ -72,6 +70,7 @@
 		return false, err
 	}
 	l.report(beat.Load)
+	l.takeMember(p.link.Peer, beat.Load)
 	l.takeUses(beat.Uses)
 	again, err = spread.Take(beat)
 	if err != nil {
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -56,8 +56,8 @@
 	Settings Settings
 	// Spread holds the settings that heartbeats carry; a new one when it is left out.
 	Spread *toucanspread.Holder
-	// Seeds returns addresses of sidecars to learn settings from while none are known; may be nil.
-	Seeds   func() []string
+	// Members is what is known of other instances; may be nil.
+	Members Members
 	Signer  *toucanstream.Signer
 	Dial    Dialer
 	Router  toucanroute.Router
@@ -122,6 +122,7 @@
 	e.callers = toucanmetric.NewCallers(cfg.Scope)
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
 	e.links.spread = cfg.Spread
+	e.links.takeMember = e.takeMember
 	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
 		Handler:           e.routes(),
@@ -180,15 +181,17 @@
 // maintainInterval is the time between looks at the settings for endpoints to keep links to.
 const maintainInterval = 500 * time.Millisecond
 
-// maintain keeps the router's endpoints and the links in step with the settings.
+// maintain keeps the router's endpoints and the links in step with the settings and the membership.
 func (e *Entry) maintain(ctx context.Context) {
 	var last *toucansettings.Tree
+	var version uint64
 	for {
-		if tree := e.cfg.Settings.Tree(); tree != last {
-			last = tree
+		tree, members := e.cfg.Settings.Tree(), e.membersVersion()
+		if tree != last || members != version {
+			last, version = tree, members
 			e.useTree(tree)
 		}
-		e.useSeeds(last)
+		e.useSeeds(tree)
 		e.links.ensure(ctx)
 		select {
 		case <-time.After(maintainInterval):
@@ -202,13 +205,15 @@
 func (e *Entry) useTree(tree *toucansettings.Tree) {
 	wanted := make(map[string]bool)
 	services := make(map[string]bool)
+	divide := e.subsets(tree)
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
-			es := routeEndpoints(tree, s)
-			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), es)
+			all := tree.Endpoints(s.Team, s.Name)
+			mine := divide(all)
+			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), e.usable(s, mine, all))
 			e.setPolicy(s)
 			services[serviceKey(s)] = true
-			for _, ep := range es {
+			for _, ep := range mine {
 				wanted[ep.Address.String()] = true
 			}
 		}
@@ -222,24 +227,6 @@
 	e.links.want(wanted)
 }
 
-// seedLinks is how many sidecars an entry without settings learns them from.
-const seedLinks = 3
-
-// useSeeds links to a few sidecars that the platform lists while there are no settings to say where any are,
-// as when an entry starts during an outage of the store.
-func (e *Entry) useSeeds(tree *toucansettings.Tree) {
-	if e.cfg.Seeds == nil || len(tree.Teams()) > 0 {
-		return
-	}
-	seeds := e.cfg.Seeds()
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	wanted := make(map[string]bool)
-	for _, address := range seeds[:min(seedLinks, len(seeds))] {
-		wanted[address] = true
-	}
-	e.links.want(wanted)
-}
-
 // policySetter is a router that has a policy for each service.
 type policySetter interface {
 	SetPolicy(service string, p toucansettings.Policy)
@@ -251,22 +238,6 @@
 	}
 }
 
-func routeEndpoints(tree *toucansettings.Tree, s toucansettings.Service) []toucanroute.Endpoint {
-	var es []toucanroute.Endpoint
-	for _, ep := range tree.Endpoints(s.Team, s.Name) {
-		if ep.Draining {
-			continue
-		}
-		es = append(es, toucanroute.Endpoint{
-			Name:          endpointKey(ep.Team, ep.Name),
-			Service:       serviceKey(s),
-			FailureDomain: ep.FailureDomain,
-			Address:       ep.Address,
-		})
-	}
-	return es
-}
-
 // serviceKey names a service uniquely over all teams.
 func serviceKey(s toucansettings.Service) string { return s.Team + "/" + s.Name }
 
--- a/toucanentry/links.go
+++ b/toucanentry/links.go
@@ -29,6 +29,8 @@
 	link *toucanwire.Link
 	// heard is what the sidecar last told; nil before its first heartbeat.
 	heard atomic.Pointer[heard]
+	// idleSince is when the link was first seen unwanted and without requests; zero while it is not.
+	idleSince time.Time
 }
 
 // links keeps one link to each sidecar that the entry works with.
@@ -41,6 +43,8 @@
 	// uses gives what heartbeats to an address tell of workspaces; takeUses gets what they bring.
 	uses     func(address string) []*toucanwire.EntryUse
 	takeUses func([]*toucanwire.EntryUse)
+	// takeMember gets each heartbeat's report with the hello of its link.
+	takeMember func(*toucanwire.Hello, *toucanwire.LoadReport)
 	// spread holds the settings that heartbeats carry.
 	spread *toucanspread.Holder
 
@@ -137,6 +141,13 @@
 	}
 }
 
+// count returns how many links there are.
+func (l *links) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.peers)
+}
+
 // want replaces the addresses that links are kept to.
 func (l *links) want(addresses map[string]bool) {
 	l.mu.Lock()
@@ -144,8 +155,35 @@
 	l.wanted = addresses
 }
 
-// ensure starts dialling every wanted address without a link.
+// idleLinkTimeout is how long a link that is not wanted and carries no request is kept.
+const idleLinkTimeout = time.Minute
+
+// controlStreams is how many streams a link without requests has.
+const controlStreams = 1
+
+// idle returns the links that have been unwanted and without requests for long enough.
+func (l *links) idle(now time.Time) []*peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*peer
+	for address, p := range l.peers {
+		switch {
+		case l.wanted[address] || p.link.NumStreams() > controlStreams:
+			p.idleSince = time.Time{}
+		case p.idleSince.IsZero():
+			p.idleSince = now
+		case now.Sub(p.idleSince) >= idleLinkTimeout:
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// ensure starts dialling every wanted address without a link, and closes links that have become idle.
 func (l *links) ensure(ctx context.Context) {
+	for _, p := range l.idle(time.Now()) {
+		p.link.Close()
+	}
 	for _, address := range l.missing(time.Now()) {
 		go func() {
 			if _, err := l.get(ctx, address); err != nil {
