--- a/toucancontrol/control.go
+++ b/toucancontrol/control.go
@@ -29,7 +29,9 @@
 	Members Members
 	// BootstrapHash lets its credential write the first operators' document; empty for none.
 	BootstrapHash string
-	Log           *slog.Logger
+	// Metrics serves the scrape endpoint; nil means none.
+	Metrics http.Handler
+	Log     *slog.Logger
 	// Transport reaches the other entries; nil means the default.
 	Transport http.RoundTripper
 }
@@ -78,6 +80,7 @@
 		StoreAnswers:  c.storeAnswers.Load,
 		Entries:       cfg.entries,
 		BootstrapHash: cfg.BootstrapHash,
+		Metrics:       cfg.Metrics,
 		Log:           cfg.Log,
 		Transport:     cfg.Transport,
 	})
--- a/toucanentry/auth.go
+++ b/toucanentry/auth.go
@@ -76,6 +76,9 @@
 		if !ok {
 			return fail(http.StatusUnauthorized, codeBadKey, "the workspace key is not valid")
 		}
+		e.connections.serving(c.Request().Context())
+		defer e.poolBody(c, workspaceKey(w))()
+		defer unlimitWrite(c)
 		return next(c, w)
 	}
 }
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,9 @@
 // WithLogger sets the logger.
 func WithLogger(log *slog.Logger) Option { return func(e *Entry) { e.log = log } }
 
+// WithConnections sets the bound on callers' open connections.
+func WithConnections(n int) Option { return func(e *Entry) { e.connections = newConnections(n) } }
+
 // Entry serves callers.
 type Entry struct {
 	cfg     Config
@@ -82,8 +86,14 @@
 	links   *links
 	callers *toucanmetric.Callers
 	server  *http.Server
+	// connections and bodies bound what callers make the entry hold.
+	connections *connections
+	bodies      *bodyPool
 	// services holds the services that the router knows; used by maintain only.
 	services map[string]bool
+	// ready is closed by markReady, which may be called any number of times.
+	ready     chan struct{}
+	markReady func()
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
@@ -113,9 +123,18 @@
 	if cfg.Settings == nil {
 		cfg.Settings = cfg.Spread
 	}
-	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
+	e := &Entry{
+		cfg:         cfg,
+		log:         slog.Default(),
+		boot:        rand.Uint64(),
+		drained:     make(chan struct{}),
+		ready:       make(chan struct{}),
+		connections: newConnections(DefaultConnections),
+		bodies:      newBodyPool(),
+	}
 	e.life, e.end = context.WithCancel(context.Background())
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
+	e.markReady = sync.OnceFunc(func() { close(e.ready) })
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -129,6 +148,8 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       e.connections.context,
+		ConnState:         e.connections.changed,
 		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
@@ -225,8 +246,14 @@
 	}
 	e.services = services
 	e.links.want(wanted)
+	if len(services) > 0 {
+		e.markReady()
+	}
 }
 
+// Ready is closed once the entry knows settings and routes by them.
+func (e *Entry) Ready() <-chan struct{} { return e.ready }
+
 // policySetter is a router that has a policy for each service.
 type policySetter interface {
 	SetPolicy(service string, p toucansettings.Policy)
@@ -270,5 +297,10 @@
 	if e.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
+	select {
+	case <-e.ready:
+	default:
+		return c.String(http.StatusServiceUnavailable, "no settings yet\n")
+	}
 	return c.String(http.StatusOK, "ok\n")
 }
