End links with their peer's certificate

Cause: a link that was up when a certificate expired went on for as long as it lasted, and a request whose sink failed at once counted as sent for ever. The router hears of a request after its sink has begun. Shown by TestLink under a fake clock: the link is up one second before the end and gone one second after. Conclusion: an expired process holds no link.

--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -128,11 +128,11 @@
 func (e *Entry) runAt(ctx context.Context, ep toucanroute.Endpoint, r *generationRequest, prog *progress, out sink) (result, error) {
 	id := toucanstream.ID{Address: ep.Address, Boot: e.boot, Serial: e.serial.Add(1), Chat: r.chat}
 	text := e.cfg.Signer.Sign(id, r.workspace)
-	sent := time.Now()
-	e.cfg.Router.Sent(sent, ep.Name, r.query)
 	if err := out.begin(text); err != nil {
 		return result{}, err
 	}
+	sent := time.Now()
+	e.cfg.Router.Sent(sent, ep.Name, r.query)
 	run := &run{entry: e, id: text, workspace: r.workspace, address: ep.Address, prog: prog, out: out}
 	run.began = func() { e.cfg.Router.Began(time.Now(), ep.Name, time.Since(sent)) }
 	res, err := run.start(ctx, r.message)
--- a/toucantls/link.go
+++ b/toucantls/link.go
@@ -47,30 +47,66 @@
 	net.Conn
 	listener *Listener
 	once     sync.Once
-	// protected and err are set by the handshake; exactly one is nil.
+	err      error
+
+	mu sync.Mutex
+	// protected is nil until the handshake has succeeded.
 	protected net.Conn
-	err       error
+	closed    bool
 }
 
-func (c *serverConn) handshake() error {
+// ready returns the protected connection after the handshake.
+func (c *serverConn) ready() (net.Conn, error) {
 	c.once.Do(func() {
-		c.protected, c.err = Server(context.Background(), c.Conn, c.listener.source, c.listener.peer)
+		protected, err := Server(context.Background(), c.Conn, c.listener.source, c.listener.peer)
+		c.err = err
+		if err == nil {
+			c.keep(protected)
+		}
 	})
-	return c.err
+	if c.err != nil {
+		return nil, c.err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.protected, nil
+}
+
+func (c *serverConn) keep(protected net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.protected = protected
+	if c.closed {
+		protected.Close()
+	}
 }
 
 // Read implements net.Conn.
 func (c *serverConn) Read(b []byte) (int, error) {
-	if err := c.handshake(); err != nil {
+	conn, err := c.ready()
+	if err != nil {
 		return 0, err
 	}
-	return c.protected.Read(b)
+	return conn.Read(b)
 }
 
 // Write implements net.Conn.
 func (c *serverConn) Write(b []byte) (int, error) {
-	if err := c.handshake(); err != nil {
+	conn, err := c.ready()
+	if err != nil {
 		return 0, err
 	}
-	return c.protected.Write(b)
+	return conn.Write(b)
+}
+
+// Close implements net.Conn. It also ends a handshake that is under way.
+func (c *serverConn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.protected != nil {
+		c.protected.Close()
+	}
+	return err
 }
--- a/toucantls/link_test.go
+++ b/toucantls/link_test.go
@@ -25,6 +25,7 @@
 		defer ln.Close()
 		protected := toucantls.NewListener(ln, issue(t, a, toucantls.RoleSidecar), toucantls.RoleEntry)
 		accepted := make(chan error, 1)
+		ended := make(chan struct{})
 		accept := func() {
 			conn, err := protected.Accept()
 			if err != nil {
@@ -32,20 +33,18 @@
 				return
 			}
 			link, err := toucanwire.Accept(context.Background(), conn, &toucanwire.Hello{Role: "sidecar"})
+			accepted <- err
 			if err == nil {
-				link.Close()
+				<-link.Done()
+				close(ended)
 			}
-			accepted <- err
 		}
 		dial := func(s toucantls.Source) error {
 			conn, err := toucantls.WrapDial(n.Dialer("10.0.0.2"), s, toucantls.RoleSidecar)(context.Background(), address)
 			if err != nil {
 				return err
 			}
-			link, err := toucanwire.Dial(context.Background(), conn, &toucanwire.Hello{Role: "entry"})
-			if err == nil {
-				link.Close()
-			}
+			_, err = toucanwire.Dial(context.Background(), conn, &toucanwire.Hello{Role: "entry"})
 			return err
 		}
 		entry := issue(t, a, toucantls.RoleEntry)
@@ -53,7 +52,15 @@
 		assert.NilError(t, dial(entry))
 		assert.NilError(t, <-accepted)
 
-		time.Sleep(lifetime + time.Second)
+		// The link ends with the certificates of its sides.
+		time.Sleep(lifetime - time.Second)
+		select {
+		case <-ended:
+			t.Fatal("the link ended early")
+		default:
+		}
+		time.Sleep(2 * time.Second)
+		<-ended
 		protected = toucantls.NewListener(ln, issue(t, a, toucantls.RoleSidecar), toucantls.RoleEntry)
 		go accept()
 		assert.Assert(t, dial(entry) != nil)
--- a/toucantls/source.go
+++ b/toucantls/source.go
@@ -88,7 +88,24 @@
 		conn.Close()
 		return nil, classify(err)
 	}
-	return t, nil
+	return newBoundedConn(t), nil
+}
+
+// boundedConn ends with the peer's certificate, so that no link outlives it.
+type boundedConn struct {
+	*tls.Conn
+	expiry *time.Timer
+}
+
+func newBoundedConn(t *tls.Conn) *boundedConn {
+	left := time.Until(t.ConnectionState().PeerCertificates[0].NotAfter)
+	return &boundedConn{Conn: t, expiry: time.AfterFunc(left, func() { _ = t.Close() })}
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.expiry.Stop()
+	return c.Conn.Close()
 }
 
 // classify names the fault of a failed handshake by one of the package's errors where it can.
