--- a/toucanorder/ledger.go
+++ b/toucanorder/ledger.go
@@ -82,8 +82,8 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = firstRetry
 	retry.MaxInterval = maxRetry
-	for {
-		results, err := l.attempt(ctx, ops)
+	for first := true; ; first = false {
+		results, err := l.attempt(ctx, ops, first)
 		if err == nil {
 			return results, nil
 		}
@@ -97,23 +97,28 @@
 	}
 }
 
-func (l *ledger) attempt(ctx context.Context, ops []toucanledger.Op) ([]toucanledger.Result, error) {
+func (l *ledger) attempt(ctx context.Context, ops []toucanledger.Op, first bool) ([]toucanledger.Result, error) {
 	if err := l.load(ctx); err != nil {
 		return nil, err
 	}
-	next, results := l.shard.With(ops, time.Now())
-	if !changed(results) && !l.unsettled {
+	var kept upkeep
+	base := l.shard
+	if first {
+		base, kept = l.upkeep(ctx)
+	}
+	next, results := base.With(ops, time.Now())
+	if !changed(results) && !kept.changed() && !l.unsettled {
 		if !l.stale(results) {
 			return results, nil
 		}
 		l.loaded = false
 		return nil, errors.Wrap(toucanstore.ErrConflict, "head may be out of date")
 	}
-	next, dropped := l.upkeep(ctx, next)
 	if err := l.write(ctx, next); err != nil {
+		l.undo(kept, err)
 		return nil, err
 	}
-	l.discard(dropped)
+	l.discard(kept.dropped...)
 	l.scope.Counter("order_commits").Inc(1)
 	return results, nil
 }
@@ -142,24 +147,45 @@
 	return false
 }
 
+// upkeep is what was done before a head was written.
+type upkeep struct {
+	// written names the chunk that the head will refer to; empty for none.
+	written string
+	// dropped names the chunks that it will no longer refer to.
+	dropped []string
+}
+
+func (u upkeep) changed() bool { return u.written != "" || len(u.dropped) > 0 }
+
 // upkeep writes what has to be in the store before the head that refers to it. When that fails the head goes
 // without.
-func (l *ledger) upkeep(ctx context.Context, s toucanledger.Shard) (toucanledger.Shard, []*toucanledger.ChunkRef) {
-	next, up, err := s.WithUpkeep(newWriter(), time.Now())
+func (l *ledger) upkeep(ctx context.Context) (toucanledger.Shard, upkeep) {
+	next, up, err := l.shard.WithUpkeep(newWriter(), time.Now())
 	if err != nil {
-		return s, nil
+		return l.shard, upkeep{}
+	}
+	var u upkeep
+	for _, ref := range up.Drop {
+		u.dropped = append(u.dropped, ref.Name())
 	}
 	if up.Write == nil {
-		return next, up.Drop
+		return next, u
 	}
-	name := up.Write.Name()
-	revision, err := l.store.CompareAndSwap(ctx, l.chunkKey(name), up.Body, 0)
+	u.written = up.Write.Name()
+	revision, err := l.store.CompareAndSwap(ctx, l.chunkKey(u.written), up.Body, 0)
 	if err != nil {
 		l.scope.Counter("order_chunk_failures").Inc(1)
-		return s, nil
+		return l.shard, upkeep{}
+	}
+	l.remember(u.written, revision)
+	return next, u
+}
+
+// undo discards the chunk of a head that was surely not written.
+func (l *ledger) undo(u upkeep, err error) {
+	if u.written != "" && !l.unsettled && !errors.Is(err, toucanstore.ErrUnknownOutcome) {
+		l.discard(u.written)
 	}
-	l.remember(name, revision)
-	return next, up.Drop
 }
 
 func (l *ledger) write(ctx context.Context, next toucanledger.Shard) error {
@@ -296,12 +322,10 @@
 	l.revisions[name] = revision
 }
 
-func (l *ledger) discard(refs []*toucanledger.ChunkRef) {
+func (l *ledger) discard(names ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, ref := range refs {
-		l.garbage = append(l.garbage, ref.Name())
-	}
+	l.garbage = append(l.garbage, names...)
 }
 
 // sweep deletes one chunk that is no longer referred to, so that a large drop is spread over many commits. One
