Merge main into orders

Cause: main moved on while this branch grew. Change: takes in what landed since, so that both are built, linted and tested together before this branch lands.

--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -23,12 +23,15 @@
 	briefsPerPlan = 8
 	// maxBypassed is how many briefs may start past a plan that does not fit; then all wait for the plan.
 	maxBypassed = 64
+	// burstTokens is the output that a workspace of weight 1 may have saved up while it got less than its share.
+	burstTokens = 8192
 	// refreshTokens is how many tokens a request generates before its demand is computed anew.
 	refreshTokens = 16
 	// throughputWindow is the time over which generated tokens are counted.
 	throughputWindow = 2 * time.Second
-	// prefillAhead is how much prompt computation is handed to the engine in advance.
-	prefillAhead = 100 * time.Millisecond
+	// prefillAheadSteps is how many steps of prompt computation are handed to the engine in advance. A prompt alone
+	// takes up to two, so that more are needed to find out what the engine can do.
+	prefillAheadSteps = 4
 	// defaultBlockTokens stands in until the engine's first report.
 	defaultBlockTokens = 16
 	// outputGain is the weight of the newest output in the mean output.
@@ -44,6 +47,8 @@
 	queue   *toucanfair.Queue
 	// jobs holds every queued and running request by id.
 	jobs map[string]*job
+	// now is the time of the latest call that asked for a decision.
+	now time.Time
 	// sum is the forecast of the running jobs.
 	sum    forecast
 	step   *stepModel
@@ -64,6 +69,9 @@
 	// queuedPrefill is the sum of the uncached prompts of queued jobs.
 	queuedPrefill int
 	running       int
+	briefs        reserve
+	shares        shares
+	bias          [toucanfair.Levels]waitBias
 	// ordinal numbers the started plans.
 	ordinal int
 	// briefTurns counts briefs started since a plan was, while plans waited; bypassed those started since the
@@ -80,24 +88,41 @@
 	item    toucanfair.Item
 	key     toucanlength.Key
 	running bool
+	// favoured is true for a brief of a workspace that held no more than its share when it came.
+	favoured bool
+	// predicted is the wait that was expected when the job came, before the correction for past errors.
+	predicted time.Duration
 	// started is when the job was handed to the engine; zero while queued.
 	started   time.Time
 	generated int
-	// demand is what the forecast holds for a running job, computed when it had generated accounted tokens.
-	demand    demand
+	// demand is what the forecast holds for a running job.
+	demand demand
+	// accounted is how many of the generated tokens the length estimates know of.
 	accounted int
 }
 
+// Priors of the classes: a quick answer has tens of tokens, a document some thousand.
+var (
+	briefPrior = toucanlength.Prior{MedianTokens: 40, Sigma: 1.2}
+	planPrior  = toucanlength.Prior{MedianTokens: 1000, Sigma: 1.2}
+)
+
 // NewToucan returns the policy that admits by a forecast of the engine's memory.
 func NewToucan(cfg Config) Policy {
 	cfg = cfg.withDefaults()
 	t := &toucan{
-		cfg:        cfg,
-		lengths:    toucanlength.New(),
-		queue:      toucanfair.New(),
+		cfg: cfg,
+		lengths: toucanlength.New(
+			toucanlength.WithPrior(string(ClassBrief), briefPrior),
+			toucanlength.WithPrior(string(ClassPlan), planPrior),
+		),
+		queue:      toucanfair.New(toucanfair.WithBurst(burstTokens)),
 		jobs:       make(map[string]*job),
 		step:       newStepModel(),
 		throughput: meter{window: throughputWindow},
+		briefs:     newReserve(),
+		shares:     newShares(),
+		bias:       [toucanfair.Levels]waitBias{{factor: 1}, {factor: 1}},
 		meanOutput: toucanlength.DefaultPrior.MedianTokens,
 	}
 	if cfg.Quantile < 1 {
@@ -107,7 +132,13 @@
 }
 
 func (t *toucan) Offer(now time.Time, r Request) error {
+	t.now = now
 	j := t.newJob(r)
+	t.shares.offered(now, r.Workspace, j.item.Weight)
+	j.favoured = j.item.Level == levelBrief && !t.overShare(j)
+	if j.favoured {
+		t.briefs.offer(now)
+	}
 	if err := t.refuse(now, j); err != nil {
 		return err
 	}
@@ -142,6 +173,7 @@
 }
 
 func (t *toucan) Next(now time.Time) []Start {
+	t.now = now
 	t.blocked = false
 	var starts []Start
 	for {
@@ -157,20 +189,37 @@
 
 // pick returns the queued job to start now, nil when none may.
 func (t *toucan) pick() *job {
-	brief, plan := t.head(levelBrief), t.head(levelPlan)
-	if plan == nil {
-		return t.startable(brief)
-	}
-	if brief != nil && t.briefTurns < briefsPerPlan {
-		return t.startable(brief)
+	first, second := t.order()
+	if first == nil {
+		return nil
 	}
-	if j := t.startable(plan); j != nil {
+	if j := t.startable(first); j != nil || second == nil {
 		return j
 	}
-	if t.bypassed >= maxBypassed {
+	if t.overShare(second) && !t.overShare(first) {
+		return nil
+	}
+	if first.item.Level == levelPlan && t.bypassed >= maxBypassed {
 		return nil
 	}
-	return t.startable(brief)
+	return t.startable(second)
+}
+
+// order returns the heads of the two levels, the one whose turn it is first. Briefs go first for some turns, but
+// those of a workspace that holds more than its share leave the turn to others' plans.
+func (t *toucan) order() (first, second *job) {
+	brief, plan := t.head(levelBrief), t.head(levelPlan)
+	switch {
+	case plan == nil:
+		return brief, nil
+	case brief == nil:
+		return plan, nil
+	case t.briefTurns >= briefsPerPlan:
+		return plan, brief
+	case t.overShare(brief) && !t.overShare(plan):
+		return plan, brief
+	}
+	return brief, plan
 }
 
 func (t *toucan) head(level int) *job {
@@ -186,7 +235,7 @@
 	if j == nil || !t.prefillAllows(j) {
 		return nil
 	}
-	if t.running >= t.batchBound() || !t.fits(j) {
+	if !t.hasSlot(j) || !t.fits(j) {
 		t.blocked = true
 		return nil
 	}
@@ -200,16 +249,21 @@
 	j.running = true
 	j.started = now
 	t.running++
+	t.shares.started(j.request.Workspace, j.item.Cost)
 	t.prefillRate.start(now, t.prefilling)
 	t.prefilling++
 	t.prefillTokens += j.request.uncached()
 	j.demand = t.demand(j)
 	t.sum.add(&j.demand)
+	t.bias[j.item.Level].learn(j.predicted, now.Sub(j.request.Arrived))
 	if j.item.Level == levelPlan {
 		t.briefTurns, t.bypassed = 0, 0
 		t.ordinal++
 		return Start{ID: j.item.ID, Priority: t.ordinal}
 	}
+	if j.favoured {
+		t.briefs.started(j.request.PromptTokens)
+	}
 	if planWaits {
 		if t.briefTurns >= briefsPerPlan {
 			t.bypassed++
@@ -221,7 +275,6 @@
 
 // demand computes what j is expected to hold from now on.
 func (t *toucan) demand(j *job) demand {
-	j.accounted = j.generated
 	h := holding{
 		promptTokens: j.request.PromptTokens,
 		generated:    j.generated,
@@ -243,8 +296,45 @@
 	if total == 0 {
 		return t.running < coldRunning
 	}
+	return t.shortfall(j) <= 0
+}
+
+// shortfall returns how many tokens of memory are missing for j.
+func (t *toucan) shortfall(j *job) float64 {
 	d := t.demand(j)
-	return t.peak(&d) <= total*(1-t.margin.share)
+	total := t.totalTokens() * (1 - t.margin.share)
+	over := t.overShare(j)
+	if !j.favoured {
+		total -= t.briefs.memory(t.now, total, reserveFor(over))
+	}
+	if over {
+		total *= 1 - overShareRoom
+	}
+	return t.peak(&d) - total
+}
+
+// hasSlot says whether the batch has room for j.
+func (t *toucan) hasSlot(j *job) bool {
+	bound := t.batchBound()
+	over := t.overShare(j)
+	if !j.favoured {
+		bound -= t.briefs.slots(t.now, bound, reserveFor(over))
+	}
+	if over {
+		bound -= int(overShareRoom * float64(bound))
+	}
+	return t.running == 0 || t.running < bound
+}
+
+func reserveFor(over bool) float64 {
+	if over {
+		return reserveShareOver
+	}
+	return reserveShare
+}
+
+func (t *toucan) overShare(j *job) bool {
+	return t.shares.over(j.request.Workspace, j.item.Cost)
 }
 
 // peak returns the most tokens that the running jobs and extra will hold, at the configured quantile.
@@ -272,8 +362,8 @@
 
 // Shares of the bound between tokens that steps are planned for, without and with prefill.
 const (
-	decodeShareInterToken = 0.80
-	decodeShareStall      = 0.85
+	decodeShareInterToken = 0.90
+	decodeShareStall      = 0.94
 	prefillShare          = 0.97
 )
 
@@ -295,7 +385,11 @@
 	bound := time.Duration(prefillShare * float64(t.cfg.InterToken))
 	allowed := float64(t.step.prefillWithin(bound, t.running+1))
 	if rate := t.prefillRate.perSecond(); rate > 0 {
-		allowed = min(allowed, rate*prefillAhead.Seconds())
+		ahead := prefillAheadSteps * t.step.predict(t.running+1, 0)
+		allowed = min(allowed, rate*ahead.Seconds())
+	}
+	if t.overShare(j) {
+		allowed *= overSharePrefill
 	}
 	return float64(t.prefillTokens+j.request.uncached()) <= allowed
 }
@@ -323,6 +417,8 @@
 }
 
 func (t *toucan) reforecast(j *job) {
+	t.lengths.Observe(j.key, j.accounted, j.generated, false)
+	j.accounted = j.generated
 	t.sum.remove(&j.demand)
 	j.demand = t.demand(j)
 	t.sum.add(&j.demand)
@@ -343,7 +439,11 @@
 	}
 	delete(t.jobs, id)
 	t.running--
+	t.shares.ended(j.request.Workspace, j.item.Cost)
 	t.sum.remove(&j.demand)
+	if j.favoured {
+		t.briefs.ended(j.request.PromptTokens, j.generated, now.Sub(j.started))
+	}
 	t.queue.Settle(j.item, float64(max(j.generated, 1)))
 	t.learn(j, complete)
 }
@@ -353,7 +453,7 @@
 		return
 	}
 	bounded := j.request.MaxTokens > 0 && j.generated >= j.request.MaxTokens
-	t.lengths.Observe(j.key, j.generated, complete && !bounded)
+	t.lengths.Observe(j.key, j.accounted, j.generated, complete && !bounded)
 	t.meanOutput += outputGain * (float64(j.generated) - t.meanOutput)
 }
 
@@ -365,6 +465,7 @@
 }
 
 func (t *toucan) Load(now time.Time) Load {
+	t.now = now
 	queued := 0
 	if n := len(t.jobs) - t.running; n > 0 {
 		queued = n
@@ -378,6 +479,6 @@
 		TotalBlocks:    t.report.TotalBlocks,
 		ForecastBlocks: int(max(0, t.peak(nil))) / blockTokens,
 		StepTime:       t.step.predict(t.running, 0),
-		Wait:           t.wait(now, t.newJob(Request{Class: ClassPlan})),
+		Wait:           t.bias[levelPlan].correct(t.wait(now, t.newJob(Request{Class: ClassPlan}))),
 	}
 }
--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -2,8 +2,17 @@
 
 import (
 	"toucanport/toucancmd/check"
+	"toucanport/toucancmd/dev"
+	"toucanport/toucancmd/endpoint"
+	"toucanport/toucancmd/entry"
 	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/load"
+	"toucanport/toucancmd/service"
+	"toucanport/toucancmd/settings"
+	"toucanport/toucancmd/sidecar"
+	"toucanport/toucancmd/status"
 	"toucanport/toucancmd/version"
+	"toucanport/toucancmd/workspace"
 )
 
 // newRoot returns the root with every command. A new command is added to this list.
@@ -13,7 +22,16 @@
 		Short: "a serving system for generations of unknown length",
 		Commands: []*factory.Command{
 			check.NewCmdCheck(f, nil),
+			dev.NewCmdDev(f, nil),
+			endpoint.NewCmdEndpoint(f),
+			entry.NewCmdEntry(f, nil),
+			load.NewCmdLoad(f, nil),
+			service.NewCmdService(f),
+			settings.NewCmdSettings(f),
+			sidecar.NewCmdSidecar(f, nil),
+			status.NewCmdStatus(f, nil),
 			version.NewCmdVersion(f, nil),
+			workspace.NewCmdWorkspace(f),
 		},
 	}
 }
--- a/toucanconfig/config.go
+++ b/toucanconfig/config.go
@@ -27,6 +27,9 @@
 	InstanceList netip.AddrPort
 	// GenerationSecret keys the MAC in generation ids; at least 32 characters and the same on all instances.
 	GenerationSecret string
+	// BootstrapCredentialHash lets the credential of this hex SHA-256 digest write the first operators'
+	// document; it counts for nothing once there is one. Empty for none.
+	BootstrapCredentialHash string
 	// TLS protects the inner links; nil only when the file says insecure = true.
 	TLS    *TLSFiles
 	Bounds EntryBounds
@@ -57,6 +60,8 @@
 	FailureDomain string
 	// InnerListen is the listener for entries.
 	InnerListen netip.AddrPort
+	// MetricsListen is the listener of the scrape endpoint; invalid for none.
+	MetricsListen netip.AddrPort
 	// Store is the platform's key-value service.
 	Store        netip.AddrPort
 	InstanceList netip.AddrPort
@@ -112,15 +117,16 @@
 		return EntryConfig{}, err
 	}
 	cfg := EntryConfig{
-		Instance:         t.Name("instance"),
-		FailureDomain:    t.Name("failureDomain"),
-		Listen:           t.Address("listen", true),
-		OperatorListen:   t.Address("operatorListen", true),
-		Store:            t.Address("store", true),
-		InstanceList:     t.Address("instanceList", true),
-		GenerationSecret: secret(t),
-		TLS:              tlsFiles(t),
-		Bounds:           entryBounds(t),
+		Instance:                t.Name("instance"),
+		FailureDomain:           t.Name("failureDomain"),
+		Listen:                  t.Address("listen", true),
+		OperatorListen:          t.Address("operatorListen", true),
+		Store:                   t.Address("store", true),
+		InstanceList:            t.Address("instanceList", true),
+		GenerationSecret:        secret(t),
+		BootstrapCredentialHash: t.String("bootstrapCredentialHash", false),
+		TLS:                     tlsFiles(t),
+		Bounds:                  entryBounds(t),
 	}
 	t.Done()
 	return cfg, problems.Err()
@@ -163,6 +169,7 @@
 		Service:          t.Name("service"),
 		FailureDomain:    t.Name("failureDomain"),
 		InnerListen:      t.Address("innerListen", true),
+		MetricsListen:    t.Address("metricsListen", false),
 		Store:            t.Address("store", true),
 		InstanceList:     t.Address("instanceList", true),
 		Engine:           t.Address("engine", false),
--- a/toucandocument/table.go
+++ b/toucandocument/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -97,6 +98,11 @@
 	return ok
 }
 
+// Keys returns the keys of t in order.
+func (t *Table) Keys() []string {
+	return slices.Sorted(maps.Keys(t.values))
+}
+
 // Done notes each unknown key with the nearest known one.
 func (t *Table) Done() {
 	var unknown []string
@@ -343,3 +349,19 @@
 	}
 	return out
 }
+
+// New returns a table over values that were decoded already; file is named in problems.
+func New(file string, values map[string]any) (*Table, *Problems) {
+	problems := &Problems{}
+	return &Table{file: file, values: values, problems: problems}, problems
+}
+
+// Time returns the time at key, or the zero time after noting a problem.
+func (t *Table) Time(key string) time.Time {
+	v, _ := t.take(key)
+	at, ok := v.(time.Time)
+	if !ok {
+		t.Note(key, v, "a date with time")
+	}
+	return at
+}
--- a/toucanentry/auth.go
+++ b/toucanentry/auth.go
@@ -76,6 +76,9 @@
 		if !ok {
 			return fail(http.StatusUnauthorized, codeBadKey, "the workspace key is not valid")
 		}
+		e.connections.serving(c.Request().Context())
+		defer e.poolBody(c, workspaceKey(w))()
+		defer unlimitWrite(c)
 		return next(c, w)
 	}
 }
@@ -83,6 +86,7 @@
 // handleError answers err as the JSON error, unless the answer has begun.
 func (e *Entry) handleError(c *echo.Context, err error) {
 	f := e.asFailure(err)
+	e.callers.Refused(f.body.Code, f.body.Ran)
 	if resp, unwrapErr := echo.UnwrapResponse(c.Response()); unwrapErr == nil && resp.Committed {
 		return
 	}
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -8,16 +8,20 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanlimit"
+	"toucanport/toucanmetric"
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
+	"toucanport/toucanspread"
 	"toucanport/toucanstream"
 	"toucanport/toucanwire"
 )
@@ -49,12 +53,19 @@
 type Config struct {
 	Instance      string
 	FailureDomain string
-	Settings      Settings
-	Signer        *toucanstream.Signer
-	Dial          Dialer
-	Router        toucanroute.Router
-	Limiter       toucanlimit.Limiter
-	Budget        *toucanretry.Budget
+	// Settings is what requests are served by. When it is left out, Spread is.
+	Settings Settings
+	// Spread holds the settings that heartbeats carry; a new one when it is left out.
+	Spread *toucanspread.Holder
+	// Members is what is known of other instances; may be nil.
+	Members Members
+	Signer  *toucanstream.Signer
+	Dial    Dialer
+	Router  toucanroute.Router
+	Limiter toucanlimit.Limiter
+	Budget  *toucanretry.Budget
+	// Scope records metrics; nil records none.
+	Scope tally.Scope
 }
 
 // Option changes an entry.
@@ -63,14 +74,26 @@
 // WithLogger sets the logger.
 func WithLogger(log *slog.Logger) Option { return func(e *Entry) { e.log = log } }
 
+// WithConnections sets the bound on callers' open connections.
+func WithConnections(n int) Option { return func(e *Entry) { e.connections = newConnections(n) } }
+
 // Entry serves callers.
 type Entry struct {
-	cfg    Config
-	log    *slog.Logger
-	boot   uint64
-	serial atomic.Uint64
-	links  *links
-	server *http.Server
+	cfg     Config
+	log     *slog.Logger
+	boot    uint64
+	serial  atomic.Uint64
+	links   *links
+	callers *toucanmetric.Callers
+	server  *http.Server
+	// connections and bodies bound what callers make the entry hold.
+	connections *connections
+	bodies      *bodyPool
+	// services holds the services that the router knows; used by maintain only.
+	services map[string]bool
+	// ready is closed by markReady, which may be called any number of times.
+	ready     chan struct{}
+	markReady func()
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
@@ -78,6 +101,9 @@
 	// life ends with Run; work that outlives its request, such as a cancel, ends with it.
 	life context.Context
 	end  context.CancelFunc
+	// requests is the parent of all requests' contexts; endRequests ends them for a cause.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns an entry that does nothing until Run.
@@ -85,20 +111,46 @@
 	if cfg.Limiter == nil {
 		cfg.Limiter = toucanlimit.NewUnlimited()
 	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
 	if cfg.Budget == nil {
 		cfg.Budget = toucanretry.NewBudget()
 	}
-	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
+	if cfg.Spread == nil {
+		cfg.Spread = toucanspread.NewHolder()
+	}
+	if cfg.Settings == nil {
+		cfg.Settings = cfg.Spread
+	}
+	e := &Entry{
+		cfg:         cfg,
+		log:         slog.Default(),
+		boot:        rand.Uint64(),
+		drained:     make(chan struct{}),
+		ready:       make(chan struct{}),
+		connections: newConnections(DefaultConnections),
+		bodies:      newBodyPool(),
+	}
 	e.life, e.end = context.WithCancel(context.Background())
+	e.requests, e.endRequests = context.WithCancelCause(context.Background())
+	e.markReady = sync.OnceFunc(func() { close(e.ready) })
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.callers = toucanmetric.NewCallers(cfg.Scope)
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
+	e.links.spread = cfg.Spread
+	e.links.takeMember = e.takeMember
+	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       e.connections.context,
+		ConnState:         e.connections.changed,
+		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
 	return e
@@ -132,6 +184,7 @@
 // Run serves callers from ln until Shutdown or until ctx is done, which ends everything at once.
 func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
 	defer e.end()
+	defer e.endRequests(nil)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.maintain(ctx)
@@ -146,36 +199,20 @@
 	return nil
 }
 
-func (e *Entry) awaitDrained(ctx context.Context) {
-	select {
-	case <-e.drained:
-	case <-ctx.Done():
-	}
-}
-
-// Shutdown takes no new connections, lets requests in progress end, and then closes the links.
-func (e *Entry) Shutdown(ctx context.Context) error {
-	if e.stopping.Swap(true) {
-		e.awaitDrained(ctx)
-		return ctx.Err()
-	}
-	defer close(e.drained)
-	err := e.server.Shutdown(ctx)
-	e.links.closeAll()
-	return errors.Wrap(err, "requests were still in progress")
-}
-
 // maintainInterval is the time between looks at the settings for endpoints to keep links to.
 const maintainInterval = 500 * time.Millisecond
 
-// maintain keeps the router's endpoints and the links in step with the settings.
+// maintain keeps the router's endpoints and the links in step with the settings and the membership.
 func (e *Entry) maintain(ctx context.Context) {
 	var last *toucansettings.Tree
+	var version uint64
 	for {
-		if tree := e.cfg.Settings.Tree(); tree != last {
-			last = tree
+		tree, members := e.cfg.Settings.Tree(), e.membersVersion()
+		if tree != last || members != version {
+			last, version = tree, members
 			e.useTree(tree)
 		}
+		e.useSeeds(tree)
 		e.links.ensure(ctx)
 		select {
 		case <-time.After(maintainInterval):
@@ -188,32 +225,44 @@
 
 func (e *Entry) useTree(tree *toucansettings.Tree) {
 	wanted := make(map[string]bool)
+	services := make(map[string]bool)
+	divide := e.subsets(tree)
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
-			es := routeEndpoints(tree, s)
-			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), es)
-			for _, ep := range es {
+			all := tree.Endpoints(s.Team, s.Name)
+			mine := divide(all)
+			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), e.usable(s, mine, all))
+			e.setPolicy(s)
+			services[serviceKey(s)] = true
+			for _, ep := range mine {
 				wanted[ep.Address.String()] = true
 			}
 		}
 	}
+	for name := range e.services {
+		if !services[name] {
+			e.cfg.Router.SetEndpoints(time.Now(), name, nil)
+		}
+	}
+	e.services = services
 	e.links.want(wanted)
+	if len(services) > 0 {
+		e.markReady()
+	}
 }
 
-func routeEndpoints(tree *toucansettings.Tree, s toucansettings.Service) []toucanroute.Endpoint {
-	var es []toucanroute.Endpoint
-	for _, ep := range tree.Endpoints(s.Team, s.Name) {
-		if ep.Draining {
-			continue
-		}
-		es = append(es, toucanroute.Endpoint{
-			Name:          endpointKey(ep.Team, ep.Name),
-			Service:       serviceKey(s),
-			FailureDomain: ep.FailureDomain,
-			Address:       ep.Address,
-		})
-	}
-	return es
+// Ready is closed once the entry knows settings and routes by them.
+func (e *Entry) Ready() <-chan struct{} { return e.ready }
+
+// policySetter is a router that has a policy for each service.
+type policySetter interface {
+	SetPolicy(service string, p toucansettings.Policy)
+}
+
+func (e *Entry) setPolicy(s toucansettings.Service) {
+	if r, ok := e.cfg.Router.(policySetter); ok {
+		r.SetPolicy(serviceKey(s), s.Policy)
+	}
 }
 
 // serviceKey names a service uniquely over all teams.
@@ -248,5 +297,10 @@
 	if e.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
+	select {
+	case <-e.ready:
+	default:
+		return c.String(http.StatusServiceUnavailable, "no settings yet\n")
+	}
 	return c.String(http.StatusOK, "ok\n")
 }
--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,7 +36,7 @@
 )
 
 func (e *Entry) chat(c *echo.Context, w toucansettings.Workspace) error {
-	r, err := toucanapi.ParseChat(e.body(c))
+	r, err := toucanapi.ParseChat(c.Request().Body)
 	if err != nil {
 		return err
 	}
@@ -45,20 +44,13 @@
 }
 
 func (e *Entry) completion(c *echo.Context, w toucansettings.Workspace) error {
-	r, err := toucanapi.ParseCompletion(e.body(c))
+	r, err := toucanapi.ParseCompletion(c.Request().Body)
 	if err != nil {
 		return err
 	}
 	return e.serveGeneration(c, w, r)
 }
 
-// body bounds how long the caller may take to send it.
-func (e *Entry) body(c *echo.Context) io.Reader {
-	control := http.NewResponseController(c.Response())
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout)) // not every writer has deadlines
-	return c.Request().Body
-}
-
 func (e *Entry) serveGeneration(c *echo.Context, w toucansettings.Workspace, r toucanapi.Request) error {
 	s, err := e.generationService(w, r.Model)
 	if err != nil {
@@ -74,12 +66,41 @@
 	}
 	tokens := 0
 	defer func() { release(time.Now(), r.PromptTokens+tokens) }()
-	out := newSink(c, r)
+	series := e.callers.Series(gen.workspace, gen.message.Class)
+	out := &measuredSink{answerSink: newSink(c, r), generation: series.Begin(time.Now())}
 	res, prog, err := e.dispatch(c.Request().Context(), gen, out)
 	tokens = prog.next
+	e.logGeneration(gen, res, prog, err)
 	return e.answer(c, out, res, err)
 }
 
+// logGeneration writes the line of one generation and counts a refusal that came behind the first token.
+func (e *Entry) logGeneration(gen *generationRequest, res result, prog *progress, err error) {
+	outcome, ran := "completed", ""
+	switch {
+	case res.refusal != nil:
+		outcome, ran = res.refusal.Code, res.refusal.Ran
+	case err != nil:
+		outcome = "unanswered"
+	}
+	if res.refusal != nil && prog.next > 0 {
+		e.callers.Refused(outcome, ran)
+	}
+	e.log.Info("generation",
+		"requestId", gen.message.RequestId,
+		"workspace", gen.workspace,
+		"service", gen.message.Service,
+		"class", gen.message.Class,
+		"endpoint", prog.endpoint.Name,
+		"failureDomain", prog.endpoint.FailureDomain,
+		"attempts", prog.attempts,
+		"tokens", prog.next,
+		"outcome", outcome,
+		"ran", ran,
+		"error", errorText(err),
+	)
+}
+
 // answer says the last thing to the caller.
 func (e *Entry) answer(c *echo.Context, out answerSink, res result, err error) error {
 	if err != nil {
@@ -202,7 +223,11 @@
 		prog:      &progress{next: next, mayHaveRun: true},
 		out:       out,
 	}
-	res, err := run.resume(c.Request().Context())
+	ctx := c.Request().Context()
+	res, err := run.resume(ctx)
+	if err != nil && ctx.Err() != nil {
+		err = gone(ctx, run.prog)
+	}
 	return e.answer(c, out, res, err)
 }
 
--- a/toucanentry/links.go
+++ b/toucanentry/links.go
@@ -4,19 +4,17 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
 
+	"toucanport/toucanspread"
 	"toucanport/toucanwire"
 )
 
 const (
-	// heartbeatInterval is the time between heartbeats on a link.
-	heartbeatInterval = 500 * time.Millisecond
-	// heartbeatTimeout is how long a heartbeat may stay unanswered before the link counts as stalled.
-	heartbeatTimeout = 1200 * time.Millisecond
 	// dialTimeout bounds the start of one link.
 	dialTimeout = 1500 * time.Millisecond
 	// redialDelay is the pause after a failed dial before the same address is dialled in the background again.
@@ -29,6 +27,10 @@
 // peer is a live link to one sidecar.
 type peer struct {
 	link *toucanwire.Link
+	// heard is what the sidecar last told; nil before its first heartbeat.
+	heard atomic.Pointer[heard]
+	// idleSince is when the link was first seen unwanted and without requests; zero while it is not.
+	idleSince time.Time
 }
 
 // links keeps one link to each sidecar that the entry works with.
@@ -38,6 +40,13 @@
 	report func(*toucanwire.LoadReport)
 	log    *slog.Logger
 	flight singleflight.Group
+	// uses gives what heartbeats to an address tell of workspaces; takeUses gets what they bring.
+	uses     func(address string) []*toucanwire.EntryUse
+	takeUses func([]*toucanwire.EntryUse)
+	// takeMember gets each heartbeat's report with the hello of its link.
+	takeMember func(*toucanwire.Hello, *toucanwire.LoadReport)
+	// spread holds the settings that heartbeats carry.
+	spread *toucanspread.Holder
 
 	mu sync.Mutex
 	// peers holds links by address; a link that has ended is removed.
@@ -119,7 +128,7 @@
 
 // keep exchanges heartbeats until the link ends or stalls.
 func (l *links) keep(address string, p *peer) {
-	err := l.heartbeats(p)
+	err := l.heartbeats(address, p)
 	p.link.Close()
 	l.mu.Lock()
 	if l.peers[address] == p {
@@ -132,38 +141,11 @@
 	}
 }
 
-func (l *links) heartbeats(p *peer) error {
-	stream, err := p.link.Open(&toucanwire.Open{Request: &toucanwire.Open_Control{Control: l.hello}})
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for sequence := uint64(1); ; sequence++ {
-		if err := l.heartbeat(stream, sequence); err != nil {
-			return err
-		}
-		select {
-		case <-ticker.C:
-		case <-p.link.Done():
-			return errors.New("link closed")
-		}
-	}
-}
-
-func (l *links) heartbeat(stream *toucanwire.Stream, sequence uint64) error {
-	stream.SetWriteDeadline(time.Now().Add(heartbeatTimeout))
-	if err := stream.Send(&toucanwire.Heartbeat{Sequence: sequence}); err != nil {
-		return err
-	}
-	stream.SetReadDeadline(time.Now().Add(heartbeatTimeout))
-	beat := &toucanwire.Heartbeat{}
-	if err := stream.Receive(beat); err != nil {
-		return err
-	}
-	l.report(beat.Load)
-	return nil
+// count returns how many links there are.
+func (l *links) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.peers)
 }
 
 // want replaces the addresses that links are kept to.
@@ -173,8 +155,35 @@
 	l.wanted = addresses
 }
 
-// ensure starts dialling every wanted address without a link.
+// idleLinkTimeout is how long a link that is not wanted and carries no request is kept.
+const idleLinkTimeout = time.Minute
+
+// controlStreams is how many streams a link without requests has.
+const controlStreams = 1
+
+// idle returns the links that have been unwanted and without requests for long enough.
+func (l *links) idle(now time.Time) []*peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*peer
+	for address, p := range l.peers {
+		switch {
+		case l.wanted[address] || p.link.NumStreams() > controlStreams:
+			p.idleSince = time.Time{}
+		case p.idleSince.IsZero():
+			p.idleSince = now
+		case now.Sub(p.idleSince) >= idleLinkTimeout:
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// ensure starts dialling every wanted address without a link, and closes links that have become idle.
 func (l *links) ensure(ctx context.Context) {
+	for _, p := range l.idle(time.Now()) {
+		p.link.Close()
+	}
 	for _, address := range l.missing(time.Now()) {
 		go func() {
 			if _, err := l.get(ctx, address); err != nil {
--- a/toucanentry/sink.go
+++ b/toucanentry/sink.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanapi"
+	"toucanport/toucanmetric"
 	"toucanport/toucanwire"
 )
 
@@ -35,6 +36,8 @@
 	id      string
 	events  *toucanapi.Events
 	buf     []byte
+	// limited is when the write deadline was last moved.
+	limited time.Time
 }
 
 func (s *streamSink) begin(id string) error {
@@ -71,6 +74,7 @@
 }
 
 func (s *streamSink) flush() error {
+	s.limitWrite(time.Now())
 	_, err := s.c.Response().Write(s.buf)
 	s.buf = s.buf[:0]
 	if err != nil {
@@ -82,6 +86,15 @@
 	return nil
 }
 
+// limitWrite moves the write deadline, though not with every token.
+func (s *streamSink) limitWrite(now time.Time) {
+	if now.Sub(s.limited) < writeTimeout/4 {
+		return
+	}
+	s.limited = now
+	limitWrite(s.c)
+}
+
 func (s *streamSink) end(end *toucanwire.End) error {
 	if err := s.open(); err != nil {
 		return err
@@ -104,6 +117,29 @@
 	return s.flush()
 }
 
+// measuredSink records the progress of the answer that it hands on.
+type measuredSink struct {
+	answerSink
+	generation *toucanmetric.Generation
+}
+
+func (s *measuredSink) tokens(first int, text []string) error {
+	err := s.answerSink.tokens(first, text)
+	s.generation.Tokens(time.Now(), len(text))
+	return err
+}
+
+func (s *measuredSink) end(end *toucanwire.End) error {
+	err := s.answerSink.end(end)
+	s.generation.End(time.Now(), err == nil)
+	return err
+}
+
+func (s *measuredSink) failed(err error) error {
+	s.generation.End(time.Now(), false)
+	return s.answerSink.failed(err)
+}
+
 // wholeSink collects an answer that is sent in one piece.
 type wholeSink struct {
 	c    *echo.Context
@@ -114,6 +150,7 @@
 
 func (s *wholeSink) begin(id string) error {
 	s.id = id
+	s.c.Response().Header().Set(headerGenerationID, id)
 	s.text.Reset()
 	return nil
 }
@@ -131,7 +168,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write answer")
 	}
-	s.c.Response().Header().Set(headerGenerationID, s.id)
+	limitWrite(s.c)
 	return s.c.JSONBlob(http.StatusOK, body)
 }
 
--- a/toucanlimit/shared.go
+++ b/toucanlimit/shared.go
@@ -14,6 +14,8 @@
 	useTimeout = 3 * time.Second
 	// maxPeers bounds the peers whose use is kept; any further are taken to use their equal part.
 	maxPeers = 32
+	// maxUses bounds what an entry tells of itself at once.
+	maxUses = 32
 	// sweepInterval is the time between two removals of idle workspaces.
 	sweepInterval = 10 * time.Second
 	// concurrentRetryAfter is when a workspace at its limit of concurrent requests should come back.
@@ -24,22 +26,31 @@
 	rateWindow = 10 * time.Second
 )
 
-// Use is what one entry carries of a workspace. Entries tell it to their peers on heartbeats.
+// Use is what one entry carries of a workspace.
 type Use struct {
 	Workspace       string
 	Running         int
 	TokensPerMinute int
 }
 
+// Uses is what one entry tells its peers, on heartbeats.
+type Uses struct {
+	List []Use
+	// Complete is true when workspaces that are not listed have no work at the entry.
+	Complete bool
+}
+
 // Shared enforces one entry's part of every workspace's limits: an equal part, and what the peers leave unused
 // up to BurstFactor times that.
 type Shared struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// entries is a lower bound; see count.
 	entries int
 	// workspaces has an entry for each workspace with work in progress or a bucket that is not full.
 	workspaces map[string]*usage
-	peers      map[string]*peer
-	swept      time.Time
+	// peers has those heard of within useTimeout of the last request; at most maxPeers.
+	peers map[string]*peer
+	swept time.Time
 }
 
 var _ Limiter = (*Shared)(nil)
@@ -55,11 +66,12 @@
 
 // peer is what another entry told last.
 type peer struct {
-	heard time.Time
-	uses  map[string]Use
+	heard    time.Time
+	uses     map[string]Use
+	complete bool
 }
 
-// NewShared returns a limiter for one of n entries.
+// NewShared returns a limiter for one of at least n entries.
 func NewShared(n int) *Shared {
 	return &Shared{entries: max(1, n), workspaces: make(map[string]*usage), peers: make(map[string]*peer)}
 }
@@ -72,7 +84,7 @@
 }
 
 // Observe takes in what a peer carries; it replaces what the peer told before.
-func (s *Shared) Observe(now time.Time, name string, uses []Use) {
+func (s *Shared) Observe(now time.Time, name string, uses Uses) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forgetPeers(now)
@@ -85,8 +97,9 @@
 		s.peers[name] = p
 	}
 	p.heard = now
-	p.uses = make(map[string]Use, len(uses))
-	for _, u := range uses {
+	p.complete = uses.Complete
+	p.uses = make(map[string]Use, len(uses.List))
+	for _, u := range uses.List {
 		p.uses[u.Workspace] = u
 	}
 }
@@ -99,17 +112,22 @@
 	}
 }
 
-// Uses returns what this entry carries, for its peers.
-func (s *Shared) Uses(now time.Time) []Use {
+// Uses returns what this entry carries, for its peers: at most maxUses workspaces.
+func (s *Shared) Uses(now time.Time) Uses {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
-	uses := make([]Use, 0, len(s.workspaces))
+	uses := Uses{Complete: true}
 	for name, u := range s.workspaces {
 		rate := int(u.rate(now))
-		if u.running > 0 || rate > 0 {
-			uses = append(uses, Use{Workspace: name, Running: u.running, TokensPerMinute: rate})
+		if u.running == 0 && rate == 0 {
+			continue
+		}
+		if len(uses.List) == maxUses {
+			uses.Complete = false
+			break
 		}
+		uses.List = append(uses.List, Use{Workspace: name, Running: u.running, TokensPerMinute: rate})
 	}
 	return uses
 }
@@ -122,8 +140,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
+	s.forgetPeers(now)
 	u := s.usage(now, w.Name)
-	if !s.admitsRunning(now, w, u) {
+	if !s.admitsRunning(w, u) {
 		return nil, &Error{Workspace: w.Name, Kind: ConcurrentRequests, RetryAfter: concurrentRetryAfter}
 	}
 	taken, wait := s.takeTokens(now, w, u, float64(tokens))
@@ -145,33 +164,37 @@
 
 // admitsRunning reports whether one more request fits. One request is always admitted, so that a limit below the
 // number of entries does not shut a workspace out of some of them.
-func (s *Shared) admitsRunning(now time.Time, w Workspace, u *usage) bool {
+func (s *Shared) admitsRunning(w Workspace, u *usage) bool {
 	if w.ConcurrentRequests <= 0 || u.running == 0 {
 		return true
 	}
 	limit := float64(w.ConcurrentRequests)
-	others := s.others(now, w.Name, limit, func(use Use) int { return use.Running })
+	others := s.others(w.Name, limit, func(use Use) int { return use.Running })
 	return u.running+1 <= int(s.part(limit, others))
 }
 
+// count is the number of entries: what SetEntries said, or more when more are heard of.
+func (s *Shared) count() int { return max(s.entries, 1+len(s.peers)) }
+
 // part is what this entry may take of a limit of which its peers take others.
 func (s *Shared) part(limit, others float64) float64 {
-	equal := limit / float64(s.entries)
+	equal := limit / float64(s.count())
 	return min(max(equal, limit-others), min(limit, BurstFactor*equal))
 }
 
-// others sums what the peers take. Those not heard of lately are taken to use their equal part.
-func (s *Shared) others(now time.Time, workspace string, limit float64, measure func(Use) int) float64 {
+// others sums what the peers take. Where a peer said nothing lately it is taken to use its equal part.
+func (s *Shared) others(workspace string, limit float64, measure func(Use) int) float64 {
 	heard := 0
 	sum := 0.0
 	for _, p := range s.peers {
-		if now.Sub(p.heard) <= useTimeout {
+		use, listed := p.uses[workspace]
+		if listed || p.complete {
 			heard++
-			sum += float64(measure(p.uses[workspace]))
+			sum += float64(measure(use))
 		}
 	}
-	unheard := max(0, s.entries-1-heard)
-	return sum + float64(unheard)*limit/float64(s.entries)
+	unheard := max(0, s.count()-1-heard)
+	return sum + float64(unheard)*limit/float64(s.count())
 }
 
 // takeTokens returns the tokens taken in advance, or the time to wait.
@@ -181,7 +204,7 @@
 		return 0, 0
 	}
 	limit := float64(w.TokensPerMinute)
-	others := s.others(now, w.Name, limit, func(use Use) int { return use.TokensPerMinute })
+	others := s.others(w.Name, limit, func(use Use) int { return use.TokensPerMinute })
 	u.bucket.setRate(now, s.part(limit, others))
 	taken, wait := u.bucket.take(now, tokens)
 	u.record(now, taken)
--- a/toucanwire/link.go
+++ b/toucanwire/link.go
@@ -61,7 +61,7 @@
 	if calling {
 		start = yamux.Client
 	}
-	session, err := start(conn, sessionConfig())
+	session, err := start(newCoalescer(conn), sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, errors.Wrap(err, "start session")
@@ -179,8 +179,7 @@
 
 // Receive reads one message into m. It returns io.EOF when the peer has closed the stream.
 func (s *Stream) Receive(m proto.Message) error {
-	opts := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
-	err := opts.UnmarshalFrom(s.in, m)
+	err := readDelimited(s.in, m)
 	if err == nil || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return err
 	}
