Prove the invariants over a table of fault cases with a checker that bites

Cause: what must always hold had no proof under failure. Change: 218 cases (each of 20 faults at five moments, twice, with others, and longer than the system's own timeouts) run the real entries and sidecars in memory; a checker compares what callers were told with the ledgers of engines and application instances; script/faults draws random cases. Five broken variants (orders sent twice, spliced generations, a missing workspace check, a router that ignores leaving, a false report that a request did not run) are each caught.

--- a/toucanrig/caller.go
+++ b/toucanrig/caller.go
@@ -103,7 +103,7 @@
 	req.Header.Set("Authorization", "Bearer "+workspaceSecret(workspace))
 	reader := &answerReader{begin: time.Now(), next: next}
 	reader.last = reader.begin
-	client := &http.Client{Transport: r.callers}
+	client := &http.Client{Transport: r.asking}
 	resp, err := client.Do(req)
 	if err != nil {
 		reader.answer.Broken = err
--- a/toucanrig/deployment.go
+++ b/toucanrig/deployment.go
@@ -17,10 +17,20 @@
 
 // Service is one service of a deployment and the requests that come to it.
 type Service struct {
-	Name    string
+	Name string
+	// Engines is the number of endpoints.
 	Engines int
 	// PlanShare is the share of requests of the class plan; the others are brief.
 	PlanShare float64
+	// Plain is true for a service whose endpoints are application instances.
+	Plain bool
+}
+
+func (s Service) kind() toucansettings.Kind {
+	if s.Plain {
+		return toucansettings.KindPlain
+	}
+	return toucansettings.KindGeneration
 }
 
 // Deployment is what one of the users runs.
@@ -43,14 +53,14 @@
 			Name:           "cordeauLaval",
 			FailureDomains: []string{"qc-east-a", "qc-east-b", "qc-east-c"},
 			Weigh:          toucansettings.WeighStallTime,
-			Services:       []Service{{"redacteur", 14, 0.25}, {"comptoir", 3, 0.05}},
+			Services:       []Service{{Name: "redacteur", Engines: 14, PlanShare: 0.25}, {Name: "comptoir", Engines: 3, PlanShare: 0.05}},
 			Engine:         measuredEngine(),
 		},
 		{
 			Name:           "totora",
 			FailureDomains: []string{"lima-a", "lima-b", "lima-c"},
 			Weigh:          toucansettings.WeighInterTokenLatency,
-			Services:       []Service{{"assistant", 14, 0.25}, {"workshop", 3, 0.05}},
+			Services:       []Service{{Name: "assistant", Engines: 14, PlanShare: 0.25}, {Name: "workshop", Engines: 3, PlanShare: 0.05}},
 			Engine:         measuredEngine(),
 		},
 	}
@@ -81,7 +91,9 @@
 // endpointSpec is the place of one endpoint.
 type endpointSpec struct {
 	name, service, failureDomain string
-	sidecar, engine              netip.AddrPort
+	plain                        bool
+	// sidecar and engine are the addresses of the sidecar and of the engine or application instance.
+	sidecar, engine netip.AddrPort
 }
 
 // endpoints spreads each service's endpoints over the failure domains.
@@ -93,6 +105,7 @@
 			specs = append(specs, endpointSpec{
 				name:          fmt.Sprintf("%s-%d", s.Name, i),
 				service:       s.Name,
+				plain:         s.Plain,
 				failureDomain: d.FailureDomains[i%len(d.FailureDomains)],
 				sidecar:       netip.AddrPortFrom(ip, 7000),
 				engine:        netip.AddrPortFrom(ip, 9000),
@@ -106,8 +119,8 @@
 func workspaceName(i int) string   { return fmt.Sprintf("workspace-%d", i) }
 func workspaceSecret(i int) string { return fmt.Sprintf("key-of-workspace-%d", i) }
 
-// tree returns the deployment's settings with policy for every service.
-func (d Deployment) tree(policy toucansettings.Policy) *toucansettings.Tree {
+// team returns the deployment's settings with policy for every service and the named endpoints draining.
+func (d Deployment) team(policy toucansettings.Policy, draining map[string]bool) toucansettings.Team {
 	team := toucansettings.Team{Name: d.Name, Revision: 1}
 	var names []string
 	for _, s := range d.Services {
@@ -115,7 +128,7 @@
 		team.Services = append(team.Services, toucansettings.Service{
 			Name:       s.Name,
 			Team:       d.Name,
-			Kind:       toucansettings.KindGeneration,
+			Kind:       s.kind(),
 			Model:      s.Name,
 			Weigh:      d.Weigh,
 			Policy:     policy,
@@ -139,7 +152,8 @@
 			Service:       spec.service,
 			Address:       spec.sidecar,
 			FailureDomain: spec.failureDomain,
+			Draining:      draining[spec.name],
 		})
 	}
-	return toucansettings.NewTree([]toucansettings.Team{team})
+	return team
 }
--- /dev/null
+++ b/toucanrig/fault.go
@@ -0,0 +1,197 @@
+package toucanrig
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanfake"
+)
+
+// faultKind is one way in which the system is disturbed. Endpoint faults hit the first endpoint of every
+// service, and link faults the links to these from the first entry.
+type faultKind struct {
+	name string
+	// length is how long the fault lasts, or the time until a killed process is replaced.
+	length time.Duration
+	begin  func(c *caseRun, length time.Duration)
+}
+
+// faultKinds returns every fault of the table.
+func faultKinds() []faultKind {
+	return []faultKind{
+		{"cutLink", 0, (*caseRun).cutLink},
+		{"stallLink", 3 * time.Second, linkFault(LinkState{RequestsStalled: true, RepliesStalled: true})},
+		{"stallRequests", 3 * time.Second, linkFault(LinkState{RequestsStalled: true})},
+		{"stallReplies", 3 * time.Second, linkFault(LinkState{RepliesStalled: true})},
+		{"loseReplies", 500 * time.Millisecond, (*caseRun).loseReplies},
+		{"delayLink", 2 * time.Second, linkFault(LinkState{Delay: 300 * time.Millisecond})},
+		{"refuseLink", 3 * time.Second, (*caseRun).refuseLink},
+		{"stallAllLinks", 1500 * time.Millisecond, (*caseRun).stallAllLinks},
+		{"killSidecar", time.Second, (*caseRun).killSidecar},
+		{"killEngine", 2 * time.Second, (*caseRun).killEngine},
+		{"killBoth", 2 * time.Second, (*caseRun).killBoth},
+		{"killEntry", 2 * time.Second, (*caseRun).killEntry},
+		{"cutEngine", 0, (*caseRun).cutEngine},
+		{"freezeEngine", 3 * time.Second, engineFault(toucanfake.FaultFrozen)},
+		{"stallEngine", 3 * time.Second, engineFault(toucanfake.FaultStalled)},
+		{"slowEngine", 3 * time.Second, engineFault(toucanfake.FaultSlow)},
+		{"reclaimEngine", 10 * time.Second, engineFault(toucanfake.FaultReclaimed)},
+		{"leave", 0, (*caseRun).leave},
+		{"drain", 0, (*caseRun).drain},
+		{"callersLeave", 0, (*caseRun).callersLeave},
+	}
+}
+
+// ErrCase is returned for a line that is no fault case.
+var ErrCase = errors.New("no fault case")
+
+// Fault is one fault of a case.
+type Fault struct {
+	kind   faultKind
+	length time.Duration
+	// at counts from the first request.
+	at time.Duration
+}
+
+// String returns the fault as ParseCase reads it.
+func (f Fault) String() string { return f.kind.name + ":" + f.length.String() + "@" + f.at.String() }
+
+// parseFault reads name[:length]@moment.
+func parseFault(text string) (Fault, error) {
+	what, when, ok := strings.Cut(text, "@")
+	if !ok {
+		return Fault{}, errors.Wrapf(ErrCase, "fault %q has no moment", text)
+	}
+	name, length, hasLength := strings.Cut(what, ":")
+	kinds := faultKinds()
+	i := slices.IndexFunc(kinds, func(k faultKind) bool { return k.name == name })
+	if i < 0 {
+		return Fault{}, errors.Wrapf(ErrCase, "fault %q is not known", name)
+	}
+	f := Fault{kind: kinds[i], length: kinds[i].length}
+	var err error
+	if f.at, err = time.ParseDuration(when); err != nil {
+		return Fault{}, errors.Wrap(ErrCase, err.Error())
+	}
+	if hasLength {
+		if f.length, err = time.ParseDuration(length); err != nil {
+			return Fault{}, errors.Wrap(ErrCase, err.Error())
+		}
+	}
+	return f, nil
+}
+
+// targets returns the first endpoint of every service.
+func (c *caseRun) targets() []*endpointProcesses {
+	var first []*endpointProcesses
+	for _, ep := range c.rig.endpoints {
+		if strings.HasSuffix(ep.spec.name, "-0") {
+			first = append(first, ep)
+		}
+	}
+	return first
+}
+
+func (c *caseRun) links() []LinkName {
+	var names []LinkName
+	for _, ep := range c.targets() {
+		names = append(names, LinkName{c.rig.entries[0].name, ep.spec.sidecar.String()})
+	}
+	return names
+}
+
+// linkFault gives links a state for a while.
+func linkFault(s LinkState) func(*caseRun, time.Duration) {
+	s.Delay = max(s.Delay, innerDelay)
+	return func(c *caseRun, length time.Duration) {
+		for _, name := range c.links() {
+			c.setLink(name, s, length)
+		}
+	}
+}
+
+func (c *caseRun) setLink(name LinkName, s LinkState, length time.Duration) {
+	c.rig.Network.Set(name, s)
+	time.AfterFunc(length, func() { c.rig.Network.Set(name, LinkState{Delay: innerDelay}) })
+}
+
+func (c *caseRun) cutLink(time.Duration) {
+	for _, name := range c.links() {
+		c.rig.Network.Cut(name)
+	}
+}
+
+func (c *caseRun) loseReplies(length time.Duration) {
+	for _, name := range c.links() {
+		c.setLink(name, LinkState{Delay: innerDelay, RepliesLost: true}, length)
+		time.AfterFunc(length, func() { c.rig.Network.Cut(name) })
+	}
+}
+
+func (c *caseRun) refuseLink(length time.Duration) {
+	for _, name := range c.links() {
+		c.setLink(name, LinkState{Delay: innerDelay, Refused: true}, length)
+		c.rig.Network.Cut(name)
+	}
+}
+
+func (c *caseRun) stallAllLinks(length time.Duration) {
+	for _, ep := range c.rig.endpoints {
+		stalled := LinkState{Delay: innerDelay, RequestsStalled: true, RepliesStalled: true}
+		c.setLink(LinkName{Any, ep.spec.sidecar.String()}, stalled, length)
+	}
+}
+
+func (c *caseRun) killSidecar(length time.Duration) {
+	for _, ep := range c.targets() {
+		c.rig.killSidecar(ep, length)
+	}
+}
+
+func (c *caseRun) killEngine(length time.Duration) {
+	for _, ep := range c.targets() {
+		c.rig.killEngine(ep, length)
+	}
+}
+
+func (c *caseRun) killBoth(length time.Duration) {
+	c.killEngine(length)
+	c.killSidecar(length)
+}
+
+func (c *caseRun) killEntry(length time.Duration) {
+	c.rig.killEntry(c.rig.entries[0], length)
+}
+
+func (c *caseRun) cutEngine(time.Duration) {
+	for _, ep := range c.targets() {
+		c.rig.Network.Cut(LinkName{Any, ep.spec.engine.String()})
+	}
+}
+
+func engineFault(f toucanfake.Fault) func(*caseRun, time.Duration) {
+	return func(c *caseRun, length time.Duration) {
+		for _, ep := range c.targets() {
+			ep.inject(f, length)
+		}
+	}
+}
+
+func (c *caseRun) leave(time.Duration) {
+	c.left("leave")
+	for _, ep := range c.targets() {
+		ep.sidecar.Leave()
+	}
+}
+
+func (c *caseRun) drain(time.Duration) {
+	c.left("drain")
+	for _, ep := range c.targets() {
+		c.rig.drain(ep)
+	}
+}
+
+func (c *caseRun) callersLeave(time.Duration) { c.goAway() }
