Learn steps from the tokens themselves and leave time for prompts

Cause: on engines that compute a whole prompt in one step, answers missed the bound between tokens because the batch left no time for prompts, and reports were too few and too late to tell base, batch and prompt apart. Change: steps are recognized by the tokens that arrive together, some twenty a second, with exact batch and prompts; the batch leaves time for the 95th (stallTime: 90th) percentile of prompts.

--- a/toucanadmit/engine_test.go
+++ b/toucanadmit/engine_test.go
@@ -41,7 +41,7 @@
 }
 
 // smallEngine is an engine that decodes about 40 sequences at once.
-var smallEngine = engineSize{2048, 256, 96, 28 * time.Millisecond, 400 * time.Microsecond, 50 * time.Microsecond, 256}
+var smallEngine = engineSize{2048, 2048, 96, 28 * time.Millisecond, 400 * time.Microsecond, 50 * time.Microsecond, 256}
 
 const (
 	modelBlockTokens = 16
@@ -259,6 +259,9 @@
 	plans := distuv.LogNormal{Mu: math.Log(w.plan), Sigma: 1.1, Src: rnd}
 	tail := distuv.Pareto{Xm: 1.5 * w.plan, Alpha: 2, Src: rnd}
 	prompts := distuv.LogNormal{Mu: math.Log(300), Sigma: 0.8, Src: rnd}
+	if w.paretoPlans {
+		prompts = distuv.LogNormal{Mu: math.Log(350), Sigma: 0.5, Src: rnd}
+	}
 	var all []*generation
 	burst := false
 	for at := 0.0; at < w.length.Seconds(); {
--- a/toucanadmit/observe.go
+++ b/toucanadmit/observe.go
@@ -5,6 +5,9 @@
 // unaccountedGain is the weight of the newest report in what the engine holds beyond the running jobs.
 const unaccountedGain = 0.3
 
+// watchFreshness is how long steps seen in the tokens go before those in reports.
+const watchFreshness = 2 * time.Second
+
 func (t *toucan) Report(now time.Time, e EngineReport) {
 	if e.At.Before(t.report.At) {
 		return
@@ -14,7 +17,9 @@
 	t.margin.decay(now)
 	t.countPreemptions(last, e)
 	t.reconcile(e)
-	t.step.observe(e.Running, t.prefills.within(e.At.Add(-e.StepTime), e.At.Add(e.StepTime)), e.StepTime)
+	if now.Sub(t.watch.began) > watchFreshness {
+		t.step.observe(e.Running, 0, e.StepTime)
+	}
 	t.redraw()
 	t.shares.expire(now)
 	t.checkForecast(now)
@@ -75,32 +80,3 @@
 	}
 	*c = checkpoint{set: true, forecast: t.sum, at: now}
 }
-
-// prefillLog remembers recent first tokens, oldest overwritten.
-type prefillLog struct {
-	entries [prefillEntries]prefillEntry
-	next    int
-}
-
-type prefillEntry struct {
-	at     time.Time
-	tokens int
-}
-
-const prefillEntries = 128
-
-func (l *prefillLog) add(now time.Time, tokens int) {
-	l.entries[l.next] = prefillEntry{now, tokens}
-	l.next = (l.next + 1) % prefillEntries
-}
-
-// within returns the prompt tokens whose computation ended after from and not after to.
-func (l *prefillLog) within(from, to time.Time) int {
-	sum := 0
-	for _, e := range l.entries {
-		if e.at.After(from) && !e.at.After(to) {
-			sum += e.tokens
-		}
-	}
-	return sum
-}
--- a/toucanadmit/property_test.go
+++ b/toucanadmit/property_test.go
@@ -182,7 +182,7 @@
 
 func TestStepModelLearns(t *testing.T) {
 	m := newStepModel()
-	for i := range 400 {
+	for i := range 2000 {
 		n, prefill := i%150, (i*37)%600
 		took := 18*time.Millisecond + time.Duration(n)*250*time.Microsecond + time.Duration(prefill)*25*time.Microsecond
 		m.observe(n, prefill, took)
@@ -190,7 +190,7 @@
 	got := m.predict(100, 400)
 	want := 18*time.Millisecond + 25*time.Millisecond + 10*time.Millisecond
 	assert.Assert(t, got > want*95/100 && got < want*105/100, "predicted %v, took %v", got, want)
-	batch := m.sequencesWithin(68 * time.Millisecond)
+	batch := m.sequencesWithin(68*time.Millisecond, 0)
 	assert.Assert(t, batch > 180 && batch < 220, "%d", batch)
 }
 
--- a/toucanadmit/step.go
+++ b/toucanadmit/step.go
@@ -21,9 +21,9 @@
 const (
 	stepFeatures = 3
 	// stepMemory is how much of the past weighs after one more observation.
-	stepMemory = 0.98
+	stepMemory = 0.998
 	// driftGain is the weight of the newest observation in drift.
-	driftGain = 0.3
+	driftGain = 0.03
 	minDrift  = 0.5
 	maxDrift  = 8
 )
@@ -102,9 +102,9 @@
 	return time.Duration(m.raw(sequences, prefillTokens) * m.scale() * float64(time.Second))
 }
 
-// sequencesWithin returns the largest batch whose steps without prefill keep the bound; at least 1.
-func (m *stepModel) sequencesWithin(bound time.Duration) int {
-	rest := bound.Seconds()/m.scale() - m.coef[0]
+// sequencesWithin returns the largest batch whose steps keep the bound beside prefillTokens; at least 1.
+func (m *stepModel) sequencesWithin(bound time.Duration, prefillTokens int) int {
+	rest := bound.Seconds()/m.scale() - m.raw(0, prefillTokens)
 	if rest <= m.coef[1] {
 		return 1
 	}
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -32,6 +32,8 @@
 	// prefillAheadSteps is how many steps of prompt computation are handed to the engine in advance. A prompt alone
 	// takes up to two, so that more are needed to find out what the engine can do.
 	prefillAheadSteps = 4
+	// stepSpanParts is the part of a step, as its inverse, in which all of its tokens arrive.
+	stepSpanParts = 3
 	// defaultBlockTokens stands in until the engine's first report.
 	defaultBlockTokens = 16
 	// outputGain is the weight of the newest output in the mean output.
@@ -64,8 +66,10 @@
 	// prefilling counts running jobs without a first token, prefillTokens their uncached prompts.
 	prefilling    int
 	prefillTokens int
-	prefills      prefillLog
 	prefillRate   busyRate
+	watch         stepWatch
+	// prompts follows the uncached prompts of starts, in tokens.
+	prompts tracker
 	// queuedPrefill is the sum of the uncached prompts of queued jobs.
 	queuedPrefill int
 	running       int
@@ -119,12 +123,16 @@
 		queue:      toucanfair.New(toucanfair.WithBurst(burstTokens)),
 		jobs:       make(map[string]*job),
 		step:       newStepModel(),
+		prompts:    tracker{quantile: promptQuantileInterToken},
 		throughput: meter{window: throughputWindow},
 		briefs:     newReserve(),
 		shares:     newShares(),
 		bias:       [toucanfair.Levels]waitBias{{factor: 1}, {factor: 1}},
 		meanOutput: toucanlength.DefaultPrior.MedianTokens,
 	}
+	if cfg.Weigh == toucansettings.WeighStallTime {
+		t.prompts.quantile = promptQuantileStall
+	}
 	if cfg.Quantile < 1 {
 		t.z = distuv.UnitNormal.Quantile(cfg.Quantile)
 	}
@@ -253,6 +261,7 @@
 	t.prefillRate.start(now, t.prefilling)
 	t.prefilling++
 	t.prefillTokens += j.request.uncached()
+	t.prompts.add(float64(j.request.uncached()))
 	j.demand = t.demand(j)
 	t.sum.add(&j.demand)
 	t.bias[j.item.Level].learn(j.predicted, now.Sub(j.request.Arrived))
@@ -360,21 +369,19 @@
 	return float64(t.report.TotalBlocks * t.blockTokens())
 }
 
-// Shares of the bound between tokens that steps are planned for, without and with prefill.
+// batchShare is the part of the bound between tokens that a step with a long prompt is planned for.
+const batchShare = 0.97
+
+// The quantiles of prompts that a step leaves time for.
 const (
-	decodeShareInterToken = 0.90
-	decodeShareStall      = 0.94
-	prefillShare          = 0.97
+	promptQuantileInterToken = 0.95
+	promptQuantileStall      = 0.9
 )
 
-// batchBound returns how many requests may run at once.
+// batchBound returns how many requests may run at once: a step that computes a long prompt keeps the bound.
 func (t *toucan) batchBound() int {
-	share := decodeShareInterToken
-	if t.cfg.Weigh == toucansettings.WeighStallTime {
-		share = decodeShareStall
-	}
-	bound := time.Duration(share * float64(t.cfg.InterToken))
-	return t.step.sequencesWithin(bound)
+	bound := time.Duration(batchShare * float64(t.cfg.InterToken))
+	return t.step.sequencesWithin(bound, int(t.prompts.value))
 }
 
 // prefillAllows says whether j's prompt may be computed beside those already being computed. One always may.
@@ -382,7 +389,7 @@
 	if t.prefilling == 0 {
 		return true
 	}
-	bound := time.Duration(prefillShare * float64(t.cfg.InterToken))
+	bound := time.Duration(batchShare * float64(t.cfg.InterToken))
 	allowed := float64(t.step.prefillWithin(bound, t.running+1))
 	if rate := t.prefillRate.perSecond(); rate > 0 {
 		ahead := prefillAheadSteps * t.step.predict(t.running+1, 0)
@@ -399,9 +406,10 @@
 	if !ok || !j.running || generated <= j.generated {
 		return
 	}
-	if j.generated == 0 {
+	first := j.generated == 0
+	t.watchStep(now, j, generated, first)
+	if first {
 		t.prefilled(j)
-		t.prefills.add(now, j.request.uncached())
 		t.prefillRate.done(now, j.request.uncached())
 	}
 	t.throughput.add(now, float64(generated-j.generated))
@@ -411,6 +419,15 @@
 	}
 }
 
+// watchStep learns from the steps that tokens tell of.
+func (t *toucan) watchStep(now time.Time, j *job, generated int, first bool) {
+	span := t.step.predict(t.running, 0) / stepSpanParts
+	step, ok := t.watch.token(now, span, generated-j.generated, first, j.request.uncached())
+	if ok {
+		t.step.observe(step.sequences, step.prefillTokens, step.took)
+	}
+}
+
 func (t *toucan) prefilled(j *job) {
 	t.prefilling--
 	t.prefillTokens -= j.request.uncached()
