Accept only what is predicted to start within half the bound

Cause: predictions err, so that requests accepted near the first-token bound were often given up on at it, which made the median refusal 1208 ms. Change: the acceptance limit falls from 0.8 to 0.5 of the first-token bound.

--- a/toucanadmit/wait.go
+++ b/toucanadmit/wait.go
@@ -4,7 +4,7 @@
 
 const (
 	// acceptShare is the part of the first-token bound that a request may be predicted to wait for its start.
-	acceptShare = 0.8
+	acceptShare = 0.5
 	// minRetryAfter and maxRetryAfter bound what a refusal tells its caller.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
