Leave time for rarer prompts where more steps compute one

Cause: at a service of mostly briefs nearly every step computes a prompt, so that one in twenty steps past the bound spoils most answers. Change: the percentile of prompts that a step leaves time for follows from the share of steps with a prompt, so that 1.5% (stallTime: 2.5%) of all steps pass the bound.

--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -70,6 +70,8 @@
 	watch         stepWatch
 	// prompts follows the uncached prompts of starts, in tokens.
 	prompts tracker
+	// promptShare is the recent share of steps that computed a prompt.
+	promptShare float64
 	// queuedPrefill is the sum of the uncached prompts of queued jobs.
 	queuedPrefill int
 	running       int
@@ -123,16 +125,13 @@
 		queue:      toucanfair.New(toucanfair.WithBurst(burstTokens)),
 		jobs:       make(map[string]*job),
 		step:       newStepModel(),
-		prompts:    tracker{quantile: promptQuantileInterToken},
+		prompts:    tracker{quantile: minPromptQuantile},
 		throughput: meter{window: throughputWindow},
 		briefs:     newReserve(),
 		shares:     newShares(),
 		bias:       [toucanfair.Levels]waitBias{{factor: 1}, {factor: 1}},
 		meanOutput: toucanlength.DefaultPrior.MedianTokens,
 	}
-	if cfg.Weigh == toucansettings.WeighStallTime {
-		t.prompts.quantile = promptQuantileStall
-	}
 	if cfg.Quantile < 1 {
 		t.z = distuv.UnitNormal.Quantile(cfg.Quantile)
 	}
@@ -372,12 +371,22 @@
 // batchShare is the part of the bound between tokens that a step with a long prompt is planned for.
 const batchShare = 0.97
 
-// The quantiles of prompts that a step leaves time for.
+// How many of an engine's steps may pass the bound between tokens for a long prompt: an answer of some tens of tokens
+// keeps the bound with one such step among them, but not with two.
 const (
-	promptQuantileInterToken = 0.95
-	promptQuantileStall      = 0.9
+	longStepsInterToken = 0.015
+	longStepsStall      = 0.025
 )
 
+// The quantile of prompts that a step leaves time for stays within these.
+const (
+	minPromptQuantile = 0.5
+	maxPromptQuantile = 0.99
+)
+
+// promptShareGain is the weight of the newest step in the share of steps with a prompt.
+const promptShareGain = 0.01
+
 // batchBound returns how many requests may run at once: a step that computes a long prompt keeps the bound.
 func (t *toucan) batchBound() int {
 	bound := time.Duration(batchShare * float64(t.cfg.InterToken))
@@ -425,7 +434,23 @@
 	step, ok := t.watch.token(now, span, generated-j.generated, first, j.request.uncached())
 	if ok {
 		t.step.observe(step.sequences, step.prefillTokens, step.took)
+		t.countPrompts(step.prefillTokens > 0)
+	}
+}
+
+// countPrompts sets the quantile of prompts to leave time for: the more steps compute one, the rarer a long one must
+// be among them.
+func (t *toucan) countPrompts(prompt bool) {
+	x := 0.0
+	if prompt {
+		x = 1
+	}
+	t.promptShare += promptShareGain * (x - t.promptShare)
+	allowed := longStepsInterToken
+	if t.cfg.Weigh == toucansettings.WeighStallTime {
+		allowed = longStepsStall
 	}
+	t.prompts.quantile = min(max(1-allowed/max(t.promptShare, allowed), minPromptQuantile), maxPromptQuantile)
 }
 
 func (t *toucan) prefilled(j *job) {
