Show settings and membership over the real entry and sidecar, and use the list in entries

Cause: the entry process did not read the platform's list, and the spread was shown on its core only. Change: the entry process polls the list; a team's document needs a declaration of the team, which tells every entry where to look; tests run real entries, control sides and sidecars with the store down, a start in an outage, an endpoint listed as leaving and one drained.

--- a/toucancmd/settings/apply/apply.go
+++ b/toucancmd/settings/apply/apply.go
@@ -129,7 +129,7 @@
 		}
 		accepted, err := submit.Change(ctx, client, r.ChangeID, p.Document, p.Base, p.Edits())
 		if err != nil {
-			return errors.WithMessage(err, p.Document)
+			return err
 		}
 		r.Accepted = append(r.Accepted, accepted)
 		if !opts.JSON {
--- /dev/null
+++ b/toucancontrol/control_test.go
@@ -0,0 +1,295 @@
+package toucancontrol_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucanchange"
+	"toucanport/toucanclient"
+	"toucanport/toucancontrol"
+	"toucanport/toucanentry"
+	"toucanport/toucanfakemember"
+	"toucanport/toucanfakestore"
+	"toucanport/toucanlisting"
+	"toucanport/toucanmember"
+	"toucanport/toucanoperate"
+	"toucanport/toucanrig"
+	"toucanport/toucanroute"
+	"toucanport/toucansettings"
+	"toucanport/toucansidecar"
+	"toucanport/toucanspread"
+	"toucanport/toucanstream"
+)
+
+const (
+	firstCredential = "first"
+	listAddress     = "10.0.0.3:80"
+	sidecarCount    = 3
+)
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// fleet is real entries and sidecars on a network in memory, with stand-ins for store and instance list.
+type fleet struct {
+	t       *testing.T
+	net     *toucanrig.Network
+	store   *toucanfakestore.Memory
+	list    *toucanfakemember.List
+	wg      sync.WaitGroup
+	ctx     context.Context
+	holders map[string]*toucanspread.Holder
+	routers map[string]*spyRouter
+	stops   map[string]context.CancelFunc
+}
+
+// spyRouter remembers the endpoints that it was given last.
+type spyRouter struct {
+	toucanroute.Router
+	mu    sync.Mutex
+	names []string
+}
+
+// SetEndpoints implements toucanroute.Router.
+func (r *spyRouter) SetEndpoints(now time.Time, service string, endpoints []toucanroute.Endpoint) {
+	r.Router.SetEndpoints(now, service, endpoints)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = nil
+	for _, e := range endpoints {
+		r.names = append(r.names, e.Name)
+	}
+}
+
+func (r *spyRouter) endpoints() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.names)
+}
+
+// bubble runs f with a fleet under a fake clock. Yamux keeps timers in a pool of the whole process; two
+// collections empty it.
+func bubble(t *testing.T, f func(m *fleet)) {
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m := &fleet{
+			t: t, net: toucanrig.NewNetwork(), store: toucanfakestore.New(), list: toucanfakemember.New(2 * time.Second), ctx: ctx,
+			holders: make(map[string]*toucanspread.Holder), routers: make(map[string]*spyRouter), stops: make(map[string]context.CancelFunc),
+		}
+		defer func() {
+			cancel()
+			m.wg.Wait()
+		}()
+		m.serveList()
+		for i := range sidecarCount {
+			m.startSidecar(i)
+		}
+		f(m)
+	})
+}
+
+func (m *fleet) listen(address string) net.Listener {
+	ln, err := m.net.Listen(address)
+	assert.NilError(m.t, err)
+	return ln
+}
+
+func (m *fleet) transport(from string) *http.Transport {
+	tr := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return m.net.Dialer(from)(ctx, address)
+	}}
+	return tr
+}
+
+func (m *fleet) serveList() {
+	server := &http.Server{Handler: m.list}
+	ln := m.listen(listAddress)
+	context.AfterFunc(m.ctx, func() { _ = server.Close() })
+	m.wg.Go(func() { _ = server.Serve(ln) })
+}
+
+func sidecarAddress(i int) string { return fmt.Sprintf("10.0.1.%d:7000", i+1) }
+
+func (m *fleet) startSidecar(i int) {
+	name := fmt.Sprintf("sidecar%d", i)
+	m.holders[name] = toucanspread.NewHolder()
+	s := toucansidecar.New(toucansidecar.Config{
+		Instance: name, Endpoint: fmt.Sprintf("laval/e%d", i), Service: "laval/orders", Kind: toucansettings.KindPlain,
+		Policy: toucanadmit.NewNaive(toucanadmit.Config{}), Signer: toucanstream.NewSigner(make([]byte, 32)), Spread: m.holders[name],
+	}, toucansidecar.WithLogger(quiet()))
+	ln := m.listen(sidecarAddress(i))
+	m.list.Put(m.listed(name, toucanmember.RoleSidecar, sidecarAddress(i), toucanmember.StateLive))
+	m.wg.Go(func() { _ = s.Run(m.ctx, ln) })
+}
+
+func (m *fleet) listed(name, role, address string, state toucanmember.State) toucanmember.Listed {
+	return toucanmember.Listed{Instance: name, Role: role, Address: address, FailureDomain: "qc-east-a", State: state}
+}
+
+func operatorAddress(i int) string { return fmt.Sprintf("10.0.0.%d:8081", 10+i) }
+
+// startEntry starts an entry with its control side.
+func (m *fleet) startEntry(i int) {
+	name, from := fmt.Sprintf("entry%d", i), fmt.Sprintf("10.0.0.%d", 10+i)
+	ctx, stop := context.WithCancel(m.ctx)
+	m.stops[name] = stop
+	holder := toucanspread.NewHolder()
+	m.holders[name] = holder
+	m.routers[name] = &spyRouter{Router: toucanroute.NewNaive()}
+	members := toucanlisting.NewView(toucanlisting.New("http://"+listAddress, toucanlisting.WithTransport(m.transport(from))))
+	entry := toucanentry.New(toucanentry.Config{
+		Instance: name, Spread: holder, Members: members, Signer: toucanstream.NewSigner(make([]byte, 32)),
+		Dial: m.net.Dialer(from), Router: m.routers[name],
+	}, toucanentry.WithLogger(quiet()))
+	control := toucancontrol.New(toucancontrol.Config{
+		Store: m.store, Holder: holder, Instance: name, Members: members, Local: entry,
+		BootstrapHash: toucansettings.HashKey(firstCredential), Log: quiet(), Transport: m.transport(from),
+	})
+	callers, operators := m.listen(from+":8080"), m.listen(operatorAddress(i))
+	m.list.Put(m.listed(name, toucanmember.RoleEntry, operatorAddress(i), toucanmember.StateLive))
+	m.wg.Go(func() { members.Run(ctx) })
+	m.wg.Go(func() { _ = entry.Run(ctx, callers) })
+	m.wg.Go(func() { _ = control.Run(ctx, operators) })
+}
+
+func (m *fleet) stopEntry(i int) {
+	name := fmt.Sprintf("entry%d", i)
+	m.stops[name]()
+	delete(m.holders, name)
+}
+
+func (m *fleet) client(i int, credential string) *toucanclient.Client {
+	return toucanclient.New(operatorAddress(i), credential, toucanclient.WithTransport(m.transport("10.0.9.9")))
+}
+
+// setUp writes the operators' and the team's document through entry 0.
+func (m *fleet) setUp() {
+	ctx := context.Background()
+	grant := fmt.Sprintf("credentialHashes = [%q]\n", toucansettings.HashKey("ann"))
+	_, err := m.client(0, firstCredential).Change(ctx, toucanoperate.Change{
+		ID: "operators", Document: toucansettings.OperatorsPath,
+		Edits: []toucanoperate.Edit{
+			{Path: "/operators/operators/ann", Operation: "replace", Body: grant},
+			{Path: "/operators/teams/laval", Operation: "replace", Body: "credentialHashes = []\n"},
+		},
+	})
+	assert.NilError(m.t, err)
+	var edits []toucanoperate.Edit
+	for i := range sidecarCount {
+		body := fmt.Sprintf("service = \"orders\"\naddress = %q\nfailureDomain = \"qc-east-a\"\n", netip.MustParseAddrPort(sidecarAddress(i)))
+		edits = append(edits, toucanoperate.Edit{Path: fmt.Sprintf("/teams/laval/endpoints/e%d", i), Operation: "replace", Body: body})
+	}
+	edits = append(edits, toucanoperate.Edit{Path: "/teams/laval/services/orders", Operation: "replace", Body: "kind = \"plain\"\n"})
+	m.change(0, "team", 0, edits)
+}
+
+func (m *fleet) change(entry int, id string, base uint64, edits []toucanoperate.Edit) {
+	_, err := m.client(entry, "ann").Change(context.Background(), toucanoperate.Change{
+		ID: id, Document: "/teams/laval", Base: base, Edits: edits,
+	})
+	assert.NilError(m.t, err)
+}
+
+// weight changes one workspace.
+func weight(n int) []toucanoperate.Edit {
+	body := fmt.Sprintf("services = [\"orders\"]\nweight = %d\n", n)
+	return []toucanoperate.Edit{{Path: "/teams/laval/workspaces/dealers", Operation: "replace", Body: body}}
+}
+
+// inForce asserts that every live instance has a revision of the team's document within the bound.
+func (m *fleet) inForce(revision uint64, bound time.Duration) {
+	m.t.Helper()
+	start := time.Now()
+	for time.Since(start) <= bound {
+		behind := 0
+		for _, h := range m.holders {
+			if h.RevisionOf("/teams/laval") < revision {
+				behind++
+			}
+		}
+		if behind == 0 {
+			m.t.Logf("revision %d in force on %d instances after %s", revision, len(m.holders), time.Since(start).Round(time.Millisecond))
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	m.t.Fatalf("revision %d is not in force everywhere after %s", revision, bound)
+}
+
+func TestChangesAreInForceOnEveryInstance(t *testing.T) {
+	bubble(t, func(m *fleet) {
+		m.startEntry(0)
+		m.startEntry(1)
+		m.setUp()
+		m.inForce(1, 3*time.Second)
+		m.change(1, "w1", 1, weight(2))
+		m.inForce(2, 3*time.Second)
+		m.change(0, "w2", 2, weight(3))
+		m.store.SetFaults(toucanfakestore.Faults{Down: true})
+		m.inForce(3, 8*time.Second)
+		_, err := m.client(0, "ann").Change(context.Background(), toucanoperate.Change{ID: "w3", Document: "/teams/laval", Base: 3, Edits: weight(4)})
+		assert.ErrorIs(t, err, toucanchange.ErrStoreDown)
+		time.Sleep(10 * time.Second)
+		fleet, err := m.client(1, "ann").Fleet(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, len(fleet.Instances), 2+sidecarCount)
+		assert.Equal(t, len(fleet.Lagging("")), 0)
+		assert.Assert(t, !fleet.StoreAnswers)
+	})
+}
+
+func TestEntryThatStartsInAnOutageLearnsFromSidecars(t *testing.T) {
+	bubble(t, func(m *fleet) {
+		m.startEntry(0)
+		m.setUp()
+		m.inForce(1, 3*time.Second)
+		time.Sleep(5 * time.Second)
+		m.store.SetFaults(toucanfakestore.Faults{Down: true})
+		m.stopEntry(0)
+		time.Sleep(time.Hour)
+		m.startEntry(1)
+		m.inForce(1, 8*time.Second)
+		time.Sleep(time.Second)
+		assert.Equal(t, m.routers["entry1"].endpoints(), sidecarCount)
+	})
+}
+
+// TestListedLeavingGetsNoNewWork measures from the moment that the lagging list shows the instance leaving.
+func TestListedLeavingGetsNoNewWork(t *testing.T) {
+	bubble(t, func(m *fleet) {
+		m.startEntry(0)
+		m.setUp()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, m.routers["entry0"].endpoints(), sidecarCount)
+		m.list.Put(m.listed("sidecar0", toucanmember.RoleSidecar, sidecarAddress(0), toucanmember.StateLeaving))
+		time.Sleep(2*time.Second + 3*time.Second)
+		assert.Equal(t, m.routers["entry0"].endpoints(), sidecarCount-1)
+	})
+}
+
+func TestDrainedEndpointGetsNoNewWork(t *testing.T) {
+	bubble(t, func(m *fleet) {
+		m.startEntry(0)
+		m.startEntry(1)
+		m.setUp()
+		time.Sleep(10 * time.Second)
+		m.change(0, "drain", 1, []toucanoperate.Edit{{Path: "/teams/laval/endpoints/e1", Operation: "merge", Body: "draining = true\n"}})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, m.routers["entry0"].endpoints(), sidecarCount-1)
+		assert.Equal(t, m.routers["entry1"].endpoints(), sidecarCount-1)
+	})
+}
--- a/toucaninstance/entry.go
+++ b/toucaninstance/entry.go
@@ -10,6 +10,7 @@
 	"toucanport/toucancontrol"
 	"toucanport/toucanentry"
 	"toucanport/toucanlimit"
+	"toucanport/toucanlisting"
 	"toucanport/toucanmetric"
 	"toucanport/toucanroute"
 	"toucanport/toucanspread"
@@ -21,6 +22,9 @@
 // storeConnections bounds idle connections to the platform's store.
 const storeConnections = 8
 
+// listConnections bounds idle connections to the platform's list of instances.
+const listConnections = 1
+
 // Entry is a running entry process.
 type Entry struct {
 	process
@@ -62,10 +66,13 @@
 	holder := toucanspread.NewHolder()
 	store := toucanstore.NewClient("http://"+cfg.Store.String(),
 		toucanstore.WithTransport(transport(storeConnections)), toucanstore.WithScope(scope))
+	members := toucanlisting.NewView(toucanlisting.New("http://"+cfg.InstanceList.String(),
+		toucanlisting.WithTransport(transport(listConnections))))
 	e.entry = toucanentry.New(toucanentry.Config{
 		Instance:      cfg.Instance,
 		FailureDomain: cfg.FailureDomain,
 		Spread:        holder,
+		Members:       members,
 		Signer:        toucanstream.NewSigner([]byte(cfg.GenerationSecret)),
 		Dial:          entryDial(reloader),
 		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: cfg.FailureDomain}),
@@ -75,6 +82,8 @@
 	control := toucancontrol.New(toucancontrol.Config{
 		Store:         store,
 		Holder:        holder,
+		Instance:      cfg.Instance,
+		Members:       members,
 		Local:         e.entry,
 		BootstrapHash: cfg.BootstrapCredentialHash,
 		Metrics:       scrape,
@@ -84,6 +93,10 @@
 		defer e.cancel()
 		return e.entry.Run(ctx, callers)
 	})
+	e.run("instance list", func() error {
+		members.Run(ctx)
+		return nil
+	})
 	e.run("control", func() error { return control.Run(ctx, operators) })
 	return nil
 }
--- a/toucansettings/operators.go
+++ b/toucansettings/operators.go
@@ -126,8 +126,17 @@
 	noteCount(t, GroupEndpoints, len(team.Endpoints), f.MaxEndpointsPerTeam)
 }
 
-// NoteShared notes in doc where team exceeds the fleet's bounds or takes what another team in t has.
+// declares reports whether the operators have declared a team. Entries look for the documents of these only.
+func (o Operators) declares(team string) bool {
+	return slices.ContainsFunc(o.Grants, func(g Grant) bool { return g.Name == team })
+}
+
+// NoteShared notes in doc where team is not declared by the operators, exceeds the fleet's bounds, or takes what
+// another team in t has.
 func (t *Tree) NoteShared(doc *toucandocument.Table, team Team) {
+	if t.operators.Revision > 0 && !t.operators.declares(team.Name) {
+		doc.Note("", team.Name, "a team that operators have declared at "+OperatorsPath+"/teams/"+team.Name)
+	}
 	t.operators.Fleet.noteBounds(doc, team)
 	t.noteTaken(doc, team)
 }
