--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,8 +57,8 @@
 	Settings Settings
 	// Spread holds the settings that heartbeats carry; a new one when it is left out.
 	Spread *toucanspread.Holder
-	// Seeds returns addresses of sidecars to learn settings from while none are known; may be nil.
-	Seeds   func() []string
+	// Members is what is known of other instances; may be nil.
+	Members Members
 	Signer  *toucanstream.Signer
 	Dial    Dialer
 	Router  toucanroute.Router
@@ -73,6 +74,9 @@
 // WithLogger sets the logger.
 func WithLogger(log *slog.Logger) Option { return func(e *Entry) { e.log = log } }
 
+// WithConnections sets the bound on callers' open connections.
+func WithConnections(n int) Option { return func(e *Entry) { e.connections = newConnections(n) } }
+
 // Entry serves callers.
 type Entry struct {
 	cfg     Config
@@ -82,8 +86,14 @@
 	links   *links
 	callers *toucanmetric.Callers
 	server  *http.Server
+	// connections and bodies bound what callers make the entry hold.
+	connections *connections
+	bodies      *bodyPool
 	// services holds the services that the router knows; used by maintain only.
 	services map[string]bool
+	// ready is closed by markReady, which may be called any number of times.
+	ready     chan struct{}
+	markReady func()
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
@@ -113,21 +123,33 @@
 	if cfg.Settings == nil {
 		cfg.Settings = cfg.Spread
 	}
-	e := &Entry{cfg: cfg, log: slog.Default(), boot: rand.Uint64(), drained: make(chan struct{})}
+	e := &Entry{
+		cfg:         cfg,
+		log:         slog.Default(),
+		boot:        rand.Uint64(),
+		drained:     make(chan struct{}),
+		ready:       make(chan struct{}),
+		connections: newConnections(DefaultConnections),
+		bodies:      newBodyPool(),
+	}
 	e.life, e.end = context.WithCancel(context.Background())
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
+	e.markReady = sync.OnceFunc(func() { close(e.ready) })
 	for _, opt := range opts {
 		opt(e)
 	}
 	e.callers = toucanmetric.NewCallers(cfg.Scope)
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
 	e.links.spread = cfg.Spread
+	e.links.takeMember = e.takeMember
 	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       e.connections.context,
+		ConnState:         e.connections.changed,
 		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
@@ -180,15 +202,17 @@
 // maintainInterval is the time between looks at the settings for endpoints to keep links to.
 const maintainInterval = 500 * time.Millisecond
 
-// maintain keeps the router's endpoints and the links in step with the settings.
+// maintain keeps the router's endpoints and the links in step with the settings and the membership.
 func (e *Entry) maintain(ctx context.Context) {
 	var last *toucansettings.Tree
+	var version uint64
 	for {
-		if tree := e.cfg.Settings.Tree(); tree != last {
-			last = tree
+		tree, members := e.cfg.Settings.Tree(), e.membersVersion()
+		if tree != last || members != version {
+			last, version = tree, members
 			e.useTree(tree)
 		}
-		e.useSeeds(last)
+		e.useSeeds(tree)
 		e.links.ensure(ctx)
 		select {
 		case <-time.After(maintainInterval):
@@ -202,13 +226,15 @@
 func (e *Entry) useTree(tree *toucansettings.Tree) {
 	wanted := make(map[string]bool)
 	services := make(map[string]bool)
+	divide := e.subsets(tree)
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
-			es := routeEndpoints(tree, s)
-			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), es)
+			all := tree.Endpoints(s.Team, s.Name)
+			mine := divide(all)
+			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), e.usable(s, mine, all))
 			e.setPolicy(s)
 			services[serviceKey(s)] = true
-			for _, ep := range es {
+			for _, ep := range mine {
 				wanted[ep.Address.String()] = true
 			}
 		}
@@ -220,26 +246,14 @@
 	}
 	e.services = services
 	e.links.want(wanted)
-}
-
-// seedLinks is how many sidecars an entry without settings learns them from.
-const seedLinks = 3
-
-// useSeeds links to a few sidecars that the platform lists while there are no settings to say where any are,
-// as when an entry starts during an outage of the store.
-func (e *Entry) useSeeds(tree *toucansettings.Tree) {
-	if e.cfg.Seeds == nil || len(tree.Teams()) > 0 {
-		return
-	}
-	seeds := e.cfg.Seeds()
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	wanted := make(map[string]bool)
-	for _, address := range seeds[:min(seedLinks, len(seeds))] {
-		wanted[address] = true
+	if len(services) > 0 {
+		e.markReady()
 	}
-	e.links.want(wanted)
 }
 
+// Ready is closed once the entry knows settings and routes by them.
+func (e *Entry) Ready() <-chan struct{} { return e.ready }
+
 // policySetter is a router that has a policy for each service.
 type policySetter interface {
 	SetPolicy(service string, p toucansettings.Policy)
@@ -251,22 +265,6 @@
 	}
 }
 
-func routeEndpoints(tree *toucansettings.Tree, s toucansettings.Service) []toucanroute.Endpoint {
-	var es []toucanroute.Endpoint
-	for _, ep := range tree.Endpoints(s.Team, s.Name) {
-		if ep.Draining {
-			continue
-		}
-		es = append(es, toucanroute.Endpoint{
-			Name:          endpointKey(ep.Team, ep.Name),
-			Service:       serviceKey(s),
-			FailureDomain: ep.FailureDomain,
-			Address:       ep.Address,
-		})
-	}
-	return es
-}
-
 // serviceKey names a service uniquely over all teams.
 func serviceKey(s toucansettings.Service) string { return s.Team + "/" + s.Name }
 
@@ -299,5 +297,10 @@
 	if e.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
+	select {
+	case <-e.ready:
+	default:
+		return c.String(http.StatusServiceUnavailable, "no settings yet\n")
+	}
 	return c.String(http.StatusOK, "ok\n")
 }
