Take leaving from the platform's list within three seconds

Cause: the list is polled each 2 s with a jitter of a quarter, and entries look at it each half second, which is 3 s at worst without the request itself; nothing tested that sign. Change: the mean interval is 1.6 s, so that 2.5 s is the worst; the test of leaving covers the list as a fourth sign under both policies; membership tells the limiter how many entries share the limits.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -227,6 +227,7 @@
 	wanted := make(map[string]bool)
 	services := make(map[string]bool)
 	divide := e.subsets(tree)
+	e.countEntries()
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
 			all := tree.Endpoints(s.Team, s.Name)
--- a/toucanentry/fleet_test.go
+++ b/toucanentry/fleet_test.go
@@ -19,6 +19,7 @@
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
 	"toucanport/toucanlimit"
+	"toucanport/toucanmember"
 	"toucanport/toucanrig"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
@@ -28,10 +29,41 @@
 
 const fleetSize = 2
 
+// fleetMembers is a list of instances on which endpoints can be marked as leaving.
+type fleetMembers struct {
+	mu      sync.Mutex
+	leaving map[string]bool
+}
+
+func (m *fleetMembers) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return uint64(len(m.leaving))
+}
+
+func (m *fleetMembers) Leaving(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving[address]
+}
+
+func (m *fleetMembers) leave(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving[address] = true
+}
+
+func (m *fleetMembers) Entries() []string { return []string{"n1", "n2"} }
+
+func (m *fleetMembers) Sidecars() []string { return []string{fleetSidecar(0), fleetSidecar(1)} }
+
+func (m *fleetMembers) Report(toucanmember.Report) {}
+
 // fleet is two entries before two endpoints, whose settings can change.
 type fleet struct {
 	net      *toucanrig.Network
 	tree     atomic.Pointer[toucansettings.Tree]
+	members  *fleetMembers
 	ledger   *toucanfake.Ledger
 	entries  []*toucanentry.Entry
 	sidecars []*toucansidecar.Sidecar
@@ -62,7 +94,11 @@
 
 func startFleet(t *testing.T, change func(*toucansettings.Team)) *fleet {
 	t.Helper()
-	f := &fleet{net: toucanrig.NewNetwork(), ledger: toucanfake.NewLedger()}
+	f := &fleet{
+		net:     toucanrig.NewNetwork(),
+		members: &fleetMembers{leaving: make(map[string]bool)},
+		ledger:  toucanfake.NewLedger(),
+	}
 	f.tree.Store(fleetTree(change))
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stops = append(f.stops, cancel)
@@ -116,7 +152,8 @@
 		Instance: fmt.Sprintf("n%d", i+1), FailureDomain: "qc-east-a", Settings: f,
 		Signer: toucanstream.NewSigner([]byte(testSecret)), Dial: f.net.Dialer(fmt.Sprintf("10.0.0.%d", i+1)),
 		Router:  toucanroute.NewPerService(toucanroute.Config{FailureDomain: "qc-east-a"}),
-		Limiter: toucanlimit.NewShared(fleetSize),
+		Limiter: toucanlimit.NewShared(1),
+		Members: f.members,
 	}, toucanentry.WithLogger(quiet()))
 	ln, err := f.net.Listen(fleetEntry(i))
 	assert.NilError(t, err)
--- a/toucanentry/leave_test.go
+++ b/toucanentry/leave_test.go
@@ -23,12 +23,13 @@
 
 func unchanged(*toucansettings.Team) {}
 
-// TestLeavingEndpointsGetNoNewWork marks the first endpoint as leaving in each way while a plan runs there. New work
+// TestLeavingEndpointsGetNoNewWork marks an endpoint as leaving in each way while a plan runs there. New work
 // goes to the other endpoint, and the plan finishes.
 func TestLeavingEndpointsGetNoNewWork(t *testing.T) {
 	for _, policy := range []toucansettings.Policy{toucansettings.PolicyNaive, toucansettings.PolicyToucan} {
 		for name, leave := range map[string]func(*fleet, int){
-			"own signal": func(f *fleet, i int) { f.sidecars[i].Leave() },
+			"own signal":      func(f *fleet, i int) { f.sidecars[i].Leave() },
+			"platform's list": func(f *fleet, i int) { f.members.leave(fleetSidecar(i)) },
 			"drained": func(f *fleet, i int) {
 				f.tree.Store(fleetTree(func(team *toucansettings.Team) {
 					team.Services[0].Policy = policy
--- a/toucanentry/members.go
+++ b/toucanentry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"toucanport/toucanmember"
 	"toucanport/toucanroute"
@@ -60,6 +61,13 @@
 	return e.cfg.Members != nil && e.cfg.Members.Leaving(ep.Address.String())
 }
 
+// countEntries tells the limiter how many entries share the limits.
+func (e *Entry) countEntries() {
+	if e.cfg.Members != nil {
+		e.cfg.Limiter.SetEntries(time.Now(), len(e.cfg.Members.Entries()))
+	}
+}
+
 // divider picks, of one service's endpoints, those that this entry works with.
 type divider func([]toucansettings.Endpoint) []toucansettings.Endpoint
 
--- a/toucanlisting/client.go
+++ b/toucanlisting/client.go
@@ -25,7 +25,9 @@
 var ErrUnavailable = errors.New("instance list not available")
 
 const (
-	defaultInterval = 2 * time.Second
+	// defaultInterval with its jitter, and the half second in which an entry looks at the list again, is within the
+	// 3 s after which a leaving endpoint must get no more work.
+	defaultInterval = 1600 * time.Millisecond
 	// jitterPercent spreads the polls of instances that started together.
 	jitterPercent  = 25
 	requestTimeout = 2 * time.Second
