Divide a service's endpoints only when its endpoints or the entries changed

Change: the entry keeps each service's division with what it was made from. Conclusion: it is made anew only when entries or that service's endpoints come or go.

--- a/toucancapacity/slopes_test.go
+++ b/toucancapacity/slopes_test.go
@@ -416,3 +416,12 @@
 		b.ReportMetric(kept/n, "B/linkBothSides")
 	}
 }
+
+// BenchmarkReportOnAnswer gives the bytes that a load report adds to an answer.
+func BenchmarkReportOnAnswer(b *testing.B) {
+	bytes := 0
+	for b.Loop() {
+		bytes = proto.Size(&toucanwire.Event{Load: loadReport(100_000)})
+	}
+	b.ReportMetric(float64(bytes), "B/report")
+}
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -98,6 +98,8 @@
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
 	drained chan struct{}
+	// divided holds each service's subset; the maintaining goroutine's alone.
+	divided map[string]subset
 	// life ends with Run; work that outlives its request, such as a cancel, ends with it.
 	life context.Context
 	end  context.CancelFunc
@@ -141,6 +143,7 @@
 	e.callers = toucanmetric.NewCallers(cfg.Scope)
 	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
 	e.links.spread = cfg.Spread
+	e.divided = make(map[string]subset)
 	e.links.takeMember = e.takeMember
 	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
@@ -230,7 +233,7 @@
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
 			all := tree.Endpoints(s.Team, s.Name)
-			mine := divide(all)
+			mine := divide(serviceKey(s), all)
 			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), e.usable(s, mine, all))
 			e.setPolicy(s)
 			services[serviceKey(s)] = true
@@ -242,6 +245,7 @@
 	for name := range e.services {
 		if !services[name] {
 			e.cfg.Router.SetEndpoints(time.Now(), name, nil)
+			delete(e.divided, name)
 		}
 	}
 	e.services = services
--- a/toucanentry/members.go
+++ b/toucanentry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"toucanport/toucanmember"
 	"toucanport/toucanroute"
@@ -61,33 +62,52 @@
 }
 
 // divider picks, of one service's endpoints, those that this entry works with.
-type divider func([]toucansettings.Endpoint) []toucansettings.Endpoint
+type divider func(service string, endpoints []toucansettings.Endpoint) []toucansettings.Endpoint
 
 func (e *Entry) subsets(tree *toucansettings.Tree) divider {
 	if e.cfg.Members == nil {
-		return func(endpoints []toucansettings.Endpoint) []toucansettings.Endpoint { return endpoints }
+		return func(_ string, endpoints []toucansettings.Endpoint) []toucansettings.Endpoint { return endpoints }
 	}
 	services := 0
 	for _, team := range tree.Teams() {
 		services += len(team.Services)
 	}
 	entries, want := e.cfg.Members.Entries(), toucanmember.SubsetSize(services)
-	return func(endpoints []toucansettings.Endpoint) []toucansettings.Endpoint {
-		return pickSubset(e.cfg.Instance, entries, endpoints, want)
+	return func(service string, endpoints []toucansettings.Endpoint) []toucansettings.Endpoint {
+		return e.pickSubset(service, entries, endpoints, want)
 	}
 }
 
-func pickSubset(self string, entries []string, endpoints []toucansettings.Endpoint, want int) []toucansettings.Endpoint {
-	byName := make(map[string]toucansettings.Endpoint, len(endpoints))
+// subset is the division of one service's endpoints that was made last, with what it was made from. Dividing is
+// costly, and most changes of settings and membership leave it as it was.
+type subset struct {
+	entries, names []string
+	want           int
+	picked         map[string]bool
+}
+
+func (s subset) madeFrom(entries, names []string, want int) bool {
+	return s.want == want && slices.Equal(s.entries, entries) && slices.Equal(s.names, names)
+}
+
+func (e *Entry) pickSubset(service string, entries []string, endpoints []toucansettings.Endpoint, want int) []toucansettings.Endpoint {
 	names := make([]string, len(endpoints))
 	for i, ep := range endpoints {
 		names[i] = endpointKey(ep.Team, ep.Name)
-		byName[names[i]] = ep
 	}
-	picked := toucanmember.Subset(self, entries, names, want)
-	out := make([]toucansettings.Endpoint, len(picked))
-	for i, name := range picked {
-		out[i] = byName[name]
+	made := e.divided[service]
+	if !made.madeFrom(entries, names, want) {
+		made = subset{entries: entries, names: names, want: want, picked: make(map[string]bool)}
+		for _, name := range toucanmember.Subset(e.cfg.Instance, entries, names, want) {
+			made.picked[name] = true
+		}
+		e.divided[service] = made
+	}
+	var out []toucansettings.Endpoint
+	for i, ep := range endpoints {
+		if made.picked[names[i]] {
+			out = append(out, ep)
+		}
 	}
 	return out
 }
