--- a/toucanconfig/config.go
+++ b/toucanconfig/config.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"os"
+	"regexp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -124,7 +125,7 @@
 		Store:                   t.Address("store", true),
 		InstanceList:            t.Address("instanceList", true),
 		GenerationSecret:        secret(t),
-		BootstrapCredentialHash: t.String("bootstrapCredentialHash", false),
+		BootstrapCredentialHash: bootstrapHash(t),
 		TLS:                     tlsFiles(t),
 		Bounds:                  entryBounds(t),
 	}
@@ -199,6 +200,16 @@
 	}
 }
 
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func bootstrapHash(t *toucandocument.Table) string {
+	h := t.String("bootstrapCredentialHash", false)
+	if h != "" && !hashPattern.MatchString(h) {
+		t.Note("bootstrapCredentialHash", h, "the hex SHA-256 digest of a credential, 64 characters")
+	}
+	return h
+}
+
 func secret(t *toucandocument.Table) string {
 	s := t.String("generationSecret", true)
 	if s != "" && len(s) < minSecretChars {
