Claim keyed orders in the sidecar before the endpoint sees them

Cause: the sidecar gave every call to the application at once, so a caller's repeat through another entry was carried out again; and Go's transport takes a POST with an Idempotency-Key and no body for one that it may send twice. Conclusion: a repeat gets the first answer, or a truthful refusal.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -199,6 +199,7 @@
 		cfg.ServiceURL = url
 		cfg.ServiceTransport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
 		s.startService(ctx, ln)
+		s.startOrders(ctx, cfg)
 		return nil
 	}
 	engineCfg := s.cfg.Engine(cfg.Endpoint)
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -123,7 +123,7 @@
 			return response, nil
 		}
 		mayHaveRun = mayHaveRun || ref.Ran != toucanwire.RanNo
-		f := toucanretry.Failure{NotRun: ref.Ran == toucanwire.RanNo, Repeatable: repeatable(call.Method), Leaving: ref.Code == toucanwire.CodeLeaving}
+		f := toucanretry.Failure{NotRun: mayGoElsewhere(ref), Repeatable: repeatable(call.Method), Leaving: ref.Code == toucanwire.CodeLeaving}
 		delay, again := plan.Next(time.Now(), f)
 		if !again || !pause(ctx, delay) {
 			return nil, refusalFailure(truthful(result{refusal: ref}, &progress{mayHaveRun: mayHaveRun}).refusal)
@@ -132,6 +132,16 @@
 	}
 }
 
+// mayGoElsewhere reports whether the call was not run and another endpoint may take it. The store answers all
+// endpoints alike, and a key that was used for another order stays used.
+func mayGoElsewhere(ref *toucanwire.Refusal) bool {
+	switch ref.Code {
+	case toucanwire.CodeStoreUnavailable, toucanwire.CodeKeyReused:
+		return false
+	}
+	return ref.Ran == toucanwire.RanNo
+}
+
 // repeatable reports whether HTTP defines the method as idempotent.
 func repeatable(method string) bool {
 	switch method {
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -404,6 +404,10 @@
 		return http.StatusGone
 	case toucanwire.CodeRejected:
 		return http.StatusBadRequest
+	case toucanwire.CodeOrderInProgress, toucanwire.CodeOrderCarriedOut, toucanwire.CodeOrderUnknown:
+		return http.StatusConflict
+	case toucanwire.CodeKeyReused:
+		return http.StatusUnprocessableEntity
 	case toucanwire.CodeDeadline:
 		return http.StatusGatewayTimeout
 	case toucanwire.CodeEngineLost, toucanwire.CodeEndpointFailed:
--- a/toucaninstance/sidecar.go
+++ b/toucaninstance/sidecar.go
@@ -11,8 +11,10 @@
 	"toucanport/toucanconfig"
 	"toucanport/toucanengine"
 	"toucanport/toucanmetric"
+	"toucanport/toucanorder"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
+	"toucanport/toucanstore"
 	"toucanport/toucanstream"
 	"toucanport/toucantls"
 )
@@ -20,10 +22,18 @@
 // endpointConnections bounds idle connections to the endpoint.
 const endpointConnections = 512
 
+// The budget of the store's calls for orders.
+const (
+	ordersReadsPerSecond  = 40
+	ordersWritesPerSecond = 120
+)
+
 // Sidecar is a running sidecar process.
 type Sidecar struct {
 	process
 	sidecar *toucansidecar.Sidecar
+	// orders is nil beside an engine.
+	orders *toucanorder.Claims
 }
 
 // StartSidecar starts a sidecar, which runs until ctx is done or Shutdown has ended.
@@ -51,6 +61,10 @@
 		ln.Close()
 		return err
 	}
+	if cfg.Application.IsValid() {
+		s.orders = newOrders(cfg, sidecarCfg.Scope)
+		sidecarCfg.Orders = s.orders
+	}
 	s.sidecar = toucansidecar.New(sidecarCfg, toucansidecar.WithLogger(s.log))
 	s.run("links", func() error {
 		defer s.cancel()
@@ -107,5 +121,23 @@
 // Shutdown takes no new requests, waits until those in progress have ended or ctx is done, and ends the links.
 func (s *Sidecar) Shutdown(ctx context.Context) error {
 	defer s.cancel()
-	return s.sidecar.Shutdown(ctx)
+	err := s.sidecar.Shutdown(ctx)
+	if s.orders == nil {
+		return err
+	}
+	if closeErr := s.orders.Close(ctx); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// newOrders returns claims in the platform's store, within a budget that lets one sidecar commit every shard when
+// it is the only one.
+func newOrders(cfg toucanconfig.SidecarConfig, scope tally.Scope) *toucanorder.Claims {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	store := toucanstore.NewClient("http://"+cfg.Store.String(), toucanstore.WithScope(scope),
+		toucanstore.WithTransport(transport(storeConnections)), toucanstore.WithBudget(ordersReadsPerSecond, ordersWritesPerSecond))
+	return toucanorder.New(store, toucanorder.WithScope(scope))
 }
--- a/toucansidecar/call.go
+++ b/toucansidecar/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,9 +47,9 @@
 		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(c.DeadlineUnixMillis))
 		defer cancel()
 	}
-	response, err := s.calls.do(ctx, c)
-	if err != nil {
-		s.refuse(stream, callRefusal(err))
+	response, ref := s.carry(ctx, c)
+	if ref != nil {
+		s.refuse(stream, ref)
 		return
 	}
 	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Response{Response: response}, Load: s.loadReport()})
@@ -62,7 +63,7 @@
 	// The transport must not send a request twice on its own.
 	req.GetBody = nil
 	for _, h := range call.Headers {
-		req.Header[h.Name] = h.Values
+		req.Header[headerName(h.Name)] = h.Values
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -79,6 +80,16 @@
 	return &toucanwire.CallResponse{Status: uint32(resp.StatusCode), Headers: toucanwire.HeadersOf(resp.Header), Body: body}, nil
 }
 
+// headerName returns the lower case form of the headers by which the transport takes a POST without a body for one
+// that it may send again. HTTP does not tell the two forms apart.
+func headerName(name string) string {
+	switch name {
+	case "Idempotency-Key", "X-Idempotency-Key":
+		return strings.ToLower(name)
+	}
+	return name
+}
+
 // callRefusal says "not run" only when no connection to the endpoint came about.
 func callRefusal(err error) *toucanwire.Refusal {
 	ran := ranUnknown
--- /dev/null
+++ b/toucansidecar/order.go
@@ -0,0 +1,123 @@
+package toucansidecar
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"toucanport/toucanorder"
+	"toucanport/toucanwire"
+)
+
+// Orders claims orders under a key, so that each reaches an endpoint at most once.
+type Orders interface {
+	Claim(ctx context.Context, k toucanorder.Key) (toucanorder.Claim, error)
+	Finish(c toucanorder.Claim, o toucanorder.Outcome) error
+	Abandon(c toucanorder.Claim) error
+	Lose(c toucanorder.Claim) error
+}
+
+// claimable reports whether a call is an order that needs a claim.
+func claimable(c *toucanwire.Call) bool {
+	switch c.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return false
+	}
+	return c.IdempotencyKey != ""
+}
+
+// carry answers a call: from the record of an earlier one with its key, or by giving it to the endpoint.
+func (s *Sidecar) carry(ctx context.Context, c *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+	if !claimable(c) {
+		response, err := s.calls.do(ctx, c)
+		if err != nil {
+			return nil, callRefusal(err)
+		}
+		return response, nil
+	}
+	if s.cfg.Orders == nil {
+		return nil, refusal(codeStoreUnavailable, ranNo, "this endpoint's sidecar has no store to claim orders in")
+	}
+	claim, err := s.cfg.Orders.Claim(ctx, orderKey(c))
+	if err != nil {
+		return nil, orderRefusal(claim, err)
+	}
+	if o := claim.Recorded; o != nil {
+		return &toucanwire.CallResponse{Status: uint32(o.Status), Headers: toucanwire.HeadersOf(o.Header), Body: o.Body, Replayed: true}, nil
+	}
+	return s.giveOrder(ctx, c, claim)
+}
+
+// giveOrder gives a claimed order to the endpoint and settles the claim by what came of it.
+func (s *Sidecar) giveOrder(ctx context.Context, c *toucanwire.Call, claim toucanorder.Claim) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+	if !claim.Valid(time.Now()) {
+		s.settled(s.cfg.Orders.Abandon(claim))
+		return nil, refusal(codeDeadline, ranNo, "the deadline passed before the order was given to the endpoint")
+	}
+	response, err := s.calls.do(ctx, c)
+	if err == nil {
+		s.settled(s.cfg.Orders.Finish(claim, outcomeOf(response)))
+		return response, nil
+	}
+	ref := callRefusal(err)
+	if ref.Ran == ranNo {
+		s.settled(s.cfg.Orders.Abandon(claim))
+	} else {
+		s.settled(s.cfg.Orders.Lose(claim))
+	}
+	return nil, ref
+}
+
+// settled logs an outcome that will not be recorded; repeats of its key are then told that it is unknown.
+func (s *Sidecar) settled(err error) {
+	if err != nil {
+		s.log.Error("order outcome not recorded", "error", err.Error())
+	}
+}
+
+func orderKey(c *toucanwire.Call) toucanorder.Key {
+	h := xxhash.New()
+	for _, part := range []string{c.Method, c.Path, string(c.Body)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return toucanorder.Key{
+		Workspace:      c.Workspace,
+		Service:        c.Service,
+		IdempotencyKey: c.IdempotencyKey,
+		RequestHash:    h.Sum64(),
+	}
+}
+
+func outcomeOf(r *toucanwire.CallResponse) toucanorder.Outcome {
+	header := make(http.Header, len(r.Headers))
+	for _, h := range r.Headers {
+		header[h.Name] = h.Values
+	}
+	return toucanorder.Outcome{Status: int(r.Status), Header: header, Body: r.Body}
+}
+
+// orderRefusal names what keeps an order from being given. Only a claim that was not granted at all proves that
+// this request was not run; the others speak of an earlier request with the key.
+func orderRefusal(claim toucanorder.Claim, err error) *toucanwire.Refusal {
+	r := &toucanwire.Refusal{Message: err.Error(), RetryAfterMillis: uint32(toucanorder.RetryAfter(err) / time.Millisecond)}
+	switch {
+	case errors.Is(err, toucanorder.ErrInProgress):
+		r.Code, r.Ran, r.Retryable = toucanwire.CodeOrderInProgress, ranUnknown, true
+	case errors.Is(err, toucanorder.ErrOutcomeNotKept):
+		r.Code, r.Ran = toucanwire.CodeOrderCarriedOut, ranUnknown
+		r.Message = "an earlier request with this key was carried out with status " + strconv.Itoa(claim.Recorded.Status) + "; its answer is not kept"
+	case errors.Is(err, toucanorder.ErrKeyReused):
+		r.Code, r.Ran = toucanwire.CodeKeyReused, ranNo
+	case errors.Is(err, toucanorder.ErrUnavailable), errors.Is(err, toucanorder.ErrClosed):
+		r.Code, r.Ran, r.Retryable = codeStoreUnavailable, ranNo, true
+		r.Message = "the order could not be claimed, so this request was not run; repeat it with the same key"
+	default:
+		r.Code, r.Ran = toucanwire.CodeOrderUnknown, ranUnknown
+	}
+	return r
+}
--- /dev/null
+++ b/toucansidecar/order_test.go
@@ -0,0 +1,207 @@
+package toucansidecar_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanfakeservice"
+	"toucanport/toucanfakestore"
+	"toucanport/toucanorder"
+	"toucanport/toucanrig"
+	"toucanport/toucansettings"
+	"toucanport/toucansidecar"
+	"toucanport/toucanwire"
+)
+
+const applicationAddr = "10.0.2.1:8080"
+
+var sidecarAddrs = []string{"10.0.1.1:7000", "10.0.1.2:7000"}
+
+// orderRig is two sidecars that share a store, before one application with a ledger.
+type orderRig struct {
+	t       *testing.T
+	net     *toucanrig.Network
+	store   *toucanfakestore.Memory
+	service *toucanfakeservice.Service
+	server  *http.Server
+	wg      sync.WaitGroup
+	links   []*toucanwire.Link
+}
+
+func withOrderRig(t *testing.T, f func(r *orderRig)) {
+	t.Helper()
+	// The pool of timers in yamux must not hold any of an earlier bubble; two collections empty it.
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &orderRig{t: t, net: toucanrig.NewNetwork(), store: toucanfakestore.New(), service: toucanfakeservice.New()}
+		r.startService()
+		var transports []*http.Transport
+		var claims []*toucanorder.Claims
+		for _, address := range sidecarAddrs {
+			transport := &http.Transport{DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
+				return r.net.Dialer(address)(ctx, to)
+			}}
+			c := toucanorder.New(r.store)
+			transports, claims = append(transports, transport), append(claims, c)
+			r.startSidecar(ctx, address, transport, c)
+		}
+		f(r)
+		for _, l := range r.links {
+			l.Close()
+		}
+		for i, c := range claims {
+			_ = c.Close(ctx)
+			transports[i].CloseIdleConnections()
+		}
+		cancel()
+		r.stopService()
+		r.wg.Wait()
+		time.Sleep(time.Second)
+	})
+}
+
+func (r *orderRig) startService() {
+	ln, err := r.net.Listen(applicationAddr)
+	assert.NilError(r.t, err)
+	r.server = &http.Server{Handler: r.service, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	r.wg.Go(func() { _ = r.server.Serve(ln) })
+}
+
+func (r *orderRig) stopService() { _ = r.server.Close() }
+
+func (r *orderRig) startSidecar(ctx context.Context, address string, transport http.RoundTripper, c *toucanorder.Claims) {
+	ln, err := r.net.Listen(address)
+	assert.NilError(r.t, err)
+	sidecar := toucansidecar.New(toucansidecar.Config{
+		Instance: address, Endpoint: "totora/" + address, Service: "totora/workshop", Kind: toucansettings.KindPlain,
+		ServiceURL: "http://" + applicationAddr, ServiceTransport: transport, Orders: c,
+	}, toucansidecar.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	r.wg.Go(func() { _ = sidecar.Run(ctx, ln) })
+	conn, err := r.net.Dialer("10.0.0.1")(ctx, address)
+	assert.NilError(r.t, err)
+	link, err := toucanwire.Dial(ctx, conn, &toucanwire.Hello{Version: 1, Role: "entry", Instance: "n1"})
+	assert.NilError(r.t, err)
+	r.links = append(r.links, link)
+}
+
+// call sends one call through a sidecar and returns its last event.
+func (r *orderRig) call(sidecar int, method, key, body string) *toucanwire.Event {
+	r.t.Helper()
+	call := &toucanwire.Call{
+		Workspace: "totora/shop", Service: "totora/workshop", Method: method, Path: "/cuts", Body: []byte(body),
+		IdempotencyKey: key, DeadlineUnixMillis: time.Now().Add(10 * time.Second).UnixMilli(),
+	}
+	if key != "" {
+		call.Headers = []*toucanwire.Header{{Name: "Idempotency-Key", Values: []string{key}}}
+	}
+	stream, err := r.links[sidecar].Open(&toucanwire.Open{Request: &toucanwire.Open_Call{Call: call}})
+	assert.NilError(r.t, err)
+	defer stream.Close()
+	event := &toucanwire.Event{}
+	assert.NilError(r.t, stream.Receive(event))
+	time.Sleep(time.Second)
+	return event
+}
+
+func (r *orderRig) assertRefused(e *toucanwire.Event, code, ran string) {
+	r.t.Helper()
+	assert.Equal(r.t, e.GetRefusal().GetCode(), code)
+	assert.Equal(r.t, e.GetRefusal().GetRan(), ran)
+}
+
+func (r *orderRig) assertCarriedOut(n int) {
+	r.t.Helper()
+	assert.Equal(r.t, len(r.service.Orders()), n)
+}
+
+func TestRepeatThroughAnotherSidecarGetsFirstAnswer(t *testing.T) {
+	withOrderRig(t, func(r *orderRig) {
+		first := r.call(0, http.MethodPost, "k1", "two panels").GetResponse()
+		assert.Equal(t, first.GetStatus(), uint32(http.StatusCreated))
+		assert.Assert(t, !first.Replayed)
+		again := r.call(1, http.MethodPost, "k1", "two panels").GetResponse()
+		assert.Assert(t, again.GetReplayed())
+		assert.Equal(t, string(again.Body), string(first.Body))
+		assert.Equal(t, again.Status, first.Status)
+		r.assertRefused(r.call(1, http.MethodPost, "k1", "three panels"), toucanwire.CodeKeyReused, toucanwire.RanNo)
+		assert.Equal(t, r.service.Orders()[0].Key, "k1")
+		r.assertCarriedOut(1)
+	})
+}
+
+func TestLostAnswerOfTheEndpointIsNeverRepeated(t *testing.T) {
+	for _, tc := range []struct{ name, key, body string }{
+		{"keyed", "k1", "two panels"},
+		{"keyed without a body", "k1", ""},
+		{"without a key", "", "two panels"},
+		{"without a key and a body", "", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			withOrderRig(t, func(r *orderRig) {
+				// The connection of the first call is used again, which is when a transport may send twice.
+				assert.Assert(t, r.call(0, http.MethodPost, "k0", "").GetResponse() != nil)
+				r.service.SetFaults(toucanfakeservice.Faults{LoseReplies: true})
+				r.assertRefused(r.call(0, http.MethodPost, tc.key, tc.body), toucanwire.CodeEndpointFailed, toucanwire.RanUnknown)
+				r.assertCarriedOut(2)
+				r.service.SetFaults(toucanfakeservice.Faults{})
+				if tc.key == "" {
+					return
+				}
+				r.assertRefused(r.call(1, http.MethodPost, tc.key, tc.body), toucanwire.CodeOrderUnknown, toucanwire.RanUnknown)
+				r.assertCarriedOut(2)
+			})
+		})
+	}
+}
+
+func TestOrderInProgressIsNotGivenTwice(t *testing.T) {
+	withOrderRig(t, func(r *orderRig) {
+		r.service.SetFaults(toucanfakeservice.Faults{Delay: 3 * time.Second})
+		done := make(chan *toucanwire.Event, 1)
+		go func() { done <- r.call(0, http.MethodPost, "k1", "two panels") }()
+		time.Sleep(time.Second)
+		refused := r.call(1, http.MethodPost, "k1", "two panels")
+		r.assertRefused(refused, toucanwire.CodeOrderInProgress, toucanwire.RanUnknown)
+		assert.Assert(t, refused.GetRefusal().RetryAfterMillis > 0)
+		assert.Assert(t, (<-done).GetResponse() != nil)
+		assert.Assert(t, r.call(1, http.MethodPost, "k1", "two panels").GetResponse().GetReplayed())
+		r.assertCarriedOut(1)
+	})
+}
+
+func TestStoreDownKeepsOrdersFromTheEndpoint(t *testing.T) {
+	withOrderRig(t, func(r *orderRig) {
+		r.store.SetFaults(toucanfakestore.Faults{Down: true})
+		refused := r.call(0, http.MethodPost, "k1", "two panels")
+		r.assertRefused(refused, toucanwire.CodeStoreUnavailable, toucanwire.RanNo)
+		assert.Assert(t, refused.GetRefusal().Retryable)
+		r.assertCarriedOut(0)
+		assert.Assert(t, r.call(0, http.MethodGet, "", "").GetResponse() != nil, "reads need no store")
+		r.store.SetFaults(toucanfakestore.Faults{})
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, r.call(1, http.MethodPost, "k1", "two panels").GetResponse() != nil)
+		r.assertCarriedOut(2)
+	})
+}
+
+func TestUnreachableEndpointReleasesTheKey(t *testing.T) {
+	withOrderRig(t, func(r *orderRig) {
+		r.stopService()
+		r.assertRefused(r.call(0, http.MethodPost, "k1", "two panels"), toucanwire.CodeEndpointFailed, toucanwire.RanNo)
+		r.startService()
+		assert.Assert(t, r.call(1, http.MethodPost, "k1", "two panels").GetResponse() != nil)
+		r.assertCarriedOut(1)
+	})
+}
--- a/toucansidecar/refusal.go
+++ b/toucansidecar/refusal.go
@@ -30,6 +30,7 @@
 	codeTokensDropped     = toucanwire.CodeTokensDropped
 	codeEndpointFailed    = toucanwire.CodeEndpointFailed
 	codeRejected          = toucanwire.CodeRejected
+	codeStoreUnavailable  = toucanwire.CodeStoreUnavailable
 )
 
 func refusal(code, ran, message string) *toucanwire.Refusal {
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -62,6 +62,8 @@
 	// ServiceURL and ServiceTransport reach the application instance of plain services.
 	ServiceURL       string
 	ServiceTransport http.RoundTripper
+	// Orders claims orders under a key for plain services; without it such orders are refused.
+	Orders Orders
 	// Policy decides admission whatever the settings say; without it the service's settings choose.
 	Policy toucanadmit.Policy
 	Signer *toucanstream.Signer
--- a/toucanwire/codes.go
+++ b/toucanwire/codes.go
@@ -35,6 +35,14 @@
 	CodeRejected = "rejectedByEngine"
 	// CodeStoreUnavailable: the platform's store did not take the order's claim.
 	CodeStoreUnavailable = "storeUnavailable"
+	// CodeOrderInProgress: an earlier request with the order's key is at work.
+	CodeOrderInProgress = "orderInProgress"
+	// CodeOrderCarriedOut: an earlier request with the key was carried out, and its answer is not kept.
+	CodeOrderCarriedOut = "orderCarriedOut"
+	// CodeOrderUnknown: what became of an earlier request with the key is not known.
+	CodeOrderUnknown = "orderOutcomeUnknown"
+	// CodeKeyReused: the key belongs to an order with another content.
+	CodeKeyReused = "idempotencyKeyReused"
 )
 
 // HeadersOf returns h in the form of the inner protocol, without the headers that belong to one connection.
