Leave only after the end of each answer has arrived, and decode tokens with less work

Cause: a sidecar counted a generation as delivered once its end was written, though the bytes could still sit in a stalled link or in the writes gathered for it; when it then left, the caller's stream stayed without its end. The same held for calls, and a request admitted in the instant of leaving was not waited for. Ruled out: the engine and the buffer, which held the end. Change: work ends when the entry has closed the stream, which a link that ends does not count as; leaving takes the lock under which work is counted. Beside that, the events of the engine are decoded by path, and messages and deadlines of a stream are used again.

--- a/toucanengine/stream.go
+++ b/toucanengine/stream.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"iter"
 	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
+	"github.com/tidwall/gjson"
 	"github.com/tmaxmax/go-sse"
 )
 
@@ -24,21 +24,6 @@
 	Close() error
 }
 
-// chunk is the part of a completion event that is read.
-type chunk struct {
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage"`
-}
-
-type choice struct {
-	Tokens       []string `json:"tokens"`
-	FinishReason string   `json:"finish_reason"`
-}
-
-type usage struct {
-	PromptTokens int `json:"prompt_tokens"`
-}
-
 type eventStream struct {
 	body   io.Closer
 	cancel context.CancelFunc
@@ -80,17 +65,19 @@
 	if err != nil {
 		return Batch{}, errors.Wrapf(ErrInterrupted, "event id %q is no token index", ev.LastEventID)
 	}
-	var c chunk
-	if err := json.Unmarshal([]byte(ev.Data), &c); err != nil {
-		return Batch{}, errors.Wrapf(ErrInterrupted, "decode event: %v", err)
-	}
-	if len(c.Choices) != 1 {
-		return Batch{}, errors.Wrapf(ErrInterrupted, "event has %d choices", len(c.Choices))
+	if !gjson.Valid(ev.Data) {
+		return Batch{}, errors.Wrap(ErrInterrupted, "event is no JSON")
 	}
-	b := Batch{FirstIndex: first, Text: c.Choices[0].Tokens, Finish: c.Choices[0].FinishReason}
-	if c.Usage != nil {
-		b.PromptTokens = c.Usage.PromptTokens
+	fields := gjson.GetMany(ev.Data, "choices.0.tokens", "choices.0.finish_reason", "usage.prompt_tokens")
+	tokens, finish, prompt := fields[0], fields[1], fields[2]
+	if !tokens.IsArray() {
+		return Batch{}, errors.Wrap(ErrInterrupted, "event holds no tokens")
 	}
+	b := Batch{FirstIndex: first, Finish: finish.String(), PromptTokens: int(prompt.Int())}
+	tokens.ForEach(func(_, token gjson.Result) bool {
+		b.Text = append(b.Text, token.String())
+		return true
+	})
 	return b, nil
 }
 
--- a/toucansidecar/call.go
+++ b/toucansidecar/call.go
@@ -35,12 +35,12 @@
 }
 
 func (s *Sidecar) serveCall(ctx context.Context, stream *toucanwire.Stream, c *toucanwire.Call) {
-	if s.leaving.Load() {
+	if !s.beginCall() {
 		s.refuse(stream, refusal(codeLeaving, ranNo, "the endpoint is leaving"))
 		return
 	}
-	s.working.add()
 	defer s.working.done()
+	defer awaitReceipt(stream)
 	if c.DeadlineUnixMillis != 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(c.DeadlineUnixMillis))
@@ -54,6 +54,23 @@
 	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Response{Response: response}, Load: s.loadReport()})
 }
 
+// beginCall counts a call as work in progress, unless the endpoint is leaving.
+func (s *Sidecar) beginCall() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving.Load() {
+		return false
+	}
+	s.working.add()
+	return true
+}
+
+// awaitReceipt waits until the entry has closed the stream, which it does when it has the answer.
+func awaitReceipt(stream *toucanwire.Stream) {
+	stream.SetReadDeadline(time.Now().Add(endTimeout))
+	_ = stream.AwaitClose()
+}
+
 func (c *callClient) do(ctx context.Context, call *toucanwire.Call) (*toucanwire.CallResponse, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.url+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -319,10 +319,12 @@
 	defer cancel()
 	detach := g.attach(stream)
 	defer detach()
+	closed := make(chan bool, 1)
 	go func() {
-		_ = stream.Receive(&toucanwire.Open{})
+		closed <- stream.AwaitClose()
 		cancel()
 	}()
+	sender := newTokenSender(stream)
 	for {
 		chunk, err := g.buffer.Read(ctx, from, readChunk)
 		if errors.Is(err, toucanstream.ErrDropped) || errors.Is(err, toucanstream.ErrGap) {
@@ -332,27 +334,64 @@
 		if err != nil {
 			return
 		}
-		if err := s.sendChunk(stream, chunk); err != nil {
+		if err := sender.send(chunk); err != nil {
 			return
 		}
 		from = chunk.First + len(chunk.Text)
 		if chunk.End != nil {
-			s.sendEnd(stream, g, *chunk.End, from)
+			s.sendEnd(stream, *chunk.End, from)
+			awaitClosed(closed, g.release)
 			return
 		}
 	}
 }
 
-func (s *Sidecar) sendChunk(stream *toucanwire.Stream, chunk toucanstream.Chunk) error {
+// endTimeout bounds the wait for an entry to close the stream behind its end.
+const endTimeout = 2 * time.Second
+
+// awaitClosed calls release once the entry has closed the stream, which it does when it has the end. Without
+// that the end may be lost with the link, and the generation stays to be resumed.
+func awaitClosed(closed <-chan bool, release func()) {
+	timer := time.NewTimer(endTimeout)
+	defer timer.Stop()
+	select {
+	case byEntry := <-closed:
+		if byEntry {
+			release()
+		}
+	case <-timer.C:
+	}
+}
+
+// tokenSender sends chunks over one stream. Its messages are used again for each chunk.
+type tokenSender struct {
+	stream *toucanwire.Stream
+	tokens toucanwire.Tokens
+	event  toucanwire.Event
+	// deadline is the write deadline that is set on the stream.
+	deadline time.Time
+}
+
+func newTokenSender(stream *toucanwire.Stream) *tokenSender {
+	t := &tokenSender{stream: stream}
+	t.event.Event = &toucanwire.Event_Tokens{Tokens: &t.tokens}
+	return t
+}
+
+func (t *tokenSender) send(chunk toucanstream.Chunk) error {
 	if len(chunk.Text) == 0 {
 		return nil
 	}
-	tokens := &toucanwire.Tokens{FirstIndex: uint32(chunk.First), Text: chunk.Text}
-	return s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Tokens{Tokens: tokens}})
+	if now := time.Now(); t.deadline.Sub(now) < sendTimeout/2 {
+		t.deadline = now.Add(sendTimeout)
+		t.stream.SetWriteDeadline(t.deadline)
+	}
+	t.tokens.FirstIndex = uint32(chunk.First)
+	t.tokens.Text = chunk.Text
+	return t.stream.Send(&t.event)
 }
 
-func (s *Sidecar) sendEnd(stream *toucanwire.Stream, g *generation, end toucanstream.End, tokens int) {
-	defer g.release()
+func (s *Sidecar) sendEnd(stream *toucanwire.Stream, end toucanstream.End, tokens int) {
 	if !end.Complete() {
 		s.refuse(stream, endRefusal(end, tokens))
 		return
--- a/toucansidecar/leave.go
+++ b/toucansidecar/leave.go
@@ -17,6 +17,9 @@
 
 // Leave stops taking new work. Work in progress goes on.
 func (s *Sidecar) Leave() {
+	// The lock orders this after every request that was counted as work in progress.
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.leaving.Store(true)
 }
 
--- a/toucanwire/link.go
+++ b/toucanwire/link.go
@@ -192,5 +192,15 @@
 // SetWriteDeadline bounds the next Send.
 func (s *Stream) SetWriteDeadline(t time.Time) error { return s.ys.SetWriteDeadline(t) }
 
+// LinkEnded reports whether the link under the stream has ended.
+func (s *Stream) LinkEnded() bool { return s.ys.Session().IsClosed() }
+
+// AwaitClose waits until the peer has closed the stream, and reports false when the link ended instead or the
+// read deadline passed.
+func (s *Stream) AwaitClose() bool {
+	err := s.Receive(&Open{})
+	return errors.Is(err, io.EOF) && !s.LinkEnded()
+}
+
 // Close ends both directions of the stream.
 func (s *Stream) Close() error { return s.ys.Close() }
