Leave more room to others beside a workspace over its share

Cause: in a flood from one workspace the briefs of the others stood before a full batch. Change: a workspace over twice its share leaves 30% of batch and memory, briefs of those within theirs may pass the batch bound by 15% while others fill most of it, and the percentile of prompts is followed more calmly.

--- a/toucanadmit/engine_test.go
+++ b/toucanadmit/engine_test.go
@@ -43,6 +43,9 @@
 // smallEngine is an engine that decodes about 40 sequences at once.
 var smallEngine = engineSize{2048, 2048, 96, 28 * time.Millisecond, 400 * time.Microsecond, 50 * time.Microsecond, 256}
 
+// heavyWorkspace sends its own share of a workload; the others share the rest evenly.
+const heavyWorkspace = "heavy"
+
 const (
 	modelBlockTokens = 16
 	modelReportEvery = 250 * time.Millisecond
@@ -283,7 +286,7 @@
 			Arrived:      start.Add(time.Duration(at * float64(time.Second))),
 		}
 		if rnd.Float64() < w.heavy {
-			r.Workspace = "heavy"
+			r.Workspace = heavyWorkspace
 		}
 		n := briefs.Rand()
 		if rnd.Float64() > w.brief {
@@ -309,6 +312,7 @@
 	refusal50                      time.Duration
 	memory                         float64
 	briefTTFT95, planTTFT95, light time.Duration
+	lightOffered, lightRefused     int
 }
 
 func (r result) String() string {
@@ -331,6 +335,12 @@
 	r := result{offered: len(all), preemptions: e.preemptions, memory: e.usedSum / float64(max(e.steps, 1))}
 	var ttft, brief, plan, light, gaps, stalls, refusals []time.Duration
 	for _, g := range all {
+		if g.request.Workspace != heavyWorkspace {
+			r.lightOffered++
+			if g.refused {
+				r.lightRefused++
+			}
+		}
 		if g.refused {
 			r.refused++
 			refusals = append(refusals, g.refusedIn)
@@ -346,7 +356,7 @@
 		} else {
 			plan = append(plan, g.firstWait)
 		}
-		if g.request.Workspace != "heavy" {
+		if g.request.Workspace != heavyWorkspace {
 			light = append(light, g.firstWait)
 		}
 		gaps = append(gaps, g.gaps...)
--- a/toucanadmit/share.go
+++ b/toucanadmit/share.go
@@ -26,7 +26,7 @@
 	// overShareFactor is how many times its share a workspace may hold before it must leave room.
 	overShareFactor = 2
 	// overShareRoom is the part of the memory and of the batch that such a workspace leaves free.
-	overShareRoom = 0.08
+	overShareRoom = 0.3
 	// overSharePrefill is the part of the prompt computation in flight that such a workspace may fill.
 	overSharePrefill = 0.3
 )
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -324,6 +324,9 @@
 // hasSlot says whether the batch has room for j.
 func (t *toucan) hasSlot(j *job) bool {
 	bound := t.batchBound()
+	if j.favoured && t.briefs.running < bound*3/4 {
+		return t.running < bound+int(favouredSlots*float64(bound))
+	}
 	over := t.overShare(j)
 	if !j.favoured {
 		bound -= t.briefs.slots(t.now, bound, reserveFor(over))
@@ -368,6 +371,10 @@
 	return float64(t.report.TotalBlocks * t.blockTokens())
 }
 
+// favouredSlots is the part of the batch by which favoured briefs may pass its bound while others fill most
+// of it, since they are soon done.
+const favouredSlots = 0.15
+
 // batchShare is the part of the bound between tokens that a step with a long prompt is planned for.
 const batchShare = 0.97
 
--- a/toucanadmit/watch.go
+++ b/toucanadmit/watch.go
@@ -58,7 +58,7 @@
 }
 
 const (
-	trackerGain = 0.05
+	trackerGain = 0.02
 	trackerMin  = 16.0
 )
 
