Say of an order under a key what is known of the order

Cause: with a sidecar killed while its endpoint worked on an order, the repeat was refused by an entry whose endpoint was set aside and told 'ran: no', though the first request's order was carried out; a caller who believes it places the order again. Ruled out: the claims, which kept the order at one. Conclusion: 'ran: no' holds for the order as well as for the request.

--- a/toucanentry/auth.go
+++ b/toucanentry/auth.go
@@ -38,6 +38,8 @@
 	status     int
 	body       toucanapi.Error
 	retryAfter time.Duration
+	// orderAbsent is true when nobody can have run an order with the request's key.
+	orderAbsent bool
 }
 
 // Error implements error.
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -39,16 +39,29 @@
 	}
 	release, err := e.cfg.Limiter.Acquire(time.Now(), limitsOf(w), 0)
 	if err != nil {
-		return err
+		return e.orderFailure(call, err)
 	}
 	defer release(time.Now(), 0)
 	response, err := e.dispatchCall(c.Request().Context(), call)
 	if err != nil {
-		return err
+		return e.orderFailure(call, err)
 	}
 	return writeResponse(c, response)
 }
 
+// orderFailure says of an order what is known of its key: a repeat that was not run itself must not tell its
+// caller that the order was not, when an earlier request may have carried it out.
+func (e *Entry) orderFailure(call *toucanwire.Call, err error) error {
+	if !toucanwire.IsOrder(call) {
+		return err
+	}
+	f := *e.asFailure(err)
+	if f.body.Ran == toucanwire.RanNo && !f.orderAbsent {
+		f.body.Ran = toucanwire.RanUnknown
+	}
+	return &f
+}
+
 func (e *Entry) plainService(w toucansettings.Workspace, name string) (toucansettings.Service, error) {
 	s, ok := e.cfg.Settings.Tree().Service(w.Team, name)
 	if !ok || s.Kind != toucansettings.KindPlain || !slices.Contains(w.Services, name) {
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -390,6 +390,7 @@
 	f := fail(refusalStatus(ref.Code), ref.Code, ref.Message)
 	f.body.Ran = ref.Ran
 	f.body.Retryable = ref.Retryable
+	f.orderAbsent = ref.OrderAbsent || ref.Code == toucanwire.CodeKeyReused
 	f.retryAfter = time.Duration(ref.RetryAfterMillis) * time.Millisecond
 	return f
 }
--- a/toucansidecar/order.go
+++ b/toucansidecar/order.go
@@ -21,18 +21,9 @@
 	Lose(c toucanorder.Claim) error
 }
 
-// claimable reports whether a call is an order that needs a claim.
-func claimable(c *toucanwire.Call) bool {
-	switch c.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions:
-		return false
-	}
-	return c.IdempotencyKey != ""
-}
-
 // carry answers a call: from the record of an earlier one with its key, or by giving it to the endpoint.
 func (s *Sidecar) carry(ctx context.Context, c *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
-	if !claimable(c) {
+	if !toucanwire.IsOrder(c) {
 		response, err := s.calls.do(ctx, c)
 		if err != nil {
 			return nil, callRefusal(err)
@@ -56,7 +47,7 @@
 func (s *Sidecar) giveOrder(ctx context.Context, c *toucanwire.Call, claim toucanorder.Claim) (*toucanwire.CallResponse, *toucanwire.Refusal) {
 	if !claim.Valid(time.Now()) {
 		s.settled(s.cfg.Orders.Abandon(claim))
-		return nil, refusal(codeDeadline, ranNo, "the deadline passed before the order was given to the endpoint")
+		return nil, absent(refusal(codeDeadline, ranNo, "the deadline passed before the order was given to the endpoint"))
 	}
 	response, err := s.calls.do(ctx, c)
 	if err == nil {
@@ -66,12 +57,18 @@
 	ref := callRefusal(err)
 	if ref.Ran == ranNo {
 		s.settled(s.cfg.Orders.Abandon(claim))
-	} else {
-		s.settled(s.cfg.Orders.Lose(claim))
+		return nil, absent(ref)
 	}
+	s.settled(s.cfg.Orders.Lose(claim))
 	return nil, ref
 }
 
+// absent marks a refusal behind a claim that was granted: nobody had run an order with its key before.
+func absent(r *toucanwire.Refusal) *toucanwire.Refusal {
+	r.OrderAbsent = true
+	return r
+}
+
 // settled logs an outcome that will not be recorded; repeats of its key are then told that it is unknown.
 func (s *Sidecar) settled(err error) {
 	if err != nil {
@@ -115,7 +112,7 @@
 		r.Code, r.Ran = toucanwire.CodeKeyReused, ranNo
 	case errors.Is(err, toucanorder.ErrUnavailable), errors.Is(err, toucanorder.ErrClosed):
 		r.Code, r.Ran, r.Retryable = codeStoreUnavailable, ranNo, true
-		r.Message = "the order could not be claimed, so this request was not run; repeat it with the same key"
+		r.Message = "the order could not be claimed, so this request was not run; an earlier one with its key may have been: repeat it with the same key"
 	default:
 		r.Code, r.Ran = toucanwire.CodeOrderUnknown, ranUnknown
 	}
--- a/toucanwire/codes.go
+++ b/toucanwire/codes.go
@@ -45,6 +45,15 @@
 	CodeKeyReused = "idempotencyKeyReused"
 )
 
+// IsOrder reports whether a call is claimed under its key before an endpoint sees it.
+func IsOrder(c *Call) bool {
+	switch c.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return false
+	}
+	return c.IdempotencyKey != ""
+}
+
 // HeadersOf returns h in the form of the inner protocol, without the headers that belong to one connection.
 func HeadersOf(h http.Header) []*Header {
 	out := make([]*Header, 0, len(h))
