Space reports on answers and condense the fleet's status to keep the byte budget

Cause: worked out at the design size, reports on answers alone were 15.0 kB/s an entry and a fleet status 25 MB. Change: a sidecar puts a report on an answer at most once in 25 ms for each of its links; heartbeats use 9 kB/s in place of 10; peers that have what the entry has are told as such; an entry looks at the other entries once in 10 s. Ruled out: dropping names from reports, which saves less.

--- a/toucanclient/client.go
+++ b/toucanclient/client.go
@@ -95,12 +95,6 @@
 	return out, c.call(ctx, http.MethodGet, toucanoperate.PathDocument+query, nil, &out)
 }
 
-// Status returns the state of the entry.
-func (c *Client) Status(ctx context.Context) (toucanoperate.Status, error) {
-	var out toucanoperate.Status
-	return out, c.call(ctx, http.MethodGet, toucanoperate.PathStatus, nil, &out)
-}
-
 // Fleet returns the state of every instance that the entry can learn of.
 func (c *Client) Fleet(ctx context.Context) (toucanoperate.Fleet, error) {
 	var out toucanoperate.Fleet
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -98,8 +98,10 @@
 	stopping atomic.Bool
 	// drained is closed when a graceful stop has ended.
 	drained chan struct{}
-	// divided holds each service's subset; the maintaining goroutine's alone.
+	// divided holds each service's subset, and entries what they were made over; the maintaining goroutine's
+	// alone.
 	divided map[string]subset
+	entries entryList
 	// life ends with Run; work that outlives its request, such as a cancel, ends with it.
 	life context.Context
 	end  context.CancelFunc
@@ -211,7 +213,7 @@
 	var version uint64
 	for {
 		tree, members := e.cfg.Settings.Tree(), e.membersVersion()
-		if tree != last || members != version {
+		if tree != last || members != version || e.entriesDue(time.Now(), members) {
 			last, version = tree, members
 			e.useTree(tree)
 		}
--- a/toucanentry/members.go
+++ b/toucanentry/members.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"toucanport/toucanmember"
 	"toucanport/toucanroute"
@@ -72,12 +73,36 @@
 	for _, team := range tree.Teams() {
 		services += len(team.Services)
 	}
-	entries, want := e.cfg.Members.Entries(), toucanmember.SubsetSize(services)
+	entries, want := e.knownEntries(time.Now()), toucanmember.SubsetSize(services)
 	return func(service string, endpoints []toucansettings.Endpoint) []toucansettings.Endpoint {
 		return e.pickSubset(service, entries, endpoints, want)
 	}
 }
 
+// entriesInterval is the time between two looks at which entries there are, since each change of them makes the
+// entry divide every service anew, and many come at once when a failure domain returns.
+const entriesInterval = 10 * time.Second
+
+// entryList is the entries that services are divided over.
+type entryList struct {
+	names []string
+	// version is that of the membership when names were read, at readAt.
+	version uint64
+	readAt  time.Time
+}
+
+// entriesDue reports whether it is time to look at the entries again.
+func (e *Entry) entriesDue(now time.Time, version uint64) bool {
+	return version != e.entries.version && (len(e.entries.names) == 0 || now.Sub(e.entries.readAt) >= entriesInterval)
+}
+
+func (e *Entry) knownEntries(now time.Time) []string {
+	if version := e.membersVersion(); e.entriesDue(now, version) {
+		e.entries = entryList{names: e.cfg.Members.Entries(), version: version, readAt: now}
+	}
+	return e.entries.names
+}
+
 // subset is the division of one service's endpoints that was made last, with what it was made from. Dividing is
 // costly, and most changes of settings and membership leave it as it was.
 type subset struct {
--- a/toucanmember/pace.go
+++ b/toucanmember/pace.go
@@ -12,7 +12,7 @@
 	// TLS and TCP.
 	beatBytes = 320
 	// beatBytesPerSecond is the part of an instance's 15 KB/s of control that heartbeats may use.
-	beatBytesPerSecond = 10_000
+	beatBytesPerSecond = 9_000
 )
 
 // HeartbeatInterval returns the time between heartbeats on each of an instance's links, so that all of them
--- a/toucanoperate/fleet.go
+++ b/toucanoperate/fleet.go
@@ -71,7 +71,30 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	err = json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxBodyBytes)).Decode(&status)
-	return status, err
+	return status.expanded(), err
+}
+
+// condensed leaves out the revisions of peers that have what the entry has, which is most of a status.
+func (s Status) condensed() Status {
+	peers := make([]Instance, len(s.Peers))
+	for i, p := range s.Peers {
+		if slices.Equal(p.Documents, s.Self.Documents) {
+			p.Documents, p.AsSelf = nil, true
+		}
+		peers[i] = p
+	}
+	s.Peers = peers
+	return s
+}
+
+// expanded is the inverse of condensed.
+func (s Status) expanded() Status {
+	for i, p := range s.Peers {
+		if p.AsSelf {
+			s.Peers[i].Documents, s.Peers[i].AsSelf = s.Self.Documents, false
+		}
+	}
+	return s
 }
 
 // join merges statuses. Of several reports on one instance the one heard last goes.
--- a/toucanoperate/message.go
+++ b/toucanoperate/message.go
@@ -115,8 +115,10 @@
 	FailureDomain string `json:"failureDomain,omitempty"`
 	// BootID identifies the run of the process, in hex.
 	BootID string `json:"bootId,omitempty"`
-	// Documents are the revisions in force there.
-	Documents []toucanspread.Revision `json:"documents"`
+	// Documents are the revisions in force there; left out in a Status when AsSelf is true.
+	Documents []toucanspread.Revision `json:"documents,omitempty"`
+	// AsSelf is true when the revisions are those of the entry that tells.
+	AsSelf bool `json:"asSelf,omitempty"`
 	// HeardAt is when the instance was last heard.
 	HeardAt time.Time `json:"heardAt"`
 	// Answers is false for an instance that is listed but was not reached.
--- a/toucanoperate/server.go
+++ b/toucanoperate/server.go
@@ -280,7 +280,7 @@
 }
 
 func (s *Server) getStatus(c *echo.Context, from caller) error {
-	return c.JSON(http.StatusOK, s.status(from))
+	return c.JSON(http.StatusOK, s.status(from).condensed())
 }
 
 // status returns this entry's state as far as the caller may see it.
--- a/toucansidecar/call.go
+++ b/toucansidecar/call.go
@@ -52,7 +52,7 @@
 		s.refuse(stream, ref)
 		return
 	}
-	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Response{Response: response}, Load: s.loadReport()})
+	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Response{Response: response}, Load: s.answerReport()})
 }
 
 // beginCall counts a call as work in progress, unless the endpoint is leaving.
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -25,6 +25,8 @@
 // reporter numbers this boot's load reports and keeps what the engine said last.
 type reporter struct {
 	sequence atomic.Uint64
+	// answeredAt is when an answer last carried a report, in nanoseconds.
+	answeredAt atomic.Int64
 
 	mu       sync.Mutex
 	failures int
@@ -107,6 +109,23 @@
 	}
 }
 
+// answerReportSpacing is the time between two reports that ride on answers, for each link. An entry hears of many
+// sidecars; with many links each of them tells it less often, and heartbeats go on as they are.
+const answerReportSpacing = 25 * time.Millisecond
+
+// answerReport returns the report that an answer carries, or nil when one went out a moment ago.
+func (s *Sidecar) answerReport() *toucanwire.LoadReport {
+	s.mu.Lock()
+	spacing := time.Duration(len(s.links)) * answerReportSpacing
+	s.mu.Unlock()
+	now := time.Now().UnixNano()
+	last := s.reports.answeredAt.Load()
+	if now-last < int64(spacing) || !s.reports.answeredAt.CompareAndSwap(last, now) {
+		return nil
+	}
+	return s.loadReport()
+}
+
 func (s *Sidecar) loadReport() *toucanwire.LoadReport {
 	r := &toucanwire.LoadReport{
 		BootId:   s.boot,
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -115,7 +115,7 @@
 		return
 	}
 	accepted := &toucanwire.Accepted{GenerationId: r.GenerationId}
-	if err := s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Accepted{Accepted: accepted}, Load: s.loadReport()}); err != nil {
+	if err := s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Accepted{Accepted: accepted}, Load: s.answerReport()}); err != nil {
 		return
 	}
 	s.deliver(ctx, stream, g, 0)
@@ -401,7 +401,7 @@
 		PromptTokens:     uint32(end.PromptTokens),
 		CompletionTokens: uint32(tokens),
 	}
-	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_End{End: e}, Load: s.loadReport()})
+	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_End{End: e}, Load: s.answerReport()})
 }
 
 func (s *Sidecar) serveResume(ctx context.Context, stream *toucanwire.Stream, r *toucanwire.Resume) {
