Move links and heartbeats out of the entry into a package of their own

Change: toucanlink keeps the links and tells a small handler what heartbeats bring; the entry's status and limits read from it. Behaviour is unchanged. Conclusion: links can be read and tested without the callers' side.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -21,6 +21,7 @@
 	"toucanport/toucanfakemember"
 	"toucanport/toucanfakestore"
 	"toucanport/toucanlimit"
+	"toucanport/toucanlink"
 	"toucanport/toucanlisting"
 	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
@@ -247,7 +248,7 @@
 		Spread:        settings,
 		Members:       members,
 		Signer:        s.signer,
-		Dial:          toucanentry.Dialer(protected),
+		Dial:          toucanlink.Dialer(protected),
 		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain}),
 		Limiter:       toucanlimit.NewShared(s.cfg.Entries),
 	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -181,11 +181,11 @@
 }
 
 func (e *Entry) tryCall(ctx context.Context, ep toucanroute.Endpoint, call *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
-	p, err := e.links.get(ctx, ep.Address.String())
+	p, err := e.links.Get(ctx, ep.Address.String())
 	if err != nil {
 		return nil, notConnected().refusal
 	}
-	stream, err := p.link.Open(&toucanwire.Open{Request: &toucanwire.Open_Call{Call: call}})
+	stream, err := p.Open(&toucanwire.Open{Request: &toucanwire.Open_Call{Call: call}})
 	if err != nil {
 		return nil, lostSidecar().refusal
 	}
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanlink"
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
 	"toucanport/toucanstream"
@@ -257,15 +258,15 @@
 
 // relay sends one message and hands on what comes back until the end.
 func (r *run) relay(ctx context.Context, open *toucanwire.Open) (result, error) {
-	p, err := r.entry.links.get(ctx, r.address.String())
+	p, err := r.entry.links.Get(ctx, r.address.String())
 	if err != nil {
 		return result{}, r.cause(ctx, err)
 	}
-	r.answeredBy = p.link.Peer.BootId
+	r.answeredBy = p.Peer.BootId
 	if r.sentTo == 0 {
 		r.sentTo = r.answeredBy
 	}
-	stream, err := p.link.Open(open)
+	stream, err := p.Open(open)
 	if err != nil {
 		return result{}, r.cause(ctx, err)
 	}
@@ -370,18 +371,18 @@
 }
 
 func (e *Entry) tryCancel(ctx context.Context, address netip.AddrPort, id, workspace string) error {
-	p, err := e.links.get(ctx, address.String())
+	p, err := e.links.Get(ctx, address.String())
 	if err != nil {
 		return err
 	}
-	stream, err := p.link.Open(&toucanwire.Open{Request: &toucanwire.Open_Cancel{
+	stream, err := p.Open(&toucanwire.Open{Request: &toucanwire.Open_Cancel{
 		Cancel: &toucanwire.Cancel{GenerationId: id, Workspace: workspace},
 	}})
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
-	stream.SetReadDeadline(time.Now().Add(heartbeatTimeout))
+	stream.SetReadDeadline(time.Now().Add(toucanlink.HeartbeatTimeout))
 	return stream.Receive(&toucanwire.Event{})
 }
 
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanlimit"
+	"toucanport/toucanlink"
 	"toucanport/toucanmetric"
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
@@ -41,9 +42,6 @@
 	DefaultStartWithin = 30 * time.Second
 )
 
-// Dialer opens a connection to a sidecar's inner listener.
-type Dialer func(ctx context.Context, address string) (net.Conn, error)
-
 // Settings gives the settings in force.
 type Settings interface {
 	Tree() *toucansettings.Tree
@@ -60,7 +58,7 @@
 	// Members is what is known of other instances; may be nil.
 	Members Members
 	Signer  *toucanstream.Signer
-	Dial    Dialer
+	Dial    toucanlink.Dialer
 	Router  toucanroute.Router
 	Limiter toucanlimit.Limiter
 	Budget  *toucanretry.Budget
@@ -83,7 +81,7 @@
 	log     *slog.Logger
 	boot    uint64
 	serial  atomic.Uint64
-	links   *links
+	links   *toucanlink.Pool
 	callers *toucanmetric.Callers
 	server  *http.Server
 	// connections and bodies bound what callers make the entry hold.
@@ -143,11 +141,14 @@
 		opt(e)
 	}
 	e.callers = toucanmetric.NewCallers(cfg.Scope)
-	e.links = newLinks(cfg.Dial, e.hello(), e.takeReport, e.log)
-	e.links.spread = cfg.Spread
+	e.links = toucanlink.NewPool(toucanlink.Config{
+		Dial:    cfg.Dial,
+		Hello:   e.hello(),
+		Spread:  cfg.Spread,
+		Handler: linkHandler{e},
+		Log:     e.log,
+	})
 	e.divided = make(map[string]subset)
-	e.links.takeMember = e.takeMember
-	e.links.uses, e.links.takeUses = e.uses, e.takeUses
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -218,11 +219,11 @@
 			e.useTree(tree)
 		}
 		e.useSeeds(tree)
-		e.links.ensure(ctx)
+		e.links.Ensure(ctx)
 		select {
 		case <-time.After(maintainInterval):
 		case <-ctx.Done():
-			e.links.closeAll()
+			e.links.CloseAll()
 			return
 		}
 	}
@@ -252,7 +253,7 @@
 		}
 	}
 	e.services = services
-	e.links.want(wanted)
+	e.links.Want(wanted)
 	if len(services) > 0 {
 		e.markReady()
 	}
--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -308,3 +308,10 @@
 
 // errSinkBroken says that the caller's connection failed.
 var errSinkBroken = errors.New("the caller's connection broke")
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/toucanentry/members.go
+++ b/toucanentry/members.go
@@ -159,7 +159,7 @@
 	for _, address := range seeds[:min(seedLinks, len(seeds))] {
 		wanted[address] = true
 	}
-	e.links.want(wanted)
+	e.links.Want(wanted)
 }
 
 // takeMember tells the membership what the sidecar on a link said of itself.
--- a/toucanentry/share.go
+++ b/toucanentry/share.go
@@ -12,20 +12,29 @@
 // those with the lowest addresses, so that entries with the same endpoints meet.
 const relays = 2
 
+// linkHandler takes what heartbeats bring.
+type linkHandler struct{ entry *Entry }
+
+// Report implements toucanlink.Handler.
+func (h linkHandler) Report(peer *toucanwire.Hello, load *toucanwire.LoadReport) {
+	h.entry.takeReport(load)
+	h.entry.takeMember(peer, load)
+}
+
 // useSharer is a limiter that shares limits with the other entries.
 type useSharer interface {
 	Uses(now time.Time) toucanlimit.Uses
 	Observe(now time.Time, peer string, uses toucanlimit.Uses)
 }
 
-// uses returns what this entry tells over the link to address; nothing unless that is one of the relays.
-func (e *Entry) uses(address string) []*toucanwire.EntryUse {
-	sharer, ok := e.cfg.Limiter.(useSharer)
-	if !ok || !slices.Contains(e.links.lowest(relays), address) {
+// Uses returns what this entry tells over the link to address; nothing unless that is one of the relays.
+func (h linkHandler) Uses(address string) []*toucanwire.EntryUse {
+	sharer, ok := h.entry.cfg.Limiter.(useSharer)
+	if !ok || !slices.Contains(h.entry.links.Lowest(relays), address) {
 		return nil
 	}
 	own := sharer.Uses(time.Now())
-	use := &toucanwire.EntryUse{Instance: e.cfg.Instance, Complete: own.Complete}
+	use := &toucanwire.EntryUse{Instance: h.entry.cfg.Instance, Complete: own.Complete}
 	for _, u := range own.List {
 		use.Uses = append(use.Uses, &toucanwire.WorkspaceUse{
 			Workspace:       u.Workspace,
@@ -36,14 +45,14 @@
 	return []*toucanwire.EntryUse{use}
 }
 
-// takeUses hands what other entries carry to the limiter.
-func (e *Entry) takeUses(uses []*toucanwire.EntryUse) {
-	sharer, ok := e.cfg.Limiter.(useSharer)
+// TakeUses hands what other entries carry to the limiter.
+func (h linkHandler) TakeUses(uses []*toucanwire.EntryUse) {
+	sharer, ok := h.entry.cfg.Limiter.(useSharer)
 	if !ok {
 		return
 	}
 	for _, use := range uses {
-		if use.Instance == e.cfg.Instance {
+		if use.Instance == h.entry.cfg.Instance {
 			continue
 		}
 		peer := toucanlimit.Uses{Complete: use.Complete}
@@ -57,15 +66,3 @@
 		sharer.Observe(time.Now(), use.Instance, peer)
 	}
 }
-
-// lowest returns the n lowest addresses that are linked.
-func (l *links) lowest(n int) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	addresses := make([]string, 0, len(l.peers))
-	for address := range l.peers {
-		addresses = append(addresses, address)
-	}
-	slices.Sort(addresses)
-	return addresses[:min(n, len(addresses))]
-}
--- a/toucanentry/stop.go
+++ b/toucanentry/stop.go
@@ -38,7 +38,7 @@
 		defer timer.Stop()
 	}
 	err := e.server.Shutdown(ctx)
-	e.links.closeAll()
+	e.links.CloseAll()
 	return errors.Wrap(err, "requests were still in progress")
 }
 
--- a/toucaninstance/entry.go
+++ b/toucaninstance/entry.go
@@ -10,6 +10,7 @@
 	"toucanport/toucancontrol"
 	"toucanport/toucanentry"
 	"toucanport/toucanlimit"
+	"toucanport/toucanlink"
 	"toucanport/toucanlisting"
 	"toucanport/toucanmetric"
 	"toucanport/toucanroute"
@@ -101,11 +102,11 @@
 	return nil
 }
 
-func entryDial(r *toucantls.Reloader) toucanentry.Dialer {
+func entryDial(r *toucantls.Reloader) toucanlink.Dialer {
 	if r == nil {
 		return dial
 	}
-	return toucanentry.Dialer(toucantls.WrapDial(dial, r, toucantls.RoleSidecar))
+	return toucanlink.Dialer(toucantls.WrapDial(dial, r, toucantls.RoleSidecar))
 }
 
 // Shutdown takes no new requests and waits until those in progress have ended or ctx is done.
