Tell an outcome as unknown after a lost answer unless it is settled, and check operators.toml

Cause: after a lost answer the client passed on any later refusal, so a change could be told invalid by one entry while another entry's attempt still landed; found by writing the table of answers. 'check' read operators.toml as a team's file.

--- a/toucanclient/client.go
+++ b/toucanclient/client.go
@@ -139,9 +139,11 @@
 	return true
 }
 
-// afterOpen keeps a refusal that says nothing about earlier tries from being told as final.
+// afterOpen keeps a refusal that says nothing about earlier tries from being told as final. A conflict and a
+// settled refusal are final: no try that is still under way can land any more.
 func afterOpen(open bool, err error) error {
-	if open && (errors.Is(err, toucanchange.ErrBaseTooOld) || errors.Is(err, toucanchange.ErrStoreDown)) {
+	final := err == nil || errors.Is(err, toucanchange.ErrConflict) || errors.Is(err, toucanchange.ErrRefused)
+	if open && !final {
 		return errors.Wrap(toucanchange.ErrOutcomeUnknown, err.Error())
 	}
 	return err
--- a/toucancmd/check/check.go
+++ b/toucancmd/check/check.go
@@ -5,16 +5,15 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"toucanport/toucancmd/declaration"
 	"toucanport/toucancmd/factory"
 	"toucanport/toucanconfig"
 	"toucanport/toucandocument"
 	"toucanport/toucanio"
-	"toucanport/toucansettings"
 )
 
 // Kinds of file that check knows.
@@ -40,7 +39,7 @@
 		Name:  "check",
 		Short: "validate settings files offline",
 		Bind: func(p *flaggy.Parser) {
-			p.AddPositionalValue(&opts.Path, "PATH", 1, true, "a settings file, or a directory with one TOML file for each team")
+			p.AddPositionalValue(&opts.Path, "PATH", 1, true, "a settings file, or a directory with one TOML file for each team and operators.toml")
 			p.String(&opts.Kind, "k", "kind", "what the files are: team, entry or sidecar")
 		},
 		Run: func() error {
@@ -53,7 +52,7 @@
 }
 
 func checkRun(opts *Options) error {
-	files, err := Files(opts.Path)
+	files, err := filesOf(opts.Path)
 	if err != nil {
 		return err
 	}
@@ -85,23 +84,14 @@
 		_, err := toucanconfig.LoadSidecar(file)
 		return err
 	case kindTeam:
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return errors.Wrap(err, "reading settings")
-		}
-		_, err = toucansettings.ParseTeam(file, TeamName(file), data)
+		_, err := declaration.LoadFile(file)
 		return err
 	}
 	return errors.Wrapf(factory.ErrUsage, "check: --kind %q; allowed: team, entry, sidecar", kind)
 }
 
-// TeamName returns the team that a file of declarations is for: its base name without extension.
-func TeamName(file string) string {
-	return strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
-}
-
-// Files returns path itself, or the TOML files in it when it is a directory, in order.
-func Files(path string) ([]string, error) {
+// filesOf returns path itself, or the TOML files in it when it is a directory, in order.
+func filesOf(path string) ([]string, error) {
 	info, err := os.Stat(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "reading settings")
--- a/toucancmd/declaration/declaration.go
+++ b/toucancmd/declaration/declaration.go
@@ -57,7 +57,7 @@
 	var documents []toucanrevision.Document
 	var all toucandocument.Problems
 	for _, file := range files {
-		d, err := loadFile(file)
+		d, err := LoadFile(file)
 		var problems toucandocument.Problems
 		if errors.As(err, &problems) {
 			all = append(all, problems...)
@@ -71,7 +71,8 @@
 	return documents, all.Err()
 }
 
-func loadFile(file string) (toucanrevision.Document, error) {
+// LoadFile reads and checks one file: operators.toml, or one named after its team.
+func LoadFile(file string) (toucanrevision.Document, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return toucanrevision.Document{}, errors.Wrap(err, "reading declarations")
--- a/toucancmd/settings/apply/apply.go
+++ b/toucancmd/settings/apply/apply.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/MakeNowJust/heredoc/v2"
+	"github.com/cenkalti/backoff/v5"
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
@@ -20,7 +21,9 @@
 
 const (
 	defaultTimeout = time.Minute
-	pollInterval   = 250 * time.Millisecond
+	// firstPoll and maxPoll bound the time between looks at the fleet, each of which asks every entry.
+	firstPoll = 250 * time.Millisecond
+	maxPoll   = 2 * time.Second
 )
 
 // Options are the command's inputs.
@@ -149,6 +152,8 @@
 	ctx, cancel := context.WithTimeout(ctx, opts.Timeout)
 	defer cancel()
 	shown := progress{}
+	poll := backoff.NewExponentialBackOff()
+	poll.InitialInterval, poll.MaxInterval = firstPoll, maxPoll
 	for {
 		fleet, err := client.Fleet(ctx)
 		if err == nil {
@@ -158,7 +163,7 @@
 			}
 		}
 		select {
-		case <-time.After(pollInterval):
+		case <-time.After(poll.NextBackOff()):
 		case <-ctx.Done():
 			return errors.Errorf("accepted, but in force on %d of %d instances only after %s; see 'toucanport settings status'",
 				shown.inForce, shown.live, opts.Timeout)
