--- a/cmd/toucanport/main_test.go
+++ b/cmd/toucanport/main_test.go
@@ -52,7 +52,7 @@
 
 // fleet is a deployment of separate processes around stand-ins that the test itself runs.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	store   *toucanfakestore.Memory
 	ledger  *toucanfake.Ledger
@@ -70,7 +70,7 @@
 }
 
 // freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -88,7 +88,7 @@
 	return ln.Addr().String()
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB, engine toucanfake.Config, policy toucansettings.Policy) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), store: toucanfakestore.New(), ledger: toucanfake.NewLedger(), service: toucanfakeservice.New(), arrived: make(chan struct{}, 16)}
 	f.platform = fmt.Sprintf("store = %q\ninstanceList = %q\ngenerationSecret = %q\ninsecure = true\n",
@@ -97,7 +97,7 @@
 		f.arrived <- struct{}{}
 		f.service.ServeHTTP(w, r)
 	}))
-	f.startEngine()
+	f.startEngine(engine)
 	d := toucandeploy.Deployment{
 		Team:           "totora",
 		FailureDomains: []string{"lima-a"},
@@ -107,7 +107,7 @@
 		},
 		Workspaces: []toucandeploy.Workspace{{Name: "sales", Weight: 1}},
 	}
-	f.team = d.Settings(toucansettings.PolicyToucan, 1, func(toucandeploy.Service, int) netip.AddrPort {
+	f.team = d.Settings(policy, 1, func(toucandeploy.Service, int) netip.AddrPort {
 		return netip.MustParseAddrPort(freeAddress(t))
 	})
 	f.writeTeam()
@@ -118,12 +118,12 @@
 	return f
 }
 
-func (f *fleet) startEngine() {
+func (f *fleet) startEngine(cfg toucanfake.Config) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
-	engine := toucanfake.NewEngine(toucanfake.DefaultConfig("e1"), f.ledger)
+	engine := toucanfake.NewEngine(cfg, f.ledger)
 	go func() { _ = engine.Run(ctx, ln) }()
 	f.engine = ln.Addr().String()
 }
@@ -224,7 +224,7 @@
 
 // reader follows one streamed answer across connections.
 type reader struct {
-	t *testing.T
+	t testing.TB
 	// id is the generation's id, from the first connection.
 	id string
 	// next is the index of the token that must come next.
@@ -318,7 +318,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t)
+			f := newFleet(t, toucanfake.DefaultConfig("e1"), toucansettings.PolicyToucan)
 			sidecar := f.startSidecar(f.team.Endpoints[0])
 			entry := f.startEntry(0)
 			f.startEntry(1)
@@ -338,7 +338,7 @@
 }
 
 func TestStoppedProcessesExitCleanly(t *testing.T) {
-	f := newFleet(t)
+	f := newFleet(t, toucanfake.DefaultConfig("e1"), toucansettings.PolicyToucan)
 	sidecar := f.startSidecar(f.team.Endpoints[0])
 	entry := f.startEntry(0)
 	for _, cmd := range []*exec.Cmd{entry, sidecar} {
@@ -368,7 +368,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t)
+			f := newFleet(t, toucanfake.DefaultConfig("e1"), toucansettings.PolicyToucan)
 			endpoint := f.team.Endpoints[1]
 			sidecar := f.startSidecar(endpoint)
 			f.startEntry(0)
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -44,11 +44,33 @@
 	defer release(time.Now(), 0)
 	response, err := e.dispatchCall(c.Request().Context(), call)
 	if err != nil {
-		return e.orderFailure(call, err)
+		err = e.orderFailure(call, err)
+		e.logCall(call, 0, err)
+		return err
 	}
+	e.logCall(call, int(response.Status), nil)
 	return writeResponse(c, response)
 }
 
+// logCall writes the line of one call; status is zero when the endpoint gave no answer.
+func (e *Entry) logCall(call *toucanwire.Call, status int, err error) {
+	outcome, ran := "completed", ""
+	if err != nil {
+		f := e.asFailure(err)
+		outcome, ran = f.body.Code, f.body.Ran
+	}
+	e.log.Info("call",
+		"requestId", call.RequestId,
+		"workspace", call.Workspace,
+		"service", call.Service,
+		"method", call.Method,
+		"keyed", toucanwire.IsOrder(call),
+		"status", status,
+		"outcome", outcome,
+		"ran", ran,
+	)
+}
+
 // orderFailure says of an order what is known of its key: a repeat that was not run itself must not tell its
 // caller that the order was not, when an earlier request may have carried it out.
 func (e *Entry) orderFailure(call *toucanwire.Call, err error) error {
--- a/toucaninstance/instance.go
+++ b/toucaninstance/instance.go
@@ -62,6 +62,10 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// connectionBufferBytes is the size of each buffer of a connection to the platform or to the endpoint. An event of
+// the engine is smaller, and there is a connection for each running generation.
+const connectionBufferBytes = 1 << 10
+
 func listen(what string, address netip.AddrPort) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address.String())
 	return ln, errors.Wrapf(err, "%s", what)
@@ -72,6 +76,8 @@
 	return &http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConnsPerHost: connections,
+		ReadBufferSize:      connectionBufferBytes,
+		WriteBufferSize:     connectionBufferBytes,
 		IdleConnTimeout:     time.Minute,
 	}
 }
