Bring keyed orders and the store's faults into the fault cases

Cause: claims of keyed orders had no proof through real entries, sidecars and a store reached over links that fail. Change: the rig serves the stand-in store on its network, sidecars of plain services claim through it, callers repeat keyed orders through other entries, and the table gains 22 cases of a store that is down, slow, stalled or loses requests and replies, alone and with kills and cuts.

--- a/toucanrig/check.go
+++ b/toucanrig/check.go
@@ -1,15 +1,10 @@
 package toucanrig
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"slices"
 	"time"
 
-	"toucanport/toucanapi"
 	"toucanport/toucanfake"
 	"toucanport/toucanwire"
 )
@@ -21,43 +16,6 @@
 	cancelBound = time.Second
 )
 
-// orderOutcome is what a caller of a plain service got.
-type orderOutcome struct {
-	label  string
-	entry  int
-	status int
-	// failure is the JSON error of a final answer that is none of the service's own.
-	failure *toucanapi.Error
-	// err is set when there was no final answer.
-	err error
-}
-
-// order sends one order, once.
-func (r *Rig) order(o *orderOutcome) (int, *toucanapi.Error, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), answerBound)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url(o.entry, "/services/orders/place"), nil)
-	if err != nil {
-		return 0, nil, err
-	}
-	req.Header.Set("Authorization", "Bearer "+workspaceSecret(0))
-	req.Header.Set(labelHeader, o.label)
-	resp, err := (&http.Client{Transport: r.asking}).Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	if err != nil || resp.StatusCode == http.StatusOK {
-		return resp.StatusCode, nil, err
-	}
-	var body toucanapi.ErrorBody
-	if err := json.Unmarshal(b, &body); err != nil {
-		return resp.StatusCode, nil, err
-	}
-	return resp.StatusCode, &body.Error, nil
-}
-
 // check compares what callers were told with what the endpoints recorded.
 func (c *caseRun) check() []string {
 	c.mu.Lock()
@@ -113,7 +71,7 @@
 
 // mayBeCut tells whether the caller's own connection may have broken before it had a generation id.
 func (c *caseRun) mayBeCut(o *outcome) bool {
-	return c.c.has("killEntry") && o.entry == 0 && o.answer.GenerationID == ""
+	return c.mayBeCutAt(o.entry) && o.answer.GenerationID == ""
 }
 
 func checkRefusal(o *outcome, records []toucanfake.GenerationRecord) []string {
@@ -142,28 +100,6 @@
 	return violations
 }
 
-func (c *caseRun) checkOrder(o *orderOutcome) []string {
-	n := len(c.rig.Services.Executions(o.label))
-	var violations []string
-	fail := func(format string, args ...any) {
-		violations = append(violations, o.label+": "+fmt.Sprintf(format, args...))
-	}
-	if n > 1 {
-		fail("carried out %d times", n)
-	}
-	switch {
-	case o.err != nil:
-		if !c.c.has("killEntry") || o.entry != 0 {
-			fail("no final answer: %v", o.err)
-		}
-	case o.status == http.StatusOK && n != 1:
-		fail("reported as carried out, but was carried out %d times", n)
-	case o.failure != nil && o.failure.Ran == toucanwire.RanNo && n > 0:
-		fail("told that it did not run (%s), but it ran", o.failure.Code)
-	}
-	return violations
-}
-
 // checkLeaving checks that endpoints that were marked as leaving got no new work. A replaced sidecar does not
 // know that its predecessor was leaving, but the settings still say that its endpoint is draining.
 func (c *caseRun) checkLeaving(records map[string][]toucanfake.GenerationRecord) []string {
--- a/toucanrig/fault.go
+++ b/toucanrig/fault.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanfake"
+	"toucanport/toucanfakestore"
 )
 
 // faultKind is one way in which the system is disturbed. Endpoint faults hit the first endpoint of every
@@ -42,6 +43,11 @@
 		{"leave", 0, (*caseRun).leave},
 		{"drain", 0, (*caseRun).drain},
 		{"callersLeave", 0, (*caseRun).callersLeave},
+		{"storeDown", 3 * time.Second, storeFault(toucanfakestore.Faults{Down: true})},
+		{"storeSlow", 3 * time.Second, storeFault(toucanfakestore.Faults{Delay: 700 * time.Millisecond})},
+		{"storeLosesReplies", 2 * time.Second, storeFault(toucanfakestore.Faults{LoseReply: 0.7})},
+		{"storeLosesRequests", 2 * time.Second, storeFault(toucanfakestore.Faults{LoseRequest: 0.7})},
+		{"storeStalled", 3 * time.Second, (*caseRun).storeStalled},
 	}
 }
 
@@ -195,3 +201,14 @@
 }
 
 func (c *caseRun) callersLeave(time.Duration) { c.goAway() }
+
+func storeFault(f toucanfakestore.Faults) func(*caseRun, time.Duration) {
+	return func(c *caseRun, length time.Duration) {
+		c.rig.Store.SetFaults(f)
+		time.AfterFunc(length, func() { c.rig.Store.SetFaults(toucanfakestore.Faults{}) })
+	}
+}
+
+func (c *caseRun) storeStalled(length time.Duration) {
+	c.setLink(LinkName{Any, storeAddress}, LinkState{Delay: innerDelay, RepliesStalled: true}, length)
+}
--- a/toucanrig/faultcase.go
+++ b/toucanrig/faultcase.go
@@ -199,9 +199,8 @@
 		c.mu.Unlock()
 		c.askers.Go(func() { c.askGeneration(o) })
 		if i < caseOrders {
-			order := &orderOutcome{label: fmt.Sprintf("w%d-o%d", number, i), entry: i % faultEntries}
-			c.orders = append(c.orders, order)
-			c.askers.Go(func() { order.status, order.failure, order.err = c.rig.order(order) })
+			c.askOrder(&orderOutcome{label: fmt.Sprintf("w%d-o%d", number, i), entry: i % faultEntries})
+			c.askOrder(&orderOutcome{label: fmt.Sprintf("w%d-k%d", number, i), entry: i % faultEntries, keyed: true})
 		}
 		time.Sleep(between)
 	}
--- a/toucanrig/rig.go
+++ b/toucanrig/rig.go
@@ -17,6 +17,7 @@
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanfakestore"
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
@@ -68,7 +69,9 @@
 	Services *ServiceLedger
 	// operations is held while a fault changes processes.
 	operations sync.Mutex
-	entries    []*entryProcess
+	// Store stands in for the platform's key-value service.
+	Store   *toucanfakestore.Memory
+	entries []*entryProcess
 	// endpoints are in the order of the deployment.
 	endpoints []*endpointProcesses
 	// Attempts counts the requests that entries sent to endpoints.
@@ -147,6 +150,9 @@
 		Attempts: &attempts{},
 	}
 	r.publish()
+	if err := r.startStore(); err != nil {
+		return nil, err
+	}
 	for _, spec := range cfg.Deployment.endpoints() {
 		ep := &endpointProcesses{spec: spec}
 		r.endpoints = append(r.endpoints, ep)
@@ -245,8 +251,10 @@
 		Signer:        r.signer,
 		ResumeWindow:  r.cfg.ResumeWindow,
 	}
+	ctx, kill := context.WithCancel(r.ctx)
 	if ep.spec.plain {
 		cfg.Kind = toucansettings.KindPlain
+		cfg.Orders = r.claims(ctx, ep.transport)
 		cfg.ServiceURL = url
 		cfg.ServiceTransport = wrap(http.RoundTripper(ep.transport), r.cfg.WrapService)
 	} else {
@@ -256,7 +264,6 @@
 		cfg.Policy = r.admission()
 	}
 	ep.sidecar = toucansidecar.New(cfg, toucansidecar.WithLogger(r.log))
-	ctx, kill := context.WithCancel(r.ctx)
 	ep.sidecarRun = process{name, kill}
 	sidecar := ep.sidecar
 	r.run(func() error { return sidecar.Run(ctx, ln) })
