Refuse new work in the sidecar of a draining endpoint

Cause: only entries knew that operators drain an endpoint, so work that a stalled link held back reached it long after. Ruled out: the entries' choice, which turned away within half a second. Change: the sidecar refuses with 'leaving' and reports leaving while the settings in force say that its endpoint is draining. Before: cases 'drain@150ms stallLink:8s@150ms' and 'drain@150ms stallRequests:8s@100ms' gave new work 8 s and 7.95 s after the mark; after: both pass with the rest of the table. Conclusion: the endpoint's own sidecar is the one that can hold the bound.

--- a/toucansidecar/call.go
+++ b/toucansidecar/call.go
@@ -59,7 +59,7 @@
 func (s *Sidecar) beginCall() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving.Load() {
+	if s.turnsAway() {
 		return false
 	}
 	s.working.add()
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -112,7 +112,7 @@
 		BootId:   s.boot,
 		Endpoint: s.cfg.Endpoint,
 		Service:  s.cfg.Service,
-		Leaving:  s.leaving.Load(),
+		Leaving:  s.turnsAway(),
 		Healthy:  s.reports.healthy(),
 	}
 	if s.cfg.Kind == toucansettings.KindPlain {
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -132,7 +132,7 @@
 		s.mu.Unlock()
 		return nil, refusal(codeGenerationClosed, ranUnknown, "the generation has ended or was cancelled")
 	}
-	if s.leaving.Load() {
+	if s.turnsAway() {
 		s.mu.Unlock()
 		return nil, refusal(codeLeaving, ranNo, "the endpoint is leaving")
 	}
--- a/toucansidecar/settings.go
+++ b/toucansidecar/settings.go
@@ -56,3 +56,19 @@
 	service, ok := s.cfg.Spread.Tree().Service(team, name)
 	return ruleOf(service), ok
 }
+
+// turnsAway reports whether the endpoint takes no new work: the process is stopping, or the settings in force
+// say that the endpoint is draining. Work that a stalled link held back may come long after its entry knew.
+func (s *Sidecar) turnsAway() bool {
+	return s.leaving.Load() || s.draining()
+}
+
+func (s *Sidecar) draining() bool {
+	team, service, _ := strings.Cut(s.cfg.Service, "/")
+	for _, ep := range s.cfg.Spread.Tree().Endpoints(team, service) {
+		if ep.Draining && team+"/"+ep.Name == s.cfg.Endpoint {
+			return true
+		}
+	}
+	return false
+}
