--- a/toucanrig/deployment.go
+++ b/toucanrig/deployment.go
@@ -33,6 +33,13 @@
 	return toucansettings.KindGeneration
 }
 
+func (s Service) model() string {
+	if s.Plain {
+		return ""
+	}
+	return s.Name
+}
+
 // Deployment is what one of the users runs.
 type Deployment struct {
 	Name           string
@@ -121,7 +128,7 @@
 
 // team returns the deployment's settings with policy for every service and the named endpoints draining.
 func (d Deployment) team(policy toucansettings.Policy, draining map[string]bool) toucansettings.Team {
-	team := toucansettings.Team{Name: d.Name, Revision: 1}
+	team := toucansettings.Team{Name: d.Name}
 	var names []string
 	for _, s := range d.Services {
 		names = append(names, s.Name)
@@ -129,7 +136,7 @@
 			Name:       s.Name,
 			Team:       d.Name,
 			Kind:       s.kind(),
-			Model:      s.Name,
+			Model:      s.model(),
 			Weigh:      d.Weigh,
 			Policy:     policy,
 			FirstToken: firstTokenBound,
--- a/toucanrig/double_test.go
+++ b/toucanrig/double_test.go
@@ -14,7 +14,7 @@
 
 	"toucanport/toucanengine"
 	"toucanport/toucanrig"
-	"toucanport/toucanroute"
+	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
 )
 
@@ -124,32 +124,12 @@
 	return resp, err
 }
 
-// staying is a router that goes on choosing endpoints that leave.
-type staying struct {
-	toucanroute.Router
-	mu  sync.Mutex
-	all map[string][]toucanroute.Endpoint
-}
-
-func newStaying(next toucanroute.Router) toucanroute.Router {
-	return &staying{Router: next, all: make(map[string][]toucanroute.Endpoint)}
-}
-
-func (s *staying) SetEndpoints(now time.Time, service string, es []toucanroute.Endpoint) {
-	s.mu.Lock()
-	for _, e := range es {
-		if !slices.Contains(s.all[service], e) {
-			s.all[service] = append(s.all[service], e)
-		}
+// staying is a system that takes no notice of draining endpoints.
+func staying(team toucansettings.Team) toucansettings.Team {
+	for i := range team.Endpoints {
+		team.Endpoints[i].Draining = false
 	}
-	es = slices.Clone(s.all[service])
-	s.mu.Unlock()
-	s.Router.SetEndpoints(now, service, es)
-}
-
-func (s *staying) Report(now time.Time, l toucanroute.Load) {
-	l.Leaving = false
-	s.Router.Report(now, l)
+	return team
 }
 
 // TestCheckerCatchesBrokenVariants shows that the checker sees what it is there for.
@@ -161,7 +141,7 @@
 		{"resends", "whole cutLink@1s", "carried out 2 times", toucanrig.Config{WrapService: resending}},
 		{"splices", "truthful cutEngine@400ms", "not those of one generation", toucanrig.Config{WrapEngine: newSplicing}},
 		{"drops the MAC check", "whole cutLink@1s", "another workspace got", toucanrig.Config{WrapTransport: newUnbound}},
-		{"ignores leaving", "whole drain@1s", "after it was leaving", toucanrig.Config{WrapRouter: newStaying}},
+		{"ignores leaving", "whole drain@1s", "after it was leaving", toucanrig.Config{WrapSettings: staying}},
 		{"lies about ran", "truthful cutLink@1s", "but it ran", toucanrig.Config{WrapEngine: newLying}},
 	}
 	for _, test := range tests {
--- a/toucanrig/process.go
+++ b/toucanrig/process.go
@@ -65,7 +65,9 @@
 // drain marks an endpoint as draining in the settings.
 func (r *Rig) drain(ep *endpointProcesses) {
 	r.draining[ep.spec.name] = true
-	r.publish()
+	if err := r.publish(); err != nil {
+		r.log.Error("settings not published", "error", err.Error())
+	}
 }
 
 // inject gives an engine a fault for a while.
--- a/toucanrig/rig.go
+++ b/toucanrig/rig.go
@@ -19,9 +19,11 @@
 	"toucanport/toucanfake"
 	"toucanport/toucanfakestore"
 	"toucanport/toucanretry"
+	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
+	"toucanport/toucanspread"
 	"toucanport/toucanstream"
 )
 
@@ -42,8 +44,8 @@
 	ResumeWindow time.Duration
 	// WrapEngine replaces what the sidecars see of their engines; nil leaves it.
 	WrapEngine func(toucansidecar.Engine) toucansidecar.Engine
-	// WrapRouter replaces what the entries choose endpoints with; nil leaves it.
-	WrapRouter func(toucanroute.Router) toucanroute.Router
+	// WrapSettings replaces the settings that processes get; nil leaves them.
+	WrapSettings func(toucansettings.Team) toucansettings.Team
 	// WrapTransport replaces how callers reach entries, and WrapService how sidecars reach application
 	// instances; nil leaves them.
 	WrapTransport, WrapService func(http.RoundTripper) http.RoundTripper
@@ -55,12 +57,14 @@
 	Network *Network
 	Ledger  *toucanfake.Ledger
 	cfg     Config
-	tree    *treeHolder
-	log     *slog.Logger
-	ctx     context.Context
-	stop    context.CancelFunc
-	running sync.WaitGroup
-	callers *http.Transport
+	// document is the settings in force, whose revision is revision.
+	document toucanrevision.Document
+	revision uint64
+	log      *slog.Logger
+	ctx      context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	callers  *http.Transport
 	// asking is callers, wrapped.
 	asking   http.RoundTripper
 	signer   *toucanstream.Signer
@@ -86,27 +90,31 @@
 	return f(v)
 }
 
-type treeHolder struct {
-	mu   sync.Mutex
-	tree *toucansettings.Tree
-}
-
-func (h *treeHolder) Tree() *toucansettings.Tree {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.tree
-}
-
-func (h *treeHolder) set(tree *toucansettings.Tree) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.tree = tree
+// publish puts the deployment's settings in force as the next revision: entries have read it from the store,
+// and sidecars learn it from heartbeats.
+func (r *Rig) publish() error {
+	r.revision++
+	team := wrap(r.cfg.Deployment.team(r.cfg.Policy, r.draining), r.cfg.WrapSettings)
+	body, err := toucansettings.EncodeTeam(team)
+	if err != nil {
+		return err
+	}
+	r.document, err = toucanrevision.ParseDocument("/teams/"+team.Name, body)
+	if err != nil {
+		return err
+	}
+	r.document.Revision = r.revision
+	for _, e := range r.entries {
+		if err := r.offer(e); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// publish puts the deployment's settings in force.
-func (r *Rig) publish() {
-	team := r.cfg.Deployment.team(r.cfg.Policy, r.draining)
-	r.tree.set(toucansettings.NewTree([]toucansettings.Team{team}))
+func (r *Rig) offer(e *entryProcess) error {
+	_, err := e.settings.Offer(r.document)
+	return err
 }
 
 // process is one incarnation of a program; its name is the address it dials from.
@@ -119,6 +127,7 @@
 	process
 	address     string
 	incarnation int
+	settings    *toucanspread.Holder
 	entry       *toucanentry.Entry
 }
 
@@ -140,7 +149,6 @@
 		Network:  NewNetwork(),
 		Ledger:   toucanfake.NewLedger(),
 		cfg:      cfg,
-		tree:     &treeHolder{},
 		Services: newServiceLedger(),
 		signer:   toucanstream.NewSigner([]byte(signerKey)),
 		draining: make(map[string]bool),
@@ -149,7 +157,9 @@
 		stop:     stop,
 		Attempts: &attempts{},
 	}
-	r.publish()
+	if err := r.publish(); err != nil {
+		return nil, err
+	}
 	if err := r.startStore(); err != nil {
 		return nil, err
 	}
@@ -290,13 +300,17 @@
 	e.incarnation++
 	name := fmt.Sprintf("entry-%s.%d", e.address, e.incarnation)
 	domain := r.cfg.Deployment.FailureDomains[0]
+	e.settings = toucanspread.NewHolder()
+	if err := r.offer(e); err != nil {
+		return err
+	}
 	e.entry = toucanentry.New(toucanentry.Config{
 		Instance:      name,
 		FailureDomain: domain,
-		Settings:      r.tree,
+		Spread:        e.settings,
 		Signer:        r.signer,
 		Dial:          r.Network.Dialer(name),
-		Router:        &countingRouter{Router: wrap(r.router(name, domain), r.cfg.WrapRouter), attempts: r.Attempts},
+		Router:        &countingRouter{Router: r.router(name, domain), attempts: r.Attempts},
 		Budget:        toucanretry.NewBudget(),
 	}, toucanentry.WithLogger(r.log))
 	ctx, kill := context.WithCancel(r.ctx)
