--- a/toucanclient/client.go
+++ b/toucanclient/client.go
@@ -95,12 +95,6 @@
 	return out, c.call(ctx, http.MethodGet, toucanoperate.PathDocument+query, nil, &out)
 }
 
-// Status returns the state of the entry.
-func (c *Client) Status(ctx context.Context) (toucanoperate.Status, error) {
-	var out toucanoperate.Status
-	return out, c.call(ctx, http.MethodGet, toucanoperate.PathStatus, nil, &out)
-}
-
 // Fleet returns the state of every instance that the entry can learn of.
 func (c *Client) Fleet(ctx context.Context) (toucanoperate.Fleet, error) {
 	var out toucanoperate.Fleet
@@ -145,9 +139,11 @@
 	return true
 }
 
-// afterOpen keeps a refusal that says nothing about earlier tries from being told as final.
+// afterOpen keeps a refusal that says nothing about earlier tries from being told as final. A conflict and a
+// settled refusal are final: no try that is still under way can land any more.
 func afterOpen(open bool, err error) error {
-	if open && (errors.Is(err, toucanchange.ErrBaseTooOld) || errors.Is(err, toucanchange.ErrStoreDown)) {
+	final := err == nil || errors.Is(err, toucanchange.ErrConflict) || errors.Is(err, toucanchange.ErrRefused)
+	if open && !final {
 		return errors.Wrap(toucanchange.ErrOutcomeUnknown, err.Error())
 	}
 	return err
