--- a/toucancapacity/slopes_test.go
+++ b/toucancapacity/slopes_test.go
@@ -23,6 +23,7 @@
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
 	"toucanport/toucantls"
+	"toucanport/toucanwatch"
 	"toucanport/toucanwire"
 )
 
@@ -251,7 +252,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	holder := toucanspread.NewHolder()
-	watcher := toucanspread.NewWatcher(store, toucanchange.KeyPrefix, holder, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	watcher := toucanwatch.New(store, toucanchange.KeyPrefix, holder, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	d := documents[0]
 	body, err := d.Encode()
 	assert.NilError(b, err)
--- a/toucancontrol/control.go
+++ b/toucancontrol/control.go
@@ -15,6 +15,7 @@
 	"toucanport/toucanoperate"
 	"toucanport/toucanspread"
 	"toucanport/toucanstore"
+	"toucanport/toucanwatch"
 )
 
 // Config says what a control side works with.
@@ -62,7 +63,7 @@
 
 // Control is the control side of one entry.
 type Control struct {
-	watcher *toucanspread.Watcher
+	watcher *toucanwatch.Watcher
 	server  *toucanoperate.Server
 	// storeAnswers is false while the last call of the store failed.
 	storeAnswers atomic.Bool
@@ -71,8 +72,8 @@
 // New returns a control side that does nothing until Run.
 func New(cfg Config) *Control {
 	c := &Control{}
-	c.watcher = toucanspread.NewWatcher(cfg.Store, toucanchange.KeyPrefix, cfg.Holder, cfg.Log,
-		toucanspread.WithHealth(c.storeAnswers.Store), toucanspread.WithAssigned(cfg.assigned))
+	c.watcher = toucanwatch.New(cfg.Store, toucanchange.KeyPrefix, cfg.Holder, cfg.Log,
+		toucanwatch.WithHealth(c.storeAnswers.Store), toucanwatch.WithAssigned(cfg.assigned))
 	c.server = toucanoperate.NewServer(toucanoperate.Config{
 		Holder:        cfg.Holder,
 		Writer:        toucanchange.New(cfg.Store, cfg.Holder),
--- a/toucandocument/table.go
+++ b/toucandocument/table.go
@@ -1,6 +1,7 @@
 package toucandocument
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -41,23 +42,15 @@
 }
 
 func (t *Table) syntaxError(err error) {
-	var parse toml.ParseError
 	p := Problem{File: t.file, Value: err.Error(), Allowed: "TOML"}
-	if ok := asParseError(err, &parse); ok {
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
 		p.File = fmt.Sprintf("%s:%d", t.file, parse.Position.Line)
 		p.Value = parse.Message
 	}
 	*t.problems = append(*t.problems, p)
 }
 
-func asParseError(err error, target *toml.ParseError) bool {
-	p, ok := err.(toml.ParseError) //nolint:errorlint // the library returns it unwrapped
-	if ok {
-		*target = p
-	}
-	return ok
-}
-
 // Note adds a problem at key.
 func (t *Table) Note(key string, value any, allowed string) {
 	*t.problems = append(*t.problems, Problem{File: t.file, Path: t.join(key), Value: show(value), Allowed: allowed})
--- a/toucanspread/mesh_test.go
+++ b/toucanspread/mesh_test.go
@@ -16,6 +16,7 @@
 	"toucanport/toucanrevision"
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
+	"toucanport/toucanwatch"
 	"toucanport/toucanwire"
 )
 
@@ -66,7 +67,7 @@
 	m.entries[name] = e
 	sidecars := m.all(m.sidecars)
 	m.mu.Unlock()
-	watcher := toucanspread.NewWatcher(m.store, toucanchange.KeyPrefix, e.holder, quiet())
+	watcher := toucanwatch.New(m.store, toucanchange.KeyPrefix, e.holder, quiet())
 	m.wg.Go(func() { watcher.Run(e.ctx) })
 	m.wg.Go(func() { m.checkMonotonic(e) })
 	for _, s := range sidecars {
--- a/toucanspread/watch_test.go
+++ b/toucanspread/watch_test.go
@@ -15,6 +15,7 @@
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
 	"toucanport/toucanstore"
+	"toucanport/toucanwatch"
 )
 
 // TestWatchingCostsFewCalls counts a minute of an entry that watches a store with and without documents, over
@@ -31,7 +32,7 @@
 
 func countCalls(t *testing.T, documents int, direct bool) {
 	memory := toucanfakestore.New(toucanfakestore.WithWait(toucanstore.MaxWait))
-	var store toucanspread.Store = memory
+	var store toucanwatch.Store = memory
 	if !direct {
 		transport, stop := memory.Pipe()
 		defer stop()
@@ -41,7 +42,7 @@
 		putDocument(t, memory, document, 1)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w := toucanspread.NewWatcher(store, toucanchange.KeyPrefix, toucanspread.NewHolder(), quiet())
+	w := toucanwatch.New(store, toucanchange.KeyPrefix, toucanspread.NewHolder(), quiet())
 	done := make(chan struct{})
 	go func() {
 		w.Run(ctx)
@@ -78,8 +79,8 @@
 		store := toucanfakestore.New()
 		putDocument(t, store, document, 1)
 		h := toucanspread.NewHolder()
-		nothing := toucanspread.WithAssigned(func(string) bool { return false })
-		w := toucanspread.NewWatcher(store, toucanchange.KeyPrefix, h, quiet(), nothing)
+		nothing := toucanwatch.WithAssigned(func(string) bool { return false })
+		w := toucanwatch.New(store, toucanchange.KeyPrefix, h, quiet(), nothing)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
--- a/toucanspread/watch.go
+++ b/toucanwatch/watch.go
@@ -1,4 +1,5 @@
-package toucanspread
+// Package toucanwatch offers the settings documents of the platform's store to a holder. Only entries use it.
+package toucanwatch
 
 import (
 	"context"
@@ -12,6 +13,7 @@
 
 	"toucanport/toucanrevision"
 	"toucanport/toucansettings"
+	"toucanport/toucanspread"
 	"toucanport/toucanstore"
 )
 
@@ -29,7 +31,7 @@
 type Watcher struct {
 	store  Store
 	prefix string
-	holder *Holder
+	holder *toucanspread.Holder
 	log    *slog.Logger
 	// healthy is told the result of each call.
 	healthy func(bool)
@@ -49,19 +51,19 @@
 	sweepInterval = 2 * time.Minute
 )
 
-// WatcherOption changes a Watcher.
-type WatcherOption func(*Watcher)
+// Option changes a Watcher.
+type Option func(*Watcher)
 
 // WithHealth calls f after each call of the store with whether it was answered.
-func WithHealth(f func(bool)) WatcherOption { return func(w *Watcher) { w.healthy = f } }
+func WithHealth(f func(bool)) Option { return func(w *Watcher) { w.healthy = f } }
 
 // WithAssigned limits the documents that are watched; all of them by default.
-func WithAssigned(f func(document string) bool) WatcherOption {
+func WithAssigned(f func(document string) bool) Option {
 	return func(w *Watcher) { w.assigned = f }
 }
 
-// NewWatcher returns a watcher of the documents at prefix.
-func NewWatcher(store Store, prefix string, h *Holder, log *slog.Logger, opts ...WatcherOption) *Watcher {
+// New returns a watcher of the documents at prefix.
+func New(store Store, prefix string, h *toucanspread.Holder, log *slog.Logger, opts ...Option) *Watcher {
 	w := &Watcher{
 		store:    store,
 		prefix:   prefix,
