Merge main into admission

Cause: main moved on while this branch grew. Change: takes in what landed since, so that both are built, linted and tested together before this branch lands.

--- a/toucanrig/rig.go
+++ b/toucanrig/rig.go
@@ -17,10 +17,13 @@
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanfakestore"
 	"toucanport/toucanretry"
+	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
+	"toucanport/toucanspread"
 	"toucanport/toucanstream"
 )
 
@@ -41,8 +44,8 @@
 	ResumeWindow time.Duration
 	// WrapEngine replaces what the sidecars see of their engines; nil leaves it.
 	WrapEngine func(toucansidecar.Engine) toucansidecar.Engine
-	// WrapRouter replaces what the entries choose endpoints with; nil leaves it.
-	WrapRouter func(toucanroute.Router) toucanroute.Router
+	// WrapSettings replaces the settings that processes get; nil leaves them.
+	WrapSettings func(toucansettings.Team) toucansettings.Team
 	// WrapTransport replaces how callers reach entries, and WrapService how sidecars reach application
 	// instances; nil leaves them.
 	WrapTransport, WrapService func(http.RoundTripper) http.RoundTripper
@@ -54,12 +57,14 @@
 	Network *Network
 	Ledger  *toucanfake.Ledger
 	cfg     Config
-	tree    *treeHolder
-	log     *slog.Logger
-	ctx     context.Context
-	stop    context.CancelFunc
-	running sync.WaitGroup
-	callers *http.Transport
+	// document is the settings in force, whose revision is revision.
+	document toucanrevision.Document
+	revision uint64
+	log      *slog.Logger
+	ctx      context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	callers  *http.Transport
 	// asking is callers, wrapped.
 	asking   http.RoundTripper
 	signer   *toucanstream.Signer
@@ -68,7 +73,9 @@
 	Services *ServiceLedger
 	// operations is held while a fault changes processes.
 	operations sync.Mutex
-	entries    []*entryProcess
+	// Store stands in for the platform's key-value service.
+	Store   *toucanfakestore.Memory
+	entries []*entryProcess
 	// endpoints are in the order of the deployment.
 	endpoints []*endpointProcesses
 	// Attempts counts the requests that entries sent to endpoints.
@@ -83,27 +90,31 @@
 	return f(v)
 }
 
-type treeHolder struct {
-	mu   sync.Mutex
-	tree *toucansettings.Tree
-}
-
-func (h *treeHolder) Tree() *toucansettings.Tree {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.tree
-}
-
-func (h *treeHolder) set(tree *toucansettings.Tree) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.tree = tree
+// publish puts the deployment's settings in force as the next revision: entries have read it from the store,
+// and sidecars learn it from heartbeats.
+func (r *Rig) publish() error {
+	r.revision++
+	team := wrap(r.cfg.Deployment.team(r.cfg.Policy, r.draining), r.cfg.WrapSettings)
+	body, err := toucansettings.EncodeTeam(team)
+	if err != nil {
+		return err
+	}
+	r.document, err = toucanrevision.ParseDocument("/teams/"+team.Name, body)
+	if err != nil {
+		return err
+	}
+	r.document.Revision = r.revision
+	for _, e := range r.entries {
+		if err := r.offer(e); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// publish puts the deployment's settings in force.
-func (r *Rig) publish() {
-	team := r.cfg.Deployment.team(r.cfg.Policy, r.draining)
-	r.tree.set(toucansettings.NewTree([]toucansettings.Team{team}))
+func (r *Rig) offer(e *entryProcess) error {
+	_, err := e.settings.Offer(r.document)
+	return err
 }
 
 // process is one incarnation of a program; its name is the address it dials from.
@@ -116,6 +127,7 @@
 	process
 	address     string
 	incarnation int
+	settings    *toucanspread.Holder
 	entry       *toucanentry.Entry
 }
 
@@ -137,7 +149,6 @@
 		Network:  NewNetwork(),
 		Ledger:   toucanfake.NewLedger(),
 		cfg:      cfg,
-		tree:     &treeHolder{},
 		Services: newServiceLedger(),
 		signer:   toucanstream.NewSigner([]byte(signerKey)),
 		draining: make(map[string]bool),
@@ -146,7 +157,12 @@
 		stop:     stop,
 		Attempts: &attempts{},
 	}
-	r.publish()
+	if err := r.publish(); err != nil {
+		return nil, err
+	}
+	if err := r.startStore(); err != nil {
+		return nil, err
+	}
 	for _, spec := range cfg.Deployment.endpoints() {
 		ep := &endpointProcesses{spec: spec}
 		r.endpoints = append(r.endpoints, ep)
@@ -245,8 +261,10 @@
 		Signer:        r.signer,
 		ResumeWindow:  r.cfg.ResumeWindow,
 	}
+	ctx, kill := context.WithCancel(r.ctx)
 	if ep.spec.plain {
 		cfg.Kind = toucansettings.KindPlain
+		cfg.Orders = r.claims(ctx, ep.transport)
 		cfg.ServiceURL = url
 		cfg.ServiceTransport = wrap(http.RoundTripper(ep.transport), r.cfg.WrapService)
 	} else {
@@ -256,7 +274,6 @@
 		cfg.Policy = r.admission()
 	}
 	ep.sidecar = toucansidecar.New(cfg, toucansidecar.WithLogger(r.log))
-	ctx, kill := context.WithCancel(r.ctx)
 	ep.sidecarRun = process{name, kill}
 	sidecar := ep.sidecar
 	r.run(func() error { return sidecar.Run(ctx, ln) })
@@ -283,13 +300,17 @@
 	e.incarnation++
 	name := fmt.Sprintf("entry-%s.%d", e.address, e.incarnation)
 	domain := r.cfg.Deployment.FailureDomains[0]
+	e.settings = toucanspread.NewHolder()
+	if err := r.offer(e); err != nil {
+		return err
+	}
 	e.entry = toucanentry.New(toucanentry.Config{
 		Instance:      name,
 		FailureDomain: domain,
-		Settings:      r.tree,
+		Spread:        e.settings,
 		Signer:        r.signer,
 		Dial:          r.Network.Dialer(name),
-		Router:        &countingRouter{Router: wrap(r.router(name, domain), r.cfg.WrapRouter), attempts: r.Attempts},
+		Router:        &countingRouter{Router: r.router(name, domain), attempts: r.Attempts},
 		Budget:        toucanretry.NewBudget(),
 	}, toucanentry.WithLogger(r.log))
 	ctx, kill := context.WithCancel(r.ctx)
