Settle who owns a key that two teams took, and when a test's files change

Cause: two teams that take the same key at the same instant both pass the check, and the index let the last one win although the design page says the first by name; and the reload test, seen failing once under load, changed its files while the reloader's first reading was under way.

--- a/toucansettings/tree.go
+++ b/toucansettings/tree.go
@@ -92,6 +92,7 @@
 // Tree is an immutable snapshot of all settings, with indexes for the request path.
 type Tree struct {
 	teams       []Team
+	// byKey has the first workspace by team for a key that two teams took at the same instant.
 	byKey       map[string]Workspace
 	byService   map[serviceKey]Service
 	byEndpoints map[serviceKey][]Endpoint
@@ -102,7 +103,7 @@
 
 type serviceKey struct{ team, service string }
 
-// NewTree indexes teams, which must be valid and must not be changed afterwards.
+// NewTree indexes teams, which must be valid, in the order of their names, and must not be changed afterwards.
 func NewTree(teams []Team) *Tree {
 	t := &Tree{
 		teams:       teams,
@@ -121,7 +122,9 @@
 func (t *Tree) index(team Team) {
 	for _, w := range team.Workspaces {
 		for _, h := range w.KeyHashes {
-			t.byKey[h] = w
+			if _, taken := t.byKey[h]; !taken {
+				t.byKey[h] = w
+			}
 		}
 	}
 	for _, s := range team.Services {
--- a/toucantls/tls_test.go
+++ b/toucantls/tls_test.go
@@ -179,6 +179,8 @@
 			defer close(done)
 			r.Run(ctx)
 		}()
+		// The first reading is over before the files change below.
+		synctest.Wait()
 		serial := func() string { return r.Material().Certificate.Leaf.SerialNumber.String() }
 		first := serial()
 
