--- a/toucanorder/measure_test.go
+++ b/toucanorder/measure_test.go
@@ -24,18 +24,29 @@
 	maxAddedMedian     = 60 * time.Millisecond
 )
 
-// load is one run of orders at a steady rate, each shard's through a process of its own.
+// load is one run of orders at a steady rate.
 type load struct {
 	store     *toucanfakestore.Memory
 	processes []*toucanorder.Claims
-	mu        sync.Mutex
-	added     *hdrhistogram.Histogram
-	refused   int
+	// choose returns the process that gets an order.
+	choose  func(k toucanorder.Key, i int) int
+	mu      sync.Mutex
+	added   *hdrhistogram.Histogram
+	refused int
+}
+
+func newLoad(processes int) *load {
+	l := &load{store: toucanfakestore.New(), added: hdrhistogram.New(1, 60_000_000, 3)}
+	for range processes {
+		l.processes = append(l.processes, toucanorder.New(l.store))
+	}
+	l.store.SetFaults(toucanfakestore.Faults{Delay: storeDelay})
+	return l
 }
 
 func (l *load) order(ctx context.Context, i int) {
 	k := toucanorder.Key{Team: "pcl", Workspace: "dealers", Service: "comptoir", IdempotencyKey: fmt.Sprint(i), RequestHash: 1}
-	claims := l.processes[k.Shard(len(l.processes))]
+	claims := l.processes[l.choose(k, i)]
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	started := time.Now()
@@ -58,33 +69,44 @@
 	_ = l.added.RecordValue(d.Microseconds())
 }
 
+// run places orders for some seconds and compares the figures with the targets.
+func (l *load) run(t *testing.T, perSecond, seconds int) {
+	started := time.Now()
+	var wg sync.WaitGroup
+	for i := range seconds * perSecond {
+		wg.Go(func() { l.order(t.Context(), i) })
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	wg.Wait()
+	took := time.Since(started).Seconds()
+	counts := l.store.Counts()
+	writes := float64(counts.Writes) / took
+	median := time.Duration(l.added.ValueAtQuantile(50)) * time.Microsecond
+	t.Logf("%d orders in %.1f s: %.1f store writes/s, %.1f reads/s, %.0f KB/s written, added p50 %v p95 %.1f ms p99 %.1f ms max %.1f ms, %d refused",
+		l.added.TotalCount(), took, writes, float64(counts.Reads)/took, float64(counts.WrittenBytes)/took/1000, median,
+		float64(l.added.ValueAtQuantile(95))/1000, float64(l.added.ValueAtQuantile(99))/1000, float64(l.added.Max())/1000, l.refused)
+	assert.Equal(t, l.refused, 0)
+	assert.Assert(t, writes <= maxWritesPerSecond)
+	assert.Assert(t, median <= maxAddedMedian)
+	for _, c := range l.processes {
+		assert.NilError(t, c.Close(t.Context()))
+	}
+}
+
+// TestGroupedClaimsAtFiveThousandOrdersASecond has each shard's orders come through a process of its own.
 func TestGroupedClaimsAtFiveThousandOrdersASecond(t *testing.T) {
-	seconds := 5
 	synctest.Test(t, func(t *testing.T) {
-		l := &load{store: toucanfakestore.New(), added: hdrhistogram.New(1, 60_000_000, 3)}
-		for range toucanorder.DefaultShards {
-			l.processes = append(l.processes, toucanorder.New(l.store))
-		}
-		l.store.SetFaults(toucanfakestore.Faults{Delay: storeDelay})
-		started := time.Now()
-		var wg sync.WaitGroup
-		for i := range seconds * ordersPerSecond {
-			wg.Go(func() { l.order(t.Context(), i) })
-			time.Sleep(time.Second / ordersPerSecond)
-		}
-		wg.Wait()
-		took := time.Since(started).Seconds()
-		counts := l.store.Counts()
-		writes := float64(counts.Writes) / took
-		median := time.Duration(l.added.ValueAtQuantile(50)) * time.Microsecond
-		t.Logf("%d orders in %.1f s: %.1f store writes/s, %.1f reads/s, %.0f KB/s written, added p50 %v p95 %.1f ms p99 %.1f ms max %.1f ms, %d refused",
-			l.added.TotalCount(), took, writes, float64(counts.Reads)/took, float64(counts.WrittenBytes)/took/1000, median,
-			float64(l.added.ValueAtQuantile(95))/1000, float64(l.added.ValueAtQuantile(99))/1000, float64(l.added.Max())/1000, l.refused)
-		assert.Equal(t, l.refused, 0)
-		assert.Assert(t, writes <= maxWritesPerSecond)
-		assert.Assert(t, median <= maxAddedMedian)
-		for _, c := range l.processes {
-			assert.NilError(t, c.Close(t.Context()))
-		}
+		l := newLoad(toucanorder.DefaultShards)
+		l.choose = func(k toucanorder.Key, _ int) int { return k.Shard(len(l.processes)) }
+		l.run(t, ordersPerSecond, 5)
+	})
+}
+
+// TestSharedShardsAtTenOrdersASecond has the orders of all shards come through three processes in turn.
+func TestSharedShardsAtTenOrdersASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLoad(3)
+		l.choose = func(_ toucanorder.Key, i int) int { return i % len(l.processes) }
+		l.run(t, 10, 60)
 	})
 }
