--- a/toucanrig/caller.go
+++ b/toucancaller/caller.go
@@ -1,4 +1,6 @@
-package toucanrig
+// Package toucancaller is a caller that reads streamed answers and orders as clients do, checks the token texts of
+// the stand-in engines, and notes how long it waited.
+package toucancaller
 
 import (
 	"bytes"
@@ -17,6 +19,20 @@
 // maxErrorBytes bounds the body of an error that a caller reads.
 const maxErrorBytes = 64 << 10
 
+// Caller sends requests to entries.
+type Caller struct {
+	transport http.RoundTripper
+	// entries are the entries' addresses.
+	entries []string
+	// key returns the key of a workspace.
+	key func(workspace int) string
+}
+
+// New returns a caller that reaches the entries at the given addresses through rt.
+func New(rt http.RoundTripper, entries []string, key func(workspace int) string) *Caller {
+	return &Caller{transport: rt, entries: entries, key: key}
+}
+
 // Ask is one streamed completion that a caller wants.
 type Ask struct {
 	// Entry is the index of the entry that the platform's balancer chose.
@@ -69,41 +85,41 @@
 }
 
 // Ask sends a completion and reads its answer to the end.
-func (r *Rig) Ask(ctx context.Context, a Ask) Answer {
+func (c *Caller) Ask(ctx context.Context, a Ask) Answer {
 	body, err := json.Marshal(completionBody{Model: a.Service, Stream: true, Prompt: a.Prompt})
 	if err != nil {
 		return Answer{Broken: err}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url(a.Entry, "/v1/completions"), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(a.Entry, "/v1/completions"), bytes.NewReader(body))
 	if err != nil {
 		return Answer{Broken: err}
 	}
 	req.Header.Set("Toucan-Class", a.Class)
-	return r.receive(req, a.Workspace, 0)
+	return c.receive(req, a.Workspace, 0)
 }
 
 // Resume reads a generation on through an entry, behind an event that an earlier answer brought.
-func (r *Rig) Resume(ctx context.Context, entry, workspace int, earlier Answer) Answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url(entry, "/v1/generations/"+earlier.GenerationID), nil)
+func (c *Caller) Resume(ctx context.Context, entry, workspace int, earlier Answer) Answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(entry, "/v1/generations/"+earlier.GenerationID), nil)
 	if err != nil {
 		return Answer{Broken: err}
 	}
 	if earlier.LastEventID != "" {
 		req.Header.Set("Last-Event-ID", earlier.LastEventID)
 	}
-	return r.receive(req, workspace, earlier.Tokens)
+	return c.receive(req, workspace, earlier.Tokens)
 }
 
-func (r *Rig) url(entry int, path string) string {
-	return "http://" + r.entries[entry].address + path
+func (c *Caller) url(entry int, path string) string {
+	return "http://" + c.entries[entry] + path
 }
 
 // receive sends req and reads an answer whose first token has the index next.
-func (r *Rig) receive(req *http.Request, workspace, next int) Answer {
-	req.Header.Set("Authorization", "Bearer "+workspaceSecret(workspace))
+func (c *Caller) receive(req *http.Request, workspace, next int) Answer {
+	req.Header.Set("Authorization", "Bearer "+c.key(workspace))
 	reader := &answerReader{begin: time.Now(), next: next}
 	reader.last = reader.begin
-	client := &http.Client{Transport: r.asking}
+	client := &http.Client{Transport: c.transport}
 	resp, err := client.Do(req)
 	if err != nil {
 		reader.answer.Broken = err
@@ -171,11 +187,11 @@
 		a.answer.Garbled = true
 		return
 	}
-	for _, c := range chunk.Choices {
-		if c.Text == "" {
+	for _, choice := range chunk.Choices {
+		if choice.Text == "" {
 			continue
 		}
-		a.readText(c.Text)
+		a.readText(choice.Text)
 		a.answer.LastEventID = ev.LastEventID
 	}
 }
@@ -214,3 +230,14 @@
 	a.answer.LongestWait = max(a.answer.LongestWait, now.Sub(a.last))
 	return a.answer
 }
+
+// Join adds the answer to a resumption.
+func (a Answer) Join(next Answer) Answer {
+	next.Garbled = next.Garbled || a.Garbled || a.Tokens > 0 && next.Tokens > 0 && a.IDHash != next.IDHash
+	next.GenerationID = a.GenerationID
+	if next.Tokens == 0 {
+		next.IDHash, next.LastEventID = a.IDHash, a.LastEventID
+	}
+	next.Tokens += a.Tokens
+	return next
+}
--- a/toucanrig/conn.go
+++ b/toucanfakenet/conn.go
@@ -1,4 +1,4 @@
-package toucanrig
+package toucanfakenet
 
 import (
 	"io"
--- a/toucanrig/network.go
+++ b/toucanfakenet/network.go
@@ -1,6 +1,6 @@
-// Package toucanrig runs real entries and sidecars with stand-in engines over links in memory, for
-// measurements and fault cases under a fake clock.
-package toucanrig
+// Package toucanfakenet is a network in memory: listeners and dialers joined by address, over links that can be
+// delayed, stalled, cut, and made to lose replies while they are in use.
+package toucanfakenet
 
 import (
 	"context"
--- a/toucanrig/check.go
+++ b/toucanfault/check.go
@@ -1,4 +1,4 @@
-package toucanrig
+package toucanfault
 
 import (
 	"fmt"
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucanport/toucanfake"
+	"toucanport/toucanrig"
 	"toucanport/toucanwire"
 )
 
@@ -112,7 +113,7 @@
 	}
 	var violations []string
 	late := func(label, endpoint string, received time.Time) {
-		if slices.ContainsFunc(c.targets(), func(ep *endpointProcesses) bool { return ep.spec.name == endpoint }) &&
+		if slices.ContainsFunc(c.targets(), func(ep *toucanrig.Endpoint) bool { return ep.Name() == endpoint }) &&
 			received.Sub(at) > leavingBound {
 			violations = append(violations, fmt.Sprintf("%s: new work at %s %s after it was leaving", label, endpoint, received.Sub(at)))
 		}
@@ -133,12 +134,12 @@
 // checkIdle checks that no engine still holds a generation.
 func (c *caseRun) checkIdle() []string {
 	var violations []string
-	for _, ep := range c.rig.endpoints {
-		if ep.engine == nil {
+	for _, ep := range c.rig.Endpoints() {
+		if ep.Engine() == nil {
 			continue
 		}
-		if rep := ep.engine.Report(); rep.Running+rep.Waiting > 0 {
-			violations = append(violations, fmt.Sprintf("%s still runs %d and holds %d generations", ep.spec.name, rep.Running, rep.Waiting))
+		if rep := ep.Engine().Report(); rep.Running+rep.Waiting > 0 {
+			violations = append(violations, fmt.Sprintf("%s still runs %d and holds %d generations", ep.Name(), rep.Running, rep.Waiting))
 		}
 	}
 	return violations
--- a/toucanrig/double_test.go
+++ b/toucanfault/double_test.go
@@ -1,4 +1,4 @@
-package toucanrig_test
+package toucanfault_test
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanengine"
+	"toucanport/toucanfault"
 	"toucanport/toucanrig"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
@@ -146,7 +147,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c, err := toucanrig.ParseCase(test.line)
+			c, err := toucanfault.ParseCase(test.line)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, runCase(t, c, toucanrig.Config{}), []string(nil))
 			violations := runCase(t, c, test.cfg)
--- a/toucanrig/fault.go
+++ b/toucanfault/fault.go
@@ -1,4 +1,6 @@
-package toucanrig
+// Package toucanfault runs fault cases against a rig and checks what callers were told against the ledgers of
+// engines and application instances.
+package toucanfault
 
 import (
 	"slices"
@@ -9,6 +11,7 @@
 
 	"toucanport/toucanfake"
 	"toucanport/toucanfakestore"
+	"toucanport/toucanrig"
 )
 
 // faultKind is one way in which the system is disturbed. Endpoint faults hit the first endpoint of every
@@ -24,11 +27,11 @@
 func faultKinds() []faultKind {
 	return []faultKind{
 		{"cutLink", 0, (*caseRun).cutLink},
-		{"stallLink", 3 * time.Second, linkFault(LinkState{RequestsStalled: true, RepliesStalled: true})},
-		{"stallRequests", 3 * time.Second, linkFault(LinkState{RequestsStalled: true})},
-		{"stallReplies", 3 * time.Second, linkFault(LinkState{RepliesStalled: true})},
+		{"stallLink", 3 * time.Second, linkFault(toucanrig.LinkState{RequestsStalled: true, RepliesStalled: true})},
+		{"stallRequests", 3 * time.Second, linkFault(toucanrig.LinkState{RequestsStalled: true})},
+		{"stallReplies", 3 * time.Second, linkFault(toucanrig.LinkState{RepliesStalled: true})},
 		{"loseReplies", 500 * time.Millisecond, (*caseRun).loseReplies},
-		{"delayLink", 2 * time.Second, linkFault(LinkState{Delay: 300 * time.Millisecond})},
+		{"delayLink", 2 * time.Second, linkFault(toucanrig.LinkState{Delay: 300 * time.Millisecond})},
 		{"refuseLink", 3 * time.Second, (*caseRun).refuseLink},
 		{"stallAllLinks", 1500 * time.Millisecond, (*caseRun).stallAllLinks},
 		{"killSidecar", time.Second, (*caseRun).killSidecar},
@@ -91,27 +94,27 @@
 }
 
 // targets returns the first endpoint of every service.
-func (c *caseRun) targets() []*endpointProcesses {
-	var first []*endpointProcesses
-	for _, ep := range c.rig.endpoints {
-		if strings.HasSuffix(ep.spec.name, "-0") {
+func (c *caseRun) targets() []*toucanrig.Endpoint {
+	var first []*toucanrig.Endpoint
+	for _, ep := range c.rig.Endpoints() {
+		if strings.HasSuffix(ep.Name(), "-0") {
 			first = append(first, ep)
 		}
 	}
 	return first
 }
 
-func (c *caseRun) links() []LinkName {
-	var names []LinkName
+func (c *caseRun) links() []toucanrig.LinkName {
+	var names []toucanrig.LinkName
 	for _, ep := range c.targets() {
-		names = append(names, LinkName{c.rig.entries[0].name, ep.spec.sidecar.String()})
+		names = append(names, toucanrig.LinkName{From: c.rig.EntryName(0), To: ep.SidecarAddress()})
 	}
 	return names
 }
 
 // linkFault gives links a state for a while.
-func linkFault(s LinkState) func(*caseRun, time.Duration) {
-	s.Delay = max(s.Delay, innerDelay)
+func linkFault(s toucanrig.LinkState) func(*caseRun, time.Duration) {
+	s.Delay = max(s.Delay, toucanrig.InnerDelay)
 	return func(c *caseRun, length time.Duration) {
 		for _, name := range c.links() {
 			c.setLink(name, s, length)
@@ -119,9 +122,9 @@
 	}
 }
 
-func (c *caseRun) setLink(name LinkName, s LinkState, length time.Duration) {
+func (c *caseRun) setLink(name toucanrig.LinkName, s toucanrig.LinkState, length time.Duration) {
 	c.rig.Network.Set(name, s)
-	time.AfterFunc(length, func() { c.rig.Network.Set(name, LinkState{Delay: innerDelay}) })
+	time.AfterFunc(length, func() { c.rig.Network.Set(name, toucanrig.LinkState{Delay: toucanrig.InnerDelay}) })
 }
 
 func (c *caseRun) cutLink(time.Duration) {
@@ -132,34 +135,34 @@
 
 func (c *caseRun) loseReplies(length time.Duration) {
 	for _, name := range c.links() {
-		c.setLink(name, LinkState{Delay: innerDelay, RepliesLost: true}, length)
+		c.setLink(name, toucanrig.LinkState{Delay: toucanrig.InnerDelay, RepliesLost: true}, length)
 		time.AfterFunc(length, func() { c.rig.Network.Cut(name) })
 	}
 }
 
 func (c *caseRun) refuseLink(length time.Duration) {
 	for _, name := range c.links() {
-		c.setLink(name, LinkState{Delay: innerDelay, Refused: true}, length)
+		c.setLink(name, toucanrig.LinkState{Delay: toucanrig.InnerDelay, Refused: true}, length)
 		c.rig.Network.Cut(name)
 	}
 }
 
 func (c *caseRun) stallAllLinks(length time.Duration) {
-	for _, ep := range c.rig.endpoints {
-		stalled := LinkState{Delay: innerDelay, RequestsStalled: true, RepliesStalled: true}
-		c.setLink(LinkName{Any, ep.spec.sidecar.String()}, stalled, length)
+	for _, ep := range c.rig.Endpoints() {
+		stalled := toucanrig.LinkState{Delay: toucanrig.InnerDelay, RequestsStalled: true, RepliesStalled: true}
+		c.setLink(toucanrig.LinkName{From: toucanrig.Any, To: ep.SidecarAddress()}, stalled, length)
 	}
 }
 
 func (c *caseRun) killSidecar(length time.Duration) {
 	for _, ep := range c.targets() {
-		c.rig.killSidecar(ep, length)
+		c.rig.KillSidecar(ep, length)
 	}
 }
 
 func (c *caseRun) killEngine(length time.Duration) {
 	for _, ep := range c.targets() {
-		c.rig.killEngine(ep, length)
+		c.rig.KillEngine(ep, length)
 	}
 }
 
@@ -169,19 +172,19 @@
 }
 
 func (c *caseRun) killEntry(length time.Duration) {
-	c.rig.killEntry(c.rig.entries[0], length)
+	c.rig.KillEntry(0, length)
 }
 
 func (c *caseRun) cutEngine(time.Duration) {
 	for _, ep := range c.targets() {
-		c.rig.Network.Cut(LinkName{Any, ep.spec.engine.String()})
+		c.rig.Network.Cut(toucanrig.LinkName{From: toucanrig.Any, To: ep.EngineAddress()})
 	}
 }
 
 func engineFault(f toucanfake.Fault) func(*caseRun, time.Duration) {
 	return func(c *caseRun, length time.Duration) {
 		for _, ep := range c.targets() {
-			ep.inject(f, length)
+			ep.Inject(f, length)
 		}
 	}
 }
@@ -189,14 +192,14 @@
 func (c *caseRun) leave(time.Duration) {
 	c.left("leave")
 	for _, ep := range c.targets() {
-		ep.sidecar.Leave()
+		ep.Leave()
 	}
 }
 
 func (c *caseRun) drain(time.Duration) {
 	c.left("drain")
 	for _, ep := range c.targets() {
-		c.rig.drain(ep)
+		c.rig.Drain(ep)
 	}
 }
 
@@ -210,5 +213,5 @@
 }
 
 func (c *caseRun) storeStalled(length time.Duration) {
-	c.setLink(LinkName{Any, storeAddress}, LinkState{Delay: innerDelay, RepliesStalled: true}, length)
+	c.setLink(toucanrig.LinkName{From: toucanrig.Any, To: toucanrig.StoreAddress}, toucanrig.LinkState{Delay: toucanrig.InnerDelay, RepliesStalled: true}, length)
 }
--- a/toucanrig/fault_test.go
+++ b/toucanfault/fault_test.go
@@ -1,15 +1,18 @@
-package toucanrig_test
+package toucanfault_test
 
 import (
 	"bufio"
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanfault"
 	"toucanport/toucanrig"
 )
 
@@ -19,6 +22,15 @@
 	firstFault = flag.Uint64("firstSeed", 1, "seed of the first random fault case")
 )
 
+// bubble runs f under a fake clock. Yamux keeps timers in a pool of the whole process, and a timer of one
+// bubble must not reach another; two collections empty the pool.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
 // readCases reads the lines of a table, without comments.
 func readCases(t *testing.T, name string) []string {
 	t.Helper()
@@ -35,7 +47,7 @@
 	return lines
 }
 
-func runCase(t *testing.T, c toucanrig.Case, cfg toucanrig.Config) []string {
+func runCase(t *testing.T, c toucanfault.Case, cfg toucanrig.Config) []string {
 	t.Helper()
 	var violations []string
 	bubble(t, func(t *testing.T) {
@@ -49,7 +61,7 @@
 func TestFaultTable(t *testing.T) {
 	for _, line := range readCases(t, "testdata/faults.txt") {
 		t.Run(line, func(t *testing.T) {
-			c, err := toucanrig.ParseCase(line)
+			c, err := toucanfault.ParseCase(line)
 			assert.NilError(t, err)
 			for _, v := range runCase(t, c, toucanrig.Config{}) {
 				t.Error(v)
@@ -65,7 +77,7 @@
 	failed := 0
 	for i := range *cases {
 		s := *firstFault + uint64(i)
-		c := toucanrig.RandomCase(s)
+		c := toucanfault.RandomCase(s)
 		violations := runCase(t, c, toucanrig.Config{Seed: s})
 		if len(violations) == 0 {
 			continue
--- a/toucanrig/faultcase.go
+++ b/toucanfault/faultcase.go
@@ -1,4 +1,4 @@
-package toucanrig
+package toucanfault
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucancaller"
+	"toucanport/toucanrig"
 	"toucanport/toucansettings"
 )
 
@@ -110,14 +112,14 @@
 }
 
 // faultDeployment is the deployment of every fault case.
-func faultDeployment() Deployment {
-	engine := measuredEngine()
+func faultDeployment() toucanrig.Deployment {
+	engine := toucanrig.MeasuredEngine()
 	engine.StepBase = 20 * time.Millisecond
-	return Deployment{
+	return toucanrig.Deployment{
 		Name:           "faults",
 		FailureDomains: []string{"a", "b", "c"},
 		Weigh:          toucansettings.WeighStallTime,
-		Services:       []Service{{Name: "plans", Engines: 3}, {Name: "orders", Engines: 2, Plain: true}},
+		Services:       []toucanrig.Service{{Name: "plans", Engines: 3}, {Name: "orders", Engines: 2, Plain: true}},
 		Engine:         engine,
 	}
 }
@@ -128,7 +130,7 @@
 	entry     int
 	workspace int
 	output    int
-	answer    Answer
+	answer    toucancaller.Answer
 	// resumed counts the requests after the first.
 	resumed int
 	// left is when the caller went away; zero if it stayed.
@@ -138,7 +140,7 @@
 // caseRun is one case while it runs.
 type caseRun struct {
 	c       Case
-	rig     *Rig
+	rig     *toucanrig.Rig
 	begin   time.Time
 	askers  sync.WaitGroup
 	mu      sync.Mutex
@@ -152,14 +154,14 @@
 
 // Run runs the case in a rig made with cfg, whose deployment it sets, and returns what was violated. It must
 // be called inside a bubble of testing/synctest.
-func (c Case) Run(cfg Config) ([]string, error) {
+func (c Case) Run(cfg toucanrig.Config) ([]string, error) {
 	cfg.Deployment = faultDeployment()
 	cfg.Entries = faultEntries
 	cfg.ResumeWindow = resumeWindow
 	if cfg.Policy == "" {
 		cfg.Policy = toucansettings.PolicyToucan
 	}
-	rig, err := New(cfg)
+	rig, err := toucanrig.New(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +174,7 @@
 		leftAt:  make(map[string]time.Time),
 	}
 	for _, f := range c.Faults {
-		time.AfterFunc(f.at, func() { run.rig.operation(func() { f.kind.begin(run, f.length) }) })
+		time.AfterFunc(f.at, func() { run.rig.Operation(func() { f.kind.begin(run, f.length) }) })
 	}
 	run.wave(0)
 	time.Sleep(time.Until(run.begin.Add(secondWave)))
@@ -213,16 +215,16 @@
 	c.mu.Lock()
 	c.present[o] = cancel
 	c.mu.Unlock()
-	class := classPlan
+	class := toucanrig.ClassPlan
 	if o.output < 50 {
-		class = classBrief
+		class = toucanrig.ClassBrief
 	}
 	prompt := fmt.Sprintf("outputTokens=%d label=%s", o.output, o.label)
-	answer := c.rig.Ask(ctx, Ask{Entry: o.entry, Workspace: o.workspace, Service: "plans", Class: class, Prompt: prompt})
+	answer := c.rig.Ask(ctx, toucancaller.Ask{Entry: o.entry, Workspace: o.workspace, Service: "plans", Class: class, Prompt: prompt})
 	for answer.Broken != nil && answer.GenerationID != "" && ctx.Err() == nil {
 		time.Sleep(callerRetryDelay)
 		o.resumed++
-		answer = answer.join(c.rig.Resume(ctx, (o.entry+o.resumed)%faultEntries, o.workspace, answer))
+		answer = answer.Join(c.rig.Resume(ctx, (o.entry+o.resumed)%faultEntries, o.workspace, answer))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -230,17 +232,6 @@
 	o.answer = answer
 }
 
-// join adds the answer to a resumption.
-func (a Answer) join(next Answer) Answer {
-	next.Garbled = next.Garbled || a.Garbled || a.Tokens > 0 && next.Tokens > 0 && a.IDHash != next.IDHash
-	next.GenerationID = a.GenerationID
-	if next.Tokens == 0 {
-		next.IDHash, next.LastEventID = a.IDHash, a.LastEventID
-	}
-	next.Tokens += a.Tokens
-	return next
-}
-
 // goAway makes every other caller of a generation in progress leave.
 func (c *caseRun) goAway() {
 	c.mu.Lock()
@@ -268,7 +259,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), answerBound)
-		got := c.rig.Resume(ctx, 1, o.workspace+1, Answer{GenerationID: o.answer.GenerationID})
+		got := c.rig.Resume(ctx, 1, o.workspace+1, toucancaller.Answer{GenerationID: o.answer.GenerationID})
 		cancel()
 		if got.Tokens > 0 || got.Status != 404 {
 			violations = append(violations, fmt.Sprintf("%s: another workspace got status %d and %d tokens", o.label, got.Status, got.Tokens))
--- a/toucanrig/arrivals.go
+++ b/toucanmeasure/arrivals.go
@@ -1,4 +1,4 @@
-package toucanrig
+package toucanmeasure
 
 import (
 	"fmt"
@@ -9,18 +9,8 @@
 	"time"
 
 	"gonum.org/v1/gonum/stat/distuv"
-)
 
-// The bounds of a good answer.
-const (
-	firstTokenBound = 1200 * time.Millisecond
-	interTokenBound = 68 * time.Millisecond
-)
-
-// Classes of request.
-const (
-	classBrief = "brief"
-	classPlan  = "plan"
+	"toucanport/toucanrig"
 )
 
 const (
@@ -48,7 +38,7 @@
 
 // prompt returns text of the arrival's length, which tells the stand-in engine how much to answer.
 func (a Arrival) prompt() string {
-	head := fmt.Sprintf("%-*s", prefixBytes, "instructions of "+workspaceName(a.Workspace))
+	head := fmt.Sprintf("%-*s", prefixBytes, "instructions of "+toucanrig.WorkspaceName(a.Workspace))
 	text := head + fmt.Sprintf(" outputTokens=%d label=%s ", a.OutputTokens, a.Label)
 	if n := 4*a.PromptTokens - len(text); n > 0 {
 		text += strings.Repeat("x", n)
@@ -66,7 +56,7 @@
 	prompts  distuv.LogNormal
 }
 
-func newSampler(rng *rand.Rand, s Service) *sampler {
+func newSampler(rng *rand.Rand, s toucanrig.Service) *sampler {
 	return &sampler{
 		rng:      rng,
 		plans:    s.PlanShare,
@@ -82,12 +72,12 @@
 
 func (s *sampler) draw(a *Arrival) {
 	a.PromptTokens = clamp(s.prompts.Rand(), maxPrompt)
-	a.Class = classBrief
+	a.Class = toucanrig.ClassBrief
 	a.OutputTokens = clamp(s.brief.Rand(), maxOutput)
 	if s.rng.Float64() >= s.plans {
 		return
 	}
-	a.Class = classPlan
+	a.Class = toucanrig.ClassPlan
 	a.OutputTokens = clamp(s.plan.Rand(), maxOutput)
 	if s.rng.Float64() < longPlanShare {
 		a.OutputTokens = clamp(s.longPlan.Rand(), maxOutput)
@@ -97,11 +87,11 @@
 func clamp(x float64, limit int) int { return min(max(int(x), 1), limit) }
 
 // Arrivals returns the requests of one measurement in order of time. Load 1 is the deployment's Capacity.
-func Arrivals(d Deployment, load float64, seed uint64, duration time.Duration) []Arrival {
+func Arrivals(d toucanrig.Deployment, load float64, seed uint64, duration time.Duration) []Arrival {
 	var all []Arrival
 	for i, s := range d.Services {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
-		all = append(all, serviceArrivals(rng, d, s, load*d.Capacity(s), duration)...)
+		all = append(all, serviceArrivals(rng, d, s, load*Capacity(d, s), duration)...)
 	}
 	slices.SortStableFunc(all, func(a, b Arrival) int { return int(a.At - b.At) })
 	for i := range all {
@@ -111,10 +101,10 @@
 }
 
 // serviceArrivals draws a Poisson process that bursts switch between two rates; rate is the mean a second.
-func serviceArrivals(rng *rand.Rand, d Deployment, s Service, rate float64, duration time.Duration) []Arrival {
+func serviceArrivals(rng *rand.Rand, d toucanrig.Deployment, s toucanrig.Service, rate float64, duration time.Duration) []Arrival {
 	var arrivals []Arrival
 	draws := newSampler(rng, s)
-	workspaces := distuv.NewCategorical(workspaceShares, rng)
+	workspaces := distuv.NewCategorical(toucanrig.WorkspaceShares, rng)
 	calm := rate * (1 - burstShare*burstFactor) / (1 - burstShare)
 	calmLength := time.Duration(float64(burstLength) * (1 - burstShare) / burstShare)
 	bursting := false
@@ -155,8 +145,8 @@
 )
 
 // Capacity returns the requests a second that the service's engines can carry: on the mean they fill
-// capacityMemoryShare of their memory, or their steps take interTokenBound, whichever comes first.
-func (d Deployment) Capacity(s Service) float64 {
+// capacityMemoryShare of their memory, or their steps take InterTokenBound, whichever comes first.
+func Capacity(d toucanrig.Deployment, s toucanrig.Service) float64 {
 	draws := newSampler(rand.New(rand.NewPCG(1, 1)), s)
 	var prompts, outputs, held float64
 	for range capacitySamples {
@@ -169,16 +159,16 @@
 	}
 	memory := float64(d.Engine.Blocks * d.Engine.BlockTokens)
 	sequences := capacityMemoryShare * memory / (held / outputs)
-	byMemory := d.rate(sequences, prompts/capacitySamples, outputs/capacitySamples)
-	for d.stepAt(sequences, byMemory, prompts/capacitySamples) > interTokenBound.Seconds() {
+	byMemory := engineRate(d, sequences, prompts/capacitySamples, outputs/capacitySamples)
+	for stepAt(d, sequences, byMemory, prompts/capacitySamples) > toucanrig.InterTokenBound.Seconds() {
 		sequences--
-		byMemory = d.rate(sequences, prompts/capacitySamples, outputs/capacitySamples)
+		byMemory = engineRate(d, sequences, prompts/capacitySamples, outputs/capacitySamples)
 	}
 	return byMemory * float64(s.Engines)
 }
 
-// rate returns the requests a second that keep one engine at n sequences.
-func (d Deployment) rate(n, promptTokens, outputTokens float64) float64 {
+// engineRate returns the requests a second that keep one engine at n sequences.
+func engineRate(d toucanrig.Deployment, n, promptTokens, outputTokens float64) float64 {
 	decode := d.Engine.StepBase.Seconds() + n*d.Engine.StepPerSequence.Seconds()
 	// Of each second, the share rate*prefill goes to prompts, and the rest to decoding steps.
 	prefill := promptTokens * d.Engine.StepPerPrefillToken.Seconds()
@@ -186,7 +176,7 @@
 }
 
 // stepAt returns the mean step in seconds of an engine with n sequences and rate requests a second.
-func (d Deployment) stepAt(n, rate, promptTokens float64) float64 {
+func stepAt(d toucanrig.Deployment, n, rate, promptTokens float64) float64 {
 	decode := d.Engine.StepBase.Seconds() + n*d.Engine.StepPerSequence.Seconds()
 	return decode / (1 - rate*promptTokens*d.Engine.StepPerPrefillToken.Seconds())
 }
--- a/toucanrig/measure.go
+++ b/toucanmeasure/measure.go
@@ -1,4 +1,5 @@
-package toucanrig
+// Package toucanmeasure measures policies: seeded arrivals for a rig, and the figures of what callers got.
+package toucanmeasure
 
 import (
 	"context"
@@ -7,7 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucancaller"
 	"toucanport/toucanfake"
+	"toucanport/toucanrig"
 	"toucanport/toucansettings"
 )
 
@@ -25,7 +28,7 @@
 
 // Measurement is one run of one policy.
 type Measurement struct {
-	Deployment Deployment
+	Deployment toucanrig.Deployment
 	Policy     toucansettings.Policy
 	Load       float64
 	Seed       uint64
@@ -36,14 +39,14 @@
 
 // Run makes the measurement. It must be called inside a bubble of testing/synctest.
 func (m Measurement) Run() (Row, error) {
-	rig, err := New(Config{Deployment: m.Deployment, Policy: m.Policy, Entries: measureEntries, Seed: m.Seed})
+	rig, err := toucanrig.New(toucanrig.Config{Deployment: m.Deployment, Policy: m.Policy, Entries: measureEntries, Seed: m.Seed})
 	if err != nil {
 		return Row{}, err
 	}
 	defer rig.Stop()
 	begin := time.Now()
 	if m.Fault != "" {
-		if err := rig.scheduleFault(m.Fault, m.Duration/4, 3*m.Duration/4); err != nil {
+		if err := scheduleFault(rig, m.Fault, m.Duration/4, 3*m.Duration/4); err != nil {
 			return Row{}, err
 		}
 	}
@@ -60,18 +63,18 @@
 	return totals.row(rig, memory.mean()), nil
 }
 
-func (a Arrival) ask(entry int) Ask {
-	return Ask{Entry: entry, Workspace: a.Workspace, Service: a.Service, Class: a.Class, Prompt: a.prompt()}
+func (a Arrival) ask(entry int) toucancaller.Ask {
+	return toucancaller.Ask{Entry: entry, Workspace: a.Workspace, Service: a.Service, Class: a.Class, Prompt: a.prompt()}
 }
 
 // scheduleFault begins a fault after from and ends it after to.
-func (r *Rig) scheduleFault(name string, from, to time.Duration) error {
-	first := r.endpoints[0]
+func scheduleFault(r *toucanrig.Rig, name string, from, to time.Duration) error {
+	first := r.Endpoints()[0]
 	if name == FaultStalledLink {
-		link := LinkName{r.entries[0].name, first.spec.sidecar.String()}
-		stalled := LinkState{Delay: innerDelay, RequestsStalled: true, RepliesStalled: true}
+		link := toucanrig.LinkName{From: r.EntryName(0), To: first.SidecarAddress()}
+		stalled := toucanrig.LinkState{Delay: toucanrig.InnerDelay, RequestsStalled: true, RepliesStalled: true}
 		time.AfterFunc(from, func() { r.Network.Set(link, stalled) })
-		time.AfterFunc(to, func() { r.Network.Set(link, LinkState{Delay: innerDelay}) })
+		time.AfterFunc(to, func() { r.Network.Set(link, toucanrig.LinkState{Delay: toucanrig.InnerDelay}) })
 		return nil
 	}
 	fault := toucanfake.Fault(name)
@@ -82,20 +85,20 @@
 	if !known {
 		return errors.Wrapf(ErrFaultName, "%q", name)
 	}
-	time.AfterFunc(from, func() { _ = first.engine.Inject(fault) })
-	time.AfterFunc(to, first.engine.Heal)
+	time.AfterFunc(from, func() { _ = first.Engine().Inject(fault) })
+	time.AfterFunc(to, func() { first.Engine().Heal() })
 	return nil
 }
 
 // memoryMeter samples how full the engines' memory is.
 type memoryMeter struct {
-	rig         *Rig
+	rig         *toucanrig.Rig
 	from, until time.Time
 	done        chan struct{}
 	used, total int
 }
 
-func newMemoryMeter(rig *Rig, from, until time.Time) *memoryMeter {
+func newMemoryMeter(rig *toucanrig.Rig, from, until time.Time) *memoryMeter {
 	return &memoryMeter{rig: rig, from: from, until: until, done: make(chan struct{})}
 }
 
@@ -103,8 +106,8 @@
 	defer close(m.done)
 	time.Sleep(time.Until(m.from))
 	for time.Now().Before(m.until) {
-		for _, ep := range m.rig.endpoints {
-			rep := ep.engine.Report()
+		for _, ep := range m.rig.Endpoints() {
+			rep := ep.Engine().Report()
 			m.used += rep.UsedBlocks
 			m.total += rep.TotalBlocks
 		}
--- a/toucanrig/measure_test.go
+++ b/toucanmeasure/measure_test.go
@@ -1,4 +1,4 @@
-package toucanrig_test
+package toucanmeasure_test
 
 import (
 	"encoding/json"
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanmeasure"
 	"toucanport/toucanrig"
 	"toucanport/toucansettings"
 )
@@ -47,7 +48,7 @@
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, out.Close()) }()
 	for policy := range strings.SplitSeq(*policies, ",") {
-		m := toucanrig.Measurement{
+		m := toucanmeasure.Measurement{
 			Deployment: d,
 			Policy:     toucansettings.Policy(policy),
 			Load:       *load,
@@ -59,9 +60,9 @@
 	}
 }
 
-func measure(t *testing.T, m toucanrig.Measurement) toucanrig.Row {
+func measure(t *testing.T, m toucanmeasure.Measurement) toucanmeasure.Row {
 	t.Helper()
-	var row toucanrig.Row
+	var row toucanmeasure.Row
 	bubble(t, func(t *testing.T) {
 		var err error
 		row, err = m.Run()
@@ -74,7 +75,7 @@
 	policies := []toucansettings.Policy{toucansettings.PolicyNaive, toucansettings.PolicyToucan}
 	for i, d := range toucanrig.Deployments() {
 		t.Run(d.Name, func(t *testing.T) {
-			m := toucanrig.Measurement{Deployment: d, Policy: policies[i], Load: 0.5, Seed: 3, Duration: time.Second}
+			m := toucanmeasure.Measurement{Deployment: d, Policy: policies[i], Load: 0.5, Seed: 3, Duration: time.Second}
 			row := measure(t, m)
 			assert.Assert(t, row.Requests > 25)
 			assert.Equal(t, row.Lost, 0)
@@ -87,11 +88,11 @@
 	for _, d := range toucanrig.Deployments() {
 		var capacity float64
 		for _, s := range d.Services {
-			capacity += d.Capacity(s)
+			capacity += toucanmeasure.Capacity(d, s)
 		}
-		one := toucanrig.Arrivals(d, 1, 1, 10*time.Minute)
-		assert.DeepEqual(t, one, toucanrig.Arrivals(d, 1, 1, 10*time.Minute))
-		other := toucanrig.Arrivals(d, 1, 2, 10*time.Minute)
+		one := toucanmeasure.Arrivals(d, 1, 1, 10*time.Minute)
+		assert.DeepEqual(t, one, toucanmeasure.Arrivals(d, 1, 1, 10*time.Minute))
+		other := toucanmeasure.Arrivals(d, 1, 2, 10*time.Minute)
 		assert.Assert(t, one[0] != other[0])
 		rate := float64(len(one)) / (10 * time.Minute).Seconds()
 		assert.Assert(t, rate > 0.9*capacity && rate < 1.1*capacity, "%.1f requests a second for %.1f", rate, capacity)
--- a/toucanrig/row.go
+++ b/toucanmeasure/row.go
@@ -1,4 +1,4 @@
-package toucanrig
+package toucanmeasure
 
 import (
 	"math"
@@ -8,13 +8,15 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"toucanport/toucancaller"
+	"toucanport/toucanrig"
 	"toucanport/toucanwire"
 )
 
 const (
 	histogramMaxMicros = int64(2 * time.Hour / time.Microsecond)
 	histogramDigits    = 3
-	// goodGapQuantile of an answer's gaps must keep interTokenBound.
+	// goodGapQuantile of an answer's gaps must keep InterTokenBound.
 	goodGapQuantile = 0.95
 )
 
@@ -78,7 +80,7 @@
 	return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
 }
 
-func (t *tally) add(a Answer) {
+func (t *tally) add(a toucancaller.Answer) {
 	t.counts.Requests++
 	switch {
 	case a.Garbled || a.Broken != nil:
@@ -105,8 +107,8 @@
 }
 
 // isGood tells whether an answer is complete and kept both bounds.
-func isGood(a Answer) bool {
-	if !a.Done || a.Garbled || a.FirstToken > firstTokenBound {
+func isGood(a toucancaller.Answer) bool {
+	if !a.Done || a.Garbled || a.FirstToken > toucanrig.FirstTokenBound {
 		return false
 	}
 	if len(a.Gaps) == 0 {
@@ -115,7 +117,7 @@
 	gaps := slices.Clone(a.Gaps)
 	slices.Sort(gaps)
 	rank := int(math.Ceil(goodGapQuantile*float64(len(gaps)))) - 1
-	return gaps[rank] <= interTokenBound
+	return gaps[rank] <= toucanrig.InterTokenBound
 }
 
 func (t *tally) figures() Figures {
@@ -142,12 +144,12 @@
 	return &totals{
 		measurement: m,
 		all:         newTally(),
-		classes:     map[string]*tally{classBrief: newTally(), classPlan: newTally()},
+		classes:     map[string]*tally{toucanrig.ClassBrief: newTally(), toucanrig.ClassPlan: newTally()},
 		workspaces:  make(map[int]*goodShare),
 	}
 }
 
-func (t *totals) add(a Arrival, answer Answer) {
+func (t *totals) add(a Arrival, answer toucancaller.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all.add(answer)
@@ -177,7 +179,7 @@
 	return sum * sum / (float64(len(t.workspaces)) * squares)
 }
 
-func (t *totals) row(rig *Rig, memory float64) Row {
+func (t *totals) row(rig *toucanrig.Rig, memory float64) Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.measurement
--- a/toucanrig/deployment.go
+++ b/toucanrig/deployment.go
@@ -50,8 +50,8 @@
 	Engine toucanfake.Config
 }
 
-// workspaceShares are the parts of the requests that the workspaces send, the largest first.
-var workspaceShares = []float64{0.30, 0.20, 0.14, 0.09, 0.07, 0.06, 0.05, 0.04, 0.03, 0.02}
+// WorkspaceShares are the parts of the requests that the workspaces send, the largest first.
+var WorkspaceShares = []float64{0.30, 0.20, 0.14, 0.09, 0.07, 0.06, 0.05, 0.04, 0.03, 0.02}
 
 // Deployments returns the deployments by name.
 func Deployments() []Deployment {
@@ -61,14 +61,14 @@
 			FailureDomains: []string{"qc-east-a", "qc-east-b", "qc-east-c"},
 			Weigh:          toucansettings.WeighStallTime,
 			Services:       []Service{{Name: "redacteur", Engines: 14, PlanShare: 0.25}, {Name: "comptoir", Engines: 3, PlanShare: 0.05}},
-			Engine:         measuredEngine(),
+			Engine:         MeasuredEngine(),
 		},
 		{
 			Name:           "totora",
 			FailureDomains: []string{"lima-a", "lima-b", "lima-c"},
 			Weigh:          toucansettings.WeighInterTokenLatency,
 			Services:       []Service{{Name: "assistant", Engines: 14, PlanShare: 0.25}, {Name: "workshop", Engines: 3, PlanShare: 0.05}},
-			Engine:         measuredEngine(),
+			Engine:         MeasuredEngine(),
 		},
 	}
 }
@@ -83,8 +83,8 @@
 	return all[i], nil
 }
 
-// measuredEngine decodes about 40 sequences in steps of 45 ms, so that a measurement ends in a minute.
-func measuredEngine() toucanfake.Config {
+// MeasuredEngine decodes about 40 sequences in steps of 45 ms, so that a measurement ends in a minute.
+func MeasuredEngine() toucanfake.Config {
 	cfg := toucanfake.DefaultConfig("")
 	cfg.Blocks = 2048
 	cfg.MaxSequences = 96
@@ -122,9 +122,11 @@
 	return specs
 }
 
-// workspaceName returns the name of workspace i; its key is workspaceSecret.
-func workspaceName(i int) string   { return fmt.Sprintf("workspace-%d", i) }
-func workspaceSecret(i int) string { return fmt.Sprintf("key-of-workspace-%d", i) }
+// WorkspaceName returns the name of workspace i.
+func WorkspaceName(i int) string { return fmt.Sprintf("workspace-%d", i) }
+
+// WorkspaceSecret returns the key of workspace i.
+func WorkspaceSecret(i int) string { return fmt.Sprintf("key-of-workspace-%d", i) }
 
 // team returns the deployment's settings with policy for every service and the named endpoints draining.
 func (d Deployment) team(policy toucansettings.Policy, draining map[string]bool) toucansettings.Team {
@@ -139,16 +141,16 @@
 			Model:      s.model(),
 			Weigh:      d.Weigh,
 			Policy:     policy,
-			FirstToken: firstTokenBound,
-			InterToken: interTokenBound,
+			FirstToken: FirstTokenBound,
+			InterToken: InterTokenBound,
 		})
 	}
-	for i, share := range workspaceShares {
+	for i, share := range WorkspaceShares {
 		team.Workspaces = append(team.Workspaces, toucansettings.Workspace{
-			Name:      workspaceName(i),
+			Name:      WorkspaceName(i),
 			Team:      d.Name,
-			KeyHashes: []string{toucansettings.HashKey(workspaceSecret(i))},
-			Weight:    share * float64(len(workspaceShares)),
+			KeyHashes: []string{toucansettings.HashKey(WorkspaceSecret(i))},
+			Weight:    share * float64(len(WorkspaceShares)),
 			Services:  names,
 		})
 	}
--- a/toucanrig/rig.go
+++ b/toucanrig/rig.go
@@ -1,3 +1,5 @@
+// Package toucanrig runs real entries and sidecars with stand-in engines, application instances and store over
+// links in memory, for measurements and fault cases under a fake clock.
 package toucanrig
 
 import (
@@ -14,9 +16,11 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanadmit"
+	"toucanport/toucancaller"
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanfakenet"
 	"toucanport/toucanfakestore"
 	"toucanport/toucanretry"
 	"toucanport/toucanrevision"
@@ -27,11 +31,39 @@
 	"toucanport/toucanstream"
 )
 
+// The bounds of a good answer.
+const (
+	FirstTokenBound = 1200 * time.Millisecond
+	InterTokenBound = 68 * time.Millisecond
+)
+
+// Classes of request.
+const (
+	ClassBrief = "brief"
+	ClassPlan  = "plan"
+)
+
+// Network joins the processes of a rig.
+type Network = toucanfakenet.Network
+
+// LinkName names the connections between two addresses.
+type LinkName = toucanfakenet.LinkName
+
+// LinkState is how the connections of a link behave.
+type LinkState = toucanfakenet.LinkState
+
+// Any stands for every address in a LinkName.
+const Any = toucanfakenet.Any
+
+// NewNetwork returns a network without listeners.
+func NewNetwork() *Network { return toucanfakenet.NewNetwork() }
+
 const (
 	callerDelay = 3 * time.Millisecond
-	innerDelay  = time.Millisecond
-	callerName  = "caller"
-	signerKey   = "key of the rig, which guards nothing"
+	// InnerDelay is the one-way latency of the links to sidecars and to the store.
+	InnerDelay = time.Millisecond
+	callerName = "caller"
+	signerKey  = "key of the rig, which guards nothing"
 )
 
 // Config says what a rig runs.
@@ -54,6 +86,7 @@
 // Rig is real entries and sidecars with stand-in engines, joined in memory. It must be used inside one
 // bubble of testing/synctest.
 type Rig struct {
+	*toucancaller.Caller
 	Network *Network
 	Ledger  *toucanfake.Ledger
 	cfg     Config
@@ -65,8 +98,6 @@
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	callers  *http.Transport
-	// asking is callers, wrapped.
-	asking   http.RoundTripper
 	signer   *toucanstream.Signer
 	draining map[string]bool
 	// Services records what application instances did.
@@ -77,7 +108,7 @@
 	Store   *toucanfakestore.Memory
 	entries []*entryProcess
 	// endpoints are in the order of the deployment.
-	endpoints []*endpointProcesses
+	endpoints []*Endpoint
 	// Attempts counts the requests that entries sent to endpoints.
 	Attempts *attempts
 }
@@ -131,7 +162,8 @@
 	entry       *toucanentry.Entry
 }
 
-type endpointProcesses struct {
+// Endpoint is an engine or application instance and its sidecar.
+type Endpoint struct {
 	spec        endpointSpec
 	incarnation int
 	sidecarRun  process
@@ -164,9 +196,9 @@
 		return nil, err
 	}
 	for _, spec := range cfg.Deployment.endpoints() {
-		ep := &endpointProcesses{spec: spec}
+		ep := &Endpoint{spec: spec}
 		r.endpoints = append(r.endpoints, ep)
-		r.Network.Set(LinkName{Any, spec.sidecar.String()}, LinkState{Delay: innerDelay})
+		r.Network.Set(LinkName{From: Any, To: spec.sidecar.String()}, LinkState{Delay: InnerDelay})
 		if err := r.startEngine(ep); err != nil {
 			return nil, err
 		}
@@ -174,16 +206,18 @@
 			return nil, err
 		}
 	}
+	var addresses []string
 	for i := range cfg.Entries {
 		e := &entryProcess{address: fmt.Sprintf("10.0.0.%d:8080", i+1)}
 		r.entries = append(r.entries, e)
-		r.Network.Set(LinkName{Any, e.address}, LinkState{Delay: callerDelay})
+		addresses = append(addresses, e.address)
+		r.Network.Set(LinkName{From: Any, To: e.address}, LinkState{Delay: callerDelay})
 		if err := r.startEntry(e); err != nil {
 			return nil, err
 		}
 	}
 	r.callers = r.transport(callerName)
-	r.asking = wrap(http.RoundTripper(r.callers), cfg.WrapTransport)
+	r.Caller = toucancaller.New(wrap(http.RoundTripper(r.callers), cfg.WrapTransport), addresses, WorkspaceSecret)
 	time.Sleep(time.Second)
 	return r, nil
 }
@@ -214,7 +248,7 @@
 	}
 }
 
-func (r *Rig) startEngine(ep *endpointProcesses) error {
+func (r *Rig) startEngine(ep *Endpoint) error {
 	ln, err := r.Network.Listen(ep.spec.engine.String())
 	if err != nil {
 		return err
@@ -243,7 +277,7 @@
 	})
 }
 
-func (r *Rig) startSidecar(ep *endpointProcesses) error {
+func (r *Rig) startSidecar(ep *Endpoint) error {
 	ln, err := r.Network.Listen(ep.spec.sidecar.String())
 	if err != nil {
 		return err
@@ -283,8 +317,8 @@
 func (r *Rig) admission() toucanadmit.Policy {
 	cfg := toucanadmit.Config{
 		Weigh:      r.cfg.Deployment.Weigh,
-		FirstToken: firstTokenBound,
-		InterToken: interTokenBound,
+		FirstToken: FirstTokenBound,
+		InterToken: InterTokenBound,
 	}
 	if r.cfg.Policy == toucansettings.PolicyNaive {
 		return toucanadmit.NewNaive(cfg)
--- a/toucanrig/service.go
+++ b/toucanrig/service.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"toucanport/toucancaller"
 )
 
 const (
-	// labelHeader names an order in the ledger.
-	labelHeader = "X-Label"
 	// orderDuration is how long an application instance works on an order before it is carried out.
 	orderDuration = 40 * time.Millisecond
 )
@@ -82,7 +82,7 @@
 	if s.ctx.Err() != nil {
 		return
 	}
-	label := r.Header.Get(labelHeader)
+	label := r.Header.Get(toucancaller.LabelHeader)
 	s.ledger.add(label, CarriedOut{Endpoint: s.name, Received: received})
 	time.Sleep(orderDuration)
 	_, _ = fmt.Fprintf(w, "carried out %s\n", label) // a caller that has gone needs no answer
--- a/toucanrig/store.go
+++ b/toucanrig/store.go
@@ -11,16 +11,16 @@
 	"toucanport/toucanstore"
 )
 
-// storeAddress is where the platform's key-value service listens.
-const storeAddress = "10.0.2.1:8500"
+// StoreAddress is where the platform's key-value service listens.
+const StoreAddress = "10.0.2.1:8500"
 
 // startStore serves the stand-in of the platform's key-value service.
 func (r *Rig) startStore() error {
-	ln, err := r.Network.Listen(storeAddress)
+	ln, err := r.Network.Listen(StoreAddress)
 	if err != nil {
 		return err
 	}
-	r.Network.Set(LinkName{Any, storeAddress}, LinkState{Delay: innerDelay})
+	r.Network.Set(LinkName{From: Any, To: StoreAddress}, LinkState{Delay: InnerDelay})
 	r.Store = toucanfakestore.New(toucanfakestore.WithSeed(r.cfg.Seed))
 	srv := &http.Server{Handler: r.Store.Handler()}
 	stop := context.AfterFunc(r.ctx, func() { _ = srv.Close() })
@@ -37,7 +37,7 @@
 // claims returns the claims of orders of the sidecar that dials through transport. They end with ctx, and what
 // they did not write by then is lost.
 func (r *Rig) claims(ctx context.Context, transport http.RoundTripper) *toucanorder.Claims {
-	client := toucanstore.NewClient("http://"+storeAddress, toucanstore.WithTransport(transport))
+	client := toucanstore.NewClient("http://"+StoreAddress, toucanstore.WithTransport(transport))
 	claims := toucanorder.New(client)
 	r.running.Go(func() {
 		<-ctx.Done()
