Merge main into routing

Cause: main moved on while this branch grew. Change: takes in what landed since, so that both are built, linted and tested together before this branch lands.

--- a/toucanrig/rig.go
+++ b/toucanrig/rig.go
@@ -1,3 +1,5 @@
+// Package toucanrig runs real entries and sidecars with stand-in engines, application instances and store over
+// links in memory, for measurements and fault cases under a fake clock.
 package toucanrig
 
 import (
@@ -14,21 +16,54 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanadmit"
+	"toucanport/toucancaller"
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
 	"toucanport/toucanfake"
+	"toucanport/toucanfakenet"
+	"toucanport/toucanfakestore"
 	"toucanport/toucanretry"
+	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
+	"toucanport/toucanspread"
 	"toucanport/toucanstream"
 )
 
+// The bounds of a good answer.
+const (
+	FirstTokenBound = 1200 * time.Millisecond
+	InterTokenBound = 68 * time.Millisecond
+)
+
+// Classes of request.
+const (
+	ClassBrief = "brief"
+	ClassPlan  = "plan"
+)
+
+// Network joins the processes of a rig.
+type Network = toucanfakenet.Network
+
+// LinkName names the connections between two addresses.
+type LinkName = toucanfakenet.LinkName
+
+// LinkState is how the connections of a link behave.
+type LinkState = toucanfakenet.LinkState
+
+// Any stands for every address in a LinkName.
+const Any = toucanfakenet.Any
+
+// NewNetwork returns a network without listeners.
+func NewNetwork() *Network { return toucanfakenet.NewNetwork() }
+
 const (
 	callerDelay = 3 * time.Millisecond
-	innerDelay  = time.Millisecond
-	callerName  = "caller"
-	signerKey   = "key of the rig, which guards nothing"
+	// InnerDelay is the one-way latency of the links to sidecars and to the store.
+	InnerDelay = time.Millisecond
+	callerName = "caller"
+	signerKey  = "key of the rig, which guards nothing"
 )
 
 // Config says what a rig runs.
@@ -41,8 +76,8 @@
 	ResumeWindow time.Duration
 	// WrapEngine replaces what the sidecars see of their engines; nil leaves it.
 	WrapEngine func(toucansidecar.Engine) toucansidecar.Engine
-	// WrapRouter replaces what the entries choose endpoints with; nil leaves it.
-	WrapRouter func(toucanroute.Router) toucanroute.Router
+	// WrapSettings replaces the settings that processes get; nil leaves them.
+	WrapSettings func(toucansettings.Team) toucansettings.Team
 	// WrapTransport replaces how callers reach entries, and WrapService how sidecars reach application
 	// instances; nil leaves them.
 	WrapTransport, WrapService func(http.RoundTripper) http.RoundTripper
@@ -51,26 +86,29 @@
 // Rig is real entries and sidecars with stand-in engines, joined in memory. It must be used inside one
 // bubble of testing/synctest.
 type Rig struct {
+	*toucancaller.Caller
 	Network *Network
 	Ledger  *toucanfake.Ledger
 	cfg     Config
-	tree    *treeHolder
-	log     *slog.Logger
-	ctx     context.Context
-	stop    context.CancelFunc
-	running sync.WaitGroup
-	callers *http.Transport
-	// asking is callers, wrapped.
-	asking   http.RoundTripper
+	// document is the settings in force, whose revision is revision.
+	document toucanrevision.Document
+	revision uint64
+	log      *slog.Logger
+	ctx      context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	callers  *http.Transport
 	signer   *toucanstream.Signer
 	draining map[string]bool
 	// Services records what application instances did.
 	Services *ServiceLedger
 	// operations is held while a fault changes processes.
 	operations sync.Mutex
-	entries    []*entryProcess
+	// Store stands in for the platform's key-value service.
+	Store   *toucanfakestore.Memory
+	entries []*entryProcess
 	// endpoints are in the order of the deployment.
-	endpoints []*endpointProcesses
+	endpoints []*Endpoint
 	// Attempts counts the requests that entries sent to endpoints.
 	Attempts *attempts
 }
@@ -83,27 +121,31 @@
 	return f(v)
 }
 
-type treeHolder struct {
-	mu   sync.Mutex
-	tree *toucansettings.Tree
-}
-
-func (h *treeHolder) Tree() *toucansettings.Tree {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.tree
-}
-
-func (h *treeHolder) set(tree *toucansettings.Tree) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.tree = tree
+// publish puts the deployment's settings in force as the next revision: entries have read it from the store,
+// and sidecars learn it from heartbeats.
+func (r *Rig) publish() error {
+	r.revision++
+	team := wrap(r.cfg.Deployment.team(r.cfg.Policy, r.draining), r.cfg.WrapSettings)
+	body, err := toucansettings.EncodeTeam(team)
+	if err != nil {
+		return err
+	}
+	r.document, err = toucanrevision.ParseDocument("/teams/"+team.Name, body)
+	if err != nil {
+		return err
+	}
+	r.document.Revision = r.revision
+	for _, e := range r.entries {
+		if err := r.offer(e); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// publish puts the deployment's settings in force.
-func (r *Rig) publish() {
-	team := r.cfg.Deployment.team(r.cfg.Policy, r.draining)
-	r.tree.set(toucansettings.NewTree([]toucansettings.Team{team}))
+func (r *Rig) offer(e *entryProcess) error {
+	_, err := e.settings.Offer(r.document)
+	return err
 }
 
 // process is one incarnation of a program; its name is the address it dials from.
@@ -116,10 +158,12 @@
 	process
 	address     string
 	incarnation int
+	settings    *toucanspread.Holder
 	entry       *toucanentry.Entry
 }
 
-type endpointProcesses struct {
+// Endpoint is an engine or application instance and its sidecar.
+type Endpoint struct {
 	spec        endpointSpec
 	incarnation int
 	sidecarRun  process
@@ -137,7 +181,6 @@
 		Network:  NewNetwork(),
 		Ledger:   toucanfake.NewLedger(),
 		cfg:      cfg,
-		tree:     &treeHolder{},
 		Services: newServiceLedger(),
 		signer:   toucanstream.NewSigner([]byte(signerKey)),
 		draining: make(map[string]bool),
@@ -146,11 +189,16 @@
 		stop:     stop,
 		Attempts: &attempts{},
 	}
-	r.publish()
+	if err := r.publish(); err != nil {
+		return nil, err
+	}
+	if err := r.startStore(); err != nil {
+		return nil, err
+	}
 	for _, spec := range cfg.Deployment.endpoints() {
-		ep := &endpointProcesses{spec: spec}
+		ep := &Endpoint{spec: spec}
 		r.endpoints = append(r.endpoints, ep)
-		r.Network.Set(LinkName{Any, spec.sidecar.String()}, LinkState{Delay: innerDelay})
+		r.Network.Set(LinkName{From: Any, To: spec.sidecar.String()}, LinkState{Delay: InnerDelay})
 		if err := r.startEngine(ep); err != nil {
 			return nil, err
 		}
@@ -158,16 +206,18 @@
 			return nil, err
 		}
 	}
+	var addresses []string
 	for i := range cfg.Entries {
 		e := &entryProcess{address: fmt.Sprintf("10.0.0.%d:8080", i+1)}
 		r.entries = append(r.entries, e)
-		r.Network.Set(LinkName{Any, e.address}, LinkState{Delay: callerDelay})
+		addresses = append(addresses, e.address)
+		r.Network.Set(LinkName{From: Any, To: e.address}, LinkState{Delay: callerDelay})
 		if err := r.startEntry(e); err != nil {
 			return nil, err
 		}
 	}
 	r.callers = r.transport(callerName)
-	r.asking = wrap(http.RoundTripper(r.callers), cfg.WrapTransport)
+	r.Caller = toucancaller.New(wrap(http.RoundTripper(r.callers), cfg.WrapTransport), addresses, WorkspaceSecret)
 	time.Sleep(time.Second)
 	return r, nil
 }
@@ -198,7 +248,7 @@
 	}
 }
 
-func (r *Rig) startEngine(ep *endpointProcesses) error {
+func (r *Rig) startEngine(ep *Endpoint) error {
 	ln, err := r.Network.Listen(ep.spec.engine.String())
 	if err != nil {
 		return err
@@ -227,7 +277,7 @@
 	})
 }
 
-func (r *Rig) startSidecar(ep *endpointProcesses) error {
+func (r *Rig) startSidecar(ep *Endpoint) error {
 	ln, err := r.Network.Listen(ep.spec.sidecar.String())
 	if err != nil {
 		return err
@@ -245,8 +295,10 @@
 		Signer:        r.signer,
 		ResumeWindow:  r.cfg.ResumeWindow,
 	}
+	ctx, kill := context.WithCancel(r.ctx)
 	if ep.spec.plain {
 		cfg.Kind = toucansettings.KindPlain
+		cfg.Orders = r.claims(ctx, ep.transport)
 		cfg.ServiceURL = url
 		cfg.ServiceTransport = wrap(http.RoundTripper(ep.transport), r.cfg.WrapService)
 	} else {
@@ -256,7 +308,6 @@
 		cfg.Policy = r.admission()
 	}
 	ep.sidecar = toucansidecar.New(cfg, toucansidecar.WithLogger(r.log))
-	ctx, kill := context.WithCancel(r.ctx)
 	ep.sidecarRun = process{name, kill}
 	sidecar := ep.sidecar
 	r.run(func() error { return sidecar.Run(ctx, ln) })
@@ -266,8 +317,8 @@
 func (r *Rig) admission() toucanadmit.Policy {
 	cfg := toucanadmit.Config{
 		Weigh:      r.cfg.Deployment.Weigh,
-		FirstToken: firstTokenBound,
-		InterToken: interTokenBound,
+		FirstToken: FirstTokenBound,
+		InterToken: InterTokenBound,
 	}
 	if r.cfg.Policy == toucansettings.PolicyNaive {
 		return toucanadmit.NewNaive(cfg)
@@ -283,13 +334,17 @@
 	e.incarnation++
 	name := fmt.Sprintf("entry-%s.%d", e.address, e.incarnation)
 	domain := r.cfg.Deployment.FailureDomains[0]
+	e.settings = toucanspread.NewHolder()
+	if err := r.offer(e); err != nil {
+		return err
+	}
 	e.entry = toucanentry.New(toucanentry.Config{
 		Instance:      name,
 		FailureDomain: domain,
-		Settings:      r.tree,
+		Spread:        e.settings,
 		Signer:        r.signer,
 		Dial:          r.Network.Dialer(name),
-		Router:        &countingRouter{Router: wrap(r.router(name, domain), r.cfg.WrapRouter), attempts: r.Attempts},
+		Router:        &countingRouter{Router: r.router(name, domain), attempts: r.Attempts},
 		Budget:        toucanretry.NewBudget(),
 	}, toucanentry.WithLogger(r.log))
 	ctx, kill := context.WithCancel(r.ctx)
