--- a/toucansettings/tree.go
+++ b/toucansettings/tree.go
@@ -91,7 +91,7 @@
 
 // Tree is an immutable snapshot of all settings, with indexes for the request path.
 type Tree struct {
-	teams       []Team
+	teams []Team
 	// byKey has the first workspace by team for a key that two teams took at the same instant.
 	byKey       map[string]Workspace
 	byService   map[serviceKey]Service
