Use one stand-in for plain services

Cause: dev had a plain stand-in of its own beside toucanfakeservice, so that the same logic stood twice. Change: dev runs toucanfakeservice, which answers 201 to POST and 200 to the rest. Conclusion: one place keeps the ledger of orders carried out.

--- a/toucanfakeservice/service.go
+++ b/toucanfakeservice/service.go
@@ -77,10 +77,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusCreated)
+	w.WriteHeader(status(r.Method))
 	_ = json.NewEncoder(w).Encode(Answer{Number: o.Number, Method: o.Method, Path: o.Path})
 }
 
+func status(method string) int {
+	if method == http.MethodPost {
+		return http.StatusCreated
+	}
+	return http.StatusOK
+}
+
 func (s *Service) current() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
