--- a/cmd/toucanport/bench_test.go
+++ b/cmd/toucanport/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -69,7 +70,13 @@
 // holdStream begins a long generation, reads what comes and goes away when done is closed.
 func (f *fleet) holdStream(client *http.Client, index int, begun *sync.WaitGroup, done <-chan struct{}) {
 	body := fmt.Sprintf(`{"model":"assistant","stream":true,"prompt":"outputTokens=20000 proposal %d"}`, index)
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.entries[0]+"/v1/completions", strings.NewReader(body))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-done
+		cancel()
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.entries[0]+"/v1/completions", strings.NewReader(body))
 	assert.Check(f.t, err)
 	req.Header.Set("Authorization", "Bearer "+toucandeploy.Key(1, "totora", "sales"))
 	resp, err := client.Do(req)
@@ -79,10 +86,6 @@
 	}
 	defer resp.Body.Close()
 	assert.Check(f.t, resp.StatusCode == http.StatusOK, "%s", resp.Status)
-	go func() {
-		<-done
-		resp.Body.Close()
-	}()
 	scanner := bufio.NewScanner(resp.Body)
 	for scanner.Scan() {
 	}
