Correct two comments of the admission packages

Cause: one comment named another field and one gave a key's memory too low: 512 bytes of counts and 1,040 of its curve are more than 1.5 KB. Change: both comments say what the code does; nothing else changes and no figure was measured.

--- a/toucanadmit/margin.go
+++ b/toucanadmit/margin.go
@@ -19,7 +19,7 @@
 	set      bool
 	forecast forecast
 	at       time.Time
-	// tokens is how much each request is expected to have generated since, as a count of steps.
+	// steps is how many tokens each request is expected to have generated since.
 	steps int
 }
 
--- a/toucanlength/estimator.go
+++ b/toucanlength/estimator.go
@@ -26,7 +26,7 @@
 // DefaultPrior is the prior of a class without one of its own.
 var DefaultPrior = Prior{MedianTokens: 128, Sigma: 1.6}
 
-// DefaultCapacity is how many keys an Estimator remembers. Each takes at most 1.5 KB.
+// DefaultCapacity is how many keys an Estimator remembers. Each takes about 1.6 KB.
 const DefaultCapacity = 4096
 
 const (
