Choose the ports of test processes where no connection takes them

Cause: one run of the killed entry failed with its address in use: the port had been chosen from the range that outgoing connections take theirs from, and one took it before the process listened. Change: ports come from below that range, each tried once.

--- a/cmd/toucanport/main_test.go
+++ b/cmd/toucanport/main_test.go
@@ -6,13 +6,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -69,13 +72,37 @@
 	arrived chan struct{}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports of the processes lie below the range that the system takes outgoing connections from, so that none is
+// taken between the choice and the start of its process.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+var (
+	portMu sync.Mutex
+	// lastChosen is guarded by portMu; it begins anywhere, since other runs may be under way.
+	lastChosen = firstPort + rand.IntN(lastPort-firstPort)
+)
+
+// freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	portMu.Lock()
+	defer portMu.Unlock()
+	for {
+		lastChosen++
+		if lastChosen > lastPort {
+			lastChosen = firstPort
+		}
+		ln, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(lastChosen)))
+		if err != nil {
+			continue
+		}
+		address := ln.Addr().String()
+		assert.NilError(t, ln.Close())
+		return address
+	}
 }
 
 func (f *fleet) serve(h http.Handler) string {
