Bring engines to what the settings ask of them

Cause: nothing gave an engine the orders that operators wish for, though the fencing for them stood. Change: a service's version and adapters and an endpoint's role, a follower in the engine's sidecar that gives what is missing under the lease and records it, and that asks the store only when something else is wanted. Conclusion: orders to engines come from the settings; an engine that forgets is not noticed yet.

--- /dev/null
+++ b/toucandesired/follower_test.go
@@ -0,0 +1,146 @@
+package toucandesired_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucandesired"
+	"toucanport/toucanengine"
+	"toucanport/toucanfakestore"
+	"toucanport/toucanfence"
+	"toucanport/toucansettings"
+)
+
+// settings is a tree that the test replaces.
+type settings struct {
+	mu      sync.Mutex
+	tree    *toucansettings.Tree
+	changed chan struct{}
+}
+
+func (s *settings) Tree() *toucansettings.Tree {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tree
+}
+
+func (s *settings) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *settings) ask(version string, adapters []string, role string) {
+	tree := toucansettings.NewTree([]toucansettings.Team{{
+		Name: "t",
+		Services: []toucansettings.Service{{
+			Name: "assistant", Team: "t", Kind: toucansettings.KindGeneration, Model: "m", Version: version, Adapters: adapters,
+		}},
+		Endpoints: []toucansettings.Endpoint{{Name: "e1", Team: "t", Service: "assistant", Role: role}},
+	}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tree = tree
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// engine records the orders that it carries out.
+type engine struct {
+	mu     sync.Mutex
+	orders []string
+}
+
+func (e *engine) Order(_ context.Context, o toucanengine.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, string(o.Kind)+" "+o.Argument)
+	return nil
+}
+
+func (e *engine) carried() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.orders...)
+}
+
+// run starts a follower as one boot of the sidecar and returns a function that ends it.
+func run(s *settings, store *toucanfakestore.Memory, e *engine, boot string) (stop func()) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f := toucandesired.NewFollower(s, store, "t/e1", func(bool) toucandesired.Holder {
+		return toucanfence.New(store, e, "t/e1", boot, toucanfence.WithLogger(log))
+	}, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// enough is longer than the lease, the spread of loads and their retries together.
+const enough = 20 * time.Minute
+
+func TestFollowerGivesWhatIsMissingOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, store, e := &settings{}, toucanfakestore.New(), &engine{}
+		s.ask("1", []string{"fr"}, "decode")
+		stop := run(s, store, e, "boot1")
+		time.Sleep(enough)
+		assert.DeepEqual(t, e.carried(), []string{"loadModel m@1", "loadAdapter fr", "setRole decode"})
+
+		// A replaced sidecar finds what was carried out and gives nothing again.
+		stop()
+		stop = run(s, store, e, "boot2")
+		time.Sleep(enough)
+		assert.Equal(t, len(e.carried()), 3)
+
+		// A new version takes the adapters away, so they are loaded again; the role stays.
+		s.ask("2", []string{"fr"}, "decode")
+		time.Sleep(enough)
+		assert.DeepEqual(t, e.carried()[3:], []string{"loadModel m@2", "loadAdapter fr"})
+		stop()
+	})
+}
+
+func TestFollowerWaitsOutAStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, store, e := &settings{}, toucanfakestore.New(), &engine{}
+		s.ask("1", nil, "")
+		store.SetFaults(toucanfakestore.Faults{Down: true})
+		stop := run(s, store, e, "boot1")
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(e.carried()), 0)
+		store.SetFaults(toucanfakestore.Faults{})
+		time.Sleep(enough)
+		assert.DeepEqual(t, e.carried(), []string{"loadModel m@1"})
+		stop()
+	})
+}
+
+func TestFollowerAsksTheStoreOnlyWhenSomethingElseIsWanted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, store, e := &settings{}, toucanfakestore.New(), &engine{}
+		s.ask("", nil, "")
+		stop := run(s, store, e, "boot1")
+		for range 100 {
+			s.ask("", nil, "")
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, store.Counts().Reads, int64(0))
+		stop()
+	})
+}
--- a/toucaninstance/sidecar.go
+++ b/toucaninstance/sidecar.go
@@ -3,17 +3,22 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
 
 	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanconfig"
+	"toucanport/toucandesired"
 	"toucanport/toucanengine"
+	"toucanport/toucanfence"
 	"toucanport/toucanmetric"
 	"toucanport/toucanorder"
 	"toucanport/toucansettings"
 	"toucanport/toucansidecar"
+	"toucanport/toucanspread"
 	"toucanport/toucanstore"
 	"toucanport/toucanstream"
 	"toucanport/toucantls"
@@ -61,9 +66,13 @@
 		ln.Close()
 		return err
 	}
+	sidecarCfg.Spread = toucanspread.NewHolder()
 	if cfg.Application.IsValid() {
 		s.orders = newOrders(cfg, sidecarCfg.Scope)
 		sidecarCfg.Orders = s.orders
+	} else {
+		follower := s.follower(cfg, sidecarCfg.Spread)
+		s.wg.Go(func() { follower.Run(ctx) })
 	}
 	s.sidecar = toucansidecar.New(sidecarCfg, toucansidecar.WithLogger(s.log))
 	s.run("links", func() error {
@@ -133,11 +142,29 @@
 
 // newOrders returns claims in the platform's store, within a budget that lets one sidecar commit every shard when
 // it is the only one.
+// follower gives the engine the orders that the settings ask for, as this boot of the sidecar.
+func (s *Sidecar) follower(cfg toucanconfig.SidecarConfig, settings *toucanspread.Holder) *toucandesired.Follower {
+	store := newStore(cfg, tally.NoopScope)
+	engine := toucanengine.New("http://"+cfg.Engine.String(), toucanengine.WithTransport(transport(endpointConnections)))
+	endpoint := cfg.Team + "/" + cfg.Endpoint
+	boot := strconv.FormatUint(rand.Uint64(), 16)
+	return toucandesired.NewFollower(settings, store, endpoint, func(checksFencing bool) toucandesired.Holder {
+		opts := []toucanfence.Option{toucanfence.WithLogger(s.log)}
+		if checksFencing {
+			opts = append(opts, toucanfence.WithChecksFencing())
+		}
+		return toucanfence.New(store, engine, endpoint, boot, opts...)
+	}, s.log)
+}
+
+func newStore(cfg toucanconfig.SidecarConfig, scope tally.Scope) *toucanstore.Client {
+	return toucanstore.NewClient("http://"+cfg.Store.String(), toucanstore.WithScope(scope),
+		toucanstore.WithTransport(transport(storeConnections)), toucanstore.WithBudget(ordersReadsPerSecond, ordersWritesPerSecond))
+}
+
 func newOrders(cfg toucanconfig.SidecarConfig, scope tally.Scope) *toucanorder.Claims {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	store := toucanstore.NewClient("http://"+cfg.Store.String(), toucanstore.WithScope(scope),
-		toucanstore.WithTransport(transport(storeConnections)), toucanstore.WithBudget(ordersReadsPerSecond, ordersWritesPerSecond))
-	return toucanorder.New(store, toucanorder.WithScope(scope))
+	return toucanorder.New(newStore(cfg, scope), toucanorder.WithScope(scope))
 }
--- a/toucansettings/encode.go
+++ b/toucansettings/encode.go
@@ -16,12 +16,14 @@
 
 // ServiceTable is the written form of a service.
 type ServiceTable struct {
-	Kind       Kind   `toml:"kind"`
-	Model      string `toml:"model,omitempty"`
-	Weigh      Weigh  `toml:"weigh"`
-	Policy     Policy `toml:"policy"`
-	FirstToken string `toml:"firstToken"`
-	InterToken string `toml:"interToken"`
+	Kind       Kind     `toml:"kind"`
+	Model      string   `toml:"model,omitempty"`
+	Version    string   `toml:"version,omitempty"`
+	Adapters   []string `toml:"adapters,omitempty"`
+	Weigh      Weigh    `toml:"weigh"`
+	Policy     Policy   `toml:"policy"`
+	FirstToken string   `toml:"firstToken"`
+	InterToken string   `toml:"interToken"`
 }
 
 // WorkspaceTable is the written form of a workspace.
@@ -39,6 +41,7 @@
 	Address       string `toml:"address"`
 	FailureDomain string `toml:"failureDomain"`
 	ChecksFencing bool   `toml:"checksFencing,omitempty"`
+	Role          string `toml:"role,omitempty"`
 	Draining      bool   `toml:"draining,omitempty"`
 }
 
@@ -81,6 +84,8 @@
 	return ServiceTable{
 		Kind:       s.Kind,
 		Model:      s.Model,
+		Version:    s.Version,
+		Adapters:   s.Adapters,
 		Weigh:      s.Weigh,
 		Policy:     s.Policy,
 		FirstToken: s.FirstToken.String(),
@@ -104,6 +109,7 @@
 		Address:       e.Address.String(),
 		FailureDomain: e.FailureDomain,
 		ChecksFencing: e.ChecksFencing,
+		Role:          e.Role,
 		Draining:      e.Draining,
 	}
 }
--- a/toucansettings/parse.go
+++ b/toucansettings/parse.go
@@ -62,6 +62,8 @@
 		Team:       team,
 		Kind:       Kind(t.OneOf("kind", "", string(KindGeneration), string(KindPlain))),
 		Model:      t.String("model", false),
+		Version:    t.String("version", false),
+		Adapters:   t.Strings("adapters"),
 		Weigh:      Weigh(t.OneOf("weigh", string(WeighStallTime), string(WeighStallTime), string(WeighInterTokenLatency))),
 		Policy:     Policy(t.OneOf("policy", string(PolicyToucan), string(PolicyNaive), string(PolicyToucan))),
 		FirstToken: t.Duration("firstToken", defaultFirstToken, minLatencyBound, maxLatencyBound),
@@ -70,6 +72,9 @@
 	if s.Kind == KindGeneration && s.Model == "" {
 		t.Note("model", nil, "the model's name; a generation service needs one")
 	}
+	if s.Kind == KindPlain && (s.Version != "" || len(s.Adapters) > 0) {
+		t.Note("version", s.Version, "no version and no adapters for a plain service")
+	}
 	if s.Kind == KindPlain && s.Model != "" {
 		t.Note("model", s.Model, "no model for a plain service")
 	}
@@ -116,6 +121,7 @@
 		Address:       t.Address("address", true),
 		FailureDomain: t.Name("failureDomain"),
 		ChecksFencing: t.Bool("checksFencing"),
+		Role:          t.String("role", false),
 		Draining:      t.Bool("draining"),
 	}
 }
--- a/toucansettings/tree.go
+++ b/toucansettings/tree.go
@@ -41,11 +41,15 @@
 type Service struct {
 	Name string
 	// Team owns the service; never empty.
-	Team   string
-	Kind   Kind
-	Model  string
-	Weigh  Weigh
-	Policy Policy
+	Team  string
+	Kind  Kind
+	Model string
+	// Version is the version of the model that its engines load; empty leaves them what they have.
+	Version string
+	// Adapters are loaded beside the model.
+	Adapters []string
+	Weigh    Weigh
+	Policy   Policy
 	// FirstToken and InterToken are the bounds kept for 95 in 100 requests.
 	FirstToken time.Duration
 	InterToken time.Duration
@@ -76,6 +80,8 @@
 	FailureDomain string
 	// ChecksFencing is true when the engine refuses orders that carry an old fencing number.
 	ChecksFencing bool
+	// Role is what the engine is told to be, such as "prefill"; empty leaves it as it is.
+	Role string
 	// Draining is set by operators: the endpoint gets no new work.
 	Draining bool
 }
