Serve the scrape endpoint in dev too

Cause: dev's entries recorded nothing, so the histograms could be seen only on a process of its own. Change: each entry of dev has its scope, and its operators' listener the scrape endpoint. Figures: the test of 1,000 streams now waits for the series of first tokens by class. Conclusion: dev shows what an entry shows.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -23,6 +23,7 @@
 	"toucanport/toucanlimit"
 	"toucanport/toucanlink"
 	"toucanport/toucanlisting"
+	"toucanport/toucanmetric"
 	"toucanport/toucanrevision"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
@@ -242,6 +243,7 @@
 	if err != nil {
 		return err
 	}
+	scope, scrape, metrics := toucanmetric.New()
 	entry := toucanentry.New(toucanentry.Config{
 		Instance:      instance,
 		FailureDomain: domain,
@@ -251,10 +253,14 @@
 		Dial:          toucanlink.Dialer(protected),
 		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain}),
 		Limiter:       toucanlimit.NewShared(s.cfg.Entries),
+		Scope:         scope,
 	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
 	s.entries = append(s.entries, entry)
-	s.startControl(ctx, index, entry, settings, members, operatorLn)
-	s.wg.Go(func() { s.report("entry", entry.Run(ctx, ln)) })
+	s.startControl(ctx, index, entry, settings, members, operatorLn, scrape)
+	s.wg.Go(func() {
+		defer metrics.Close()
+		s.report("entry", entry.Run(ctx, ln))
+	})
 	return nil
 }
 
--- a/toucandev/dev_test.go
+++ b/toucandev/dev_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"toucanport/deploy"
 	"toucanport/toucandeploy"
@@ -62,4 +64,25 @@
 	assert.Equal(t, report.Broken, 0, report.FirstError)
 	assert.Equal(t, report.Requests, 1000)
 	assert.Equal(t, report.Completed, 1000, "%+v", report.Refusals)
+	awaitMetric(t, "http://"+system.Operators()[1]+"/metrics", "toucan_time_to_first_token_seconds_bucket{class=\"plan\"")
+}
+
+// awaitMetric waits until a scrape shows a series; recorded values are taken over once a second.
+func awaitMetric(t *testing.T, url, series string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, err := http.Get(url)
+		if err != nil {
+			return poll.Error(err)
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return poll.Error(err)
+		}
+		if !strings.Contains(string(body), series) {
+			return poll.Continue("no %s in %d bytes", series, len(body))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
 }
--- a/toucandev/settings.go
+++ b/toucandev/settings.go
@@ -116,13 +116,14 @@
 }
 
 // startControl runs the control side of an entry.
-func (s *System) startControl(ctx context.Context, index int, entry *toucanentry.Entry, h *toucanspread.Holder, members *toucanlisting.View, ln net.Listener) {
+func (s *System) startControl(ctx context.Context, index int, entry *toucanentry.Entry, h *toucanspread.Holder, members *toucanlisting.View, ln net.Listener, scrape http.Handler) {
 	control := toucancontrol.New(toucancontrol.Config{
 		Store:    s.store,
 		Holder:   h,
 		Instance: entryName(index),
 		Local:    entry,
 		Members:  members,
+		Metrics:  scrape,
 		Log:      s.cfg.Log.With("entry", index+1),
 	})
 	s.wg.Go(func() { s.report("control", control.Run(ctx, ln)) })
