Give a generation one owner, so that a resumed stream is neither cancelled nor fought over

Cause: a caller that resumed while its entry still held the first connection had its stream cut at 55 of 200 tokens: the entry saw the first connection go and cancelled the generation. With both connections open the two runs took the stream from each other at every resume. And a caller that went away after it had resumed left the engine working for 30 s. Ruled out: the buffer and the engine, which held every token. Change: each run of an entry has a name; a caller's own resume makes it the owner, and a run that is not the owner is told 'superseded' and its cancel counts for nothing; a resumed caller that goes away cancels. Conclusion: resuming through another entry is safe while the first connection lingers.

--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,7 +103,7 @@
 
 // everywhereTheSame reports whether every endpoint would refuse alike.
 func everywhereTheSame(code string) bool {
-	return code == toucanwire.CodeCancelled || code == toucanwire.CodeRejected || code == toucanwire.CodeDeadline
+	return code == toucanwire.CodeCancelled || code == toucanwire.CodeSuperseded || code == toucanwire.CodeRejected || code == toucanwire.CodeDeadline
 }
 
 // noEndpoint is final: an earlier attempt decides what may be said about the request having run.
@@ -134,11 +135,11 @@
 	}
 	sent := time.Now()
 	e.cfg.Router.Sent(sent, ep.Name, r.query)
-	run := &run{entry: e, id: text, workspace: r.workspace, address: ep.Address, prog: prog, out: out}
+	run := &run{entry: e, id: text, workspace: r.workspace, address: ep.Address, reader: e.newReader(), prog: prog, out: out}
 	run.began = func() { e.cfg.Router.Began(time.Now(), ep.Name, time.Since(sent)) }
 	res, err := run.start(ctx, r.message)
 	if ctx.Err() != nil && !stopped(ctx) {
-		go e.cancelAt(ep.Address, text, r.workspace)
+		go run.cancel()
 	}
 	e.cfg.Router.Finished(time.Now(), ep.Name, r.query, run.outcome(ctx, res), 0)
 	if err != nil && ctx.Err() != nil {
@@ -156,8 +157,12 @@
 	id        string
 	workspace string
 	address   netip.AddrPort
-	prog      *progress
-	out       sink
+	// reader names this run to the sidecar; a run that another has taken over from neither resumes nor cancels.
+	reader string
+	// takeover is true until the sidecar has answered a caller's own request to resume.
+	takeover bool
+	prog     *progress
+	out      sink
 	// sentTo is the boot id of the sidecar that the request was sent to first; zero before.
 	sentTo uint64
 	// answeredBy is the boot id of the sidecar at the other end of the last link.
@@ -182,6 +187,7 @@
 // start sends the request and relays the answer. The error is the caller's: it went away or broke off.
 func (r *run) start(ctx context.Context, m *toucanwire.Generate) (result, error) {
 	m.GenerationId = r.id
+	m.Reader = r.reader
 	res, err := r.relay(ctx, &toucanwire.Open{Request: &toucanwire.Open_Generate{Generate: m}})
 	if err == nil || !isLinkError(err) {
 		return res, err
@@ -209,7 +215,7 @@
 			lost = time.Now()
 		}
 		if time.Since(lost) > r.window() {
-			go r.entry.cancelAt(r.address, r.id, r.workspace)
+			go r.cancel()
 			return lostSidecar(), nil
 		}
 		if !pause(ctx, resumeDelay) {
@@ -223,6 +229,8 @@
 		GenerationId: r.id,
 		Workspace:    r.workspace,
 		NextIndex:    uint32(r.prog.next),
+		Reader:       r.reader,
+		Takeover:     r.takeover,
 	}}}
 }
 
@@ -295,6 +303,7 @@
 
 // take hands one event on. done is true with the last one.
 func (r *run) take(event *toucanwire.Event) (res result, done bool, err error) {
+	r.takeover = false
 	r.entry.takeReport(event.Load)
 	switch ev := event.Event.(type) {
 	case *toucanwire.Event_Accepted:
@@ -355,29 +364,37 @@
 	}}
 }
 
-// cancelAt carries a cancel to a sidecar, over a new link if it must.
-func (e *Entry) cancelAt(address netip.AddrPort, id, workspace string) {
+// newReader returns a name for one run of a generation, unique over all entries.
+func (e *Entry) newReader() string {
+	return strconv.FormatUint(e.boot, 36) + "-" + strconv.FormatUint(e.serial.Add(1), 36)
+}
+
+// cancel cancels the generation while this run is its reader, over a new link if it must.
+func (r *run) cancel() {
+	r.entry.cancelAt(r.address, &toucanwire.Cancel{GenerationId: r.id, Workspace: r.workspace, Reader: r.reader})
+}
+
+// cancelAt carries a cancel to a sidecar.
+func (e *Entry) cancelAt(address netip.AddrPort, m *toucanwire.Cancel) {
 	ctx, cancel := context.WithTimeout(e.life, cancelWindow)
 	defer cancel()
 	for {
-		if e.tryCancel(ctx, address, id, workspace) == nil {
+		if e.tryCancel(ctx, address, m) == nil {
 			return
 		}
 		if !pause(ctx, resumeDelay) {
-			e.log.Warn("cancel did not reach the sidecar", "address", address.String(), "generation", id)
+			e.log.Warn("cancel did not reach the sidecar", "address", address.String(), "generation", m.GenerationId)
 			return
 		}
 	}
 }
 
-func (e *Entry) tryCancel(ctx context.Context, address netip.AddrPort, id, workspace string) error {
+func (e *Entry) tryCancel(ctx context.Context, address netip.AddrPort, m *toucanwire.Cancel) error {
 	p, err := e.links.Get(ctx, address.String())
 	if err != nil {
 		return err
 	}
-	stream, err := p.Open(&toucanwire.Open{Request: &toucanwire.Open_Cancel{
-		Cancel: &toucanwire.Cancel{GenerationId: id, Workspace: workspace},
-	}})
+	stream, err := p.Open(&toucanwire.Open{Request: &toucanwire.Open_Cancel{Cancel: m}})
 	if err != nil {
 		return err
 	}
@@ -406,6 +423,8 @@
 		return http.StatusGone
 	case toucanwire.CodeRejected:
 		return http.StatusBadRequest
+	case toucanwire.CodeSuperseded:
+		return http.StatusConflict
 	case toucanwire.CodeOrderInProgress, toucanwire.CodeOrderCarriedOut, toucanwire.CodeOrderUnknown:
 		return http.StatusConflict
 	case toucanwire.CodeKeyReused:
--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -220,13 +220,15 @@
 		id:        text,
 		workspace: workspaceKey(w),
 		address:   id.Address,
+		reader:    e.newReader(),
+		takeover:  true,
 		prog:      &progress{next: next, mayHaveRun: true},
 		out:       out,
 	}
 	ctx := c.Request().Context()
 	res, err := run.resume(ctx)
-	if err != nil && ctx.Err() != nil {
-		err = gone(ctx, run.prog)
+	if ctx.Err() != nil && !stopped(ctx) {
+		go run.cancel()
 	}
 	return e.answer(c, out, res, err)
 }
@@ -275,7 +277,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), cancelWindow)
 	defer cancel()
-	if err := e.tryCancel(ctx, id.Address, text, workspaceKey(w)); err != nil {
+	if err := e.tryCancel(ctx, id.Address, &toucanwire.Cancel{GenerationId: text, Workspace: workspaceKey(w)}); err != nil {
 		f := fail(http.StatusBadGateway, toucanwire.CodeEndpointFailed, "the cancel did not reach the endpoint; it may still run")
 		f.body.Ran, f.body.Retryable = toucanwire.RanUnknown, true
 		return f
--- a/toucanentry/path_test.go
+++ b/toucanentry/path_test.go
@@ -275,3 +275,57 @@
 		assert.NilError(t, <-left)
 	})
 }
+
+// A caller that resumes while its first connection is still open goes on over the new one. The first ends, and
+// closing it does not cancel what the new one reads.
+func TestResumeTakesOverFromAnOpenConnection(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		first := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 200))
+		defer first.Body.Close()
+		id := first.Header.Get("Toucan-Generation-Id")
+		time.Sleep(time.Second)
+		second := p.do(t, http.MethodGet, "/v1/generations/"+id, testKey, "")
+		defer second.Body.Close()
+		rest, err := io.ReadAll(first.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(string(rest), `"code":"superseded"`), "%s", rest[max(0, len(rest)-300):])
+		assert.Assert(t, !strings.Contains(string(rest), "[DONE]"))
+		first.Body.Close()
+		checkStream(t, second.Body, id, 0, 200)
+		generations := p.ledger.Generations()
+		assert.Equal(t, len(generations), 1)
+		assert.Assert(t, !generations[0].Cancelled)
+	})
+}
+
+// The first connection breaks only after the caller has resumed: the entry that sees it go must not cancel.
+func TestOldConnectionThatBreaksDoesNotCancel(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		first := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 200))
+		id := first.Header.Get("Toucan-Generation-Id")
+		time.Sleep(time.Second)
+		second := p.do(t, http.MethodGet, "/v1/generations/"+id, testKey, "")
+		defer second.Body.Close()
+		first.Body.Close()
+		checkStream(t, second.Body, id, 0, 200)
+	})
+}
+
+// A caller that goes away after it has resumed frees the engine too.
+func TestResumedCallerThatGoesAwayFreesTheEngine(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := startPath(t)
+		defer p.stop()
+		first := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 20000))
+		defer first.Body.Close()
+		second := p.do(t, http.MethodGet, "/v1/generations/"+first.Header.Get("Toucan-Generation-Id"), testKey, "")
+		time.Sleep(time.Second)
+		second.Body.Close()
+		time.Sleep(time.Second)
+		assert.Assert(t, p.ledger.Generations()[0].Cancelled)
+	})
+}
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -50,6 +50,8 @@
 	release func()
 
 	mu sync.Mutex
+	// owner is the reader whose requests to resume or cancel count.
+	owner string
 	// reader closes the stream of the reader attached now; nil when nobody is attached.
 	reader func()
 	// epoch grows with each attachment, so that a late detachment changes nothing.
@@ -73,6 +75,16 @@
 	return g
 }
 
+// claim makes reader the owner if it takes over, and reports whether it is the owner.
+func (g *generation) claim(reader string, takeover bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if takeover {
+		g.owner = reader
+	}
+	return g.owner == reader
+}
+
 // attach makes stream the only reader and returns a function that detaches it.
 func (g *generation) attach(stream *toucanwire.Stream) (detach func()) {
 	g.mu.Lock()
@@ -137,6 +149,7 @@
 		return nil, refusal(codeLeaving, ranNo, "the endpoint is leaving")
 	}
 	g := s.newGeneration(r.GenerationId, r.Workspace, 0)
+	g.owner = r.Reader
 	g.request = engineRequest(r)
 	if r.DeadlineUnixMillis != 0 {
 		g.deadline = time.UnixMilli(r.DeadlineUnixMillis)
@@ -423,12 +436,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if g, ok := s.generations[r.GenerationId]; ok {
+		if !g.claim(r.Reader, r.Takeover) {
+			return nil, refusal(codeSuperseded, ranPartly, "the generation goes on over another connection")
+		}
 		return g, nil
 	}
 	if s.closedIDs.Contains(r.GenerationId) {
 		return nil, refusal(codeGenerationClosed, ranUnknown, "the generation has ended or was cancelled")
 	}
 	g := s.newGeneration(r.GenerationId, r.Workspace, int(r.NextIndex))
+	g.owner = r.Reader
 	g.resumed = true
 	g.settled.Store(true)
 	s.generations[r.GenerationId] = g
@@ -449,7 +466,9 @@
 		s.refuse(stream, refusal(codeUnknownGeneration, ranUnknown, "the generation id is not valid"))
 		return
 	}
-	s.cancelGeneration(r.GenerationId)
+	if g := s.find(r.GenerationId); g == nil || r.Reader == "" || g.claim(r.Reader, false) {
+		s.cancelGeneration(r.GenerationId)
+	}
 	accepted := &toucanwire.Accepted{GenerationId: r.GenerationId}
 	_ = s.send(stream, &toucanwire.Event{Event: &toucanwire.Event_Accepted{Accepted: accepted}})
 }
--- a/toucansidecar/refusal.go
+++ b/toucansidecar/refusal.go
@@ -29,6 +29,7 @@
 	codeGenerationClosed  = toucanwire.CodeGenerationClosed
 	codeTokensDropped     = toucanwire.CodeTokensDropped
 	codeEndpointFailed    = toucanwire.CodeEndpointFailed
+	codeSuperseded        = toucanwire.CodeSuperseded
 	codeRejected          = toucanwire.CodeRejected
 	codeStoreUnavailable  = toucanwire.CodeStoreUnavailable
 )
--- a/toucanwire/codes.go
+++ b/toucanwire/codes.go
@@ -31,6 +31,8 @@
 	CodeTokensDropped = "tokensDropped"
 	// CodeEndpointFailed: the endpoint did not answer.
 	CodeEndpointFailed = "endpointFailed"
+	// CodeSuperseded: the caller goes on with the generation over another connection.
+	CodeSuperseded = "superseded"
 	// CodeRejected: the engine does not take the request as it is.
 	CodeRejected = "rejectedByEngine"
 	// CodeStoreUnavailable: the platform's store did not take the order's claim.
