Answer a whole request anew when its engine dies, since its caller has nothing yet

Cause: an answer that is not streamed was refused with 'ran: partly' when its engine died in the middle, although not a byte had reached the caller. Conclusion: only streams that have begun end with an engine.

--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -34,6 +34,8 @@
 	// generation was given up before its first token.
 	begin(id string) error
 	tokens(first int, text []string) error
+	// handedOver reports whether the caller has any part of the answer.
+	handedOver() bool
 }
 
 // generationRequest is one caller's generation on its way through the entry.
@@ -78,7 +80,7 @@
 		if err != nil || res.end != nil {
 			return res, prog, err
 		}
-		delay, again := plan.Next(time.Now(), retryFailure(res.refusal, prog))
+		delay, again := plan.Next(time.Now(), retryFailure(res.refusal, out))
 		if !again {
 			return truthful(res, prog), prog, nil
 		}
@@ -89,13 +91,13 @@
 	}
 }
 
-func retryFailure(ref *toucanwire.Refusal, prog *progress) toucanretry.Failure {
+func retryFailure(ref *toucanwire.Refusal, out sink) toucanretry.Failure {
 	if everywhereTheSame(ref.Code) {
 		return toucanretry.Failure{}
 	}
 	return toucanretry.Failure{
 		NotRun:     ref.Ran == toucanwire.RanNo,
-		HandedOver: prog.next > 0,
+		HandedOver: out.handedOver(),
 		Repeatable: true,
 		Leaving:    ref.Code == toucanwire.CodeLeaving || ref.Code == toucanwire.CodeReclaimed,
 	}
@@ -133,6 +135,8 @@
 	if err := out.begin(text); err != nil {
 		return result{}, err
 	}
+	// What an earlier endpoint gave is dropped: the answer comes from one generation.
+	prog.next = 0
 	sent := time.Now()
 	e.cfg.Router.Sent(sent, ep.Name, r.query)
 	run := &run{entry: e, id: text, workspace: r.workspace, address: ep.Address, reader: e.newReader(), prog: prog, out: out}
--- a/toucanentry/fleet_test.go
+++ b/toucanentry/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanadmit"
@@ -67,6 +69,7 @@
 	ledger   *toucanfake.Ledger
 	entries  []*toucanentry.Entry
 	sidecars []*toucansidecar.Sidecar
+	engines  []*toucanfake.Engine
 	client   *http.Client
 	wg       sync.WaitGroup
 	stops    []func()
@@ -131,6 +134,7 @@
 
 func (f *fleet) startEndpoint(ctx context.Context, t *testing.T, i int) {
 	engine := toucanfake.NewEngine(toucanfake.DefaultConfig(fmt.Sprintf("e%d", i+1)), f.ledger)
+	f.engines = append(f.engines, engine)
 	engineLn, err := f.net.Listen(fleetEngine(i))
 	assert.NilError(t, err)
 	f.wg.Go(func() { _ = engine.Run(ctx, engineLn) })
@@ -192,3 +196,34 @@
 	t.Fatalf("no endpoint has %s", parsed.Address)
 	return 0
 }
+
+// TestWholeAnswerSurvivesItsEngine kills the engine in the middle of an answer that is not streamed. The caller has
+// nothing yet, so the other endpoint answers anew, and no token of the first generation is in the answer.
+func TestWholeAnswerSurvivesItsEngine(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := startFleet(t, unchanged)
+		defer f.stop()
+		go func() {
+			time.Sleep(2 * time.Second)
+			for i, e := range f.engines {
+				if e.Report().Running > 0 {
+					f.engines[i].Kill()
+				}
+			}
+		}()
+		resp := f.do(t, 0, http.MethodPost, "/v1/completions", `{"model":"redacteur","prompt":"outputTokens=200 a plan"}`)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, "%s", body)
+		id := resp.Header.Get("Toucan-Generation-Id")
+		text := gjson.GetBytes(body, "choices.0.text").String()
+		tokens, ok := toucanfake.ParseTokens(text)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(tokens), 200)
+		for i, token := range tokens {
+			assert.Equal(t, token, toucanfake.TokenSource{IDHash: toucanfake.IDHash(id), Index: i})
+		}
+		assert.Equal(t, len(f.ledger.Generations()), 2)
+	})
+}
--- a/toucanentry/sink.go
+++ b/toucanentry/sink.go
@@ -45,6 +45,8 @@
 	return nil
 }
 
+func (s *streamSink) handedOver() bool { return s.events != nil }
+
 func (s *streamSink) open() error {
 	if s.events != nil {
 		return nil
@@ -155,6 +157,9 @@
 	return nil
 }
 
+// handedOver implements sink: the caller gets nothing before the end.
+func (s *wholeSink) handedOver() bool { return false }
+
 func (s *wholeSink) tokens(_ int, text []string) error {
 	for _, t := range text {
 		s.text.WriteString(t)
