Move the carrying of calls and orders out of the sidecar

Change: toucancarry carries calls and settles claims; refusals are built in one place, beside their codes. Behaviour is unchanged.

--- /dev/null
+++ b/toucancarry/call.go
@@ -0,0 +1,89 @@
+// Package toucancarry carries calls to the application instance beside a sidecar, and orders under a key at most
+// once behind a claim in the platform's store.
+package toucancarry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanwire"
+)
+
+// MaxCallBytes bounds the body of a plain service's answer.
+const MaxCallBytes = 8 << 20
+
+// Carrier carries calls to one application instance. It is safe for concurrent use.
+type Carrier struct {
+	http *http.Client
+	url  string
+	// orders claims orders under a key; without it such orders are refused.
+	orders Orders
+	log    *slog.Logger
+}
+
+// New returns a carrier to the application instance at url; orders may be nil.
+func New(url string, transport http.RoundTripper, orders Orders, log *slog.Logger) *Carrier {
+	return &Carrier{
+		http: &http.Client{
+			Transport: transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			},
+		},
+		url:    url,
+		orders: orders,
+		log:    log,
+	}
+}
+
+func (c *Carrier) do(ctx context.Context, call *toucanwire.Call) (*toucanwire.CallResponse, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.url+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	// The transport must not send a request twice on its own.
+	req.GetBody = nil
+	for _, h := range call.Headers {
+		req.Header[headerName(h.Name)] = h.Values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxCallBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if len(body) > MaxCallBytes {
+		return nil, errors.Errorf("answer is over the bound of %d bytes", MaxCallBytes)
+	}
+	return &toucanwire.CallResponse{Status: uint32(resp.StatusCode), Headers: toucanwire.HeadersOf(resp.Header), Body: body}, nil
+}
+
+// headerName returns the lower case form of the headers by which the transport takes a POST without a body for one
+// that it may send again. HTTP does not tell the two forms apart.
+func headerName(name string) string {
+	switch name {
+	case "Idempotency-Key", "X-Idempotency-Key":
+		return strings.ToLower(name)
+	}
+	return name
+}
+
+// callRefusal says "not run" only when no connection to the endpoint came about.
+func callRefusal(err error) *toucanwire.Refusal {
+	ran := toucanwire.RanUnknown
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		ran = toucanwire.RanNo
+	}
+	return toucanwire.NewRefusal(toucanwire.CodeEndpointFailed, ran, "the endpoint gave no answer")
+}
--- a/toucansidecar/order.go
+++ b/toucancarry/order.go
@@ -1,4 +1,4 @@
-package toucansidecar
+package toucancarry
 
 import (
 	"context"
@@ -21,45 +21,45 @@
 	Lose(c toucanorder.Claim) error
 }
 
-// carry answers a call: from the record of an earlier one with its key, or by giving it to the endpoint.
-func (s *Sidecar) carry(ctx context.Context, c *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
-	if !toucanwire.IsOrder(c) {
-		response, err := s.calls.do(ctx, c)
+// Carry answers a call: from the record of an earlier one with its key, or by giving it to the endpoint.
+func (c *Carrier) Carry(ctx context.Context, call *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+	if !toucanwire.IsOrder(call) {
+		response, err := c.do(ctx, call)
 		if err != nil {
 			return nil, callRefusal(err)
 		}
 		return response, nil
 	}
-	if s.cfg.Orders == nil {
-		return nil, refusal(codeStoreUnavailable, ranNo, "this endpoint's sidecar has no store to claim orders in")
+	if c.orders == nil {
+		return nil, toucanwire.NewRefusal(toucanwire.CodeStoreUnavailable, toucanwire.RanNo, "this endpoint's sidecar has no store to claim orders in")
 	}
-	claim, err := s.cfg.Orders.Claim(ctx, orderKey(c))
+	claim, err := c.orders.Claim(ctx, orderKey(call))
 	if err != nil {
 		return nil, orderRefusal(claim, err)
 	}
 	if o := claim.Recorded; o != nil {
 		return &toucanwire.CallResponse{Status: uint32(o.Status), Headers: toucanwire.HeadersOf(o.Header), Body: o.Body, Replayed: true}, nil
 	}
-	return s.giveOrder(ctx, c, claim)
+	return c.giveOrder(ctx, call, claim)
 }
 
 // giveOrder gives a claimed order to the endpoint and settles the claim by what came of it.
-func (s *Sidecar) giveOrder(ctx context.Context, c *toucanwire.Call, claim toucanorder.Claim) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+func (c *Carrier) giveOrder(ctx context.Context, call *toucanwire.Call, claim toucanorder.Claim) (*toucanwire.CallResponse, *toucanwire.Refusal) {
 	if !claim.Valid(time.Now()) {
-		s.settled(s.cfg.Orders.Abandon(claim))
-		return nil, absent(refusal(codeDeadline, ranNo, "the deadline passed before the order was given to the endpoint"))
+		c.settled(c.orders.Abandon(claim))
+		return nil, absent(toucanwire.NewRefusal(toucanwire.CodeDeadline, toucanwire.RanNo, "the deadline passed before the order was given to the endpoint"))
 	}
-	response, err := s.calls.do(ctx, c)
+	response, err := c.do(ctx, call)
 	if err == nil {
-		s.settled(s.cfg.Orders.Finish(claim, outcomeOf(response)))
+		c.settled(c.orders.Finish(claim, outcomeOf(response)))
 		return response, nil
 	}
 	ref := callRefusal(err)
-	if ref.Ran == ranNo {
-		s.settled(s.cfg.Orders.Abandon(claim))
+	if ref.Ran == toucanwire.RanNo {
+		c.settled(c.orders.Abandon(claim))
 		return nil, absent(ref)
 	}
-	s.settled(s.cfg.Orders.Lose(claim))
+	c.settled(c.orders.Lose(claim))
 	return nil, ref
 }
 
@@ -70,22 +70,22 @@
 }
 
 // settled logs an outcome that will not be recorded; repeats of its key are then told that it is unknown.
-func (s *Sidecar) settled(err error) {
+func (c *Carrier) settled(err error) {
 	if err != nil {
-		s.log.Error("order outcome not recorded", "error", err.Error())
+		c.log.Error("order outcome not recorded", "error", err.Error())
 	}
 }
 
-func orderKey(c *toucanwire.Call) toucanorder.Key {
+func orderKey(call *toucanwire.Call) toucanorder.Key {
 	h := xxhash.New()
-	for _, part := range []string{c.Method, c.Path, string(c.Body)} {
+	for _, part := range []string{call.Method, call.Path, string(call.Body)} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
 	return toucanorder.Key{
-		Workspace:      c.Workspace,
-		Service:        c.Service,
-		IdempotencyKey: c.IdempotencyKey,
+		Workspace:      call.Workspace,
+		Service:        call.Service,
+		IdempotencyKey: call.IdempotencyKey,
 		RequestHash:    h.Sum64(),
 	}
 }
@@ -104,17 +104,17 @@
 	r := &toucanwire.Refusal{Message: err.Error(), RetryAfterMillis: uint32(toucanorder.RetryAfter(err) / time.Millisecond)}
 	switch {
 	case errors.Is(err, toucanorder.ErrInProgress):
-		r.Code, r.Ran, r.Retryable = toucanwire.CodeOrderInProgress, ranUnknown, true
+		r.Code, r.Ran, r.Retryable = toucanwire.CodeOrderInProgress, toucanwire.RanUnknown, true
 	case errors.Is(err, toucanorder.ErrOutcomeNotKept):
-		r.Code, r.Ran = toucanwire.CodeOrderCarriedOut, ranUnknown
+		r.Code, r.Ran = toucanwire.CodeOrderCarriedOut, toucanwire.RanUnknown
 		r.Message = "an earlier request with this key was carried out with status " + strconv.Itoa(claim.Recorded.Status) + "; its answer is not kept"
 	case errors.Is(err, toucanorder.ErrKeyReused):
-		r.Code, r.Ran = toucanwire.CodeKeyReused, ranNo
+		r.Code, r.Ran = toucanwire.CodeKeyReused, toucanwire.RanNo
 	case errors.Is(err, toucanorder.ErrUnavailable), errors.Is(err, toucanorder.ErrClosed):
-		r.Code, r.Ran, r.Retryable = codeStoreUnavailable, ranNo, true
+		r.Code, r.Ran, r.Retryable = toucanwire.CodeStoreUnavailable, toucanwire.RanNo, true
 		r.Message = "the order could not be claimed, so this request was not run; an earlier one with its key may have been: repeat it with the same key"
 	default:
-		r.Code, r.Ran = toucanwire.CodeOrderUnknown, ranUnknown
+		r.Code, r.Ran = toucanwire.CodeOrderUnknown, toucanwire.RanUnknown
 	}
 	return r
 }
--- a/toucansidecar/refusal.go
+++ b/toucansidecar/refusal.go
@@ -35,7 +35,7 @@
 )
 
 func refusal(code, ran, message string) *toucanwire.Refusal {
-	return &toucanwire.Refusal{Code: code, Ran: ran, Message: message, Retryable: ran == ranNo}
+	return toucanwire.NewRefusal(code, ran, message)
 }
 
 func overloadRefusal(err error) *toucanwire.Refusal {
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanadmit"
+	"toucanport/toucancarry"
 	"toucanport/toucanengine"
 	"toucanport/toucanmetric"
 	"toucanport/toucansettings"
@@ -63,7 +64,7 @@
 	ServiceURL       string
 	ServiceTransport http.RoundTripper
 	// Orders claims orders under a key for plain services; without it such orders are refused.
-	Orders Orders
+	Orders toucancarry.Orders
 	// Policy decides admission whatever the settings say; without it the service's settings choose.
 	Policy toucanadmit.Policy
 	Signer *toucanstream.Signer
@@ -116,7 +117,7 @@
 	leaving atomic.Bool
 	// working counts generations and calls in progress; Shutdown waits for them.
 	working work
-	calls   callClient
+	carrier *toucancarry.Carrier
 	reports reporter
 	engine  *toucanmetric.Engine
 	uses    useRelay
@@ -149,7 +150,7 @@
 	}
 	s.engine = toucanmetric.NewEngine(cfg.Scope)
 	s.schedule = newSchedule(startPolicy(cfg), s.startGeneration, s.expireGeneration)
-	s.calls = newCallClient(cfg)
+	s.carrier = toucancarry.New(cfg.ServiceURL, cfg.ServiceTransport, cfg.Orders, s.log)
 	return s
 }
 
--- a/toucanwire/codes.go
+++ b/toucanwire/codes.go
@@ -47,6 +47,11 @@
 	CodeKeyReused = "idempotencyKeyReused"
 )
 
+// NewRefusal returns a refusal. One of a request that did not run may be retried.
+func NewRefusal(code, ran, message string) *Refusal {
+	return &Refusal{Code: code, Ran: ran, Message: message, Retryable: ran == RanNo}
+}
+
 // IsOrder reports whether a call is claimed under its key before an endpoint sees it.
 func IsOrder(c *Call) bool {
 	switch c.Method {
