--- a/toucansidecar/schedule.go
+++ b/toucanschedule/schedule.go
@@ -1,4 +1,5 @@
-package toucansidecar
+// Package toucanschedule runs an endpoint's admission policy: it serializes access to it and carries out what it decides.
+package toucanschedule
 
 import (
 	"context"
@@ -8,8 +9,8 @@
 	"toucanport/toucanadmit"
 )
 
-// schedule runs the admission policy: it serializes access to it and carries out what it decides.
-type schedule struct {
+// Schedule runs the admission policy: it serializes access to it and carries out what it decides.
+type Schedule struct {
 	// start hands a request to the engine, which preempts the lowest priority first.
 	start func(id string, priority int)
 	// expire ends a request that has not run; retryAfter is when another like it would be served in time.
@@ -26,19 +27,21 @@
 // minRetryAfter is the soonest that a request which was given up on may come back.
 const minRetryAfter = 200 * time.Millisecond
 
-func newSchedule(policy toucanadmit.Policy, start func(string, int), expire func(string, time.Duration)) *schedule {
-	return &schedule{start: start, expire: expire, poke: make(chan struct{}, 1), policy: toucanadmit.NewSwitch(policy)}
+// New returns a schedule that does nothing until Run. start and expire are called from Run's goroutine.
+func New(policy toucanadmit.Policy, start func(string, int), expire func(string, time.Duration)) *Schedule {
+	return &Schedule{start: start, expire: expire, poke: make(chan struct{}, 1), policy: toucanadmit.NewSwitch(policy)}
 }
 
-// replace makes policy decide about requests that come from now on.
-func (s *schedule) replace(policy toucanadmit.Policy) {
+// Replace makes policy decide about requests that come from now on.
+func (s *Schedule) Replace(policy toucanadmit.Policy) {
 	s.mu.Lock()
 	s.policy.Replace(policy)
 	s.mu.Unlock()
 	s.wake()
 }
 
-func (s *schedule) run(ctx context.Context) {
+// Run carries out decisions until ctx is done.
+func (s *Schedule) Run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -54,7 +57,7 @@
 }
 
 // step carries out the policy's decisions and returns the time until the next one at the latest.
-func (s *schedule) step() time.Duration {
+func (s *Schedule) step() time.Duration {
 	s.mu.Lock()
 	now := time.Now()
 	expired := s.policy.Expired(now)
@@ -78,14 +81,15 @@
 	return max(wake.Sub(now), time.Millisecond)
 }
 
-func (s *schedule) wake() {
+func (s *Schedule) wake() {
 	select {
 	case s.poke <- struct{}{}:
 	default:
 	}
 }
 
-func (s *schedule) offer(r toucanadmit.Request) error {
+// Offer asks for a request to be admitted. An error unwraps to toucanadmit.ErrOverloaded: it has not run.
+func (s *Schedule) Offer(r toucanadmit.Request) error {
 	s.mu.Lock()
 	err := s.policy.Offer(time.Now(), r)
 	s.mu.Unlock()
@@ -93,7 +97,8 @@
 	return err
 }
 
-func (s *schedule) progress(id string, generated int) {
+// Progress says that a running request has generated so many tokens so far.
+func (s *Schedule) Progress(id string, generated int) {
 	s.mu.Lock()
 	s.policy.Progress(time.Now(), id, generated)
 	queued := s.queued
@@ -103,21 +108,24 @@
 	}
 }
 
-func (s *schedule) done(id string, generated int, complete bool) {
+// Done removes a request, running or queued.
+func (s *Schedule) Done(id string, generated int, complete bool) {
 	s.mu.Lock()
 	s.policy.Done(time.Now(), id, generated, complete)
 	s.mu.Unlock()
 	s.wake()
 }
 
-func (s *schedule) report(r toucanadmit.EngineReport) {
+// Report takes in a report of the engine.
+func (s *Schedule) Report(r toucanadmit.EngineReport) {
 	s.mu.Lock()
 	s.policy.Report(time.Now(), r)
 	s.mu.Unlock()
 	s.wake()
 }
 
-func (s *schedule) load() toucanadmit.Load {
+// Load returns the policy's own account of the endpoint.
+func (s *Schedule) Load() toucanadmit.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.policy.Load(time.Now())
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -69,8 +69,8 @@
 		return
 	}
 	s.reports.succeeded()
-	s.schedule.report(admitReport(r))
-	s.engine.Report(r.Preemptions, r.Running, r.UsedBlocks, r.TotalBlocks, s.schedule.load().Queued)
+	s.schedule.Report(admitReport(r))
+	s.engine.Report(r.Preemptions, r.Running, r.UsedBlocks, r.TotalBlocks, s.schedule.Load().Queued)
 }
 
 func admitReport(r toucanengine.Report) toucanadmit.EngineReport {
@@ -139,7 +139,7 @@
 		r.Sequence = s.reports.sequence.Add(1)
 		return r
 	}
-	l := s.schedule.load()
+	l := s.schedule.Load()
 	r.Running = uint32(l.Running)
 	r.Queued = uint32(l.Queued)
 	r.QueuedTokens = uint64(l.QueuedTokens)
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -157,7 +157,7 @@
 	s.generations[r.GenerationId] = g
 	s.mu.Unlock()
 
-	if err := s.schedule.offer(admitRequest(r)); err != nil {
+	if err := s.schedule.Offer(admitRequest(r)); err != nil {
 		s.forget(g)
 		return nil, overloadRefusal(err)
 	}
@@ -196,7 +196,7 @@
 func (s *Sidecar) startGeneration(id string, priority int) {
 	g := s.find(id)
 	if g == nil {
-		s.schedule.done(id, 0, false)
+		s.schedule.Done(id, 0, false)
 		return
 	}
 	if !g.settled.CompareAndSwap(false, true) {
@@ -249,7 +249,7 @@
 // pump moves tokens from the engine into the buffer until the generation ends.
 func (s *Sidecar) pump(g *generation) {
 	end := s.pumpToEnd(g)
-	s.schedule.done(g.id, g.buffer.Next(), end.Complete())
+	s.schedule.Done(g.id, g.buffer.Next(), end.Complete())
 	g.buffer.Finish(end)
 	if end.Failure != "" {
 		s.cancelAtEngine(g.id)
@@ -306,7 +306,7 @@
 		if batch.Finish != "" {
 			return &toucanstream.End{FinishReason: batch.Finish, PromptTokens: batch.PromptTokens}, true, nil
 		}
-		s.schedule.progress(g.id, g.buffer.Next())
+		s.schedule.Progress(g.id, g.buffer.Next())
 	}
 }
 
@@ -483,7 +483,7 @@
 		return
 	}
 	s.forget(g)
-	s.schedule.done(id, g.buffer.Next(), false)
+	s.schedule.Done(id, g.buffer.Next(), false)
 	go s.cancelAtEngine(id)
 }
 
--- a/toucansidecar/leave.go
+++ b/toucansidecar/leave.go
@@ -62,7 +62,7 @@
 // endEarly ends a generation because the endpoint leaves. It says "not run" only of one that can no longer start.
 func (s *Sidecar) endEarly(g *generation) {
 	if g.settled.CompareAndSwap(false, true) {
-		s.schedule.done(g.id, 0, false)
+		s.schedule.Done(g.id, 0, false)
 		g.buffer.Finish(toucanstream.End{Failure: codeLeaving, Message: "the endpoint left before the request started"})
 		return
 	}
--- a/toucansidecar/settings.go
+++ b/toucansidecar/settings.go
@@ -37,7 +37,7 @@
 		changed := s.cfg.Spread.Changed()
 		if r, ok := s.ruleInForce(); ok && r != followed {
 			followed = r
-			s.schedule.replace(r.newPolicy())
+			s.schedule.Replace(r.newPolicy())
 			s.log.Info("admission policy in force", "policy", string(r.policy), "weigh", string(r.weigh))
 		}
 		select {
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"toucanport/toucancarry"
 	"toucanport/toucanengine"
 	"toucanport/toucanmetric"
+	"toucanport/toucanschedule"
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
 	"toucanport/toucanstream"
@@ -112,7 +113,7 @@
 	boot uint64
 	pool *toucanstream.Pool
 
-	schedule *schedule
+	schedule *toucanschedule.Schedule
 	// leaving is true once no new work is taken.
 	leaving atomic.Bool
 	// working counts generations and calls in progress; Shutdown waits for them.
@@ -149,7 +150,7 @@
 		opt(s)
 	}
 	s.engine = toucanmetric.NewEngine(cfg.Scope)
-	s.schedule = newSchedule(startPolicy(cfg), s.startGeneration, s.expireGeneration)
+	s.schedule = toucanschedule.New(startPolicy(cfg), s.startGeneration, s.expireGeneration)
 	s.carrier = toucancarry.New(cfg.ServiceURL, cfg.ServiceTransport, cfg.Orders, s.log)
 	return s
 }
@@ -183,7 +184,7 @@
 	if s.cfg.Kind == toucansettings.KindPlain {
 		return nil
 	}
-	duties := []func(context.Context){s.schedule.run, s.pollEngine, s.reapGenerations}
+	duties := []func(context.Context){s.schedule.Run, s.pollEngine, s.reapGenerations}
 	if s.cfg.Policy == nil {
 		duties = append(duties, s.followSettings)
 	}
