--- /dev/null
+++ b/toucanengine/stream_test.go
@@ -0,0 +1,55 @@
+package toucanengine
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+func readAll(text string) ([]Batch, error) {
+	s := newStream(io.NopCloser(strings.NewReader(text)), func() {})
+	var batches []Batch
+	for {
+		b, err := s.Next()
+		if err != nil {
+			return batches, err
+		}
+		batches = append(batches, b)
+	}
+}
+
+func TestStreamReadsTokensAndEnd(t *testing.T) {
+	batches, err := readAll("id: 0\ndata: {\"choices\":[{\"tokens\":[\"a\",\"\\u00e9\"],\"finish_reason\":null}]}\n\n" +
+		"id: 2\ndata: {\"choices\":[{\"tokens\":[],\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":7}}\n\ndata: [DONE]\n\n")
+	assert.Assert(t, errors.Is(err, io.EOF))
+	assert.DeepEqual(t, batches, []Batch{{Text: []string{"a", "é"}}, {FirstIndex: 2, Finish: "stop", PromptTokens: 7}})
+}
+
+// FuzzStream checks that no bytes of an engine make the reader fail otherwise than with its own errors, and that a
+// stream counts as whole only when it was ended as such.
+func FuzzStream(f *testing.F) {
+	for _, seed := range []string{
+		"",
+		"id: 0\ndata: {\"choices\":[{\"tokens\":[\"a\"]}]}\n\ndata: [DONE]\n\n",
+		"id: x\ndata: {}\n\n",
+		"id: 0\ndata: {\"choices\":[{\"tokens\":[\"a\"\n\n",
+		"data: [DONE]\n\n",
+		"event: error\ndata: x\n\n",
+		"id: 0\ndata: {\"choices\":[{\"tokens\":[\"a\"]}]}",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := readAll(text)
+		whole := errors.Is(err, io.EOF)
+		if whole && !strings.Contains(text, doneData) {
+			t.Fatalf("%q counts as whole", text)
+		}
+		if !whole && !errors.Is(err, ErrInterrupted) {
+			t.Fatal(err)
+		}
+	})
+}
--- a/toucanentry/path_test.go
+++ b/toucanentry/path_test.go
@@ -12,10 +12,12 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanadmit"
@@ -75,6 +77,11 @@
 }
 
 func startPath(t *testing.T) *path {
+	t.Helper()
+	return startPathWith(t, toucanadmit.NewNaive(toucanadmit.Config{}))
+}
+
+func startPathWith(t *testing.T, policy toucanadmit.Policy) *path {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &path{net: toucanrig.NewNetwork(), ledger: toucanfake.NewLedger()}
@@ -95,7 +102,7 @@
 	p.sidecar = toucansidecar.New(toucansidecar.Config{
 		Instance: "s1", Endpoint: "poteaux/r1", Service: "poteaux/redacteur", Kind: toucansettings.KindGeneration,
 		Engine: toucanengine.New("http://"+engineAddr, toucanengine.WithTransport(transport)),
-		Policy: toucanadmit.NewNaive(toucanadmit.Config{}),
+		Policy: policy,
 		Signer: signer,
 	}, toucansidecar.WithLogger(quiet()))
 	sidecarLn := listen(sidecarAddr)
@@ -329,3 +336,44 @@
 		assert.Assert(t, p.ledger.Generations()[0].Cancelled)
 	})
 }
+
+// A request that still waits in the sidecar's queue is cancelled: it must never reach the engine.
+func TestCancelledQueuedRequestNeverStarts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		held := &heldPolicy{Policy: toucanadmit.NewNaive(toucanadmit.Config{})}
+		p := startPathWith(t, held)
+		defer p.stop()
+		ctx, cancel := context.WithCancel(context.Background())
+		gone := make(chan error, 1)
+		go func() {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entryAddr+"/v1/completions", strings.NewReader(fmt.Sprintf(streamBody, 10)))
+			if err == nil {
+				req.Header.Set("Authorization", "Bearer "+testKey)
+				_, err = p.client.Do(req) //nolint:bodyclose // there is no answer
+			}
+			gone <- err
+		}()
+		time.Sleep(time.Second)
+		cancel()
+		assert.Assert(t, errors.Is(<-gone, context.Canceled))
+		time.Sleep(time.Second)
+		held.open.Store(true)
+		resp := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 5))
+		defer resp.Body.Close()
+		checkStream(t, resp.Body, resp.Header.Get("Toucan-Generation-Id"), 0, 5)
+		assert.Equal(t, len(p.ledger.Generations()), 1)
+	})
+}
+
+// heldPolicy starts nothing until it is opened.
+type heldPolicy struct {
+	toucanadmit.Policy
+	open atomic.Bool
+}
+
+func (h *heldPolicy) Next(now time.Time) []toucanadmit.Start {
+	if !h.open.Load() {
+		return nil
+	}
+	return h.Policy.Next(now)
+}
--- a/toucanstream/id.go
+++ b/toucanstream/id.go
@@ -8,6 +8,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"net/netip"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -59,6 +60,10 @@
 	if err != nil || len(b) < idFixedBytes+macBytes {
 		return ID{}, ErrForeignID
 	}
+	// The decoder skips line breaks, but an id has one text form only.
+	if strings.ContainsAny(text, "\r\n") {
+		return ID{}, ErrForeignID
+	}
 	payload, mac := b[:len(b)-macBytes], b[len(b)-macBytes:]
 	if subtle.ConstantTimeCompare(mac, s.mac(payload, workspace)) != 1 {
 		return ID{}, ErrForeignID
