--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -7,6 +7,7 @@
 	"toucanport/toucancmd/entry"
 	"toucanport/toucancmd/factory"
 	"toucanport/toucancmd/load"
+	"toucanport/toucancmd/platform"
 	"toucanport/toucancmd/service"
 	"toucanport/toucancmd/settings"
 	"toucanport/toucancmd/sidecar"
@@ -26,6 +27,7 @@
 			endpoint.NewCmdEndpoint(f),
 			entry.NewCmdEntry(f, nil),
 			load.NewCmdLoad(f, nil),
+			platform.NewCmdPlatform(f, nil),
 			service.NewCmdService(f),
 			settings.NewCmdSettings(f),
 			sidecar.NewCmdSidecar(f, nil),
--- /dev/null
+++ b/toucanforward/metrics.go
@@ -0,0 +1,93 @@
+package toucanforward
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"toucanport/toucantraffic"
+)
+
+// Metrics is where the server's counters and histograms go.
+type Metrics struct {
+	Scope tally.Scope
+}
+
+// answerBuckets are the ends of the histograms' buckets.
+var answerBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 1800 * time.Millisecond, 4 * time.Second, 10 * time.Second, 40 * time.Second,
+}
+
+// metrics holds the instruments of a server. Their number is bounded by the kinds, status classes and reasons.
+type metrics struct {
+	scope      tally.Scope
+	retries    tally.Counter
+	streamsCut tally.Counter
+	resumed    tally.Counter
+	moves      tally.Counter
+	moveFails  tally.Counter
+	firstEvent tally.Histogram
+
+	mu       sync.Mutex
+	refusals map[reason]tally.Counter
+	answers  map[answerKey]tally.Counter
+	took     map[toucantraffic.Kind]tally.Histogram
+}
+
+type answerKey struct {
+	kind  toucantraffic.Kind
+	class int
+}
+
+func newMetrics(m Metrics) *metrics {
+	scope := m.Scope
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return &metrics{
+		scope:      scope,
+		retries:    scope.Counter("request_retries"),
+		streamsCut: scope.Counter("streams_cut"),
+		resumed:    scope.Counter("streams_resumed"),
+		moves:      scope.Counter("generations_moved"),
+		moveFails:  scope.Counter("generation_moves_failed"),
+		firstEvent: scope.Histogram("first_event", answerBuckets),
+		refusals:   make(map[reason]tally.Counter),
+		answers:    make(map[answerKey]tally.Counter),
+		took:       make(map[toucantraffic.Kind]tally.Histogram),
+	}
+}
+
+func (m *metrics) refused(why reason) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ok := m.refusals[why]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"reason": string(why)}).Counter("requests_refused")
+		m.refusals[why] = c
+	}
+	c.Inc(1)
+}
+
+func (m *metrics) answered(kind toucantraffic.Kind, status int, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := answerKey{kind: kind, class: status / 100}
+	c, ok := m.answers[key]
+	if !ok {
+		tags := map[string]string{"kind": kind.String(), "class": strconv.Itoa(key.class) + "xx"}
+		c = m.scope.Tagged(tags).Counter("requests_answered")
+		m.answers[key] = c
+	}
+	c.Inc(1)
+	h, ok := m.took[kind]
+	if !ok {
+		h = m.scope.Tagged(map[string]string{"kind": kind.String()}).Histogram("request_duration", answerBuckets)
+		m.took[kind] = h
+	}
+	h.RecordDuration(took)
+}
--- /dev/null
+++ b/toucanforward/stream.go
@@ -0,0 +1,138 @@
+package toucanforward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanplace"
+	"toucanport/toucanupstream"
+)
+
+const (
+	relayBuffer = 8 << 10
+	// handoverWait is how long a stream that was stopped for a move waits for the place where it goes on.
+	handoverWait = 3 * time.Second
+)
+
+var (
+	errGap     = errors.New("events are missing")
+	errPartial = errors.New("stream ended inside an event")
+)
+
+// relay passes events on as they come, from one endpoint after the other when the generation is moved.
+func (s *Server) relay(ctx context.Context, j *job, a *answer) {
+	r := s.runs.begin(j, a.claim)
+	defer s.runs.end(r)
+	j.w.Header().Del("Content-Length")
+	j.w.WriteHeader(a.status)
+	var seen events
+	x, claim := a.stream, a.claim
+	for {
+		err := s.relayFrom(ctx, j, r, claim, x, &seen)
+		x.Close()
+		if err == nil {
+			claim.Done(time.Now(), toucanplace.OutcomeGood)
+			s.answeredLine(j, &answer{status: a.status, claim: claim}, nil)
+			return
+		}
+		next, nextClaim, resumeErr := s.resume(ctx, j, r, &seen)
+		if resumeErr != nil {
+			f := &failure{err: err}
+			claim.Done(time.Now(), f.outcome(ctx))
+			s.cut(ctx, j, claim, &seen, err, resumeErr)
+		}
+		claim.Done(time.Now(), toucanplace.OutcomeNeutral)
+		x, claim = next, nextClaim
+	}
+}
+
+// cut ends a stream that can't go on, so that it does not look complete.
+func (s *Server) cut(ctx context.Context, j *job, claim *toucanplace.Claim, seen *events, cause, resumeErr error) {
+	msg := msgCut
+	if errors.Is(ctx.Err(), context.Canceled) {
+		msg = msgLeft
+	}
+	s.metrics.streamsCut.Inc(1)
+	s.log.Warn(msg, "requestId", j.ID, "route", j.route.Name, "endpoint", claim.Endpoint.ID, "events", seen.count,
+		"lastEvent", seen.last, "cause", cause.Error(), "notResumed", resumeErr.Error(),
+		"tookMs", time.Since(j.arrived).Milliseconds())
+	panic(http.ErrAbortHandler)
+}
+
+// relayFrom passes on one endpoint's part of a stream. It returns nil at the stream's own end.
+func (s *Server) relayFrom(ctx context.Context, j *job, r *run, claim *toucanplace.Claim, x *toucanupstream.Exchange, seen *events) error {
+	flusher := http.NewResponseController(j.w)
+	buf := make([]byte, relayBuffer)
+	for {
+		n, readErr := x.Body.Read(buf)
+		if n > 0 {
+			whole, gap := seen.take(buf[:n])
+			if err := s.pass(j, r, claim, flusher, whole, seen); err != nil {
+				return err
+			}
+			if gap {
+				return errGap
+			}
+		}
+		if readErr == nil {
+			continue
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !errors.Is(readErr, io.EOF) || r.stopped() {
+			return readErr
+		}
+		if len(seen.pending) > 0 {
+			return errPartial
+		}
+		return nil
+	}
+}
+
+// pass hands whole events to the caller.
+func (s *Server) pass(j *job, r *run, claim *toucanplace.Claim, flusher *http.ResponseController, whole []byte, seen *events) error {
+	if len(whole) == 0 {
+		return nil
+	}
+	if r.progress(seen.count) {
+		claim.Began()
+		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
+	}
+	if _, err := j.w.Write(whole); err != nil {
+		return errors.Wrap(err, "write to the caller")
+	}
+	return errors.Wrap(flusher.Flush(), "write to the caller")
+}
+
+// resume opens the rest of a stream where its generation was moved to.
+func (s *Server) resume(ctx context.Context, j *job, r *run, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
+	if ctx.Err() != nil {
+		return nil, nil, ctx.Err()
+	}
+	h, err := r.awaitHandover(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	seen.restart()
+	x, err := s.send(ctx, j, h.claim, &Resume{Source: h.source, Handle: h.handle, LastEvent: seen.last})
+	if err != nil {
+		h.claim.Done(time.Now(), newFailure(h.claim, err).outcome(ctx))
+		return nil, nil, err
+	}
+	told := s.codec.Answer(x.Status, x.Header, j.ID)
+	if x.Status != http.StatusOK || !told.Genuine || !told.Named || !isEventStream(x.Header) {
+		x.Close()
+		h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
+		return nil, nil, errors.Errorf("endpoint %s does not go on: status %d, notRun %t", h.claim.Endpoint.ID, x.Status, told.NotRun)
+	}
+	r.moveTo(h.claim)
+	s.metrics.resumed.Inc(1)
+	s.log.Info(msgResumed, "requestId", j.ID, "endpoint", h.claim.Endpoint.ID, "from", h.source, "lastEvent", seen.last,
+		"pauseMs", time.Since(h.stoppedAt).Milliseconds())
+	return x, h.claim, nil
+}
--- /dev/null
+++ b/toucanmirror/mirror.go
@@ -0,0 +1,175 @@
+// Package toucanmirror keeps a copy of a part of the platform's store up to date, through outages, lost history and
+// watches that are cut.
+package toucanmirror
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"toucanport/toucanstore"
+)
+
+// ErrHistoryLost is returned by a Source whose changes since a revision are no longer known.
+var ErrHistoryLost = errors.New("history of the store is no longer known")
+
+// Change is one key that was written or removed.
+type Change struct {
+	toucanstore.Value
+	Removed bool
+}
+
+// Source is the part of the store that is copied.
+type Source interface {
+	// Snapshot returns all values and a revision from which changes may be asked for without missing one.
+	Snapshot(ctx context.Context) ([]toucanstore.Value, uint64, error)
+	// Changes waits a bounded time for changes after a revision and returns the revision to go on from. The error is
+	// ErrHistoryLost when some may be missing.
+	Changes(ctx context.Context, after uint64) ([]Change, uint64, error)
+}
+
+const (
+	// pace is the shortest time between two calls for changes.
+	pace = 250 * time.Millisecond
+	// firstRetry and maxRetry bound the time between two calls while the store does not answer.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 700 * time.Millisecond
+	// snapshotTimeout bounds a call for all values.
+	snapshotTimeout = 1500 * time.Millisecond
+	// verifyInterval is the time between two snapshots that check what the watch has told.
+	verifyInterval = 4 * time.Second
+)
+
+// State is the copy at one moment.
+type State struct {
+	// Values holds each key's value. Receivers must not change it.
+	Values map[string]toucanstore.Value
+	// Gone holds the keys that were removed since the last state.
+	Gone []string
+	// Resumed is true for the first state after the store did not answer.
+	Resumed bool
+}
+
+// Mirror is the copy. It belongs to the goroutine that runs it.
+type Mirror struct {
+	source Source
+	log    *slog.Logger
+	values map[string]toucanstore.Value
+	// revision is zero while the copy must be made anew.
+	revision uint64
+	// lost is when the store stopped answering; zero while it answers.
+	lost     time.Time
+	verified time.Time
+	retry    time.Duration
+}
+
+// New returns a mirror of source.
+func New(source Source, log *slog.Logger) *Mirror {
+	return &Mirror{source: source, log: log, retry: firstRetry}
+}
+
+// Run hands each new state to take until ctx ends. During an outage the last one stays.
+func (m *Mirror) Run(ctx context.Context, take func(State)) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := m.step(ctx, take)
+		wait := pace - time.Since(began)
+		if err != nil && ctx.Err() == nil {
+			wait = m.failed(err)
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func (m *Mirror) step(ctx context.Context, take func(State)) error {
+	if m.revision == 0 || time.Since(m.verified) > verifyInterval {
+		return m.snapshot(ctx, take)
+	}
+	changes, revision, err := m.source.Changes(ctx, m.revision)
+	if err != nil {
+		// A watch that ends without an answer may have missed changes.
+		m.revision = 0
+		return err
+	}
+	m.answered()
+	m.revision = revision
+	if len(changes) > 0 {
+		take(State{Values: m.values, Gone: m.apply(changes)})
+	}
+	return nil
+}
+
+func (m *Mirror) apply(changes []Change) []string {
+	var gone []string
+	for _, c := range changes {
+		if c.Removed {
+			delete(m.values, c.Key)
+			gone = append(gone, c.Key)
+		} else if held, ok := m.values[c.Key]; !ok || held.Revision <= c.Revision {
+			m.values[c.Key] = c.Value
+		}
+	}
+	return gone
+}
+
+func (m *Mirror) snapshot(ctx context.Context, take func(State)) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	values, revision, err := m.source.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	next := make(map[string]toucanstore.Value, len(values))
+	for _, v := range values {
+		next[v.Key] = v
+	}
+	var gone []string
+	for key := range m.values {
+		if _, ok := next[key]; !ok {
+			gone = append(gone, key)
+		}
+	}
+	m.values, m.revision, m.verified = next, revision, time.Now()
+	take(State{Values: m.values, Gone: gone, Resumed: m.answered()})
+	return nil
+}
+
+// answered notes that the store answers and reports whether it did not before.
+func (m *Mirror) answered() bool {
+	m.retry = firstRetry
+	if m.lost.IsZero() {
+		return false
+	}
+	m.log.Info("store regained", "awayMs", time.Since(m.lost).Milliseconds())
+	m.lost = time.Time{}
+	return true
+}
+
+// failed notes that the store does not answer and returns how long to wait.
+func (m *Mirror) failed(err error) time.Duration {
+	if errors.Is(err, ErrHistoryLost) {
+		m.log.Warn("history of the store lost, reading everything anew")
+		return 0
+	}
+	if m.lost.IsZero() {
+		m.lost = time.Now()
+		m.log.Warn("store lost", "cause", err.Error())
+	}
+	wait := m.retry/2 + rand.N(m.retry)
+	m.retry = min(2*m.retry, maxRetry)
+	return wait
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/toucanplace/book.go
@@ -0,0 +1,293 @@
+package toucanplace
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Book keeps account of what is placed where. It is safe for concurrent use.
+type Book struct {
+	domain string
+
+	mu        sync.Mutex
+	endpoints map[string]*state
+	// services holds the endpoints of each service in the order of their ids.
+	services map[string][]*state
+	peers    map[string]peerUses
+	// departed is closed and replaced when an endpoint begins to leave or is gone.
+	departed chan struct{}
+	// freed is closed and replaced when room may have appeared.
+	freed chan struct{}
+	// changed is closed and replaced when this entry's own account changes.
+	changed chan struct{}
+}
+
+// peerUses is what a peer told of its placements.
+type peerUses struct {
+	at   time.Time
+	uses map[string]Use
+}
+
+// NewBook returns an empty book of an entry in a failure domain.
+func NewBook(domain string) *Book {
+	return &Book{
+		domain:    domain,
+		endpoints: make(map[string]*state),
+		services:  make(map[string][]*state),
+		peers:     make(map[string]peerUses),
+		departed:  make(chan struct{}),
+		freed:     make(chan struct{}),
+		changed:   make(chan struct{}),
+	}
+}
+
+// SetEndpoints replaces the list of endpoints. Accounts of those that stay are kept.
+func (b *Book) SetEndpoints(list []Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := make(map[string]*state, len(list))
+	services := make(map[string][]*state)
+	leaving := false
+	for _, e := range list {
+		s, known := b.endpoints[e.ID]
+		if !known || s.Born != e.Born {
+			s = &state{}
+		}
+		leaving = leaving || e.Leaving && !s.Leaving
+		s.Endpoint = e
+		next[e.ID] = s
+		services[e.Service] = append(services[e.Service], s)
+	}
+	for id := range b.endpoints {
+		if _, stays := next[id]; !stays {
+			leaving = true
+		}
+	}
+	for _, states := range services {
+		sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
+	}
+	b.endpoints, b.services = next, services
+	if leaving {
+		signal(&b.departed)
+	}
+	signal(&b.freed)
+}
+
+// signal wakes all who wait on *ch. The book's lock is held.
+func signal(ch *chan struct{}) {
+	close(*ch)
+	*ch = make(chan struct{})
+}
+
+// Departed returns a channel that is closed when an endpoint begins to leave or is gone.
+func (b *Book) Departed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.departed
+}
+
+// Freed returns a channel that is closed when room may have appeared.
+func (b *Book) Freed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.freed
+}
+
+// Changed returns a channel that is closed when this entry's own account changes.
+func (b *Book) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// Staying reports whether an endpoint is listed and does not leave.
+func (b *Book) Staying(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.endpoints[id]
+	return ok && !s.Leaving
+}
+
+// Claim is one request's place on an endpoint. Its owner calls Done once.
+type Claim struct {
+	Endpoint Endpoint
+	book     *Book
+	state    *state
+	use      Use
+	done     bool
+}
+
+// Filter reports whether an endpoint may be chosen.
+type Filter func(Endpoint) bool
+
+// Place claims the best endpoint of a service for a demand among those that allowed accepts; nil accepts all. The error
+// is ErrNoEndpoint, ErrFull or ErrTooLarge.
+func (b *Book) Place(now time.Time, service string, d Demand, allowed Filter) (*Claim, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, err := b.choose(now, service, d, allowed, b.domain)
+	if err != nil {
+		return nil, err
+	}
+	return b.claim(best, d), nil
+}
+
+// PlaceNear is Place for a demand whose memory comes from an endpoint in a failure domain.
+func (b *Book) PlaceNear(now time.Time, service string, d Demand, allowed Filter, domain string) (*Claim, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, err := b.choose(now, service, d, allowed, domain)
+	if err != nil {
+		return nil, err
+	}
+	c := b.claim(best, d)
+	c.read()
+	return c, nil
+}
+
+func (b *Book) choose(now time.Time, service string, d Demand, allowed Filter, domain string) (*state, error) {
+	var best *state
+	var bestCost float64
+	listed, large := false, true
+	for _, s := range b.services[service] {
+		if s.Leaving || allowed != nil && !allowed(s.Endpoint) {
+			continue
+		}
+		listed = true
+		if s.MemoryTokens > 0 && d.Tokens() > s.MemoryTokens {
+			continue
+		}
+		large = false
+		u := b.total(now, s)
+		if !s.fits(u, d) {
+			continue
+		}
+		if c := s.cost(now, u, domain); best == nil || c < bestCost {
+			best, bestCost = s, c
+		}
+	}
+	switch {
+	case best != nil:
+		return best, nil
+	case !listed:
+		return nil, errors.Wrap(ErrNoEndpoint, service)
+	case large:
+		return nil, errors.Wrap(ErrTooLarge, service)
+	}
+	return nil, errors.Wrap(ErrFull, service)
+}
+
+// total is what all entries together have placed on an endpoint, as far as this one knows.
+func (b *Book) total(now time.Time, s *state) Use {
+	u := s.own
+	for _, p := range b.peers {
+		if now.Sub(p.at) < peerLifetime {
+			u = u.plus(p.uses[s.ID])
+		}
+	}
+	return u
+}
+
+func (b *Book) claim(s *state, d Demand) *Claim {
+	u := Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt}
+	s.own = s.own.plus(u)
+	signal(&b.changed)
+	return &Claim{Endpoint: s.Endpoint, book: b, state: s, use: u}
+}
+
+// Began takes in that the first part of the answer has come, so that the prompt has been read.
+func (c *Claim) Began() {
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	c.read()
+}
+
+// read is Began with the book's lock held.
+func (c *Claim) read() {
+	if c.done || c.use.Unread == 0 {
+		return
+	}
+	c.state.own.Unread -= c.use.Unread
+	c.use.Unread = 0
+	signal(&c.book.changed)
+}
+
+// Outcome is how a request ended at its endpoint.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeGood is an answer of the endpoint's own.
+	OutcomeGood Outcome = iota
+	// OutcomeFailed is a failure that speaks against the endpoint.
+	OutcomeFailed
+	// OutcomeUnreachable is a connection that could not be made.
+	OutcomeUnreachable
+	// OutcomeNeutral says nothing about the endpoint, as when the caller left.
+	OutcomeNeutral
+)
+
+// Done gives the place back and takes in how the request ended. Later calls do nothing.
+func (c *Claim) Done(now time.Time, o Outcome) {
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	if c.done {
+		return
+	}
+	c.done = true
+	c.state.own = c.state.own.minus(c.use)
+	switch o {
+	case OutcomeGood:
+		c.state.observe(now, false)
+	case OutcomeFailed:
+		c.state.observe(now, true)
+	case OutcomeUnreachable:
+		c.state.observe(now, true)
+		c.state.suspectUntil = now.Add(suspectFor)
+	case OutcomeNeutral:
+	}
+	signal(&c.book.freed)
+	signal(&c.book.changed)
+}
+
+// Uses returns what this entry has placed, by endpoint.
+func (b *Book) Uses() map[string]Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	uses := make(map[string]Use)
+	for id, s := range b.endpoints {
+		if s.own != (Use{}) {
+			uses[id] = s.own
+		}
+	}
+	return uses
+}
+
+// Observe takes in what a peer has placed; it replaces what the peer told before.
+func (b *Book) Observe(now time.Time, peer string, uses map[string]Use) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[peer] = peerUses{at: now, uses: uses}
+	for name, p := range b.peers {
+		if now.Sub(p.at) >= peerLifetime {
+			delete(b.peers, name)
+		}
+	}
+	signal(&b.freed)
+}
+
+// Reclaim claims a place on an endpoint whatever it carries, for a request whose memory it still holds.
+func (b *Book) Reclaim(e Endpoint, d Demand) *Claim {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.endpoints[e.ID]
+	if !ok {
+		s = &state{Endpoint: e}
+	}
+	c := b.claim(s, d)
+	c.read()
+	return c
+}
--- /dev/null
+++ b/toucanplace/place.go
@@ -0,0 +1,139 @@
+// Package toucanplace chooses the endpoint for each request by what every endpoint is known to carry: slots, tokens in
+// memory and prompts still to be read. It serves loads where memory for tokens runs out before slots do, and where
+// several entries place onto the same endpoints. It does no input or output.
+package toucanplace
+
+import (
+	"math"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrNoEndpoint says that a service has no endpoint that takes new requests.
+	ErrNoEndpoint = errors.New("service has no endpoint")
+	// ErrFull says that every endpoint of a service is full.
+	ErrFull = errors.New("every endpoint of the service is full")
+	// ErrTooLarge says that a request is larger than the memory of any endpoint.
+	ErrTooLarge = errors.New("request is larger than an endpoint's memory")
+)
+
+// Endpoint is one endpoint as the platform lists it. It is immutable.
+type Endpoint struct {
+	// ID names one start of one endpoint, so that an address that is used again is another endpoint.
+	ID string
+	// Born is the time of the start in Unix milliseconds; zero when it is not told.
+	Born          int64
+	Address       string
+	FailureDomain string
+	Service       string
+	Slots         int
+	// MemoryTokens is how many tokens fit into memory; zero for services without model engines.
+	MemoryTokens int
+	// Leaving endpoints take no new requests.
+	Leaving bool
+	// Warm is when the endpoint has its full speed; zero when it has it already.
+	Warm time.Time
+}
+
+// Demand is what a request will take of an endpoint, in tokens. It is zero for requests without generation.
+type Demand struct {
+	Prompt int
+	// Output is the forecast length of the answer.
+	Output int
+}
+
+// Tokens is the memory at the forecast end of the answer.
+func (d Demand) Tokens() int { return d.Prompt + d.Output }
+
+// Use is what one entry has placed on one endpoint.
+type Use struct {
+	Requests int
+	// Tokens is the memory at the forecast end of the requests.
+	Tokens int
+	// Unread is the tokens of prompts without a first answer.
+	Unread int
+}
+
+func (u Use) plus(v Use) Use {
+	return Use{Requests: u.Requests + v.Requests, Tokens: u.Tokens + v.Tokens, Unread: u.Unread + v.Unread}
+}
+
+func (u Use) minus(v Use) Use {
+	return Use{Requests: u.Requests - v.Requests, Tokens: u.Tokens - v.Tokens, Unread: u.Unread - v.Unread}
+}
+
+const (
+	// memoryShare is the share of an engine's memory that forecasts may fill.
+	memoryShare = 0.92
+	// plainOverflow is how many times its slots a service without model engines may be given; the rest waits there.
+	plainOverflow = 2
+	// unreadScale is how many unread prompt tokens weigh as much as a full memory.
+	unreadScale = 12000
+	// slotWeight is the cost of full slots against a full memory.
+	slotWeight = 0.5
+	// otherDomainCost is the cost of crossing failure domains.
+	otherDomainCost = 0.04
+	// coldCost is the cost of an endpoint that has just started.
+	coldCost = 0.3
+	// failureCost is the cost of an endpoint that fails every request.
+	failureCost = 3
+	// failureGain is the weight of one outcome in an endpoint's share of failures.
+	failureGain = 0.15
+	// failureDecay is the time in which the share of failures falls by a factor of e without requests.
+	failureDecay = 5 * time.Second
+	// suspectFor is how long an endpoint that could not be reached gets no requests.
+	suspectFor = time.Second
+	// peerLifetime is how long a peer's account holds without news of it.
+	peerLifetime = 3 * time.Second
+)
+
+// state is what is known of one endpoint.
+type state struct {
+	Endpoint
+	own Use
+	// failures is the share of failed requests lately, between 0 and 1.
+	failures     float64
+	failuresAt   time.Time
+	suspectUntil time.Time
+}
+
+func (s *state) failureShare(now time.Time) float64 {
+	return s.failures * math.Exp(-now.Sub(s.failuresAt).Seconds()/failureDecay.Seconds())
+}
+
+func (s *state) observe(now time.Time, failed bool) {
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	s.failures = s.failureShare(now)*(1-failureGain) + outcome*failureGain
+	s.failuresAt = now
+}
+
+// fits reports whether a demand fits beside what is used.
+func (s *state) fits(u Use, d Demand) bool {
+	if s.MemoryTokens == 0 {
+		return u.Requests < plainOverflow*s.Slots
+	}
+	return u.Requests < s.Slots && float64(u.Tokens+d.Tokens()) <= memoryShare*float64(s.MemoryTokens)
+}
+
+// cost is the expected harm of placing a request on the endpoint; lower is better.
+func (s *state) cost(now time.Time, u Use, domain string) float64 {
+	c := slotWeight * float64(u.Requests) / float64(max(s.Slots, 1))
+	if s.MemoryTokens > 0 {
+		c += float64(u.Tokens)/float64(s.MemoryTokens) + float64(u.Unread)/unreadScale
+	}
+	if s.FailureDomain != domain {
+		c += otherDomainCost
+	}
+	if now.Before(s.Warm) {
+		c += coldCost
+	}
+	if now.Before(s.suspectUntil) {
+		c += failureCost
+	}
+	return c + failureCost*s.failureShare(now)
+}
--- a/toucanretry/retry.go
+++ b/toucanretry/retry.go
@@ -19,6 +19,9 @@
 	// Leaving is true when the endpoint gave the request back because it leaves. An endpoint does so once, so that
 	// it cannot cause a retry storm and costs no budget.
 	Leaving bool
+	// Unsent is true when nothing of the request reached an endpoint. Another attempt is then no further arrival and
+	// costs no budget.
+	Unsent bool
 	// RetryAfter is what the endpoint asked for; zero when it asked for nothing.
 	RetryAfter time.Duration
 }
@@ -98,7 +101,7 @@
 	if !now.Add(delay).Before(p.deadline) {
 		return 0, false
 	}
-	if !f.Leaving && !p.budget.Withdraw(now, p.service) {
+	if !f.Leaving && !f.Unsent && !p.budget.Withdraw(now, p.service) {
 		return 0, false
 	}
 	p.attempts++
