Let entries agree on the order of moves

Ruled out: processor time (0.006 of 0.304 cores), too few targets (0 parts found no room). Change: entries tell one another by datagram what they placed, which endpoints leave and which runs they move; one run at a time for each leaving endpoint, in an order all entries compute alike; targets that take another copy are avoided. A run whose copy was refused without a handle goes on.

--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"toucanport/toucanmove"
 	"toucanport/toucanplace"
 )
 
@@ -16,19 +17,44 @@
 	moveTargets = 3
 	// moveRecheck is the longest time between two looks at leaving endpoints.
 	moveRecheck = 200 * time.Millisecond
+	// moveSettle is how long entries tell one another of their runs before the first is moved.
+	moveSettle = 12 * time.Millisecond
+	// moveTurn is how long a run waits for those of peers that are ahead of it.
+	moveTurn = 1200 * time.Millisecond
+	// moveRetry is the time until a move that failed is tried again.
+	moveRetry = 150 * time.Millisecond
 )
 
+// Board is where the entries agree on the order of moves.
+type Board interface {
+	// Announce replaces this entry's generations at an endpoint that leaves.
+	Announce(endpoint uint64, runs []toucanmove.Run)
+	// Ahead reports whether a peer has a generation at the endpoint that is moved before r.
+	Ahead(now time.Time, endpoint uint64, r toucanmove.Run) bool
+	// BeginCopy notes that memory is being copied to an endpoint, until the returned function is called.
+	BeginCopy(endpoint uint64) (end func())
+	// Copying reports whether any entry has memory copied to an endpoint.
+	Copying(now time.Time, endpoint uint64) bool
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
 // RunMoves moves generations off endpoints that leave until ctx ends.
 func (s *Server) RunMoves(ctx context.Context) {
-	if s.mover == nil {
-		return
-	}
-	workers := newMoveWorkers(s)
+	active := make(map[string]bool)
+	done := make(chan string)
 	for {
 		departed := s.book.Departed()
-		workers.start(ctx, s.leavingRuns())
+		for id, e := range s.leavingEndpoints() {
+			if !active[id] {
+				active[id] = true
+				go s.evacuate(ctx, e, done)
+			}
+		}
 		timer := time.NewTimer(moveRecheck)
 		select {
+		case id := <-done:
+			delete(active, id)
 		case <-departed:
 		case <-timer.C:
 		case <-ctx.Done():
@@ -39,87 +65,103 @@
 	}
 }
 
-// leavingRuns marks and returns the runs at leaving endpoints that no move is under way for, by endpoint.
-func (s *Server) leavingRuns() map[string][]*run {
-	found := make(map[string][]*run)
+// leavingEndpoints returns the endpoints that leave and still have generations of this entry, by id.
+func (s *Server) leavingEndpoints() map[string]toucanplace.Endpoint {
+	found := make(map[string]toucanplace.Endpoint)
 	for _, r := range s.runs.all(s.leaves) {
-		address := r.claim.Endpoint.Address
-		found[address] = append(found[address], r)
+		e := r.endpoint()
+		found[e.ID] = e
 	}
 	return found
 }
 
-// leaves reports whether a run should be moved, and marks it.
+// leaves reports whether a run should be moved.
 func (s *Server) leaves(r *run) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.job.service.Engine
-	if e == nil || !e.Moves || r.moving || r.ended || s.book.Staying(r.claim.Endpoint.ID) {
-		return false
-	}
-	r.moving = true
-	return true
+	return e != nil && e.Moves && !r.ended && !s.book.Staying(r.claim.Endpoint.ID)
 }
 
-// moveWorkers moves the runs of each leaving endpoint one after the other, since the copies share its link.
-type moveWorkers struct {
-	server *Server
-	queues map[string]chan *run
+// evacuate moves this entry's generations off one endpoint, each when none of a peer's is ahead of it.
+func (s *Server) evacuate(ctx context.Context, e toucanplace.Endpoint, done chan<- string) {
+	defer func() {
+		s.board.Announce(e.Key(), nil)
+		select {
+		case done <- e.ID:
+		case <-ctx.Done():
+		}
+	}()
+	s.board.Announce(e.Key(), plans(s.runsAt(e)))
+	sleep(ctx, moveSettle)
+	waitingSince := time.Now()
+	for ctx.Err() == nil {
+		changed := s.board.Changed()
+		runs := s.runsAt(e)
+		s.board.Announce(e.Key(), plans(runs))
+		if len(runs) == 0 {
+			return
+		}
+		now := time.Now()
+		if now.Sub(waitingSince) < moveTurn && s.board.Ahead(now, e.Key(), runs[0].forMove(now)) {
+			await(ctx, changed, moveRecheck/4)
+			continue
+		}
+		s.move(ctx, runs[0])
+		waitingSince = time.Now()
+	}
 }
 
-// moveQueue bounds the runs that wait for a move off one endpoint.
-const moveQueue = 256
+// await waits for a signal, for a bounded time.
+func await(ctx context.Context, signal <-chan struct{}, bound time.Duration) {
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case <-signal:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
 
-func newMoveWorkers(s *Server) *moveWorkers {
-	return &moveWorkers{server: s, queues: make(map[string]chan *run)}
+// runsAt returns this entry's runs at an endpoint that may be moved now, in the order of their moves.
+func (s *Server) runsAt(e toucanplace.Endpoint) []*run {
+	now := time.Now()
+	runs := s.runs.all(func(r *run) bool { return r.movable(now, e.ID) })
+	sort.Slice(runs, func(i, j int) bool { return toucanmove.Before(runs[i].forMove(now), runs[j].forMove(now)) })
+	return runs
 }
 
-// start hands runs to the worker of their endpoint, those with the least memory first.
-func (w *moveWorkers) start(ctx context.Context, leaving map[string][]*run) {
-	for address, runs := range leaving {
-		queue, ok := w.queues[address]
-		if !ok {
-			queue = make(chan *run, moveQueue)
-			w.queues[address] = queue
-			go w.work(ctx, queue)
-		}
-		sort.Slice(runs, func(i, j int) bool { return runs[i].tokens() < runs[j].tokens() })
-		for _, r := range runs {
-			select {
-			case queue <- r:
-			default:
-				r.release()
-			}
-		}
+func plans(runs []*run) []toucanmove.Run {
+	now := time.Now()
+	list := make([]toucanmove.Run, len(runs))
+	for i, r := range runs {
+		list[i] = r.forMove(now)
 	}
+	return list
 }
 
-func (w *moveWorkers) work(ctx context.Context, queue chan *run) {
-	for {
-		select {
-		case r := <-queue:
-			w.server.move(ctx, r)
-		case <-ctx.Done():
-			return
-		}
-	}
+func (r *run) endpoint() toucanplace.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.claim.Endpoint
 }
 
-// release makes a run movable again.
-func (r *run) release() {
+func (r *run) movable(now time.Time, endpoint string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.moving = false
+	return !r.ended && !r.stopping && r.claim.Endpoint.ID == endpoint && !now.Before(r.notBefore)
+}
+
+// postpone keeps a run whose move failed from being tried again at once.
+func (r *run) postpone() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notBefore = time.Now().Add(moveRetry)
 }
 
 // move copies a run's memory to another endpoint while it goes on, then stops it and copies the rest.
 func (s *Server) move(ctx context.Context, r *run) {
-	r.mu.Lock()
-	source, ended := r.claim.Endpoint, r.ended
-	r.mu.Unlock()
-	if ended {
-		return
-	}
+	source := r.endpoint()
 	tried := map[string]bool{source.ID: true}
 	for range moveTargets {
 		target, err := s.moveTarget(r, source, tried)
@@ -138,13 +180,20 @@
 			break
 		}
 	}
-	r.release()
+	r.postpone()
 }
 
+// moveTarget claims a place for a run, where no other copy takes the link if there is one.
 func (s *Server) moveTarget(r *run, source toucanplace.Endpoint, tried map[string]bool) (*toucanplace.Claim, error) {
-	d := r.job.demand
+	now := time.Now()
 	untried := func(e toucanplace.Endpoint) bool { return !tried[e.ID] }
-	return s.book.PlaceNear(time.Now(), source.Service, d, untried, source.FailureDomain)
+	quiet := func(e toucanplace.Endpoint) bool { return untried(e) && !s.board.Copying(now, e.Key()) }
+	d := r.job.demand
+	c, err := s.book.PlaceNear(now, source.Service, d, quiet, source.FailureDomain)
+	if err != nil {
+		c, err = s.book.PlaceNear(now, source.Service, d, untried, source.FailureDomain)
+	}
+	return c, err
 }
 
 func (s *Server) moveFailed(r *run, source toucanplace.Endpoint, target string, err error) {
@@ -155,6 +204,7 @@
 // moveTo moves a run to one target. It returns true when the run goes on there or has been told that it can't.
 func (s *Server) moveTo(ctx context.Context, r *run, source toucanplace.Endpoint, target *toucanplace.Claim) (bool, error) {
 	began := time.Now()
+	defer s.board.BeginCopy(target.Endpoint.Key())()
 	if _, err := s.copyRun(ctx, r, source, target, false); err != nil {
 		return false, err
 	}
@@ -166,10 +216,10 @@
 	h := handover{claim: target, source: source.Address, handle: handle, stoppedAt: stoppedAt}
 	switch {
 	case err == nil:
-	case errors.Is(err, ErrNoRun):
+	case errors.Is(err, ErrNoRun), errors.Is(err, ErrNoRoom) && handle == "":
 		r.unstop()
 		return false, err
-	case errors.Is(err, ErrNoRoom) && handle != "":
+	case errors.Is(err, ErrNoRoom):
 		h.claim = s.book.Reclaim(source, r.job.demand)
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
 	default:
@@ -178,7 +228,7 @@
 	s.metrics.moves.Inc(1)
 	s.log.Info(msgMove, "requestId", r.job.ID, "endpoint", source.ID, "target", h.claim.Endpoint.ID,
 		"firstCopyMs", stoppedAt.Sub(began).Milliseconds(), "lastCopyMs", time.Since(stoppedAt).Milliseconds(),
-		"tokens", r.tokens(), "sameDomain", source.FailureDomain == h.claim.Endpoint.FailureDomain)
+		"tokens", r.tokens(), "leftMs", r.forMove(stoppedAt).Left.Milliseconds(), "sameDomain", source.FailureDomain == h.claim.Endpoint.FailureDomain)
 	r.moved <- h
 	return true, nil
 }
@@ -197,12 +247,14 @@
 		return false
 	}
 	r.stopping = true
+	r.unstopped = make(chan struct{})
 	return true
 }
 
-// unstop takes stop back.
+// unstop takes stop back: the endpoint did not stop the run.
 func (r *run) unstop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stopping = false
+	close(r.unstopped)
 }
--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -5,12 +5,18 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"toucanport/toucanmove"
 	"toucanport/toucanplace"
 )
 
-var errNotMoved = errors.New("generation was not moved")
+var (
+	errNotMoved = errors.New("generation was not moved")
+	// errNotStopped says that a stream ended by itself while its move was under way.
+	errNotStopped = errors.New("generation was not stopped")
+)
 
 // handover says where a stopped generation goes on.
 type handover struct {
@@ -29,12 +35,16 @@
 	mu     sync.Mutex
 	claim  *toucanplace.Claim
 	events int
-	// moving is true while a move is under way, so that there is one at a time.
-	moving bool
+	// firstEvent is when the first events were passed on.
+	firstEvent time.Time
+	// notBefore is when a move that failed may be tried again.
+	notBefore time.Time
 	// stopping is true from the moment the endpoint was told to stop the run.
 	stopping bool
-	ended    bool
-	moved    chan handover
+	// unstopped is closed when it turns out that the endpoint did not stop the run.
+	unstopped chan struct{}
+	ended     bool
+	moved     chan handover
 }
 
 // progress takes in the events passed on so far and reports whether these are the first.
@@ -42,6 +52,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := r.events == 0
+	if first {
+		r.firstEvent = time.Now()
+	}
 	r.events = events
 	return first
 }
@@ -55,7 +68,10 @@
 
 // awaitHandover waits for the place where a stopped run goes on.
 func (r *run) awaitHandover(ctx context.Context) (handover, error) {
-	if !r.stopped() {
+	r.mu.Lock()
+	stopping, unstopped := r.stopping, r.unstopped
+	r.mu.Unlock()
+	if !stopping {
 		return handover{}, errNotMoved
 	}
 	timer := time.NewTimer(handoverWait)
@@ -63,6 +79,8 @@
 	select {
 	case h := <-r.moved:
 		return h, h.err
+	case <-unstopped:
+		return handover{}, errNotStopped
 	case <-timer.C:
 		return handover{}, errors.Wrap(errNotMoved, "move takes too long")
 	case <-ctx.Done():
@@ -75,21 +93,44 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.claim = c
-	r.moving = false
 	r.stopping = false
 }
 
-// tokens is the memory that the run takes now.
-func (r *run) tokens() int {
+// tokensPerEvent returns how many tokens one event of the run holds.
+func (r *run) tokensPerEvent() int {
+	if e := r.job.service.Engine; e != nil && e.TokensPerEvent > 0 {
+		return e.TokensPerEvent
+	}
+	return 1
+}
+
+const (
+	// tokenTime is the forecast time of one token of a run that has made none yet.
+	tokenTime = 9 * time.Millisecond
+	// overrunShare is the share of what a run has made that is forecast to come when it has passed its forecast.
+	overrunShare = 0.25
+)
+
+// forMove describes the run to the plan of moves.
+func (r *run) forMove(now time.Time) toucanmove.Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	perEvent := 1
-	if e := r.job.service.Engine; e != nil && e.TokensPerEvent > 0 {
-		perEvent = e.TokensPerEvent
+	made := r.events * r.tokensPerEvent()
+	left := max(float64(r.job.demand.Output-made), overrunShare*float64(made))
+	pace := tokenTime
+	if made > 0 {
+		pace = now.Sub(r.firstEvent) / time.Duration(made)
+	}
+	return toucanmove.Run{
+		ID:     xxhash.Sum64String(r.job.ID),
+		Tokens: r.job.Prompt + made,
+		Left:   time.Duration(left * float64(pace)),
 	}
-	return r.job.Prompt + r.events*perEvent
 }
 
+// tokens is the memory that the run takes now.
+func (r *run) tokens() int { return r.forMove(time.Now()).Tokens }
+
 // runTable holds the generations whose events are being passed on.
 type runTable struct {
 	mu   sync.Mutex
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -42,6 +42,7 @@
 type Server struct {
 	codec   Codec
 	mover   Mover
+	board   Board
 	traffic *toucantraffic.Current
 	book    *toucanplace.Book
 	pool    *toucanupstream.Pool
@@ -59,6 +60,7 @@
 type Config struct {
 	Codec   Codec
 	Mover   Mover
+	Board   Board
 	Traffic *toucantraffic.Current
 	Book    *toucanplace.Book
 	Pool    *toucanupstream.Pool
@@ -72,6 +74,7 @@
 	return &Server{
 		codec:   cfg.Codec,
 		mover:   cfg.Mover,
+		board:   cfg.Board,
 		traffic: cfg.Traffic,
 		book:    cfg.Book,
 		pool:    cfg.Pool,
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -35,11 +35,14 @@
 		err := s.relayFrom(ctx, j, r, claim, x, &seen)
 		x.Close()
 		if err == nil {
-			claim.Done(time.Now(), toucanplace.OutcomeGood)
-			s.answeredLine(j, &answer{status: a.status, claim: claim}, nil)
+			s.finished(j, a, claim)
 			return
 		}
 		next, nextClaim, resumeErr := s.resume(ctx, j, r, &seen)
+		if errors.Is(resumeErr, errNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 {
+			s.finished(j, a, claim)
+			return
+		}
 		if resumeErr != nil {
 			f := &failure{err: err}
 			claim.Done(time.Now(), f.outcome(ctx))
@@ -50,6 +53,12 @@
 	}
 }
 
+// finished notes that a stream came to its own end.
+func (s *Server) finished(j *job, a *answer, claim *toucanplace.Claim) {
+	claim.Done(time.Now(), toucanplace.OutcomeGood)
+	s.answeredLine(j, &answer{status: a.status, claim: claim}, nil)
+}
+
 // cut ends a stream that can't go on, so that it does not look complete.
 func (s *Server) cut(ctx context.Context, j *job, claim *toucanplace.Claim, seen *events, cause, resumeErr error) {
 	msg := msgCut
@@ -84,7 +93,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if !errors.Is(readErr, io.EOF) || r.stopped() {
+		if !errors.Is(readErr, io.EOF) || !x.Framed && r.stopped() {
 			return readErr
 		}
 		if len(seen.pending) > 0 {
--- /dev/null
+++ b/toucanpeer/board.go
@@ -0,0 +1,253 @@
+// Package toucanpeer lets entries tell one another what they have placed where, which endpoints leave and which
+// generations they are moving. Reports are datagrams that replace earlier ones, so that a lost one does no lasting
+// harm: the streams of the inner protocol would hold fresh reports back behind stale ones.
+package toucanpeer
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"toucanport/toucanmove"
+	"toucanport/toucanplace"
+)
+
+// silence is the time after which a peer's last report no longer holds.
+const silence = 2 * time.Second
+
+// Board holds what the entries tell one another. It is safe for concurrent use.
+type Board struct {
+	book *toucanplace.Book
+
+	mu sync.Mutex
+	// peers holds each peer's newest report.
+	peers map[string]peerReport
+	// runs and copying are this entry's own.
+	runs    map[uint64][]toucanmove.Run
+	copying map[uint64]int
+	// leaving holds the endpoints that this entry knows to leave by itself.
+	leaving map[uint64]bool
+	// changed is closed and replaced when anything on the board changes.
+	changed chan struct{}
+	// urgent is signalled when peers should hear of a change at once.
+	urgent chan struct{}
+}
+
+type peerReport struct {
+	at     time.Time
+	boot   uint64
+	serial uint64
+	report *Report
+}
+
+// NewBoard returns an empty board that reports what book holds.
+func NewBoard(book *toucanplace.Book) *Board {
+	return &Board{
+		book:    book,
+		peers:   make(map[string]peerReport),
+		runs:    make(map[uint64][]toucanmove.Run),
+		copying: make(map[uint64]int),
+		leaving: make(map[uint64]bool),
+		changed: make(chan struct{}),
+		urgent:  make(chan struct{}, 1),
+	}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (b *Board) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// touch wakes all who wait for a change; the lock is held.
+func (b *Board) touch() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// hurry has the next report sent at once.
+func (b *Board) hurry() {
+	select {
+	case b.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// SetLeaving replaces the endpoints that this entry knows to leave.
+func (b *Board) SetLeaving(keys []uint64) {
+	b.mu.Lock()
+	next := make(map[uint64]bool, len(keys))
+	news := false
+	for _, k := range keys {
+		next[k] = true
+		news = news || !b.leaving[k]
+	}
+	b.leaving = next
+	b.mu.Unlock()
+	if news {
+		b.hurry()
+	}
+}
+
+// Announce replaces this entry's generations at an endpoint that leaves; none takes the endpoint off the board.
+func (b *Board) Announce(endpoint uint64, runs []toucanmove.Run) {
+	b.mu.Lock()
+	same := sameRuns(b.runs[endpoint], runs)
+	if len(runs) == 0 {
+		delete(b.runs, endpoint)
+	} else {
+		b.runs[endpoint] = runs
+	}
+	b.mu.Unlock()
+	if !same {
+		b.hurry()
+	}
+}
+
+// sameRuns reports whether two lists name the same runs in the same order. How far they are is no news to peers.
+func sameRuns(a, b []toucanmove.Run) bool {
+	return slices.EqualFunc(a, b, func(x, y toucanmove.Run) bool { return x.ID == y.ID })
+}
+
+// Ahead reports whether a peer has a generation at the endpoint that is moved before r.
+func (b *Board) Ahead(now time.Time, endpoint uint64, r toucanmove.Run) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if now.Sub(p.at) > silence {
+			continue
+		}
+		for _, other := range p.report.GetRuns() {
+			if other.GetEndpoint() == endpoint && toucanmove.Before(other.run(), r) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *Run) run() toucanmove.Run {
+	return toucanmove.Run{ID: r.GetId(), Tokens: int(r.GetTokens()), Left: time.Duration(r.GetLeftMillis()) * time.Millisecond}
+}
+
+// BeginCopy notes that memory is being copied to an endpoint, until the returned function is called.
+func (b *Board) BeginCopy(endpoint uint64) (end func()) {
+	b.mu.Lock()
+	b.copying[endpoint]++
+	b.mu.Unlock()
+	b.hurry()
+	return func() {
+		b.mu.Lock()
+		if b.copying[endpoint]--; b.copying[endpoint] == 0 {
+			delete(b.copying, endpoint)
+		}
+		b.mu.Unlock()
+		b.hurry()
+	}
+}
+
+// Copying reports whether any entry has memory copied to an endpoint.
+func (b *Board) Copying(now time.Time, endpoint uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.copying[endpoint] > 0 {
+		return true
+	}
+	for _, p := range b.peers {
+		if now.Sub(p.at) > silence {
+			continue
+		}
+		for _, k := range p.report.GetCopyingTo() {
+			if k == endpoint {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Take takes in a peer's report and says whether it was news. One of an earlier process, or one that was overtaken,
+// changes nothing.
+func (b *Board) Take(now time.Time, r *Report) bool {
+	b.mu.Lock()
+	held, ok := b.peers[r.GetSender()]
+	if ok && (r.GetBoot() < held.boot || r.GetBoot() == held.boot && r.GetSerial() <= held.serial) {
+		b.mu.Unlock()
+		return false
+	}
+	b.peers[r.GetSender()] = peerReport{at: now, boot: r.GetBoot(), serial: r.GetSerial(), report: r}
+	leaving := b.toldLeaving(now)
+	b.touch()
+	b.mu.Unlock()
+	b.book.Observe(now, r.GetSender(), usesOf(r))
+	b.book.SetToldLeaving(leaving)
+	return true
+}
+
+// toldLeaving forgets silent peers and returns the endpoints that the others say leave; the lock is held.
+func (b *Board) toldLeaving(now time.Time) map[uint64]bool {
+	leaving := make(map[uint64]bool)
+	for name, p := range b.peers {
+		if now.Sub(p.at) > silence {
+			delete(b.peers, name)
+			continue
+		}
+		for _, k := range p.report.GetLeaving() {
+			leaving[k] = true
+		}
+	}
+	return leaving
+}
+
+// Expire forgets what silent peers said.
+func (b *Board) Expire(now time.Time) {
+	b.mu.Lock()
+	leaving := b.toldLeaving(now)
+	b.mu.Unlock()
+	b.book.SetToldLeaving(leaving)
+}
+
+func usesOf(r *Report) map[uint64]toucanplace.Use {
+	uses := make(map[uint64]toucanplace.Use, len(r.GetUses()))
+	for _, u := range r.GetUses() {
+		uses[u.GetEndpoint()] = toucanplace.Use{
+			Requests: int(u.GetRequests()),
+			Tokens:   int(u.GetTokens()),
+			Unread:   int(u.GetUnread()),
+		}
+	}
+	return uses
+}
+
+// report fills in what this entry tells.
+func (b *Board) report() *Report {
+	r := &Report{}
+	for key, u := range b.book.Uses() {
+		r.Uses = append(r.Uses, &EndpointUse{
+			Endpoint: key,
+			Requests: uint32(max(u.Requests, 0)),
+			Tokens:   uint32(max(u.Tokens, 0)),
+			Unread:   uint32(max(u.Unread, 0)),
+		})
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key := range b.leaving {
+		r.Leaving = append(r.Leaving, key)
+	}
+	for endpoint, runs := range b.runs {
+		for _, run := range runs {
+			r.Runs = append(r.Runs, &Run{
+				Id:         run.ID,
+				Endpoint:   endpoint,
+				Tokens:     uint32(run.Tokens),
+				LeftMillis: uint32(max(run.Left.Milliseconds(), 0)),
+			})
+		}
+	}
+	for key := range b.copying {
+		r.CopyingTo = append(r.CopyingTo, key)
+	}
+	return r
+}
--- /dev/null
+++ b/toucanpeer/mesh.go
@@ -0,0 +1,178 @@
+package toucanpeer
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// maxDatagram is the longest report that is taken in.
+	maxDatagram = 60 << 10
+	// reportInterval is the time between two reports while nothing changes.
+	reportInterval = 250 * time.Millisecond
+	// reportGap is the shortest time between two reports, for each peer that they are sent to.
+	reportGap = 5 * time.Millisecond
+)
+
+// Mesh sends this entry's reports to its peers and takes in theirs.
+type Mesh struct {
+	name  string
+	boot  uint64
+	board *Board
+	conn  *net.UDPConn
+	log   *slog.Logger
+	// serial grows with each report.
+	serial uint64
+
+	mu    sync.Mutex
+	peers map[string]netip.AddrPort
+}
+
+// Listen returns a mesh of the entry name that listens at address.
+func Listen(name, address string, board *Board, log *slog.Logger) (*Mesh, error) {
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	return &Mesh{
+		name:  name,
+		boot:  uint64(time.Now().UnixNano()),
+		board: board,
+		conn:  conn,
+		log:   log,
+		peers: make(map[string]netip.AddrPort),
+	}, nil
+}
+
+// SetPeers replaces the addresses of the other entries; this entry's own is passed over.
+func (m *Mesh) SetPeers(peers map[string]netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := make(map[string]netip.AddrPort, len(peers))
+	for name, address := range peers {
+		if name == m.name {
+			continue
+		}
+		if held, ok := m.peers[name]; !ok || held != address {
+			m.log.Info("peer joined", "peer", name, "address", address.String())
+		}
+		next[name] = address
+	}
+	for name := range m.peers {
+		if _, stays := next[name]; !stays {
+			m.log.Info("peer left", "peer", name)
+		}
+	}
+	m.peers = next
+}
+
+// Peers returns the number of other entries.
+func (m *Mesh) Peers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers)
+}
+
+// Run sends and receives until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(m.receive)
+	m.send(ctx)
+	wg.Wait()
+}
+
+func (m *Mesh) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := m.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// A peer without a listener makes its refusal show up here.
+			continue
+		}
+		r := &Report{}
+		if err := proto.Unmarshal(buf[:n], r); err != nil || !m.knows(r.GetSender(), from) {
+			continue
+		}
+		m.board.Take(time.Now(), r)
+	}
+}
+
+// knows reports whether a peer is listed at the address that its datagram came from.
+func (m *Mesh) knows(name string, from netip.AddrPort) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	address, ok := m.peers[name]
+	return ok && address.Addr() == from.Addr().Unmap()
+}
+
+func (m *Mesh) send(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := m.board.book.Changed()
+		peers := m.addresses()
+		m.sendTo(peers)
+		m.board.Expire(time.Now())
+		gap := reportGap * time.Duration(max(len(peers), 1))
+		timer := time.NewTimer(gap)
+		select {
+		case <-timer.C:
+		case <-m.board.urgent:
+			timer.Stop()
+			continue
+		case <-ctx.Done():
+		}
+		timer.Reset(max(reportInterval-gap, gap))
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-m.board.urgent:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (m *Mesh) addresses() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(m.peers))
+	for _, address := range m.peers {
+		list = append(list, address)
+	}
+	return list
+}
+
+func (m *Mesh) sendTo(peers []netip.AddrPort) {
+	if len(peers) == 0 {
+		return
+	}
+	m.serial++
+	r := m.board.report()
+	r.Sender, r.Boot, r.Serial = m.name, m.boot, m.serial
+	encoded, err := proto.Marshal(r)
+	if err != nil || len(encoded) > maxDatagram {
+		m.log.Error("report to peers not sent", "bytes", len(encoded), "cause", errors.Wrap(err, "too long").Error())
+		return
+	}
+	for _, address := range peers {
+		if _, err := m.conn.WriteToUDPAddrPort(encoded, address); err != nil {
+			// The next report makes up for a lost one; a peer that stays away is logged when it is no longer listed.
+			continue
+		}
+	}
+}
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -28,7 +28,7 @@
 // peerUses is what a peer told of its placements.
 type peerUses struct {
 	at   time.Time
-	uses map[string]Use
+	uses map[uint64]Use
 }
 
 // NewBook returns an empty book of an entry in a failure domain.
@@ -57,7 +57,7 @@
 			s = &state{}
 		}
 		leaving = leaving || e.Leaving && !s.Leaving
-		s.Endpoint = e
+		s.Endpoint, s.key = e, e.Key()
 		next[e.ID] = s
 		services[e.Service] = append(services[e.Service], s)
 	}
@@ -108,7 +108,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.endpoints[id]
-	return ok && !s.Leaving
+	return ok && !s.leaves()
 }
 
 // Claim is one request's place on an endpoint. Its owner calls Done once.
@@ -153,7 +153,7 @@
 	var bestCost float64
 	listed, large := false, true
 	for _, s := range b.services[service] {
-		if s.Leaving || allowed != nil && !allowed(s.Endpoint) {
+		if s.leaves() || allowed != nil && !allowed(s.Endpoint) {
 			continue
 		}
 		listed = true
@@ -185,7 +185,7 @@
 	u := s.own
 	for _, p := range b.peers {
 		if now.Sub(p.at) < peerLifetime {
-			u = u.plus(p.uses[s.ID])
+			u = u.plus(p.uses[s.key])
 		}
 	}
 	return u
@@ -194,10 +194,18 @@
 func (b *Book) claim(s *state, d Demand) *Claim {
 	u := Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt}
 	s.own = s.own.plus(u)
-	signal(&b.changed)
+	b.touch(u)
 	return &Claim{Endpoint: s.Endpoint, book: b, state: s, use: u}
 }
 
+// touch notes a change of this entry's account. Short requests without generation change too often and matter too
+// little for peers to hear of each at once.
+func (b *Book) touch(u Use) {
+	if u.Tokens > 0 {
+		signal(&b.changed)
+	}
+}
+
 // Began takes in that the first part of the answer has come, so that the prompt has been read.
 func (c *Claim) Began() {
 	c.book.mu.Lock()
@@ -212,7 +220,7 @@
 	}
 	c.state.own.Unread -= c.use.Unread
 	c.use.Unread = 0
-	signal(&c.book.changed)
+	c.book.touch(c.use)
 }
 
 // Outcome is how a request ended at its endpoint.
@@ -250,24 +258,38 @@
 	case OutcomeNeutral:
 	}
 	signal(&c.book.freed)
-	signal(&c.book.changed)
+	c.book.touch(c.use)
 }
 
-// Uses returns what this entry has placed, by endpoint.
-func (b *Book) Uses() map[string]Use {
+// Uses returns what this entry has placed, by the endpoint's Key.
+func (b *Book) Uses() map[uint64]Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	uses := make(map[string]Use)
-	for id, s := range b.endpoints {
+	uses := make(map[uint64]Use)
+	for _, s := range b.endpoints {
 		if s.own != (Use{}) {
-			uses[id] = s.own
+			uses[s.key] = s.own
 		}
 	}
 	return uses
 }
 
+// SetToldLeaving replaces the endpoints that peers say leave, by their Keys.
+func (b *Book) SetToldLeaving(keys map[uint64]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	leaving := false
+	for _, s := range b.endpoints {
+		leaving = leaving || keys[s.key] && !s.toldLeaving
+		s.toldLeaving = keys[s.key]
+	}
+	if leaving {
+		signal(&b.departed)
+	}
+}
+
 // Observe takes in what a peer has placed; it replaces what the peer told before.
-func (b *Book) Observe(now time.Time, peer string, uses map[string]Use) {
+func (b *Book) Observe(now time.Time, peer string, uses map[uint64]Use) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers[peer] = peerUses{at: now, uses: uses}
@@ -285,7 +307,7 @@
 	defer b.mu.Unlock()
 	s, ok := b.endpoints[e.ID]
 	if !ok {
-		s = &state{Endpoint: e}
+		s = &state{Endpoint: e, key: e.Key()}
 	}
 	c := b.claim(s, d)
 	c.read()
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -4,9 +4,11 @@
 package toucanplace
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -37,6 +39,16 @@
 	Warm time.Time
 }
 
+// Key names the endpoint in reports between entries.
+func (e Endpoint) Key() uint64 {
+	var born [8]byte
+	binary.LittleEndian.PutUint64(born[:], uint64(e.Born))
+	d := xxhash.New()
+	_, _ = d.WriteString(e.ID) // A digest takes everything.
+	_, _ = d.Write(born[:])
+	return d.Sum64()
+}
+
 // Demand is what a request will take of an endpoint, in tokens. It is zero for requests without generation.
 type Demand struct {
 	Prompt int
@@ -92,7 +104,11 @@
 // state is what is known of one endpoint.
 type state struct {
 	Endpoint
-	own Use
+	// key is the endpoint's Key.
+	key uint64
+	// toldLeaving is true while a peer says that the endpoint leaves.
+	toldLeaving bool
+	own         Use
 	// failures is the share of failed requests lately, between 0 and 1.
 	failures     float64
 	failuresAt   time.Time
@@ -112,6 +128,9 @@
 	s.failuresAt = now
 }
 
+// leaves reports whether the endpoint takes no new requests.
+func (s *state) leaves() bool { return s.Leaving || s.toldLeaving }
+
 // fits reports whether a demand fits beside what is used.
 func (s *state) fits(u Use, d Demand) bool {
 	if s.MemoryTokens == 0 {
--- a/toucanupstream/exchange.go
+++ b/toucanupstream/exchange.go
@@ -43,6 +43,8 @@
 	Header http.Header
 	// Body ends with io.EOF only if the answer is whole.
 	Body io.Reader
+	// Framed is true when the answer tells its own end. The end of one that does not is the end of its connection.
+	Framed bool
 	// Reused is true when the request went over a kept connection.
 	Reused bool
 
@@ -85,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{Status: resp.StatusCode, Header: resp.Header, Reused: reused, conn: c, resp: resp}
+	x := &Exchange{Status: resp.StatusCode, Header: resp.Header, Framed: framed(resp), Reused: reused, conn: c, resp: resp}
 	select {
 	case err := <-written:
 		x.reusable = err == nil && !resp.Close
@@ -111,7 +113,7 @@
 		if belongs == nil || belongs(resp.Header) {
 			return resp, nil
 		}
-		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.Close || !framed(resp) {
 			return nil, errors.New("answer to another request ends with the connection")
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes)); err != nil {
@@ -121,6 +123,10 @@
 	return nil, errors.New("too many answers to other requests")
 }
 
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 func (c *conn) write(m Message) error {
 	c.w.WriteString(m.Method + " " + m.Target + " HTTP/1.1\r\nHost: " + m.Host + "\r\n") //nolint:errcheck // Flush tells
 	if err := m.Header.Write(c.w); err != nil {
