--- /dev/null
+++ b/toucanforward/backup.go
@@ -0,0 +1,54 @@
+package toucanforward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanplace"
+)
+
+// stopTimeout bounds the call that makes sure that an endpoint whose stream broke does not go on with the run.
+const stopTimeout = 250 * time.Millisecond
+
+var errNoBackup = errors.New("generation has no backup")
+
+// revive finds the place where a generation goes on whose stream broke without a move: at the endpoint with its backup.
+// An endpoint that still answers is told to stop the run first, so that it never runs at two places.
+func (s *Server) revive(ctx context.Context, j *job, r *run, cutAt time.Time) (handover, error) {
+	backup := j.backup
+	if backup == nil {
+		return handover{}, errNoBackup
+	}
+	j.backup = nil
+	source := r.endpoint()
+	h := handover{
+		claim:     s.book.Reclaim(backup.Endpoint, j.demand),
+		source:    backup.Endpoint.Address,
+		handle:    j.ID,
+		stoppedAt: cutAt,
+		backup:    true,
+	}
+	backup.Done(time.Now(), toucanplace.OutcomeNeutral)
+	stopCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	handle, err := s.mover.Copy(stopCtx, source.Address, j.ID, backup.Endpoint.Address, true)
+	if err == nil || handle != "" {
+		h.source, h.handle, h.backup = source.Address, handle, false
+	}
+	if h.backup {
+		s.metrics.revived.Inc(1)
+	}
+	return h, nil
+}
+
+// uneasyFor is how long streams are backed up after one broke without notice.
+const uneasyFor = 12 * time.Second
+
+// uneasy reports whether streams break without notice these days, so that copies are worth their memory and the links
+// that they take from moves.
+func (s *Server) uneasy() bool {
+	now := time.Now()
+	return now.Sub(time.Unix(0, s.brokeAt.Load())) < uneasyFor || s.board.Blind(now)
+}
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -29,6 +29,8 @@
 	streamsCut tally.Counter
 	resumed    tally.Counter
 	moves      tally.Counter
+	unbacked   tally.Counter
+	revived    tally.Counter
 	moveFails  tally.Counter
 	firstEvent tally.Histogram
 
@@ -53,6 +55,8 @@
 		retries:    scope.Counter("request_retries"),
 		streamsCut: scope.Counter("streams_cut"),
 		resumed:    scope.Counter("streams_resumed"),
+		unbacked:   scope.Counter("streams_without_backup"),
+		revived:    scope.Counter("streams_resumed_from_backup"),
 		moves:      scope.Counter("generations_moved"),
 		moveFails:  scope.Counter("generation_moves_failed"),
 		firstEvent: scope.Histogram("first_event", answerBuckets),
--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -35,6 +35,8 @@
 	BeginCopy(endpoint uint64) (end func())
 	// Copying reports whether any entry has memory copied to an endpoint.
 	Copying(now time.Time, endpoint uint64) bool
+	// Blind reports whether no entry is told which endpoints leave.
+	Blind(now time.Time) bool
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -57,6 +57,9 @@
 	Left time.Duration
 	// Instance is the endpoint that alone may answer.
 	Instance string
+	// Backup is the address of the endpoint that keeps a copy of the run's memory; empty for none. The copy's handle is
+	// the request's ID.
+	Backup string
 	// Resume is nil for a first run.
 	Resume *Resume
 }
--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -25,7 +25,9 @@
 	source    string
 	handle    string
 	stoppedAt time.Time
-	err       error
+	// backup is true when the memory is a backup's.
+	backup bool
+	err    error
 }
 
 // run is one generation whose events are being passed on.
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -54,6 +54,8 @@
 	answered atomic.Uint64
 	// closing is true when connections should be closed behind the next answer.
 	closing atomic.Bool
+	// brokeAt is when a stream last broke without notice, in Unix nanoseconds of this process.
+	brokeAt atomic.Int64
 }
 
 // Config holds what a Server works with.
@@ -103,6 +105,8 @@
 	body      []byte
 	rest      io.Reader
 	plan      *toucanretry.Plan
+	// backup holds the place of the run's copy; nil for none.
+	backup *toucanplace.Claim
 	// maybeRun counts the attempts that may have run.
 	maybeRun int
 	// tried holds the endpoints that failed the request.
@@ -125,6 +129,7 @@
 		s.refuse(j, *refusal)
 		return
 	}
+	defer j.dropBackup()
 	s.carry(ctx, j)
 }
 
@@ -324,6 +329,7 @@
 		Workspace: j.workspace,
 		Left:      time.Until(j.deadline),
 		Instance:  claim.Endpoint.ID,
+		Backup:    s.backUp(j, claim),
 		Resume:    resume,
 	})
 	return s.pool.Send(ctx, claim.Endpoint.Address, j.service.MaxConnections, toucanupstream.Message{
@@ -337,6 +343,30 @@
 	})
 }
 
+// backUp claims a place for a copy of a stream's memory and returns its address; empty when there is none.
+func (s *Server) backUp(j *job, claim *toucanplace.Claim) string {
+	j.dropBackup()
+	e := j.service.Engine
+	if e == nil || !e.Backups || j.route.Kind != toucantraffic.Stream || !s.uneasy() {
+		return ""
+	}
+	backup, err := s.book.Backup(time.Now(), claim.Endpoint, j.demand)
+	if err != nil {
+		s.metrics.unbacked.Inc(1)
+		return ""
+	}
+	j.backup = backup
+	return backup.Endpoint.Address
+}
+
+// dropBackup gives the place of the run's copy back.
+func (j *job) dropBackup() {
+	if j.backup != nil {
+		j.backup.Done(time.Now(), toucanplace.OutcomeNeutral)
+		j.backup = nil
+	}
+}
+
 // whole reads an answer to its end, or to the bound of what is held.
 func (s *Server) whole(ctx context.Context, j *job, claim *toucanplace.Claim, x *toucanupstream.Exchange, told Answer) (*answer, *failure) {
 	var body bytes.Buffer
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -118,15 +118,34 @@
 	return errors.Wrap(flusher.Flush(), "write to the caller")
 }
 
-// resume opens the rest of a stream where its generation was moved to.
+// resume opens the rest of a stream where its generation was moved to, or else where its backup is.
 func (s *Server) resume(ctx context.Context, j *job, r *run, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
 	if ctx.Err() != nil {
 		return nil, nil, ctx.Err()
 	}
+	cutAt := time.Now()
 	h, err := r.awaitHandover(ctx)
+	if errors.Is(err, errNotStopped) {
+		return nil, nil, err
+	}
+	if err == nil {
+		x, claim, err := s.resumeAt(ctx, j, r, h, seen)
+		if err == nil || ctx.Err() != nil {
+			return x, claim, err
+		}
+	}
+	if s.book.Staying(r.endpoint().ID) {
+		s.brokeAt.Store(cutAt.UnixNano())
+	}
+	h, err = s.revive(ctx, j, r, cutAt)
 	if err != nil {
 		return nil, nil, err
 	}
+	return s.resumeAt(ctx, j, r, h, seen)
+}
+
+// resumeAt opens the rest of a stream at one place.
+func (s *Server) resumeAt(ctx context.Context, j *job, r *run, h handover, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
 	seen.restart()
 	x, err := s.send(ctx, j, h.claim, &Resume{Source: h.source, Handle: h.handle, LastEvent: seen.last})
 	if err != nil {
@@ -142,6 +161,6 @@
 	r.moveTo(h.claim)
 	s.metrics.resumed.Inc(1)
 	s.log.Info(msgResumed, "requestId", j.ID, "endpoint", h.claim.Endpoint.ID, "from", h.source, "lastEvent", seen.last,
-		"pauseMs", time.Since(h.stoppedAt).Milliseconds())
+		"backup", h.backup, "pauseMs", time.Since(h.stoppedAt).Milliseconds())
 	return x, h.claim, nil
 }
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -63,11 +63,22 @@
 	lost     time.Time
 	verified time.Time
 	retry    time.Duration
+	health   func(away bool)
 }
 
+// Option changes a Mirror.
+type Option func(*Mirror)
+
+// WithHealth calls f when the store stops answering and when it answers again.
+func WithHealth(f func(away bool)) Option { return func(m *Mirror) { m.health = f } }
+
 // New returns a mirror of source.
-func New(source Source, log *slog.Logger) *Mirror {
-	return &Mirror{source: source, log: log, retry: firstRetry}
+func New(source Source, log *slog.Logger, opts ...Option) *Mirror {
+	m := &Mirror{source: source, log: log, retry: firstRetry, health: func(bool) {}}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
 }
 
 // Run hands each new state to take until ctx ends. During an outage the last one stays.
@@ -144,6 +155,7 @@
 	}
 	m.log.Info("store regained", "awayMs", time.Since(m.lost).Milliseconds())
 	m.lost = time.Time{}
+	m.health(false)
 	return true
 }
 
@@ -155,6 +167,7 @@
 	}
 	if m.lost.IsZero() {
 		m.lost = time.Now()
+		m.health(true)
 		m.log.Warn("store lost", "cause", err.Error())
 	}
 	wait := m.retry/2 + rand.N(m.retry)
--- a/toucanpeer/board.go
+++ b/toucanpeer/board.go
@@ -27,6 +27,10 @@
 	copying map[uint64]int
 	// leaving holds the endpoints that this entry knows to leave by itself.
 	leaving map[uint64]bool
+	// probed holds the endpoints that said themselves that they leave, with the time until which that holds.
+	probed map[uint64]time.Time
+	// storeAway is true while the store does not answer this entry.
+	storeAway bool
 	// changed is closed and replaced when anything on the board changes.
 	changed chan struct{}
 	// urgent is signalled when peers should hear of a change at once.
@@ -48,6 +52,7 @@
 		runs:    make(map[uint64][]toucanmove.Run),
 		copying: make(map[uint64]int),
 		leaving: make(map[uint64]bool),
+		probed:  make(map[uint64]time.Time),
 		changed: make(chan struct{}),
 		urgent:  make(chan struct{}, 1),
 	}
@@ -90,6 +95,56 @@
 	}
 }
 
+// SetStoreAway notes whether the store answers this entry.
+func (b *Board) SetStoreAway(away bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.storeAway = away
+}
+
+// Blind reports whether the store answers none of the entries, as far as this one hears, so that nobody is told which
+// endpoints leave.
+func (b *Board) Blind(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if now.Sub(p.at) <= silence && !p.report.GetStoreAway() {
+			return false
+		}
+	}
+	return b.storeAway
+}
+
+// Heard returns the names of the entries that this one hears.
+func (b *Board) Heard(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var names []string
+	for name, p := range b.peers {
+		if now.Sub(p.at) <= silence {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// probedFor is how long an endpoint's own word that it leaves holds.
+const probedFor = 6 * time.Second
+
+// TakeLeaving takes in an endpoint's own word that it leaves.
+func (b *Board) TakeLeaving(now time.Time, endpoint uint64) {
+	b.mu.Lock()
+	_, known := b.probed[endpoint]
+	b.probed[endpoint] = now.Add(probedFor)
+	leaving := b.toldLeaving(now)
+	b.mu.Unlock()
+	if known {
+		return
+	}
+	b.book.SetToldLeaving(leaving)
+	b.hurry()
+}
+
 // Announce replaces this entry's generations at an endpoint that leaves; none takes the endpoint off the board.
 func (b *Board) Announce(endpoint uint64, runs []toucanmove.Run) {
 	b.mu.Lock()
@@ -188,6 +243,13 @@
 // toldLeaving forgets silent peers and returns the endpoints that the others say leave; the lock is held.
 func (b *Board) toldLeaving(now time.Time) map[uint64]bool {
 	leaving := make(map[uint64]bool)
+	for k, until := range b.probed {
+		if now.After(until) {
+			delete(b.probed, k)
+			continue
+		}
+		leaving[k] = true
+	}
 	for name, p := range b.peers {
 		if now.Sub(p.at) > silence {
 			delete(b.peers, name)
@@ -236,6 +298,10 @@
 	for key := range b.leaving {
 		r.Leaving = append(r.Leaving, key)
 	}
+	for key := range b.probed {
+		r.Leaving = append(r.Leaving, key)
+	}
+	r.StoreAway = b.storeAway
 	for endpoint, runs := range b.runs {
 		for _, run := range runs {
 			r.Runs = append(r.Runs, &Run{
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -111,6 +111,28 @@
 	return ok && !s.leaves()
 }
 
+// Endpoints returns the endpoints that take new requests.
+func (b *Book) Endpoints() []Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]Endpoint, 0, len(b.endpoints))
+	for _, s := range b.endpoints {
+		if !s.leaves() {
+			list = append(list, s.Endpoint)
+		}
+	}
+	return list
+}
+
+// Suspect keeps requests from an endpoint that does not answer, for a while.
+func (b *Book) Suspect(now time.Time, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.endpoints[id]; ok {
+		s.suspectUntil = now.Add(suspectFor)
+	}
+}
+
 // Claim is one request's place on an endpoint. Its owner calls Done once.
 type Claim struct {
 	Endpoint Endpoint
@@ -120,6 +142,35 @@
 	done     bool
 }
 
+// Backup claims memory for the copy of a run that is at an endpoint, where there is room to spare. The error is
+// ErrNoEndpoint or ErrFull.
+func (b *Book) Backup(now time.Time, at Endpoint, d Demand) (*Claim, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best *state
+	var bestCost float64
+	for _, s := range b.services[at.Service] {
+		u := b.total(now, s)
+		if s.leaves() || s.ID == at.ID || now.Before(s.suspectUntil) || !s.spares(u, d) {
+			continue
+		}
+		c := s.cost(now, u, s.FailureDomain)
+		if s.FailureDomain == at.FailureDomain {
+			c += otherDomainCost
+		}
+		if best == nil || c < bestCost {
+			best, bestCost = s, c
+		}
+	}
+	if best == nil {
+		return nil, errors.Wrap(ErrFull, at.Service)
+	}
+	u := Use{Tokens: d.Tokens()}
+	best.own = best.own.plus(u)
+	b.touch(u)
+	return &Claim{Endpoint: best.Endpoint, book: b, state: best, use: u}, nil
+}
+
 // Filter reports whether an endpoint may be chosen.
 type Filter func(Endpoint) bool
 
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -79,6 +79,8 @@
 const (
 	// memoryShare is the share of an engine's memory that forecasts may fill.
 	memoryShare = 0.92
+	// backupShare is the share of an engine's memory up to which copies of other engines' runs are taken in.
+	backupShare = 0.6
 	// plainOverflow is how many times its slots a service without model engines may be given; the rest waits there.
 	plainOverflow = 2
 	// unreadScale is how many unread prompt tokens weigh as much as a full memory.
@@ -139,6 +141,12 @@
 	return u.Requests < s.Slots && float64(u.Tokens+d.Tokens()) <= memoryShare*float64(s.MemoryTokens)
 }
 
+// spares reports whether there is room for a copy of a demand beside what is used, so that new requests still find
+// theirs.
+func (s *state) spares(u Use, d Demand) bool {
+	return float64(u.Tokens+d.Tokens()) <= backupShare*float64(s.MemoryTokens)
+}
+
 // cost is the expected harm of placing a request on the endpoint; lower is better.
 func (s *state) cost(now time.Time, u Use, domain string) float64 {
 	c := slotWeight * float64(u.Requests) / float64(max(s.Slots, 1))
--- /dev/null
+++ b/toucanprobe/probe.go
@@ -0,0 +1,95 @@
+// Package toucanprobe asks endpoints themselves whether they leave, while the store tells no entry. Each endpoint is
+// asked by one entry, which tells the others.
+package toucanprobe
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"toucanport/toucanmember"
+	"toucanport/toucanplace"
+)
+
+const (
+	// interval is the time between two questions to one endpoint.
+	interval = 350 * time.Millisecond
+	// timeout bounds one question.
+	timeout = 300 * time.Millisecond
+	// probers is how many entries ask one endpoint.
+	probers = 1
+)
+
+// Prober asks an endpoint.
+type Prober interface {
+	// Leaving reports whether the endpoint at an address leaves.
+	Leaving(ctx context.Context, address string) (bool, error)
+}
+
+// Board is where entries tell one another of leaving endpoints.
+type Board interface {
+	// Blind reports whether the store answers none of the entries.
+	Blind(now time.Time) bool
+	// Heard returns the names of the other entries that are heard.
+	Heard(now time.Time) []string
+	// TakeLeaving takes in that an endpoint leaves.
+	TakeLeaving(now time.Time, endpoint uint64)
+}
+
+// Duty asks this entry's share of the endpoints.
+type Duty struct {
+	name   string
+	prober Prober
+	book   *toucanplace.Book
+	board  Board
+	log    *slog.Logger
+}
+
+// New returns the duty of the entry name.
+func New(name string, prober Prober, book *toucanplace.Book, board Board, log *slog.Logger) *Duty {
+	return &Duty{name: name, prober: prober, book: book, board: board, log: log}
+}
+
+// Run asks until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if d.board.Blind(now) {
+				d.round(ctx, now)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round asks each endpoint of this entry's share once, all at the same time.
+func (d *Duty) round(ctx context.Context, now time.Time) {
+	entries := append(d.board.Heard(now), d.name)
+	var wg sync.WaitGroup
+	for _, e := range d.book.Endpoints() {
+		if e.MemoryTokens > 0 && toucanmember.Chosen(d.name, e.ID, entries, probers) {
+			wg.Go(func() { d.ask(ctx, e) })
+		}
+	}
+	wg.Wait()
+}
+
+func (d *Duty) ask(ctx context.Context, e toucanplace.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	leaving, err := d.prober.Leaving(ctx, e.Address)
+	if err != nil {
+		d.book.Suspect(time.Now(), e.ID)
+		d.log.Warn("endpoint does not answer", "endpoint", e.ID, "address", e.Address, "cause", err.Error())
+		return
+	}
+	if leaving {
+		d.log.Info("endpoint says that it leaves", "endpoint", e.ID, "address", e.Address)
+		d.board.TakeLeaving(time.Now(), e.Key())
+	}
+}
--- a/toucantraffic/table.go
+++ b/toucantraffic/table.go
@@ -95,6 +95,8 @@
 	LinkBitsPerSecond float64
 	// Moves is true when engines hand running generations to one another.
 	Moves bool
+	// Backups is true when engines keep copies of running generations at one another.
+	Backups bool
 	// TokensPerEvent is how many tokens one event of a stream holds.
 	TokensPerEvent int
 	// HandleLife is how long an engine keeps a copy that nobody uses.
