Keep peers that the store turns away, move within failure domains, overfill rather than lose

Change: unlisted peers are kept 30 s; targets in the source's failure domain go first and sources prefer different ones; a run that loses its endpoint may fill another to 115% of forecast; streams of 256 tokens and more are backed up only.

--- a/toucanforward/backup.go
+++ b/toucanforward/backup.go
@@ -12,6 +12,10 @@
 // stopTimeout bounds the call that makes sure that an endpoint whose stream broke does not go on with the run.
 const stopTimeout = 250 * time.Millisecond
 
+// backupOutput is the shortest forecast answer, in tokens, that is backed up. A shorter one mostly ends before its
+// endpoint breaks, and its copy would take the links as long as a long one's.
+const backupOutput = 256
+
 var errNoBackup = errors.New("generation has no backup")
 
 // revive finds the place where a generation goes on whose stream broke without a move: at the endpoint with its backup.
--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -154,6 +154,15 @@
 	return !r.ended && !r.stopping && r.claim.Endpoint.ID == endpoint && !now.Before(r.notBefore)
 }
 
+// firstFailure reports whether a cause is another than that of the run's last failed move.
+func (r *run) firstFailure(cause string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.moveFailure != cause
+	r.moveFailure = cause
+	return first
+}
+
 // postpone keeps a run whose move failed from being tried again at once.
 func (r *run) postpone() {
 	r.mu.Lock()
@@ -191,15 +200,22 @@
 	untried := func(e toucanplace.Endpoint) bool { return !tried[e.ID] }
 	quiet := func(e toucanplace.Endpoint) bool { return untried(e) && !s.board.Copying(now, e.Key()) }
 	d := r.job.demand
-	c, err := s.book.PlaceNear(now, source.Service, d, quiet, source.FailureDomain)
+	c, err := s.book.PlaceCopy(now, source, d, quiet)
 	if err != nil {
-		c, err = s.book.PlaceNear(now, source.Service, d, untried, source.FailureDomain)
+		c, err = s.book.PlaceCopy(now, source, d, untried)
+	}
+	if err != nil {
+		// A run that finds no room is lost, so that its memory of now is enough.
+		c, err = s.book.PlaceCopy(now, source, toucanplace.Demand{Prompt: r.tokens()}, untried)
 	}
 	return c, err
 }
 
 func (s *Server) moveFailed(r *run, source toucanplace.Endpoint, target string, err error) {
 	s.metrics.moveFails.Inc(1)
+	if !r.firstFailure(err.Error()) {
+		return
+	}
 	s.log.Warn(msgMoveFail, "requestId", r.job.ID, "endpoint", source.ID, "target", target, "cause", err.Error())
 }
 
--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -41,6 +41,8 @@
 	firstEvent time.Time
 	// notBefore is when a move that failed may be tried again.
 	notBefore time.Time
+	// moveFailure is the cause of the last failed move.
+	moveFailure string
 	// stopping is true from the moment the endpoint was told to stop the run.
 	stopping bool
 	// unstopped is closed when it turns out that the endpoint did not stop the run.
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -347,7 +347,7 @@
 func (s *Server) backUp(j *job, claim *toucanplace.Claim) string {
 	j.dropBackup()
 	e := j.service.Engine
-	if e == nil || !e.Backups || j.route.Kind != toucantraffic.Stream || !s.uneasy() {
+	if e == nil || !e.Backups || j.route.Kind != toucantraffic.Stream || j.demand.Output < backupOutput || !s.uneasy() {
 		return ""
 	}
 	backup, err := s.book.Backup(time.Now(), claim.Endpoint, j.demand)
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -33,6 +33,8 @@
 
 	mu    sync.Mutex
 	peers map[string]netip.AddrPort
+	// unlisted holds when peers that are still heard were last listed.
+	unlisted map[string]time.Time
 }
 
 // Listen returns a mesh of the entry name that listens at address.
@@ -46,17 +48,24 @@
 		return nil, errors.Wrap(err, "peers")
 	}
 	return &Mesh{
-		name:  name,
-		boot:  uint64(time.Now().UnixNano()),
-		board: board,
-		conn:  conn,
-		log:   log,
-		peers: make(map[string]netip.AddrPort),
+		name:     name,
+		boot:     uint64(time.Now().UnixNano()),
+		board:    board,
+		conn:     conn,
+		log:      log,
+		peers:    make(map[string]netip.AddrPort),
+		unlisted: make(map[string]time.Time),
 	}, nil
 }
 
-// SetPeers replaces the addresses of the other entries; this entry's own is passed over.
+// unlistedFor is how long a peer that is no longer listed and no longer heard is kept. One that the store turns away is
+// not listed, and needs its peers most.
+const unlistedFor = 30 * time.Second
+
+// SetPeers replaces the addresses of the other entries; this entry's own is passed over. Peers that are no longer listed
+// are kept for a while.
 func (m *Mesh) SetPeers(peers map[string]netip.AddrPort) {
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := make(map[string]netip.AddrPort, len(peers))
@@ -69,10 +78,22 @@
 		}
 		next[name] = address
 	}
-	for name := range m.peers {
-		if _, stays := next[name]; !stays {
-			m.log.Info("peer left", "peer", name)
+	for name, address := range m.peers {
+		if _, listed := next[name]; listed {
+			delete(m.unlisted, name)
+			continue
+		}
+		since, ok := m.unlisted[name]
+		if !ok {
+			since = now
+			m.unlisted[name] = now
+		}
+		if now.Sub(since) < unlistedFor {
+			next[name] = address
+			continue
 		}
+		delete(m.unlisted, name)
+		m.log.Info("peer left", "peer", name)
 	}
 	m.peers = next
 }
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -154,9 +154,9 @@
 		if s.leaves() || s.ID == at.ID || now.Before(s.suspectUntil) || !s.spares(u, d) {
 			continue
 		}
-		c := s.cost(now, u, s.FailureDomain)
-		if s.FailureDomain == at.FailureDomain {
-			c += otherDomainCost
+		c := s.cost(now, u)
+		if s.FailureDomain != at.FailureDomain {
+			c += copyDomainCost
 		}
 		if best == nil || c < bestCost {
 			best, bestCost = s, c
@@ -179,18 +179,37 @@
 func (b *Book) Place(now time.Time, service string, d Demand, allowed Filter) (*Claim, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, err := b.choose(now, service, d, allowed, b.domain)
+	best, err := b.choose(now, service, d, allowed, memoryShare, b.near(otherDomainCost))
 	if err != nil {
 		return nil, err
 	}
 	return b.claim(best, d), nil
 }
 
-// PlaceNear is Place for a demand whose memory comes from an endpoint in a failure domain.
-func (b *Book) PlaceNear(now time.Time, service string, d Demand, allowed Filter, domain string) (*Claim, error) {
+// near returns the extra cost of endpoints outside this entry's failure domain.
+func (b *Book) near(cost float64) func(*state) float64 {
+	return func(s *state) float64 {
+		if s.FailureDomain == b.domain {
+			return 0
+		}
+		return cost
+	}
+}
+
+// PlaceCopy is Place for a demand whose memory is copied from an endpoint. Copies within a failure domain take half the
+// time, and two endpoints that leave together should not copy to the same one.
+func (b *Book) PlaceCopy(now time.Time, from Endpoint, d Demand, allowed Filter) (*Claim, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, err := b.choose(now, service, d, allowed, domain)
+	source := from.Key()
+	extra := func(s *state) float64 {
+		c := copySpread * float64((source^s.key)%copySpreadSteps) / copySpreadSteps
+		if s.FailureDomain != from.FailureDomain {
+			c += copyDomainCost
+		}
+		return c
+	}
+	best, err := b.choose(now, from.Service, d, allowed, copyShare, extra)
 	if err != nil {
 		return nil, err
 	}
@@ -199,7 +218,7 @@
 	return c, nil
 }
 
-func (b *Book) choose(now time.Time, service string, d Demand, allowed Filter, domain string) (*state, error) {
+func (b *Book) choose(now time.Time, service string, d Demand, allowed Filter, share float64, extra func(*state) float64) (*state, error) {
 	var best *state
 	var bestCost float64
 	listed, large := false, true
@@ -213,10 +232,10 @@
 		}
 		large = false
 		u := b.total(now, s)
-		if !s.fits(u, d) {
+		if !s.fits(u, d, share) {
 			continue
 		}
-		if c := s.cost(now, u, domain); best == nil || c < bestCost {
+		if c := s.cost(now, u) + extra(s); best == nil || c < bestCost {
 			best, bestCost = s, c
 		}
 	}
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -77,10 +77,13 @@
 }
 
 const (
-	// memoryShare is the share of an engine's memory that forecasts may fill.
-	memoryShare = 0.92
+	// memoryShare is the share of an engine's memory that the forecast ends of its requests may fill.
+	memoryShare = 0.97
+	// copyShare is memoryShare for generations that lose their endpoint. Not all requests reach their ends at the same
+	// time, and one that is pushed aside for a while is better off than one that is lost.
+	copyShare = 1.15
 	// backupShare is the share of an engine's memory up to which copies of other engines' runs are taken in.
-	backupShare = 0.6
+	backupShare = 0.5
 	// plainOverflow is how many times its slots a service without model engines may be given; the rest waits there.
 	plainOverflow = 2
 	// unreadScale is how many unread prompt tokens weigh as much as a full memory.
@@ -89,6 +92,11 @@
 	slotWeight = 0.5
 	// otherDomainCost is the cost of crossing failure domains.
 	otherDomainCost = 0.04
+	// copyDomainCost is the cost of copying memory to another failure domain.
+	copyDomainCost = 0.25
+	// copySpread is the cost by which sources prefer different targets, in copySpreadSteps steps.
+	copySpread      = 0.12
+	copySpreadSteps = 16
 	// coldCost is the cost of an endpoint that has just started.
 	coldCost = 0.3
 	// failureCost is the cost of an endpoint that fails every request.
@@ -133,12 +141,12 @@
 // leaves reports whether the endpoint takes no new requests.
 func (s *state) leaves() bool { return s.Leaving || s.toldLeaving }
 
-// fits reports whether a demand fits beside what is used.
-func (s *state) fits(u Use, d Demand) bool {
+// fits reports whether a demand fits beside what is used, within a share of the memory.
+func (s *state) fits(u Use, d Demand, share float64) bool {
 	if s.MemoryTokens == 0 {
 		return u.Requests < plainOverflow*s.Slots
 	}
-	return u.Requests < s.Slots && float64(u.Tokens+d.Tokens()) <= memoryShare*float64(s.MemoryTokens)
+	return u.Requests < s.Slots && float64(u.Tokens+d.Tokens()) <= share*float64(s.MemoryTokens)
 }
 
 // spares reports whether there is room for a copy of a demand beside what is used, so that new requests still find
@@ -148,14 +156,11 @@
 }
 
 // cost is the expected harm of placing a request on the endpoint; lower is better.
-func (s *state) cost(now time.Time, u Use, domain string) float64 {
+func (s *state) cost(now time.Time, u Use) float64 {
 	c := slotWeight * float64(u.Requests) / float64(max(s.Slots, 1))
 	if s.MemoryTokens > 0 {
 		c += float64(u.Tokens)/float64(s.MemoryTokens) + float64(u.Unread)/unreadScale
 	}
-	if s.FailureDomain != domain {
-		c += otherDomainCost
-	}
 	if now.Before(s.Warm) {
 		c += coldCost
 	}
--- a/toucanprobe/probe.go
+++ b/toucanprobe/probe.go
@@ -19,6 +19,8 @@
 	timeout = 300 * time.Millisecond
 	// probers is how many entries ask one endpoint.
 	probers = 1
+	// maxUnanswered is how many questions in a row an endpoint may leave unanswered.
+	maxUnanswered = 2
 )
 
 // Prober asks an endpoint.
@@ -44,11 +46,24 @@
 	book   *toucanplace.Book
 	board  Board
 	log    *slog.Logger
+	// asking is true while endpoints are being asked.
+	asking bool
+
+	mu sync.Mutex
+	// unanswered counts the questions in a row that an endpoint, by its id, did not answer.
+	unanswered map[string]int
 }
 
 // New returns the duty of the entry name.
 func New(name string, prober Prober, book *toucanplace.Book, board Board, log *slog.Logger) *Duty {
-	return &Duty{name: name, prober: prober, book: book, board: board, log: log}
+	return &Duty{
+		name:       name,
+		prober:     prober,
+		book:       book,
+		board:      board,
+		log:        log,
+		unanswered: make(map[string]int),
+	}
 }
 
 // Run asks until ctx ends.
@@ -58,7 +73,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			if d.board.Blind(now) {
+			if d.due(now) {
 				d.round(ctx, now)
 			}
 		case <-ctx.Done():
@@ -67,6 +82,16 @@
 	}
 }
 
+// due reports whether endpoints have to be asked.
+func (d *Duty) due(now time.Time) bool {
+	blind := d.board.Blind(now)
+	if blind != d.asking {
+		d.asking = blind
+		d.log.Info("asking endpoints whether they leave", "asking", blind, "peersHeard", len(d.board.Heard(now)))
+	}
+	return blind
+}
+
 // round asks each endpoint of this entry's share once, all at the same time.
 func (d *Duty) round(ctx context.Context, now time.Time) {
 	entries := append(d.board.Heard(now), d.name)
@@ -84,12 +109,30 @@
 	defer cancel()
 	leaving, err := d.prober.Leaving(ctx, e.Address)
 	if err != nil {
-		d.book.Suspect(time.Now(), e.ID)
-		d.log.Warn("endpoint does not answer", "endpoint", e.ID, "address", e.Address, "cause", err.Error())
+		d.silent(e, err)
 		return
 	}
+	d.mu.Lock()
+	delete(d.unanswered, e.ID)
+	d.mu.Unlock()
 	if leaving {
 		d.log.Info("endpoint says that it leaves", "endpoint", e.ID, "address", e.Address)
 		d.board.TakeLeaving(time.Now(), e.Key())
 	}
 }
+
+// silent takes in that an endpoint did not answer. One that stays silent is treated like one that leaves.
+func (d *Duty) silent(e toucanplace.Endpoint, err error) {
+	d.book.Suspect(time.Now(), e.ID)
+	d.mu.Lock()
+	d.unanswered[e.ID]++
+	n := d.unanswered[e.ID]
+	if n == maxUnanswered {
+		delete(d.unanswered, e.ID)
+	}
+	d.mu.Unlock()
+	if n == maxUnanswered {
+		d.log.Warn("endpoint does not answer", "endpoint", e.ID, "address", e.Address, "questions", n, "cause", err.Error())
+		d.board.TakeLeaving(time.Now(), e.Key())
+	}
+}
