Let entries share the watch of the store

Change: the watch is paced by the number of peers that see the store; peers tell at once of leaving endpoints and of newer settings, upon which the next call is made at once.

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -31,8 +31,12 @@
 }
 
 const (
-	// pace is the shortest time between two calls for changes.
+	// pace is the shortest time between two calls for changes, while this is the only process that makes them.
 	pace = 250 * time.Millisecond
+	// maxPace bounds that time however many others make calls, so that one that hears of nothing is not far behind.
+	maxPace = 1100 * time.Millisecond
+	// pacedAlone is how many processes may call at the pace of one.
+	pacedAlone = 5
 	// firstRetry and maxRetry bound the time between two calls while the store does not answer.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 700 * time.Millisecond
@@ -64,6 +68,9 @@
 	verified time.Time
 	retry    time.Duration
 	health   func(away bool)
+	// sharers returns the number of other processes that tell this one of what they see.
+	sharers func() int
+	nudged  chan struct{}
 }
 
 // Option changes a Mirror.
@@ -72,30 +79,57 @@
 // WithHealth calls f when the store stops answering and when it answers again.
 func WithHealth(f func(away bool)) Option { return func(m *Mirror) { m.health = f } }
 
+// WithSharers makes the calls rarer the more other processes tell this one of what they see; f returns their number.
+func WithSharers(f func() int) Option { return func(m *Mirror) { m.sharers = f } }
+
 // New returns a mirror of source.
 func New(source Source, log *slog.Logger, opts ...Option) *Mirror {
-	m := &Mirror{source: source, log: log, retry: firstRetry, health: func(bool) {}}
+	m := &Mirror{
+		source:  source,
+		log:     log,
+		retry:   firstRetry,
+		health:  func(bool) {},
+		sharers: func() int { return 0 },
+		nudged:  make(chan struct{}, 1),
+	}
 	for _, opt := range opts {
 		opt(m)
 	}
 	return m
 }
 
+// Nudge has the next call for changes made at once, as when another process knows of something newer.
+func (m *Mirror) Nudge() {
+	select {
+	case m.nudged <- struct{}{}:
+	default:
+	}
+}
+
+// crowd is how many times rarer the calls are than those of a process alone.
+func (m *Mirror) crowd() float64 { return max(1, float64(m.sharers()+1)/pacedAlone) }
+
+// interval is the time between the starts of two calls for changes. It varies, so that processes do not call together.
+func (m *Mirror) interval() time.Duration {
+	mean := min(time.Duration(m.crowd()*float64(pace)), maxPace)
+	return mean*3/4 + rand.N(mean/2)
+}
+
 // Run hands each new state to take until ctx ends. During an outage the last one stays.
 func (m *Mirror) Run(ctx context.Context, take func(State)) {
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := m.step(ctx, take)
-		wait := pace - time.Since(began)
+		wait := m.interval() - time.Since(began)
 		if err != nil && ctx.Err() == nil {
 			wait = m.failed(err)
 		}
-		sleep(ctx, wait)
+		m.sleep(ctx, wait)
 	}
 }
 
 func (m *Mirror) step(ctx context.Context, take func(State)) error {
-	if m.revision == 0 || time.Since(m.verified) > verifyInterval {
+	if m.revision == 0 || time.Since(m.verified) > time.Duration(m.crowd()*float64(verifyInterval)) {
 		return m.snapshot(ctx, take)
 	}
 	changes, revision, err := m.source.Changes(ctx, m.revision)
@@ -175,7 +209,7 @@
 	return wait
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
@@ -183,6 +217,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-m.nudged:
 	case <-ctx.Done():
 	}
 }
--- a/toucanpeer/board.go
+++ b/toucanpeer/board.go
@@ -31,6 +31,10 @@
 	probed map[uint64]time.Time
 	// storeAway is true while the store does not answer this entry.
 	storeAway bool
+	// settings is the version of the settings that this entry holds; newest the highest that peers told.
+	settings, newest uint64
+	// behind is called when a peer holds newer settings.
+	behind func()
 	// changed is closed and replaced when anything on the board changes.
 	changed chan struct{}
 	// urgent is signalled when peers should hear of a change at once.
@@ -44,6 +48,31 @@
 	report *Report
 }
 
+// OnBehind has f called whenever a peer is heard to hold newer settings than this entry. It is called before Run.
+func (b *Board) OnBehind(f func()) { b.behind = f }
+
+// SetSettings notes the version of the settings that this entry holds.
+func (b *Board) SetSettings(version uint64) {
+	b.mu.Lock()
+	b.settings = version
+	b.mu.Unlock()
+	b.hurry()
+}
+
+// Sharers returns the number of peers that are heard and see the store.
+func (b *Board) Sharers() int {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, p := range b.peers {
+		if now.Sub(p.at) <= silence && !p.report.GetStoreAway() {
+			n++
+		}
+	}
+	return n
+}
+
 // NewBoard returns an empty board that reports what book holds.
 func NewBoard(book *toucanplace.Book) *Board {
 	return &Board{
@@ -53,6 +82,7 @@
 		copying: make(map[uint64]int),
 		leaving: make(map[uint64]bool),
 		probed:  make(map[uint64]time.Time),
+		behind:  func() {},
 		changed: make(chan struct{}),
 		urgent:  make(chan struct{}, 1),
 	}
@@ -233,8 +263,13 @@
 	}
 	b.peers[r.GetSender()] = peerReport{at: now, boot: r.GetBoot(), serial: r.GetSerial(), report: r}
 	leaving := b.toldLeaving(now)
+	behind := r.GetSettingsVersion() > max(b.settings, b.newest)
+	b.newest = max(b.newest, r.GetSettingsVersion())
 	b.touch()
 	b.mu.Unlock()
+	if behind {
+		b.behind()
+	}
 	b.book.Observe(now, r.GetSender(), usesOf(r))
 	b.book.SetToldLeaving(leaving)
 	return true
@@ -302,6 +337,7 @@
 		r.Leaving = append(r.Leaving, key)
 	}
 	r.StoreAway = b.storeAway
+	r.SettingsVersion = b.settings
 	for endpoint, runs := range b.runs {
 		for _, run := range runs {
 			r.Runs = append(r.Runs, &Run{
