--- /dev/null
+++ b/toucanforward/script_test.go
@@ -0,0 +1,592 @@
+package toucanforward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanmove"
+	"toucanport/toucanplace"
+	"toucanport/toucanretry"
+	"toucanport/toucantraffic"
+	"toucanport/toucanupstream"
+)
+
+// TestScripts plays requests against endpoints that answer as the script says, and shows what the caller got, how often
+// each endpoint was asked and which moves were ordered.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		sc := &scene{t: t, traffic: &toucantraffic.Current{}}
+		sc.start()
+		datadriven.RunTest(t, path, sc.run)
+	})
+}
+
+const (
+	headerID      = "X-Id"
+	headerGenuine = "X-Genuine"
+	headerNotRun  = "X-Not-Run"
+	headerResume  = "X-Resume"
+	headerLast    = "X-Last"
+	headerLeft    = "X-Left"
+	headerBackup  = "X-Backup"
+	headerTokens  = "X-Tokens"
+	// longWait bounds what a script waits for; a test that needs it has failed.
+	longWait = 10 * time.Second
+)
+
+// plainCodec is the simplest codec.
+type plainCodec struct{}
+
+func (plainCodec) Request(h http.Header) (Request, error) {
+	if h.Get(headerID) == "" {
+		return Request{}, ErrMalformed
+	}
+	tokens, _ := strconv.Atoi(h.Get(headerTokens))
+	return Request{ID: h.Get(headerID), Key: h.Get("X-Key"), Patience: longWait, Prompt: tokens, MaxOutput: tokens}, nil
+}
+
+func (plainCodec) Outgoing(h http.Header, a Attempt) http.Header {
+	h.Del("X-Key")
+	h.Set(headerLeft, fmt.Sprint(a.Left <= longWait && a.Left > 0))
+	if a.Backup != "" {
+		h.Set(headerBackup, a.Backup)
+	}
+	if a.Resume != nil {
+		h.Set(headerResume, a.Resume.Handle)
+		h.Set(headerLast, a.Resume.LastEvent)
+	}
+	return h
+}
+
+func (plainCodec) Belongs(h http.Header, id string) bool {
+	return h.Get(headerID) == "" || h.Get(headerID) == id
+}
+
+func (plainCodec) Answer(_ int, h http.Header, id string) Answer {
+	return Answer{Genuine: h.Get(headerGenuine) != "", NotRun: h.Get(headerNotRun) != "", Named: h.Get(headerID) == id}
+}
+
+// scene is one script's deployment.
+type scene struct {
+	t       *testing.T
+	traffic *toucantraffic.Current
+	book    *toucanplace.Book
+	server  *Server
+	front   *httptest.Server
+	// endpoints is in the order in which the script names them.
+	endpoints []*endpoint
+	mover     *scriptedMover
+	serial    int
+	pending   chan string
+}
+
+// start begins anew with no endpoints and no memory of any. The settings stay.
+func (sc *scene) start() {
+	sc.book = toucanplace.NewBook("d1")
+	sc.mover = &scriptedMover{scene: sc}
+	sc.endpoints = nil
+	sc.server = New(Config{
+		Codec:   plainCodec{},
+		Mover:   sc.mover,
+		Board:   &openBoard{},
+		Traffic: sc.traffic,
+		Book:    sc.book,
+		Pool:    toucanupstream.NewPool(),
+		Budget:  toucanretry.NewBudget(toucanretry.WithReserve(100)),
+		Log:     slog.New(slog.DiscardHandler),
+	})
+	front := httptest.NewServer(sc.server)
+	sc.front = front
+	ctx, cancel := context.WithCancel(sc.t.Context())
+	done := make(chan struct{})
+	server := sc.server
+	go func() {
+		server.RunMoves(ctx)
+		close(done)
+	}()
+	sc.t.Cleanup(func() {
+		cancel()
+		<-done
+		front.Close()
+	})
+}
+
+func (sc *scene) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "settings":
+		sc.settings(d)
+	case "endpoints":
+		sc.listen(d)
+	case "answers":
+		sc.endpoint(d.CmdArgs[0].Key).script(d.Input)
+	case "moves":
+		sc.mover.outcomes = strings.Fields(d.Input)
+	case "request":
+		return sc.request(d)
+	case "begin":
+		sc.pending = make(chan string, 1)
+		began := sc.endpoint(d.CmdArgs[1].Key).expectHold()
+		go func() { sc.pending <- sc.request(d) }()
+		wait(t, began)
+	case "leave":
+		sc.list(d.CmdArgs[0].Key)
+	case "kill":
+		sc.endpoint(d.CmdArgs[0].Key).kill()
+	case "awaitCopies":
+		n := 0
+		d.ScanArgs(t, "n", &n)
+		sc.mover.await(t, n)
+	case "go":
+		sc.endpoint(d.CmdArgs[0].Key).release()
+	case "end":
+		select {
+		case got := <-sc.pending:
+			return got
+		case <-time.After(longWait):
+			t.Fatal("the request has no end")
+		}
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+func wait(t *testing.T, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(longWait):
+		t.Fatal("waited in vain")
+	}
+}
+
+// settings sets the one route from the script's arguments.
+func (sc *scene) settings(d *datadriven.TestData) {
+	kind, attempts, timeout, key, version := "idempotent", 1, longWait.String(), "", 1
+	d.MaybeScanArgs(sc.t, "kind", &kind)
+	d.MaybeScanArgs(sc.t, "attempts", &attempts)
+	d.MaybeScanArgs(sc.t, "timeout", &timeout)
+	d.MaybeScanArgs(sc.t, "key", &key)
+	d.MaybeScanArgs(sc.t, "version", &version)
+	bound, err := time.ParseDuration(timeout)
+	assert.NilError(sc.t, err)
+	kinds := map[string]toucantraffic.Kind{
+		"idempotent": toucantraffic.Idempotent, "atMostOnce": toucantraffic.AtMostOnce, "stream": toucantraffic.Stream,
+	}
+	route := toucantraffic.Route{
+		Name: "r", Host: "host", Prefix: "/p/", Kind: kinds[kind], Timeout: bound, MaxAttempts: attempts,
+		Anonymous: key == "", Shares: []toucantraffic.Share{{Service: "s", Weight: 1}},
+	}
+	service := toucantraffic.Service{Name: "s"}
+	if kind == "stream" {
+		service.Engine = &toucantraffic.Engine{Slots: 4, MemoryTokens: 100000, Moves: true, Backups: d.HasArg("backups"), TokensPerEvent: 1}
+	}
+	var keys []toucantraffic.Key
+	if key != "" {
+		keys = append(keys, toucantraffic.Key{Secret: key, Workspace: toucantraffic.Workspace{Name: "w"}})
+	}
+	sc.traffic.Offer(toucantraffic.New(uint64(version), []toucantraffic.Route{route},
+		[]toucantraffic.Service{service}, keys, toucantraffic.Limits{BodyBytes: 1 << 20}))
+}
+
+func (sc *scene) listen(d *datadriven.TestData) {
+	sc.start()
+	for _, name := range strings.Fields(d.Input) {
+		e := &endpoint{name: name, t: sc.t}
+		e.server = httptest.NewServer(http.HandlerFunc(e.serve))
+		sc.t.Cleanup(e.kill)
+		sc.endpoints = append(sc.endpoints, e)
+	}
+	sc.list("")
+}
+
+// list tells the book of all endpoints, one of which may leave.
+func (sc *scene) list(leaving string) {
+	var list []toucanplace.Endpoint
+	for _, e := range sc.endpoints {
+		entry := toucanplace.Endpoint{ID: e.name, Address: e.address(), FailureDomain: "d1", Service: "s", Slots: 4, Leaving: e.name == leaving}
+		if table := sc.traffic.Table(); table != nil {
+			if s, _ := table.Service("s"); s.Engine != nil {
+				entry.MemoryTokens = s.Engine.MemoryTokens
+			}
+		}
+		list = append(list, entry)
+	}
+	sc.book.SetEndpoints(list)
+}
+
+func (sc *scene) endpoint(name string) *endpoint {
+	for _, e := range sc.endpoints {
+		if e.name == name {
+			return e
+		}
+	}
+	sc.t.Fatalf("no endpoint %q", name)
+	return nil
+}
+
+// request makes one request and tells what came back and who was asked.
+func (sc *scene) request(d *datadriven.TestData) string {
+	method, path, key, tokens := http.MethodPost, "/p/x", "", "0"
+	d.MaybeScanArgs(sc.t, "path", &path)
+	d.MaybeScanArgs(sc.t, "key", &key)
+	d.MaybeScanArgs(sc.t, "tokens", &tokens)
+	sc.serial++
+	r, err := http.NewRequest(method, sc.front.URL+path, strings.NewReader(d.Input))
+	assert.NilError(sc.t, err)
+	r.Host = "host"
+	r.Header.Set(headerID, fmt.Sprint("request", sc.serial))
+	r.Header.Set("X-Key", key)
+	r.Header.Set(headerTokens, tokens)
+	for _, e := range sc.endpoints {
+		e.reset()
+	}
+	sc.mover.reset()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: longWait}
+	resp, err := client.Do(r)
+	if err != nil {
+		return "no answer\n" + sc.asked()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	end := ""
+	if err != nil {
+		end = " (cut)"
+	}
+	later := ""
+	if resp.Header.Get("Retry-After") != "" {
+		later = " later"
+	}
+	text := strings.ReplaceAll(strings.TrimSpace(string(body)), "\n\n", " ")
+	text = strings.ReplaceAll(text, "\n", "|")
+	return fmt.Sprintf("%d%s %s%s\n%s", resp.StatusCode, later, text, end, sc.asked())
+}
+
+func (sc *scene) asked() string {
+	var parts []string
+	for _, e := range sc.endpoints {
+		parts = append(parts, fmt.Sprintf("%s: %s", e.name, strings.Join(e.arrivals(), ", ")))
+	}
+	return strings.Join(append(parts, sc.mover.orders()...), "\n") + "\n"
+}
+
+// openBoard is a board without peers.
+type openBoard struct{}
+
+func (*openBoard) Announce(uint64, []toucanmove.Run)            {}
+func (*openBoard) Ahead(time.Time, uint64, toucanmove.Run) bool { return false }
+func (*openBoard) BeginCopy(uint64) func()                      { return func() {} }
+func (*openBoard) Copying(time.Time, uint64) bool               { return false }
+func (*openBoard) Blind(time.Time) bool                         { return true }
+func (*openBoard) Changed() <-chan struct{}                     { return make(chan struct{}) }
+
+// scriptedMover answers orders to copy as the script says: ok, noRun, noRoom, noRoomStopped or lost. The last word of
+// the script holds for all that follow; without a script every copy succeeds.
+type scriptedMover struct {
+	scene    *scene
+	mu       sync.Mutex
+	outcomes []string
+	// shown bounds the orders that a script shows, since moves that fail are tried again; zero shows all.
+	shown int
+	seen  []string
+}
+
+func (m *scriptedMover) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seen, m.shown = nil, 0
+}
+
+// await waits until n orders were given; later ones are not shown.
+func (m *scriptedMover) await(t *testing.T, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(longWait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		m.mu.Lock()
+		enough := len(m.seen) >= n
+		m.shown = n
+		m.mu.Unlock()
+		if enough {
+			return
+		}
+	}
+	t.Fatalf("%d orders were not given", n)
+}
+
+func (m *scriptedMover) orders() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.shown > 0 {
+		return append([]string(nil), m.seen[:m.shown]...)
+	}
+	return append([]string(nil), m.seen...)
+}
+
+func (m *scriptedMover) Copy(_ context.Context, source, _, target string, last bool) (string, error) {
+	from, to := m.name(source), m.name(target)
+	m.mu.Lock()
+	outcome := "ok"
+	if len(m.outcomes) > 0 {
+		outcome = m.outcomes[0]
+	}
+	if len(m.outcomes) > 1 {
+		m.outcomes = m.outcomes[1:]
+	}
+	m.seen = append(m.seen, fmt.Sprintf("copy %s to %s last=%t: %s", from.name, to.name, last, outcome))
+	m.mu.Unlock()
+	switch outcome {
+	case "noRun":
+		return "", ErrNoRun
+	case "noRoom":
+		return "", ErrNoRoom
+	case "noRoomStopped":
+		from.stop()
+		return "handle", ErrNoRoom
+	case "lost":
+		from.stop()
+		return "", io.ErrUnexpectedEOF
+	}
+	if last {
+		from.stop()
+	}
+	return "handle", nil
+}
+
+func (m *scriptedMover) Drop(context.Context, string, string) error { return nil }
+
+func (m *scriptedMover) name(address string) *endpoint {
+	for _, e := range m.scene.endpoints {
+		if e.address() == address {
+			return e
+		}
+	}
+	return &endpoint{name: "nobody"}
+}
+
+// endpoint is a stand-in whose answers are scripted, one line a step:
+//
+//	status N BODY    a whole answer
+//	notRun           a refusal that says that nothing ran
+//	foreign BODY     an answer to another request, on the same connection before the next line's
+//	garbage          bytes that are no answer
+//	cutBody          an answer that ends early
+//	reset            the connection closes without an answer
+//	events A B hold  events A to B, then wait until released or stopped
+//	events A B cut   events A to B, then the connection breaks
+//	events A B end   events A to B and the stream's end
+//	unframed BODY    an answer that ends with its connection
+type endpoint struct {
+	t      *testing.T
+	name   string
+	server *httptest.Server
+
+	mu    sync.Mutex
+	steps []string
+	seen  []string
+	began chan struct{}
+	held  chan bool
+}
+
+func (e *endpoint) address() string {
+	if e.server == nil {
+		return ""
+	}
+	return e.server.Listener.Addr().String()
+}
+
+func (e *endpoint) script(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.steps = strings.Split(strings.TrimSpace(text), "\n")
+}
+
+func (e *endpoint) reset() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = nil
+}
+
+func (e *endpoint) arrivals() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.seen...)
+}
+
+func (e *endpoint) expectHold() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.began, e.held = make(chan struct{}), make(chan bool, 1)
+	return e.began
+}
+
+func (e *endpoint) stop()    { e.letGo(false) }
+func (e *endpoint) release() { e.letGo(true) }
+
+// letGo ends a held stream, as a whole or not.
+func (e *endpoint) letGo(whole bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held == nil {
+		return
+	}
+	select {
+	case e.held <- whole:
+	default:
+	}
+}
+
+// kill closes the endpoint and its connections.
+func (e *endpoint) kill() {
+	e.stop()
+	_ = e.server.Listener.Close()
+	e.server.CloseClientConnections()
+}
+
+func (e *endpoint) record(r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	what := "run"
+	if r.Header.Get(headerResume) != "" {
+		what = fmt.Sprintf("resume %s after %s", r.Header.Get(headerResume), r.Header.Get(headerLast))
+		if r.Header.Get(headerResume) == r.Header.Get(headerID) {
+			what = "resume backup after " + r.Header.Get(headerLast)
+		}
+	}
+	if r.Header.Get("X-Key") != "" || r.Header.Get(headerLeft) != "true" {
+		what += " with wrong headers"
+	}
+	e.seen = append(e.seen, what)
+}
+
+func (e *endpoint) next() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.steps) == 0 {
+		return "status 200 default"
+	}
+	step := e.steps[0]
+	e.steps = e.steps[1:]
+	return step
+}
+
+func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // The body does not matter here.
+	conn, rw, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	e.record(r)
+	for e.answer(rw, r) {
+	}
+	_ = rw.Flush() // The connection may be gone.
+}
+
+// answer plays one step and reports whether another one follows for the same request.
+func (e *endpoint) answer(rw *bufio.ReadWriter, r *http.Request) bool {
+	step := strings.Fields(e.next())
+	id := r.Header.Get(headerID)
+	switch step[0] {
+	case "status":
+		body := strings.Join(step[2:], " ")
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 %s Any\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", step[1], headerID, id, headerGenuine, len(body), body)
+	case "foreign":
+		body := strings.Join(step[1:], " ")
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", headerID, headerGenuine, len(body), body)
+		return true
+	case "notRun":
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 503 Busy\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerNotRun)
+	case "garbage":
+		_, _ = rw.WriteString("no answer at all\r\n\r\n")
+	case "cutBody":
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: 100\r\n\r\nhalf", headerID, id, headerGenuine)
+	case "unframed":
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nConnection: close\r\n\r\n%s", headerID, id, headerGenuine, step[1])
+	case "events":
+		e.stream(rw, id, step)
+	}
+	return false
+}
+
+func (e *endpoint) stream(rw *bufio.ReadWriter, id string, step []string) {
+	from, _ := strconv.Atoi(step[1])
+	to, _ := strconv.Atoi(step[2])
+	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerGenuine)
+	for i := from; i <= to; i++ {
+		event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
+		_, _ = fmt.Fprintf(rw, "%x\r\n%s\r\n", len(event), event)
+	}
+	_ = rw.Flush()
+	switch step[3] {
+	case "end":
+		_, _ = rw.WriteString("0\r\n\r\n")
+	case "hold":
+		e.mu.Lock()
+		close(e.began)
+		held := e.held
+		e.mu.Unlock()
+		if <-held {
+			_, _ = rw.WriteString("0\r\n\r\n")
+		}
+	}
+}
+
+// TestEventsNeverRepeat feeds whole and overlapping parts of a stream in pieces of every size.
+func TestEventsNeverRepeat(t *testing.T) {
+	var stream strings.Builder
+	for i := 1; i <= 9; i++ {
+		fmt.Fprintf(&stream, "id: %d\ndata: x\n\n", i)
+	}
+	text := stream.String()
+	for size := 1; size < len(text); size++ {
+		var e events
+		var got strings.Builder
+		feed := func(part string) {
+			for len(part) > 0 {
+				n := min(size, len(part))
+				whole, gap := e.take([]byte(part[:n]))
+				assert.Assert(t, !gap)
+				got.Write(whole)
+				part = part[n:]
+			}
+		}
+		cut := size % len(text)
+		feed(text[:cut])
+		e.restart()
+		feed(text)
+		assert.Equal(t, got.String(), text)
+	}
+}
+
+// TestGapIsTold checks that an event that does not follow the last one ends the stream.
+func TestGapIsTold(t *testing.T) {
+	var e events
+	_, gap := e.take([]byte("id: 1\ndata: a\n\nid: 3\ndata: c\n\n"))
+	assert.Assert(t, gap)
+	assert.Equal(t, e.last, "1")
+}
+
+// TestConnectionHeadersStay checks that headers that concern one connection are not passed on.
+func TestConnectionHeadersStay(t *testing.T) {
+	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "X-End": {"2"}}
+	out := passable(h)
+	names := make([]string, 0, len(out))
+	for name := range out {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	assert.DeepEqual(t, names, []string{"X-End"})
+}
