--- /dev/null
+++ b/toucandecision/ring_test.go
@@ -0,0 +1,82 @@
+package toucandecision
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stalled is a writer that blocks until it is opened.
+type stalled struct {
+	open chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.open
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+// TestNeverBlocks writes far more lines than fit while the writer stalls, and finds the loss told afterwards.
+func TestNeverBlocks(t *testing.T) {
+	w := &stalled{open: make(chan struct{})}
+	r := NewRing(w)
+	const lines = 5 * ringLines
+	for range lines {
+		n, err := r.Write([]byte("{}\n"))
+		assert.NilError(t, err)
+		assert.Equal(t, n, 3)
+	}
+	assert.Assert(t, r.Dropped() >= lines-ringLines-1)
+	close(w.open)
+	assert.NilError(t, r.Close())
+	assert.Assert(t, strings.Contains(w.buf.String(), `"msg":"log lines dropped"`))
+}
+
+// TestBoundsLinesPerSecond writes at several times the bound for three seconds.
+func TestBoundsLinesPerSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var w bytes.Buffer
+		r := NewRing(&w)
+		for range 3 {
+			for range 4 * linesPerSecond {
+				_, _ = r.Write([]byte("line\n")) // Never fails.
+				time.Sleep(time.Second / (4 * linesPerSecond))
+			}
+		}
+		assert.NilError(t, r.Close())
+		got := strings.Count(w.String(), "line\n")
+		assert.Assert(t, got >= 2*linesPerSecond && got <= 4*linesPerSecond, "%d lines", got)
+	})
+}
+
+func BenchmarkWriteStalled(b *testing.B) {
+	w := &stalled{open: make(chan struct{})}
+	r := NewRing(w)
+	line := []byte(strings.Repeat("x", 300))
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = r.Write(line) // Never fails.
+	}
+	close(w.open)
+	_ = r.Close()
+}
+
+func BenchmarkWrite(b *testing.B) {
+	r := NewRing(io.Discard)
+	line := []byte(strings.Repeat("x", 300))
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = r.Write(line) // Never fails.
+	}
+	_ = r.Close()
+}
--- /dev/null
+++ b/toucanpeer/board_test.go
@@ -0,0 +1,169 @@
+package toucanpeer
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanmove"
+	"toucanport/toucanplace"
+	"toucanport/toucanstore"
+)
+
+var (
+	endpoint = toucanplace.Endpoint{ID: "e", Service: "s", Slots: 4, MemoryTokens: 1000}
+	start    = time.Unix(1000, 0)
+)
+
+func newBoard() (*Board, *toucanplace.Book) {
+	book := toucanplace.NewBook("d1")
+	book.SetEndpoints([]toucanplace.Endpoint{endpoint})
+	return NewBoard(book), book
+}
+
+func report(boot, serial uint64) *Report { return &Report{Sender: "p", Boot: boot, Serial: serial} }
+
+// TestOvertakenReports checks that a report changes nothing if a later one, or one of a later process, came before.
+func TestOvertakenReports(t *testing.T) {
+	b, _ := newBoard()
+	assert.Assert(t, b.Take(start, report(5, 2)))
+	assert.Assert(t, !b.Take(start, report(5, 2)))
+	assert.Assert(t, !b.Take(start, report(5, 1)))
+	assert.Assert(t, !b.Take(start, report(4, 9)))
+	assert.Assert(t, b.Take(start, report(6, 1)))
+}
+
+// TestToldLeaving checks that a peer's word that an endpoint leaves holds until it is taken back or the peer is silent.
+func TestToldLeaving(t *testing.T) {
+	b, book := newBoard()
+	r := report(1, 1)
+	r.Leaving = []uint64{endpoint.Key()}
+	b.Take(start, r)
+	assert.Assert(t, !book.Staying("e"))
+	b.Take(start, report(1, 2))
+	assert.Assert(t, book.Staying("e"))
+	r = report(1, 3)
+	r.Leaving = []uint64{endpoint.Key()}
+	b.Take(start, r)
+	b.Expire(start.Add(silence))
+	assert.Assert(t, !book.Staying("e"))
+	b.Expire(start.Add(silence + time.Millisecond))
+	assert.Assert(t, book.Staying("e"))
+}
+
+// TestAhead checks whose run is moved first.
+func TestAhead(t *testing.T) {
+	b, _ := newBoard()
+	r := report(1, 1)
+	r.Runs = []*Run{{Id: 7, Endpoint: endpoint.Key(), Tokens: 100, LeftMillis: 60000}}
+	b.Take(start, r)
+	smaller := toucanmove.Run{ID: 1, Tokens: 50, Left: time.Minute}
+	larger := toucanmove.Run{ID: 1, Tokens: 200, Left: time.Minute}
+	assert.Assert(t, !b.Ahead(start, endpoint.Key(), smaller))
+	assert.Assert(t, b.Ahead(start, endpoint.Key(), larger))
+	assert.Assert(t, !b.Ahead(start, endpoint.Key()+1, larger))
+	assert.Assert(t, !b.Ahead(start.Add(silence+1), endpoint.Key(), larger))
+}
+
+// TestCopying checks that copies of this entry and of peers are known.
+func TestCopying(t *testing.T) {
+	b, _ := newBoard()
+	end := b.BeginCopy(1)
+	assert.Assert(t, b.Copying(start, 1))
+	end()
+	assert.Assert(t, !b.Copying(start, 1))
+	r := report(1, 1)
+	r.CopyingTo = []uint64{1}
+	b.Take(start, r)
+	assert.Assert(t, b.Copying(start, 1))
+}
+
+// TestBlind checks that an entry is blind only when neither it nor a peer it hears sees the store.
+func TestBlind(t *testing.T) {
+	b, _ := newBoard()
+	assert.Assert(t, !b.Blind(start))
+	b.SetStoreAway(true)
+	assert.Assert(t, b.Blind(start))
+	b.Take(start, report(1, 1))
+	assert.Assert(t, !b.Blind(start))
+	r := report(1, 2)
+	r.StoreAway = true
+	b.Take(start, r)
+	assert.Assert(t, b.Blind(start))
+}
+
+// TestBehind checks that newer settings of a peer are told once.
+func TestBehind(t *testing.T) {
+	b, _ := newBoard()
+	told := 0
+	b.OnBehind(func() { told++ })
+	b.SetSettings(5)
+	for serial, version := range []uint64{4, 5, 6, 6} {
+		r := report(1, uint64(serial+1))
+		r.SettingsVersion = version
+		b.Take(start, r)
+	}
+	assert.Equal(t, told, 1)
+}
+
+// TestMesh joins two entries over loopback and waits until each knows what the other placed.
+func TestMesh(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	a, aBook := newBoard()
+	b, bBook := newBoard()
+	am, err := Listen("a", "127.0.0.1:0", a, log)
+	assert.NilError(t, err)
+	bm, err := Listen("b", "127.0.0.1:0", b, log)
+	assert.NilError(t, err)
+	peers := map[string]netip.AddrPort{"a": am.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort(), "b": bm.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()}
+	am.SetPeers(peers)
+	bm.SetPeers(peers)
+	assert.Equal(t, am.Peers(), 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{}, 2)
+	for _, m := range []*Mesh{am, bm} {
+		go func() {
+			m.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	_, err = aBook.Place(time.Now(), "s", toucanplace.Demand{Prompt: 900}, nil)
+	assert.NilError(t, err)
+	eventually(t, func() bool {
+		_, err := bBook.Place(time.Now(), "s", toucanplace.Demand{Prompt: 200}, nil)
+		return err != nil
+	})
+	// A peer that is no longer listed is still heard: the store may have turned it away.
+	am.SetPeers(nil)
+	assert.Equal(t, am.Peers(), 1)
+	cancel()
+	<-done
+	<-done
+}
+
+// eventually waits until f holds, far longer than it takes.
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	for range 10000 {
+		if f() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("waited in vain")
+}
+
+// TestReadPeers checks that only readable addresses of entries are taken.
+func TestReadPeers(t *testing.T) {
+	values := map[string]toucanstore.Value{
+		keyPrefix + "a": {Body: []byte("10.0.0.1:7000")},
+		keyPrefix + "b": {Body: []byte("nonsense")},
+		"other/c":       {Body: []byte("10.0.0.1:7000")},
+	}
+	assert.Equal(t, len(ReadPeers(values)), 1)
+	assert.Equal(t, ReadPeers(values)["a"], netip.MustParseAddrPort("10.0.0.1:7000"))
+}
--- /dev/null
+++ b/toucanplace/script_test.go
@@ -0,0 +1,213 @@
+package toucanplace
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestScripts plays placements and shows where each went.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		sc := &script{t: t, now: time.Unix(1000, 0), book: NewBook("d1"), claims: make(map[string]*Claim)}
+		datadriven.RunTest(t, path, sc.run)
+	})
+}
+
+type script struct {
+	t      *testing.T
+	now    time.Time
+	book   *Book
+	list   []Endpoint
+	claims map[string]*Claim
+}
+
+func (sc *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "list":
+		return sc.endpoints(d)
+	case "place":
+		return sc.place(d)
+	case "done":
+		sc.claims[d.CmdArgs[0].Key].Done(sc.now, map[string]Outcome{
+			"good": OutcomeGood, "failed": OutcomeFailed, "unreachable": OutcomeUnreachable, "neutral": OutcomeNeutral,
+		}[d.CmdArgs[1].Key])
+	case "began":
+		sc.claims[d.CmdArgs[0].Key].Began()
+	case "advance":
+		by, err := time.ParseDuration(d.CmdArgs[0].Key)
+		assert.NilError(t, err)
+		sc.now = sc.now.Add(by)
+	case "peer":
+		sc.peer(d)
+	case "told":
+		keys := make(map[uint64]bool)
+		for _, a := range d.CmdArgs {
+			keys[sc.named(a.Key).Key()] = true
+		}
+		sc.book.SetToldLeaving(keys)
+	case "uses":
+		return sc.uses()
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+// endpoints reads lines of: id domain slots memory [leaving].
+func (sc *script) endpoints(d *datadriven.TestData) string {
+	sc.list = nil
+	for _, line := range strings.Split(d.Input, "\n") {
+		e := Endpoint{Service: "s"}
+		rest := ""
+		_, _ = fmt.Sscanf(line, "%s %s %d %d %s", &e.ID, &e.FailureDomain, &e.Slots, &e.MemoryTokens, &rest) // The last word may be missing.
+		e.Leaving = rest == "leaving"
+		sc.list = append(sc.list, e)
+	}
+	departed := sc.book.Departed()
+	sc.book.SetEndpoints(sc.list)
+	select {
+	case <-departed:
+		return "an endpoint departs\n"
+	default:
+		return ""
+	}
+}
+
+func (sc *script) named(id string) Endpoint {
+	for _, e := range sc.list {
+		if e.ID == id {
+			return e
+		}
+	}
+	sc.t.Fatalf("no endpoint %q", id)
+	return Endpoint{}
+}
+
+// place makes placements in a row: place n=2 prompt=10 output=5 [copyFrom=a] [backupOf=a].
+func (sc *script) place(d *datadriven.TestData) string {
+	n, demand, from, of := 1, Demand{}, "", ""
+	d.MaybeScanArgs(sc.t, "n", &n)
+	d.MaybeScanArgs(sc.t, "prompt", &demand.Prompt)
+	d.MaybeScanArgs(sc.t, "output", &demand.Output)
+	d.MaybeScanArgs(sc.t, "copyFrom", &from)
+	d.MaybeScanArgs(sc.t, "backupOf", &of)
+	var got []string
+	for range n {
+		c, err := sc.placeOne(demand, from, of)
+		if err != nil {
+			got = append(got, name(err))
+			continue
+		}
+		id := fmt.Sprint("c", len(sc.claims)+1)
+		sc.claims[id] = c
+		got = append(got, id+" at "+c.Endpoint.ID)
+	}
+	return strings.Join(got, ", ") + "\n"
+}
+
+func (sc *script) placeOne(d Demand, from, of string) (*Claim, error) {
+	switch {
+	case from != "":
+		return sc.book.PlaceCopy(sc.now, sc.named(from), d, func(e Endpoint) bool { return e.ID != from })
+	case of != "":
+		return sc.book.Backup(sc.now, sc.named(of), d)
+	}
+	return sc.book.Place(sc.now, "s", d, nil)
+}
+
+func name(err error) string {
+	for _, sentinel := range []error{ErrNoEndpoint, ErrFull, ErrTooLarge} {
+		if errors.Is(err, sentinel) {
+			return sentinel.Error()
+		}
+	}
+	return "unexpected: " + err.Error()
+}
+
+// peer reads lines of: id requests tokens unread.
+func (sc *script) peer(d *datadriven.TestData) {
+	uses := make(map[uint64]Use)
+	for _, line := range strings.Split(d.Input, "\n") {
+		var id string
+		var u Use
+		_, err := fmt.Sscanf(line, "%s %d %d %d", &id, &u.Requests, &u.Tokens, &u.Unread)
+		assert.NilError(sc.t, err)
+		uses[sc.named(id).Key()] = u
+	}
+	sc.book.Observe(sc.now, d.CmdArgs[0].Key, uses)
+}
+
+func (sc *script) uses() string {
+	var lines []string
+	for key, u := range sc.book.Uses() {
+		for _, e := range sc.list {
+			if e.Key() == key {
+				lines = append(lines, fmt.Sprintf("%s: %d requests, %d tokens, %d unread", e.ID, u.Requests, u.Tokens, u.Unread))
+			}
+		}
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// TestAccountsEndAtZero places and ends requests in any order, on lists that change, and checks that nothing is ever
+// placed on a leaving endpoint or beyond its memory, and that the accounts are empty at the end.
+func TestAccountsEndAtZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		b := NewBook("d1")
+		var claims []*Claim
+		var list []Endpoint
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "millis")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				list = drawList(t)
+				b.SetEndpoints(list)
+			case 1:
+				if len(claims) > 0 {
+					i := rapid.IntRange(0, len(claims)-1).Draw(t, "claim")
+					claims[i].Done(now, Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")))
+					claims = append(claims[:i], claims[i+1:]...)
+				}
+			case 2:
+				if len(claims) > 0 {
+					claims[rapid.IntRange(0, len(claims)-1).Draw(t, "claim")].Began()
+				}
+			default:
+				d := Demand{Prompt: rapid.IntRange(0, 600).Draw(t, "prompt"), Output: rapid.IntRange(0, 600).Draw(t, "output")}
+				c, err := b.Place(now, "s", d, nil)
+				if err == nil {
+					assert.Assert(t, !c.Endpoint.Leaving)
+					assert.Assert(t, b.Uses()[c.Endpoint.Key()].Tokens <= c.Endpoint.MemoryTokens)
+					claims = append(claims, c)
+				}
+			}
+		}
+		b.SetEndpoints(list)
+		for _, c := range claims {
+			c.Done(now, OutcomeGood)
+			c.Done(now, OutcomeGood)
+		}
+		assert.Equal(t, len(b.Uses()), 0)
+	})
+}
+
+func drawList(t *rapid.T) []Endpoint {
+	var list []Endpoint
+	for i := range rapid.IntRange(0, 4).Draw(t, "endpoints") {
+		list = append(list, Endpoint{
+			ID: fmt.Sprint("e", i), Service: "s", Slots: rapid.IntRange(1, 6).Draw(t, "slots"), MemoryTokens: 1000,
+			FailureDomain: "d1", Leaving: rapid.Bool().Draw(t, "leaving"),
+		})
+	}
+	return list
+}
