--- a/toucancmd/platform/platform.go
+++ b/toucancmd/platform/platform.go
@@ -9,7 +9,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
-	"toucanport/platform"
+	toucanplatform "toucanport/platform"
 	"toucanport/toucancmd/factory"
 	"toucanport/toucandecision"
 	"toucanport/toucanio"
--- a/toucanupstream/exchange.go
+++ b/toucanupstream/exchange.go
@@ -83,7 +83,7 @@
 		go func() { written <- c.write(m) }()
 	}
 	req := &http.Request{Method: m.Method}
-	resp, err := c.readAnswer(req, m.Belongs)
+	resp, err := c.readAnswer(req, m.Belongs) //nolint:bodyclose // closed with the Exchange
 	if err != nil {
 		return nil, err
 	}
