Resume a generation elsewhere only when the first resume surely did not run

Ruled out: the move itself (the source had stopped). Change: another resume follows only a refusal that proves that nothing ran. Test: testdata/scripts/backups, which showed the second resume before the change.

--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -130,7 +130,7 @@
 	}
 	if err == nil {
 		x, claim, err := s.resumeAt(ctx, j, r, h, seen)
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || !errors.Is(err, errNotRun) {
 			return x, claim, err
 		}
 	}
@@ -144,19 +144,24 @@
 	return s.resumeAt(ctx, j, r, h, seen)
 }
 
-// resumeAt opens the rest of a stream at one place.
+// resumeAt opens the rest of a stream at one place. The error is errNotRun on proof that the endpoint did nothing, so that
+// the run may go on elsewhere.
 func (s *Server) resumeAt(ctx context.Context, j *job, r *run, h handover, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
 	seen.restart()
 	x, err := s.send(ctx, j, h.claim, &Resume{Source: h.source, Handle: h.handle, LastEvent: seen.last})
 	if err != nil {
-		h.claim.Done(time.Now(), newFailure(h.claim, err).outcome(ctx))
+		f := newFailure(h.claim, err)
+		h.claim.Done(time.Now(), f.outcome(ctx))
+		if f.notRun {
+			err = errors.Wrap(errNotRun, err.Error())
+		}
 		return nil, nil, err
 	}
 	told := s.codec.Answer(x.Status, x.Header, j.ID)
 	if x.Status != http.StatusOK || !told.Genuine || !told.Named || !isEventStream(x.Header) {
 		x.Close()
 		h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
-		return nil, nil, errors.Errorf("endpoint %s does not go on: status %d, notRun %t", h.claim.Endpoint.ID, x.Status, told.NotRun)
+		return nil, nil, notResumed(h, x.Status, told)
 	}
 	r.moveTo(h.claim)
 	s.metrics.resumed.Inc(1)
@@ -164,3 +169,12 @@
 		"backup", h.backup, "pauseMs", time.Since(h.stoppedAt).Milliseconds())
 	return x, h.claim, nil
 }
+
+// notResumed is the error of an endpoint that does not go on with a run.
+func notResumed(h handover, status int, told Answer) error {
+	err := errors.Errorf("endpoint %s does not go on: status %d", h.claim.Endpoint.ID, status)
+	if told.NotRun {
+		err = errors.Wrap(errNotRun, err.Error())
+	}
+	return err
+}
