--- a/toucanforward/backup.go
+++ b/toucanforward/backup.go
@@ -28,7 +28,7 @@
 	j.backup = nil
 	source := r.endpoint()
 	h := handover{
-		claim:     s.book.Reclaim(backup.Endpoint, j.demand),
+		claim:     s.book.Reclaim(backup.Endpoint, r.demand()),
 		source:    backup.Endpoint.Address,
 		handle:    j.ID,
 		stoppedAt: cutAt,
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -23,6 +23,8 @@
 	stream *toucanupstream.Exchange
 	// claim is held while rest or stream is being read.
 	claim *toucanplace.Claim
+	// run is set for a stream that has come to its end.
+	run *run
 }
 
 // deliver passes an answer on to the caller.
@@ -65,13 +67,20 @@
 func (s *Server) answeredLine(j *job, a *answer, err error) {
 	took := time.Since(j.arrived)
 	s.metrics.answered(j.route.Kind, a.status, took)
-	if err == nil && a.status < http.StatusInternalServerError && s.answered.Add(1)%successSample != 1 {
+	late := a.run != nil && a.run.late()
+	if late {
+		s.metrics.streamsLate.Inc(1)
+	}
+	if err == nil && !late && a.status < http.StatusInternalServerError && s.answered.Add(1)%successSample != 1 {
 		return
 	}
 	args := []any{
 		"requestId", j.ID, "route", j.route.Name, "workspace", j.workspace, "endpoint", a.claim.Endpoint.ID,
 		"status", a.status, "attempts", j.plan.Attempts(), "tookMs", took.Milliseconds(), "settingsVersion", j.version,
 	}
+	if a.run != nil {
+		args = append(append(args, "late", late), a.run.logArgs()...)
+	}
 	if err != nil {
 		args = append(args, "cause", err.Error())
 	}
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -27,12 +27,14 @@
 	scope      tally.Scope
 	retries    tally.Counter
 	streamsCut tally.Counter
-	resumed    tally.Counter
-	moves      tally.Counter
-	unbacked   tally.Counter
-	revived    tally.Counter
-	moveFails  tally.Counter
-	firstEvent tally.Histogram
+	// streamsLate counts streams that came to their end and were late on the way.
+	streamsLate tally.Counter
+	resumed     tally.Counter
+	moves       tally.Counter
+	unbacked    tally.Counter
+	revived     tally.Counter
+	moveFails   tally.Counter
+	firstEvent  tally.Histogram
 
 	mu       sync.Mutex
 	refusals map[reason]tally.Counter
@@ -51,18 +53,19 @@
 		scope = tally.NoopScope
 	}
 	return &metrics{
-		scope:      scope,
-		retries:    scope.Counter("request_retries"),
-		streamsCut: scope.Counter("streams_cut"),
-		resumed:    scope.Counter("streams_resumed"),
-		unbacked:   scope.Counter("streams_without_backup"),
-		revived:    scope.Counter("streams_resumed_from_backup"),
-		moves:      scope.Counter("generations_moved"),
-		moveFails:  scope.Counter("generation_moves_failed"),
-		firstEvent: scope.Histogram("first_event", answerBuckets),
-		refusals:   make(map[reason]tally.Counter),
-		answers:    make(map[answerKey]tally.Counter),
-		took:       make(map[toucantraffic.Kind]tally.Histogram),
+		scope:       scope,
+		retries:     scope.Counter("request_retries"),
+		streamsLate: scope.Counter("streams_late"),
+		streamsCut:  scope.Counter("streams_cut"),
+		resumed:     scope.Counter("streams_resumed"),
+		unbacked:    scope.Counter("streams_without_backup"),
+		revived:     scope.Counter("streams_resumed_from_backup"),
+		moves:       scope.Counter("generations_moved"),
+		moveFails:   scope.Counter("generation_moves_failed"),
+		firstEvent:  scope.Histogram("first_event", answerBuckets),
+		refusals:    make(map[reason]tally.Counter),
+		answers:     make(map[answerKey]tally.Counter),
+		took:        make(map[toucantraffic.Kind]tally.Histogram),
 	}
 }
 
--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -199,7 +199,7 @@
 	now := time.Now()
 	untried := func(e toucanplace.Endpoint) bool { return !tried[e.ID] }
 	quiet := func(e toucanplace.Endpoint) bool { return untried(e) && !s.board.Copying(now, e.Key()) }
-	d := r.job.demand
+	d := r.demand()
 	c, err := s.book.PlaceCopy(now, source, d, quiet)
 	if err != nil {
 		c, err = s.book.PlaceCopy(now, source, d, untried)
@@ -238,7 +238,7 @@
 		r.unstop()
 		return false, err
 	case errors.Is(err, ErrNoRoom):
-		h.claim = s.book.Reclaim(source, r.job.demand)
+		h.claim = s.book.Reclaim(source, r.demand())
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
 	default:
 		h.err = err
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"toucanport/toucanplace"
 )
 
 // ErrMalformed says that a request lacks what every request must have.
@@ -30,15 +28,6 @@
 	LengthHint int
 }
 
-// demand forecasts what the request takes of an endpoint.
-func (r Request) demand() toucanplace.Demand {
-	output := r.MaxOutput
-	if r.LengthHint > 0 && (output == 0 || r.LengthHint < output) {
-		output = r.LengthHint
-	}
-	return toucanplace.Demand{Prompt: r.Prompt, Output: output}
-}
-
 // Resume says where a generation that has stopped goes on.
 type Resume struct {
 	// Source is the address of the endpoint where the memory comes from.
--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -39,10 +39,17 @@
 	events int
 	// firstEvent is when the first events were passed on.
 	firstEvent time.Time
+	// lastEvent is when events were last passed on, and longestGap the longest time between two times.
+	lastEvent  time.Time
+	longestGap time.Duration
+	// moves counts the endpoints that the run was taken on by after its first.
+	moves int
 	// notBefore is when a move that failed may be tried again.
 	notBefore time.Time
 	// moveFailure is the cause of the last failed move.
 	moveFailure string
+	// forecast is the expected length of the answer in tokens, and forecastAt the events at which it was made.
+	forecast, forecastAt int
 	// stopping is true from the moment the endpoint was told to stop the run.
 	stopping bool
 	// unstopped is closed when it turns out that the endpoint did not stop the run.
@@ -55,14 +62,52 @@
 func (r *run) progress(events int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	first := r.events == 0
 	if first {
-		r.firstEvent = time.Now()
+		r.firstEvent = now
+	} else {
+		r.longestGap = max(r.longestGap, now.Sub(r.lastEvent))
 	}
+	r.lastEvent = now
 	r.events = events
 	return first
 }
 
+// late reports whether the caller has waited longer for the first event, or between two, than the route asks for.
+func (r *run) late() bool {
+	route := r.job.route
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return route.Goal > 0 && r.firstEvent.Sub(r.job.arrived) > route.Goal || route.Gap > 0 && r.longestGap > route.Gap
+}
+
+// reforecast is the number of events between two forecasts of a run's length.
+const reforecast = 24
+
+// grow makes a new forecast from time to time and tells the book of it.
+func (r *run) grow(l *lengths) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.events-r.forecastAt < reforecast {
+		return
+	}
+	r.forecastAt = r.events
+	r.forecast = l.forecast(r.job.route.Name, r.job.Request, r.events*r.tokensPerEvent())
+	r.claim.Resize(r.job.Prompt + r.forecast)
+}
+
+// logArgs describe the course of the run.
+func (r *run) logArgs() []any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return []any{
+		"placedMs", r.job.placed.Sub(r.job.arrived).Milliseconds(),
+		"firstEventMs", r.firstEvent.Sub(r.job.arrived).Milliseconds(), "longestGapMs", r.longestGap.Milliseconds(),
+		"events", r.events, "moves", r.moves, "forecastTokens", r.job.demand.Output, "madeTokens", r.events * r.tokensPerEvent(), "promptTokens", r.job.Prompt,
+	}
+}
+
 // stopped reports whether the endpoint was told to stop the run.
 func (r *run) stopped() bool {
 	r.mu.Lock()
@@ -97,6 +142,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.claim = c
+	r.moves++
 	r.stopping = false
 }
 
@@ -108,19 +154,15 @@
 	return 1
 }
 
-const (
-	// tokenTime is the forecast time of one token of a run that has made none yet.
-	tokenTime = 9 * time.Millisecond
-	// overrunShare is the share of what a run has made that is forecast to come when it has passed its forecast.
-	overrunShare = 0.25
-)
+// tokenTime is the forecast time of one token of a run that has made none yet.
+const tokenTime = 9 * time.Millisecond
 
 // forMove describes the run to the plan of moves.
 func (r *run) forMove(now time.Time) toucanmove.Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	made := r.events * r.tokensPerEvent()
-	left := max(float64(r.job.demand.Output-made), overrunShare*float64(made))
+	left := float64(max(r.forecast-made, 0))
 	pace := tokenTime
 	if made > 0 {
 		pace = now.Sub(r.firstEvent) / time.Duration(made)
@@ -132,6 +174,20 @@
 	}
 }
 
+// demand is what the run takes of an endpoint by its last forecast.
+func (r *run) demand() toucanplace.Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return toucanplace.Demand{Prompt: r.job.Prompt, Output: r.forecast}
+}
+
+// made returns the tokens made so far.
+func (r *run) made() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events * r.tokensPerEvent()
+}
+
 // tokens is the memory that the run takes now.
 func (r *run) tokens() int { return r.forMove(time.Now()).Tokens }
 
@@ -142,7 +198,7 @@
 }
 
 func (t *runTable) begin(j *job, c *toucanplace.Claim) *run {
-	r := &run{job: j, claim: c, moved: make(chan handover, 1)}
+	r := &run{job: j, claim: c, forecast: j.demand.Output, moved: make(chan handover, 1)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[r] = struct{}{}
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -50,6 +50,7 @@
 	log     *slog.Logger
 	metrics *metrics
 	runs    runTable
+	lengths lengths
 	// answered counts successes, to sample their log lines.
 	answered atomic.Uint64
 	// closing is true when connections should be closed behind the next answer.
@@ -100,11 +101,13 @@
 	workspace string
 	version   uint64
 	arrived   time.Time
-	deadline  time.Time
-	demand    toucanplace.Demand
-	body      []byte
-	rest      io.Reader
-	plan      *toucanretry.Plan
+	// placed is when an endpoint was last claimed.
+	placed   time.Time
+	deadline time.Time
+	demand   toucanplace.Demand
+	body     []byte
+	rest     io.Reader
+	plan     *toucanretry.Plan
 	// backup holds the place of the run's copy; nil for none.
 	backup *toucanplace.Claim
 	// maybeRun counts the attempts that may have run.
@@ -164,7 +167,7 @@
 	if limit := table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
 		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
-	j.demand = req.demand()
+	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.lengths.forecast(route.Name, req, 0)}
 	j.deadline = deadline(j.arrived, req.Patience, route.Timeout)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
 		toucanretry.WithMaxAttempts(route.MaxAttempts+unsentAttempts))
@@ -276,6 +279,7 @@
 		freed := s.book.Freed()
 		claim, err := s.book.Place(time.Now(), j.service.Name, j.demand, untried)
 		if err == nil || errors.Is(err, toucanplace.ErrTooLarge) {
+			j.placed = time.Now()
 			return claim, err
 		}
 		if errors.Is(err, toucanplace.ErrNoEndpoint) && len(j.tried) > 0 {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -35,12 +35,12 @@
 		err := s.relayFrom(ctx, j, r, claim, x, &seen)
 		x.Close()
 		if err == nil {
-			s.finished(j, a, claim)
+			s.finished(j, a, claim, r)
 			return
 		}
 		next, nextClaim, resumeErr := s.resume(ctx, j, r, &seen)
 		if errors.Is(resumeErr, errNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 {
-			s.finished(j, a, claim)
+			s.finished(j, a, claim, r)
 			return
 		}
 		if resumeErr != nil {
@@ -54,9 +54,10 @@
 }
 
 // finished notes that a stream came to its own end.
-func (s *Server) finished(j *job, a *answer, claim *toucanplace.Claim) {
+func (s *Server) finished(j *job, a *answer, claim *toucanplace.Claim, r *run) {
 	claim.Done(time.Now(), toucanplace.OutcomeGood)
-	s.answeredLine(j, &answer{status: a.status, claim: claim}, nil)
+	s.lengths.observe(j.route.Name, j.Request, r.made())
+	s.answeredLine(j, &answer{status: a.status, claim: claim, run: r}, nil)
 }
 
 // cut ends a stream that can't go on, so that it does not look complete.
@@ -112,6 +113,7 @@
 		claim.Began()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	}
+	r.grow(&s.lengths)
 	if _, err := j.w.Write(whole); err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -18,7 +18,7 @@
 	// reportInterval is the time between two reports while nothing changes.
 	reportInterval = 250 * time.Millisecond
 	// reportGap is the shortest time between two reports, for each peer that they are sent to.
-	reportGap = 2 * time.Millisecond
+	reportGap = time.Millisecond
 )
 
 // Mesh sends this entry's reports to its peers and takes in theirs.
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -293,6 +293,18 @@
 	c.book.touch(c.use)
 }
 
+// Resize takes in a new forecast of the memory at the end of the answer.
+func (c *Claim) Resize(tokens int) {
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	if c.done || c.use.Tokens == tokens {
+		return
+	}
+	c.state.own.Tokens += tokens - c.use.Tokens
+	c.use.Tokens = tokens
+	c.book.touch(c.use)
+}
+
 // Outcome is how a request ended at its endpoint.
 type Outcome int
 
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -87,7 +87,7 @@
 	// plainOverflow is how many times its slots a service without model engines may be given; the rest waits there.
 	plainOverflow = 2
 	// unreadScale is how many unread prompt tokens weigh as much as a full memory.
-	unreadScale = 4000
+	unreadScale = 12000
 	// slotWeight is the cost of full slots against a full memory.
 	slotWeight = 0.5
 	// otherDomainCost is the cost of crossing failure domains.
