Fill engines by forecast a little beyond their memory, and place those in time first

Change: new requests may fill 1.1 of the memory by forecast, moved ones 1.6; of those that wait at an entry, requests that can still meet their goal go first.

--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -51,6 +51,7 @@
 	metrics *metrics
 	runs    runTable
 	lengths lengths
+	waiting waiting
 	// answered counts successes, to sample their log lines.
 	answered atomic.Uint64
 	// closing is true when connections should be closed behind the next answer.
@@ -274,10 +275,10 @@
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Claim, error) {
 	now := time.Now()
 	until := now.Add(time.Duration(float64(j.deadline.Sub(now)) * waitShare))
-	untried := func(e toucanplace.Endpoint) bool { return !j.tried[e.ID] }
+	defer s.waiting.leave(j)
 	for {
 		freed := s.book.Freed()
-		claim, err := s.book.Place(time.Now(), j.service.Name, j.demand, untried)
+		claim, err := s.tryPlace(j)
 		if err == nil || errors.Is(err, toucanplace.ErrTooLarge) {
 			j.placed = time.Now()
 			return claim, err
@@ -289,18 +290,24 @@
 		if left <= 0 {
 			return nil, err
 		}
-		timer := time.NewTimer(min(left, recheckInterval))
-		select {
-		case <-freed:
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		s.waiting.join(j)
+		await(ctx, freed, min(left, recheckInterval))
+		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		timer.Stop()
 	}
 }
 
+// tryPlace claims an endpoint if there is room and none of those who wait goes first.
+func (s *Server) tryPlace(j *job) (*toucanplace.Claim, error) {
+	now := time.Now()
+	if !s.waiting.mayTry(now, j) {
+		return nil, toucanplace.ErrFull
+	}
+	untried := func(e toucanplace.Endpoint) bool { return !j.tried[e.ID] }
+	return s.book.Place(now, j.service.Name, j.demand, untried)
+}
+
 // attempt sends the request to a claimed endpoint. It returns an answer to deliver or a failure, and has given the
 // claim back unless the answer holds it.
 func (s *Server) attempt(ctx context.Context, j *job, claim *toucanplace.Claim) (*answer, *failure) {
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -77,11 +77,12 @@
 }
 
 const (
-	// memoryShare is the share of an engine's memory that the forecast ends of its requests may fill.
-	memoryShare = 0.97
-	// copyShare is memoryShare for generations that lose their endpoint. Not all requests reach their ends at the same
-	// time, and one that is pushed aside for a while is better off than one that is lost.
-	copyShare = 1.15
+	// memoryShare is the share of an engine's memory that the forecast ends of its requests may fill. Not all requests
+	// reach their ends at the same time, and an engine that holds a request back for a moment does so by what it has.
+	memoryShare = 1.1
+	// copyShare is memoryShare for generations that lose their endpoint. One that is pushed aside for a while is better
+	// off than one that is lost.
+	copyShare = 1.6
 	// backupShare is the share of an engine's memory up to which copies of other engines' runs are taken in.
 	backupShare = 0.5
 	// plainOverflow is how many times its slots a service without model engines may be given; the rest waits there.
