Explain a request from the logs, and rest connections less after one was dropped

Change: toucanport explain ID [FILE]; refusals name their request also before settings are known, and say mayHaveRun when the time ran out; streams cut by a stop are told from callers that left; after a reset of a rested connection others rest at most half as long for 20 s.

--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -5,6 +5,7 @@
 	"toucanport/toucancmd/dev"
 	"toucanport/toucancmd/endpoint"
 	"toucanport/toucancmd/entry"
+	"toucanport/toucancmd/explain"
 	"toucanport/toucancmd/factory"
 	"toucanport/toucancmd/load"
 	"toucanport/toucancmd/platform"
@@ -26,6 +27,7 @@
 			dev.NewCmdDev(f, nil),
 			endpoint.NewCmdEndpoint(f),
 			entry.NewCmdEntry(f, nil),
+			explain.NewCmdExplain(f, nil),
 			load.NewCmdLoad(f, nil),
 			platform.NewCmdPlatform(f, nil),
 			service.NewCmdService(f),
--- /dev/null
+++ b/toucancmd/explain/explain.go
@@ -0,0 +1,85 @@
+// Package explain is the command that tells a request's story from logs.
+package explain
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/MakeNowJust/heredoc/v2"
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"toucanport/toucancmd/factory"
+	"toucanport/toucanexplain"
+	"toucanport/toucanio"
+)
+
+// Options are the command's inputs.
+type Options struct {
+	IO *toucanio.Streams
+	// ID is the request's id, and File a log; standard input is read when File is empty.
+	ID, File string
+	JSON     bool
+}
+
+// NewCmdExplain returns the command. Tests pass runF to see the options instead of running it.
+func NewCmdExplain(f *factory.Factory, runF func(*Options) error) *factory.Command {
+	opts := &Options{IO: f.IO}
+	return &factory.Command{
+		Name:  "explain",
+		Short: "tell what happened to one request, from the logs of the entries",
+		Bind: func(p *flaggy.Parser) {
+			p.AddPositionalValue(&opts.ID, "ID", 1, true, "the request's id, as its caller sent it")
+			p.AddPositionalValue(&opts.File, "FILE", 2, false, "a log; standard input by default")
+			p.Bool(&opts.JSON, "j", "json", "print the story as JSON")
+			p.AdditionalHelpAppend = heredoc.Doc(`
+				Examples:
+				  toucanport explain 9c41d07be2a35f68 entry.log
+				  cat entry-*.log | toucanport explain 9c41d07be2a35f68 --json
+			`)
+		},
+		Run: func() error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return explainRun(opts)
+		},
+	}
+}
+
+func explainRun(opts *Options) error {
+	log := opts.IO.In
+	if opts.File != "" {
+		file, err := os.Open(opts.File)
+		if err != nil {
+			return errors.Wrap(err, "name a log that can be read, or pipe one in")
+		}
+		defer func() { _ = file.Close() }()
+		log = file
+	}
+	r := toucanexplain.NewReader(opts.ID)
+	if err := r.Read(log); err != nil {
+		return err
+	}
+	return show(opts, r.Story())
+}
+
+func show(opts *Options, s toucanexplain.Story) error {
+	if opts.JSON {
+		encoded, err := json.MarshalIndent(s, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "explain")
+		}
+		opts.IO.Printf("%s\n", encoded)
+		return nil
+	}
+	for _, l := range s.Lines {
+		opts.IO.Printf("%8d ms  %s  %s", l.Time.Sub(s.Lines[0].Time).Milliseconds(), l.Instance, l.Message)
+		for _, detail := range l.Details {
+			opts.IO.Printf(" %s", detail)
+		}
+		opts.IO.Printf("\n")
+	}
+	opts.IO.Printf("%s\n", s.Ending)
+	return nil
+}
--- /dev/null
+++ b/toucanexplain/explain_test.go
@@ -0,0 +1,27 @@
+package toucanexplain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+)
+
+// TestStories tells stories from logs in data files.
+func TestStories(t *testing.T) {
+	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			r := NewReader(d.CmdArgs[0].Key)
+			assert.NilError(t, r.Read(strings.NewReader(d.Input)))
+			s := r.Story()
+			var b strings.Builder
+			for _, l := range s.Lines {
+				fmt.Fprintf(&b, "%s %s: %s %v\n", l.Time.Format("05.000"), l.Instance, l.Message, l.Details)
+			}
+			fmt.Fprintf(&b, "%s (broken %d, dropped %d)\n", s.Ending, s.Broken, s.Dropped)
+			return b.String()
+		})
+	})
+}
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -140,16 +140,16 @@
 // accept finds out what a request is and whether it may be made.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
 	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool)}
+	req, err := s.codec.Request(r.Header)
+	j.Request = req
 	table := s.traffic.Table()
 	if table == nil {
 		return j, refuseLater(reasonNoSettings, comeBackUnready)
 	}
 	j.version = table.Version
-	req, err := s.codec.Request(r.Header)
 	if err != nil {
 		return j, &refusal{status: http.StatusBadRequest, reason: reasonMalformed, err: err}
 	}
-	j.Request = req
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := table.Route(r.Host, path)
 	if !ok {
@@ -237,14 +237,11 @@
 // again reports whether another attempt may be made, and waits until it is due.
 func (s *Server) again(ctx context.Context, j *job, f *failure) bool {
 	j.tried[f.endpoint] = true
-	if ctx.Err() != nil || j.rest != nil {
-		return false
-	}
 	if !f.notRun {
 		j.maybeRun++
-		if j.maybeRun >= j.route.MaxAttempts {
-			return false
-		}
+	}
+	if ctx.Err() != nil || j.rest != nil || j.maybeRun >= j.route.MaxAttempts {
+		return false
 	}
 	delay, ok := j.plan.Next(time.Now(), toucanretry.Failure{
 		NotRun:     f.notRun,
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -63,7 +63,7 @@
 // cut ends a stream that can't go on, so that it does not look complete.
 func (s *Server) cut(ctx context.Context, j *job, claim *toucanplace.Claim, seen *events, cause, resumeErr error) {
 	msg := msgCut
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !s.closing.Load() {
 		msg = msgLeft
 	}
 	s.metrics.streamsCut.Inc(1)
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -34,7 +34,7 @@
 	// pace is the shortest time between two calls for changes, while this is the only process that makes them.
 	pace = 250 * time.Millisecond
 	// maxPace bounds that time however many others make calls, so that one that hears of nothing is not far behind.
-	maxPace = 1100 * time.Millisecond
+	maxPace = 1500 * time.Millisecond
 	// pacedAlone is how many processes may call at the pace of one.
 	pacedAlone = 5
 	// firstRetry and maxRetry bound the time between two calls while the store does not answer.
--- a/toucanupstream/exchange.go
+++ b/toucanupstream/exchange.go
@@ -8,6 +8,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,6 +69,9 @@
 	if err != nil {
 		detach()
 		c.close()
+		if c.used > 0 && ctx.Err() == nil && errors.Is(err, syscall.ECONNRESET) {
+			p.dropped(c.rested)
+		}
 		return nil, errors.Wrapf(ErrLost, "%s: %v", address, err)
 	}
 	x.detach = detach
--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -36,6 +36,12 @@
 	// idleMargin is taken off the timeout that an endpoint states, for requests on their way.
 	idleMargin = 500 * time.Millisecond
 	readBuffer = 4 << 10
+	// longestIdle is above every timeout that endpoints state.
+	longestIdle = time.Hour
+	// shyFor is how long connections are given up sooner after a peer dropped one that rested, and shortestIdle the
+	// shortest time that they may rest then.
+	shyFor       = 20 * time.Second
+	shortestIdle = 100 * time.Millisecond
 )
 
 // Pool keeps connections to endpoints. It is safe for concurrent use.
@@ -45,6 +51,9 @@
 	mu sync.Mutex
 	// peers has an entry for each address with an open connection.
 	peers map[string]*peer
+	// restLimit bounds how long a connection may have rested until shyUntil.
+	restLimit time.Duration
+	shyUntil  time.Time
 }
 
 // peer holds the connections to one address.
@@ -67,7 +76,9 @@
 	// idleTimeout is how long the peer keeps the connection without a request.
 	idleTimeout time.Duration
 	idleSince   time.Time
-	closeOnce   sync.Once
+	// rested is how long the connection had rested before the present request.
+	rested    time.Duration
+	closeOnce sync.Once
 }
 
 // NewPool returns an empty pool.
@@ -130,13 +141,37 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < c.idleTimeout && c.quiet() {
+		rested := time.Since(c.idleSince)
+		if rested < min(c.idleTimeout, p.restBound()) && c.quiet() {
+			c.rested = rested
 			return c
 		}
 		c.close()
 	}
 }
 
+// restBound returns how long a connection may have rested.
+func (p *Pool) restBound() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Now().After(p.shyUntil) {
+		return longestIdle
+	}
+	return p.restLimit
+}
+
+// dropped takes in that a peer dropped a connection that had rested, so that others are given up sooner for a while.
+func (p *Pool) dropped(rested time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	limit := max(rested/2, shortestIdle)
+	if now.Before(p.shyUntil) {
+		limit = min(limit, p.restLimit)
+	}
+	p.restLimit, p.shyUntil = limit, now.Add(shyFor)
+}
+
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/toucanupstream/pool_test.go
+++ b/toucanupstream/pool_test.go
@@ -257,3 +257,18 @@
 	assert.Equal(t, len(p.expired(time.Now().Add(idleMargin-time.Millisecond))), 0)
 	assert.Equal(t, len(p.expired(time.Now().Add(time.Second))), 1)
 }
+
+// TestDroppedConnectionsMakeShy checks that connections are used again after shorter rests for a while when a peer was
+// found to drop one that rested.
+func TestDroppedConnectionsMakeShy(t *testing.T) {
+	p := NewPool()
+	assert.Equal(t, p.restBound(), longestIdle)
+	p.dropped(2 * time.Second)
+	assert.Equal(t, p.restBound(), time.Second)
+	p.dropped(10 * time.Millisecond)
+	assert.Equal(t, p.restBound(), shortestIdle)
+	p.dropped(2 * time.Second)
+	assert.Equal(t, p.restBound(), shortestIdle)
+	p.shyUntil = time.Now().Add(-time.Second)
+	assert.Equal(t, p.restBound(), longestIdle)
+}
