Divide large deployments into cells

Change: from 32 entries on, entries and endpoints are divided into cells of 16 to 31 entries; reports, moves and placing stay within a cell, and an entry goes elsewhere only when its own endpoints have no room. Nothing changes below 32 entries.

--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+
+	"toucanport/toucanmember"
 )
 
 const (
@@ -122,7 +124,7 @@
 	m.peers = next
 }
 
-// Peers returns the number of other entries.
+// Peers returns the number of other entries, of all cells.
 func (m *Mesh) Peers() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -199,12 +201,16 @@
 	}
 }
 
+// addresses returns where the peers of this entry's cell listen.
 func (m *Mesh) addresses() []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	cells := toucanmember.NewCells(len(m.peers) + 1)
 	list := make([]netip.AddrPort, 0, len(m.peers))
-	for _, address := range m.peers {
-		list = append(list, address)
+	for name, address := range m.peers {
+		if cells.Of(name) == cells.Of(m.name) {
+			list = append(list, address)
+		}
 	}
 	return list
 }
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -111,13 +111,13 @@
 	return ok && !s.leaves()
 }
 
-// Endpoints returns the endpoints that take new requests.
+// Endpoints returns the endpoints that take new requests and are for this entry.
 func (b *Book) Endpoints() []Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := make([]Endpoint, 0, len(b.endpoints))
 	for _, s := range b.endpoints {
-		if !s.leaves() {
+		if !s.leaves() && !s.Elsewhere {
 			list = append(list, s.Endpoint)
 		}
 	}
@@ -151,7 +151,7 @@
 	var bestCost float64
 	for _, s := range b.services[at.Service] {
 		u := b.total(now, s)
-		if s.leaves() || s.ID == at.ID || now.Before(s.suspectUntil) || !s.spares(u, d) {
+		if s.leaves() || s.Elsewhere || s.ID == at.ID || now.Before(s.suspectUntil) || !s.spares(u, d) {
 			continue
 		}
 		c := s.cost(now, u)
@@ -219,11 +219,33 @@
 }
 
 func (b *Book) choose(now time.Time, service string, d Demand, allowed Filter, share float64, extra func(*state) float64) (*state, error) {
+	best, err := b.chooseAmong(now, service, d, share, extra, func(s *state) bool {
+		return !s.Elsewhere && (allowed == nil || allowed(s.Endpoint))
+	})
+	if err == nil || errors.Is(err, ErrTooLarge) || !b.divided(service) {
+		return best, err
+	}
+	return b.chooseAmong(now, service, d, share, extra, func(s *state) bool {
+		return allowed == nil || allowed(s.Endpoint)
+	})
+}
+
+// divided reports whether some endpoints of a service are for other entries.
+func (b *Book) divided(service string) bool {
+	for _, s := range b.services[service] {
+		if s.Elsewhere {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Book) chooseAmong(now time.Time, service string, d Demand, share float64, extra func(*state) float64, allowed func(*state) bool) (*state, error) {
 	var best *state
 	var bestCost float64
 	listed, large := false, true
 	for _, s := range b.services[service] {
-		if s.leaves() || allowed != nil && !allowed(s.Endpoint) {
+		if s.leaves() || !allowed(s) {
 			continue
 		}
 		listed = true
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -35,6 +35,8 @@
 	MemoryTokens int
 	// Leaving endpoints take no new requests.
 	Leaving bool
+	// Elsewhere endpoints are for other entries: this one uses them only when none of its own has room.
+	Elsewhere bool
 	// Warm is when the endpoint has its full speed; zero when it has it already.
 	Warm time.Time
 }
--- a/toucanplace/script_test.go
+++ b/toucanplace/script_test.go
@@ -61,14 +61,14 @@
 	return ""
 }
 
-// endpoints reads lines of: id domain slots memory [leaving].
+// endpoints reads lines of: id domain slots memory [leaving|elsewhere].
 func (sc *script) endpoints(d *datadriven.TestData) string {
 	sc.list = nil
 	for _, line := range strings.Split(d.Input, "\n") {
 		e := Endpoint{Service: "s"}
 		rest := ""
 		_, _ = fmt.Sscanf(line, "%s %s %d %d %s", &e.ID, &e.FailureDomain, &e.Slots, &e.MemoryTokens, &rest) // The last word may be missing.
-		e.Leaving = rest == "leaving"
+		e.Leaving, e.Elsewhere = rest == "leaving", rest == "elsewhere"
 		sc.list = append(sc.list, e)
 	}
 	departed := sc.book.Departed()
