--- a/toucanchange/writer.go
+++ b/toucanchange/writer.go
@@ -13,6 +13,7 @@
 	"toucanport/toucanrevision"
 	"toucanport/toucansettings"
 	"toucanport/toucanstore"
+	"toucanport/toucanwait"
 )
 
 // KeyPrefix is where the store holds settings documents.
@@ -211,7 +212,7 @@
 		if !errors.Is(err, errAgain) {
 			return result, err
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !toucanwait.Sleep(ctx, wait.NextBackOff()) {
 			return Result{}, a.givenUp(id, err)
 		}
 	}
@@ -296,15 +297,3 @@
 		return Result{}, errors.Wrap(errAgain, err.Error())
 	}
 }
-
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/toucanclient/client.go
+++ b/toucanclient/client.go
@@ -17,6 +17,7 @@
 	"toucanport/toucanchange"
 	"toucanport/toucandocument"
 	"toucanport/toucanoperate"
+	"toucanport/toucanwait"
 )
 
 var (
@@ -124,7 +125,7 @@
 			return out, afterOpen(open, err)
 		}
 		open = open || !errors.Is(err, ErrNotReached)
-		if try == changeTries || !sleep(ctx, wait.NextBackOff()) {
+		if try == changeTries || !toucanwait.Sleep(ctx, wait.NextBackOff()) {
 			return out, given(open, err)
 		}
 	}
@@ -156,17 +157,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
--- a/toucandesired/follower.go
+++ b/toucandesired/follower.go
@@ -15,6 +15,7 @@
 	"toucanport/toucanengine"
 	"toucanport/toucansettings"
 	"toucanport/toucanstore"
+	"toucanport/toucanwait"
 )
 
 const (
@@ -84,17 +85,7 @@
 			f.log.Warn("engine is not yet as the settings ask", "error", err.Error())
 			wake = retryDelay
 		}
-		await(ctx, changed, wake)
-	}
-}
-
-func await(ctx context.Context, changed <-chan struct{}, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
+		toucanwait.Signal(ctx, changed, wake)
 	}
 }
 
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -16,6 +16,7 @@
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
 	"toucanport/toucansettings"
+	"toucanport/toucanwait"
 	"toucanport/toucanwire"
 )
 
@@ -160,7 +161,7 @@
 		mayHaveRun = mayHaveRun || ref.Ran != toucanwire.RanNo
 		f := toucanretry.Failure{NotRun: mayGoElsewhere(ref), Repeatable: repeatable(call.Method), Leaving: ref.Code == toucanwire.CodeLeaving}
 		delay, again := plan.Next(time.Now(), f)
-		if !again || !pause(ctx, delay) {
+		if !again || !toucanwait.Sleep(ctx, delay) {
 			return nil, refusalFailure(truthful(result{refusal: ref}, &progress{mayHaveRun: mayHaveRun}).refusal)
 		}
 		query.Exclude = append(query.Exclude, ep.Name)
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -13,6 +13,7 @@
 	"toucanport/toucanretry"
 	"toucanport/toucanroute"
 	"toucanport/toucanstream"
+	"toucanport/toucanwait"
 	"toucanport/toucanwire"
 )
 
@@ -85,7 +86,7 @@
 			return truthful(res, prog), prog, nil
 		}
 		r.query.Exclude = append(r.query.Exclude, ep.Name)
-		if !pause(ctx, delay) {
+		if !toucanwait.Sleep(ctx, delay) {
 			return result{}, prog, gone(ctx, prog)
 		}
 	}
@@ -222,7 +223,7 @@
 			go r.cancel()
 			return lostSidecar(), nil
 		}
-		if !pause(ctx, resumeDelay) {
+		if !toucanwait.Sleep(ctx, resumeDelay) {
 			return result{}, ctx.Err()
 		}
 	}
@@ -386,7 +387,7 @@
 		if e.tryCancel(ctx, address, m) == nil {
 			return
 		}
-		if !pause(ctx, resumeDelay) {
+		if !toucanwait.Sleep(ctx, resumeDelay) {
 			e.log.Warn("cancel did not reach the sidecar", "address", address.String(), "generation", m.GenerationId)
 			return
 		}
@@ -440,15 +441,3 @@
 	}
 	return http.StatusServiceUnavailable
 }
-
-// pause waits for d and reports whether ctx still goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/toucanfence/fence.go
+++ b/toucanfence/fence.go
@@ -14,6 +14,7 @@
 
 	"toucanport/toucanengine"
 	"toucanport/toucanstore"
+	"toucanport/toucanwait"
 )
 
 const (
@@ -124,7 +125,7 @@
 			if !errors.Is(err, errLeaseHeld) {
 				h.log.Warn("engine lease not taken", "endpoint", h.endpoint, "error", err.Error())
 			}
-			sleep(ctx, retry.NextBackOff())
+			toucanwait.Sleep(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
@@ -141,15 +142,6 @@
 	from time.Time
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // acquire waits for nobody: it fails while another holds the lease. The number is taken after the lease.
 func (h *Holder) acquire(ctx context.Context) (tenure, error) {
 	asked := time.Now()
@@ -245,7 +237,7 @@
 		if !time.Now().Before(t.from) {
 			h.extend(t.until)
 		}
-		sleep(ctx, h.ttl/renewalsPerTTL)
+		toucanwait.Sleep(ctx, h.ttl/renewalsPerTTL)
 		if ctx.Err() != nil {
 			h.release(ctx, t.lease)
 			return
--- a/toucanfence/spread.go
+++ b/toucanfence/spread.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanengine"
+	"toucanport/toucanwait"
 )
 
 const (
@@ -20,7 +21,7 @@
 // at a random time within spread, and later ones after a jittered, growing wait, so that the engines of a failure
 // domain that returns do not all ask the weight store at once.
 func (h *Holder) Load(ctx context.Context, kind toucanengine.OrderKind, argument string, spread time.Duration) error {
-	sleep(ctx, rand.N(spread+1))
+	toucanwait.Sleep(ctx, rand.N(spread+1))
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = firstLoadBackoff
 	retry.MaxInterval = maxLoadBackoff
@@ -29,6 +30,6 @@
 		if err == nil || errors.Is(err, toucanengine.ErrFenced) || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, retry.NextBackOff())
+		toucanwait.Sleep(ctx, retry.NextBackOff())
 	}
 }
--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -8,6 +8,7 @@
 
 	"toucanport/toucanmove"
 	"toucanport/toucanplace"
+	"toucanport/toucanwait"
 )
 
 const (
@@ -95,7 +96,7 @@
 		}
 	}()
 	s.board.Announce(e.Key(), plans(s.runsAt(e)))
-	sleep(ctx, moveSettle)
+	toucanwait.Sleep(ctx, moveSettle)
 	waitingSince := time.Now()
 	for ctx.Err() == nil {
 		changed := s.board.Changed()
@@ -106,7 +107,7 @@
 		}
 		now := time.Now()
 		if now.Sub(waitingSince) < moveTurn && s.board.Ahead(now, e.Key(), runs[0].forMove(now)) {
-			await(ctx, changed, moveRecheck/4)
+			toucanwait.Signal(ctx, changed, moveRecheck/4)
 			continue
 		}
 		s.move(ctx, runs[0])
@@ -114,17 +115,6 @@
 	}
 }
 
-// await waits for a signal, for a bounded time.
-func await(ctx context.Context, signal <-chan struct{}, bound time.Duration) {
-	timer := time.NewTimer(bound)
-	defer timer.Stop()
-	select {
-	case <-signal:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // runsAt returns this entry's runs at an endpoint that may be moved now, in the order of their moves.
 func (s *Server) runsAt(e toucanplace.Endpoint) []*run {
 	now := time.Now()
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -16,6 +16,7 @@
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
+	"toucanport/toucanwait"
 )
 
 const (
@@ -254,18 +255,7 @@
 	s.log.Info(msgRetry, "requestId", j.ID, "endpoint", f.endpoint, "cause", f.Error(), "notRun", f.notRun,
 		"attempts", j.plan.Attempts(), "delayMs", delay.Milliseconds())
 	s.metrics.retries.Inc(1)
-	return sleep(ctx, delay)
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return toucanwait.Sleep(ctx, delay)
 }
 
 // place waits for room within the share of the time left, and claims it.
@@ -288,7 +278,7 @@
 			return nil, err
 		}
 		s.waiting.join(j)
-		await(ctx, freed, min(left, recheckInterval))
+		toucanwait.Signal(ctx, freed, min(left, recheckInterval))
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"toucanport/toucanstore"
+	"toucanport/toucanwait"
 )
 
 // ErrHistoryLost is returned by a Source whose changes since a revision are no longer known.
@@ -148,7 +149,9 @@
 			wait = m.failed(err)
 			m.borrow(ctx, take)
 		}
-		m.sleep(ctx, wait)
+		if wait > 0 {
+			toucanwait.Signal(ctx, m.nudged, wait)
+		}
 	}
 }
 
@@ -263,16 +266,3 @@
 	m.retry = min(2*m.retry, maxRetry)
 	return wait
 }
-
-func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-m.nudged:
-	case <-ctx.Done():
-	}
-}
--- a/toucansidecar/control.go
+++ b/toucansidecar/control.go
@@ -10,6 +10,7 @@
 	"toucanport/toucanengine"
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
+	"toucanport/toucanwait"
 	"toucanport/toucanwire"
 )
 
@@ -54,7 +55,7 @@
 func (s *Sidecar) pollEngine(ctx context.Context) {
 	for {
 		s.askEngine(ctx)
-		if !sleep(ctx, engineReportInterval) {
+		if !toucanwait.Sleep(ctx, engineReportInterval) {
 			return
 		}
 	}
--- a/toucansidecar/generation.go
+++ b/toucansidecar/generation.go
@@ -11,6 +11,7 @@
 	"toucanport/toucanadmit"
 	"toucanport/toucanengine"
 	"toucanport/toucanstream"
+	"toucanport/toucanwait"
 	"toucanport/toucanwire"
 )
 
@@ -277,7 +278,7 @@
 			return toucanstream.End{Failure: codeEngineLost, Message: "the engine does not answer"}
 		}
 		s.log.Warn("engine stream opened anew", "generation", g.id, "error", errorText(err))
-		sleep(g.ctx, engineRetryDelay)
+		toucanwait.Sleep(g.ctx, engineRetryDelay)
 	}
 }
 
@@ -489,7 +490,7 @@
 
 // reapGenerations ends generations that nobody asks for any more.
 func (s *Sidecar) reapGenerations(ctx context.Context) {
-	for sleep(ctx, reapInterval) {
+	for toucanwait.Sleep(ctx, reapInterval) {
 		for _, g := range s.abandoned(time.Now()) {
 			if g.buffer.Ended() == nil {
 				s.cancelGeneration(g.id)
@@ -517,18 +518,6 @@
 	return found
 }
 
-// sleep waits for d and reports whether ctx still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/toucanwatch/watch.go
+++ b/toucanwatch/watch.go
@@ -15,6 +15,7 @@
 	"toucanport/toucansettings"
 	"toucanport/toucanspread"
 	"toucanport/toucanstore"
+	"toucanport/toucanwait"
 )
 
 // Store is the part of the platform's service that a Watcher needs.
@@ -104,7 +105,7 @@
 			w.takeAll(ctx, values)
 			return
 		}
-		sleep(ctx, wait.NextBackOff())
+		toucanwait.Sleep(ctx, wait.NextBackOff())
 	}
 }
 
@@ -166,7 +167,7 @@
 		}
 		w.healthy(err == nil)
 		if err != nil {
-			sleep(ctx, wait.NextBackOff())
+			toucanwait.Sleep(ctx, wait.NextBackOff())
 			continue
 		}
 		wait.Reset()
@@ -182,7 +183,7 @@
 // that a change is found even when every entry that watches its document is gone or is told nothing.
 func (w *Watcher) sweep(ctx context.Context) {
 	for turn := rand.IntN(1 << 16); ctx.Err() == nil; turn++ {
-		sleep(ctx, sweepInterval/2+rand.N(sweepInterval))
+		toucanwait.Sleep(ctx, sweepInterval/2+rand.N(sweepInterval))
 		if ctx.Err() != nil {
 			return
 		}
@@ -200,15 +201,6 @@
 	return b
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (w *Watcher) takeAll(ctx context.Context, values []toucanstore.Value) {
 	for _, v := range values {
 		w.take(ctx, v)
