--- /dev/null
+++ b/toucanplace/bench_test.go
@@ -0,0 +1,33 @@
+package toucanplace
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPlace chooses among the endpoints of one service in a cell of the size to design for, and gives the place back.
+func BenchmarkPlace(b *testing.B) {
+	book := NewBook("d1")
+	var list []Endpoint
+	for i := range 212 {
+		list = append(list, Endpoint{ID: fmt.Sprint("endpoint-", i), Service: fmt.Sprint("s", i%18), Slots: 64, MemoryTokens: 30000})
+	}
+	book.SetEndpoints(list)
+	now := time.Now()
+	for p := range 25 {
+		uses := make(map[uint64]Use)
+		for _, e := range list {
+			uses[e.Key()] = Use{Requests: 1, Tokens: 100}
+		}
+		book.Observe(now, fmt.Sprint("peer-", p), uses)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c, err := book.Place(now, "s3", Demand{Prompt: 500, Output: 100}, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Done(now, OutcomeGood)
+	}
+}
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -315,7 +315,7 @@
 	c.book.touch(c.use)
 }
 
-// Resize takes in a new forecast of the memory at the end of the answer.
+// Resize takes in a new forecast of the memory at the end of the answer. Peers hear of it with the next change.
 func (c *Claim) Resize(tokens int) {
 	c.book.mu.Lock()
 	defer c.book.mu.Unlock()
@@ -324,7 +324,6 @@
 	}
 	c.state.own.Tokens += tokens - c.use.Tokens
 	c.use.Tokens = tokens
-	c.book.touch(c.use)
 }
 
 // Outcome is how a request ended at its endpoint.
