--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -56,6 +56,8 @@
 type State struct {
 	// Values holds each key's value. Receivers must not change it.
 	Values map[string]toucanstore.Value
+	// Changed holds the keys that were written since the last state; nil when any may have been.
+	Changed []string
 	// Gone holds the keys that were removed since the last state.
 	Gone []string
 	// Resumed is true for the first state after the store did not answer.
@@ -168,24 +170,27 @@
 	m.answered()
 	m.revision = revision
 	if len(changes) > 0 {
-		take(State{Values: m.values, Gone: m.apply(changes)})
+		written, gone := m.apply(changes)
+		take(State{Values: m.values, Changed: written, Gone: gone})
 	}
 	return nil
 }
 
-func (m *Mirror) apply(changes []Change) []string {
+// apply takes changes into the copy and returns the keys that were written, never nil, and those that were removed.
+func (m *Mirror) apply(changes []Change) (written, gone []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var gone []string
+	written = make([]string, 0, len(changes))
 	for _, c := range changes {
 		if c.Removed {
 			delete(m.values, c.Key)
 			gone = append(gone, c.Key)
 		} else if held, ok := m.values[c.Key]; !ok || held.Revision <= c.Revision {
 			m.values[c.Key] = c.Value
+			written = append(written, c.Key)
 		}
 	}
-	return gone
+	return written, gone
 }
 
 func (m *Mirror) snapshot(ctx context.Context, take func(State)) error {
