--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -26,13 +26,15 @@
 	// turns out to be cut becomes a plain failure.
 	bufferedAnswer = 256 << 10
 	// unsentAttempts bounds the attempts that are known not to have run.
-	unsentAttempts = 4
+	unsentAttempts = 8
 	// comeBackUnready is when a caller may ask again while this entry has no settings yet.
 	comeBackUnready = 500 * time.Millisecond
 	// comeBackFull is when a caller may ask again when every endpoint is full.
 	comeBackFull = 300 * time.Millisecond
 	// waitShare is the share of the time left that a request waits for room at most.
 	waitShare = 0.3
+	// waitGoals is how many times the route's goal a request waits for room at most.
+	waitGoals = 2
 	// recheckInterval is the longest time between two looks for room.
 	recheckInterval = 100 * time.Millisecond
 	// successSample is how many successes stand for one log line.
@@ -261,7 +263,7 @@
 // place waits for room within the share of the time left, and claims it.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Claim, error) {
 	now := time.Now()
-	until := now.Add(time.Duration(float64(j.deadline.Sub(now)) * waitShare))
+	until := now.Add(j.patience(now))
 	defer s.waiting.leave(j)
 	for {
 		freed := s.book.Freed()
@@ -285,6 +287,16 @@
 	}
 }
 
+// patience is how long a request waits for room: a share of the time left, and no longer than a caller of a stream waits
+// for its first event.
+func (j *job) patience(now time.Time) time.Duration {
+	wait := time.Duration(float64(j.deadline.Sub(now)) * waitShare)
+	if j.route.Goal > 0 {
+		wait = min(wait, waitGoals*j.route.Goal)
+	}
+	return wait
+}
+
 // tryPlace claims an endpoint if there is room and none of those who wait goes first.
 func (s *Server) tryPlace(j *job) (*toucanplace.Claim, error) {
 	now := time.Now()
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -129,7 +129,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s, ok := b.endpoints[id]; ok {
-		s.suspectUntil = now.Add(suspectFor)
+		s.suspect(now)
 	}
 }
 
@@ -357,7 +357,7 @@
 		c.state.observe(now, true)
 	case OutcomeUnreachable:
 		c.state.observe(now, true)
-		c.state.suspectUntil = now.Add(suspectFor)
+		c.state.suspect(now)
 	case OutcomeNeutral:
 	}
 	signal(&c.book.freed)
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -108,8 +108,10 @@
 	failureGain = 0.15
 	// failureDecay is the time in which the share of failures falls by a factor of e without requests.
 	failureDecay = 5 * time.Second
-	// suspectFor is how long an endpoint that could not be reached gets no requests.
-	suspectFor = time.Second
+	// suspectFor is how long an endpoint that could not be reached gets no requests. It doubles with each time in a row, up
+	// to suspectDoublings times.
+	suspectFor       = time.Second
+	suspectDoublings = 3
 	// peerLifetime is how long a peer's account holds without news of it.
 	peerLifetime = 3 * time.Second
 )
@@ -126,6 +128,14 @@
 	failures     float64
 	failuresAt   time.Time
 	suspectUntil time.Time
+	// unreached counts how often in a row the endpoint could not be reached.
+	unreached int
+}
+
+// suspect keeps requests from the endpoint for a while.
+func (s *state) suspect(now time.Time) {
+	s.suspectUntil = now.Add(suspectFor << min(s.unreached, suspectDoublings))
+	s.unreached++
 }
 
 func (s *state) failureShare(now time.Time) float64 {
@@ -136,6 +146,8 @@
 	outcome := 0.0
 	if failed {
 		outcome = 1
+	} else {
+		s.unreached = 0
 	}
 	s.failures = s.failureShare(now)*(1-failureGain) + outcome*failureGain
 	s.failuresAt = now
--- a/toucanplace/script_test.go
+++ b/toucanplace/script_test.go
@@ -211,3 +211,17 @@
 	}
 	return list
 }
+
+// TestSuspicionDoubles checks that an endpoint that can't be reached is left alone twice as long each time in a row, up to
+// a bound, and as long as at first after an answer.
+func TestSuspicionDoubles(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s state
+	for _, times := range []time.Duration{1, 2, 4, 8, 8} {
+		s.suspect(now)
+		assert.Equal(t, s.suspectUntil.Sub(now), times*suspectFor)
+	}
+	s.observe(now, false)
+	s.suspect(now)
+	assert.Equal(t, s.suspectUntil.Sub(now), suspectFor)
+}
