Let entries tell one another whom they could not reach

Change: an endpoint that closes a connection without an answer is left alone like one that can't be reached; entries tell their peers, who avoid it for half a second while there is a choice.

--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -92,7 +92,8 @@
 		return toucanplace.OutcomeNeutral
 	case errors.Is(ctx.Err(), context.Canceled):
 		return toucanplace.OutcomeNeutral
-	case f.unsent:
+	case f.unsent, errors.Is(f.err, toucanupstream.ErrLost) && ctx.Err() == nil:
+		// An endpoint that closes connections without an answer would do so to the next request too.
 		return toucanplace.OutcomeUnreachable
 	}
 	return toucanplace.OutcomeFailed
--- a/toucanpeer/board.go
+++ b/toucanpeer/board.go
@@ -298,6 +298,7 @@
 		b.behind()
 	}
 	b.book.Observe(now, r.GetSender(), usesOf(r))
+	b.book.Doubt(now, r.GetUnreachable())
 	b.book.SetToldLeaving(leaving)
 	return true
 }
@@ -346,7 +347,7 @@
 
 // report fills in what this entry tells.
 func (b *Board) report() *Report {
-	r := &Report{}
+	r := &Report{Unreachable: b.book.Unreachable(time.Now())}
 	for key, u := range b.book.Uses() {
 		r.Uses = append(r.Uses, &EndpointUse{
 			Endpoint: key,
--- a/toucanpeer/board_test.go
+++ b/toucanpeer/board_test.go
@@ -70,6 +70,27 @@
 	assert.Assert(t, !b.Ahead(start.Add(silence+1), endpoint.Key(), larger))
 }
 
+// TestUnreachable checks that an endpoint that one entry could not reach is avoided by another while there is a choice.
+func TestUnreachable(t *testing.T) {
+	a, aBook := newBoard()
+	b, bBook := newBoard()
+	list := []toucanplace.Endpoint{endpoint, {ID: "f", Service: "s", Slots: 4, MemoryTokens: 1000}}
+	aBook.SetEndpoints(list)
+	bBook.SetEndpoints(list)
+	now := time.Now()
+	c, err := aBook.Place(now, "s", toucanplace.Demand{}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Endpoint.ID, "e")
+	c.Done(now, toucanplace.OutcomeUnreachable)
+	r := a.report()
+	r.Sender, r.Boot, r.Serial = "a", 1, 1
+	b.Take(now, r)
+	c, err = bBook.Place(now, "s", toucanplace.Demand{}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Endpoint.ID, "f")
+	assert.Equal(t, len(bBook.Unreachable(now)), 0)
+}
+
 // TestCopying checks that copies of this entry and of peers are known.
 func TestCopying(t *testing.T) {
 	b, _ := newBoard()
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -1,6 +1,7 @@
 package toucanplace
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -124,6 +125,33 @@
 	return list
 }
 
+// Unreachable returns the Keys of the endpoints that this entry could not reach lately.
+func (b *Book) Unreachable(now time.Time) []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var keys []uint64
+	for _, s := range b.endpoints {
+		if now.Before(s.suspectUntil) {
+			keys = append(keys, s.key)
+		}
+	}
+	return keys
+}
+
+// Doubt takes in the Keys of endpoints that a peer could not reach lately.
+func (b *Book) Doubt(now time.Time, keys []uint64) {
+	if len(keys) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.endpoints {
+		if slices.Contains(keys, s.key) {
+			s.doubtedUntil = now.Add(doubtFor)
+		}
+	}
+}
+
 // Suspect keeps requests from an endpoint that does not answer, for a while.
 func (b *Book) Suspect(now time.Time, id string) {
 	b.mu.Lock()
@@ -335,7 +363,7 @@
 	OutcomeGood Outcome = iota
 	// OutcomeFailed is a failure that speaks against the endpoint.
 	OutcomeFailed
-	// OutcomeUnreachable is a connection that could not be made.
+	// OutcomeUnreachable is a connection that could not be made, or that was closed without an answer.
 	OutcomeUnreachable
 	// OutcomeNeutral says nothing about the endpoint, as when the caller left.
 	OutcomeNeutral
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -104,6 +104,10 @@
 	coldCost = 0.3
 	// failureCost is the cost of an endpoint that fails every request.
 	failureCost = 3
+	// doubtCost is the cost of an endpoint that a peer could not reach; the fault may be the peer's.
+	doubtCost = 1
+	// doubtFor is how long a peer's word on that holds.
+	doubtFor = 500 * time.Millisecond
 	// failureGain is the weight of one outcome in an endpoint's share of failures.
 	failureGain = 0.15
 	// failureDecay is the time in which the share of failures falls by a factor of e without requests.
@@ -128,6 +132,8 @@
 	failures     float64
 	failuresAt   time.Time
 	suspectUntil time.Time
+	// doubtedUntil is until when the endpoint is avoided since a peer could not reach it.
+	doubtedUntil time.Time
 	// unreached counts how often in a row the endpoint could not be reached.
 	unreached int
 }
@@ -182,5 +188,8 @@
 	if now.Before(s.suspectUntil) {
 		c += failureCost
 	}
+	if now.Before(s.doubtedUntil) {
+		c += doubtCost
+	}
 	return c + failureCost*s.failureShare(now)
 }
