--- a/toucanforward/backup.go
+++ b/toucanforward/backup.go
@@ -54,5 +54,6 @@
 // that they take from moves.
 func (s *Server) uneasy() bool {
 	now := time.Now()
-	return now.Sub(time.Unix(0, s.brokeAt.Load())) < uneasyFor || s.board.Blind(now)
+	broke := time.Duration(s.brokeAfter.Load())
+	return broke > 0 && now.Sub(s.started)-broke < uneasyFor || s.board.Blind(now)
 }
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -149,3 +150,8 @@
 	j.w.Header().Set("Content-Length", "0")
 	j.w.WriteHeader(r.status)
 }
+
+// retryAfter is a header's value in seconds.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -137,7 +137,7 @@
 		}
 	}
 	if s.book.Staying(r.endpoint().ID) {
-		s.brokeAt.Store(cutAt.UnixNano())
+		s.brokeAfter.Store(int64(cutAt.Sub(s.started)))
 	}
 	h, err = s.revive(ctx, j, r, cutAt)
 	if err != nil {
