Free copies of memory that will not be used

Cause: a run that ended, or whose last copy was refused, left its first copy at the target for five seconds, where memory is short. Change: the source is told to free it at both ends.

--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -213,10 +213,12 @@
 func (s *Server) moveTo(ctx context.Context, r *run, source toucanplace.Endpoint, target *toucanplace.Claim) (bool, error) {
 	began := time.Now()
 	defer s.board.BeginCopy(target.Endpoint.Key())()
-	if _, err := s.copyRun(ctx, r, source, target, false); err != nil {
+	first, err := s.copyRun(ctx, r, source, target, false)
+	if err != nil {
 		return false, err
 	}
 	if !r.stop() {
+		s.drop(ctx, source, first)
 		return false, ErrNoRun
 	}
 	stoppedAt := time.Now()
@@ -226,6 +228,7 @@
 	case err == nil:
 	case errors.Is(err, ErrNoRun), errors.Is(err, ErrNoRoom) && handle == "":
 		r.unstop()
+		s.drop(ctx, source, first)
 		return false, err
 	case errors.Is(err, ErrNoRoom):
 		h.claim = s.book.Reclaim(source, r.demand())
@@ -241,6 +244,21 @@
 	return true, nil
 }
 
+// drop frees a copy that will not be used, without waiting for it.
+func (s *Server) drop(ctx context.Context, source toucanplace.Endpoint, handle string) {
+	if handle == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+		defer cancel()
+		if err := s.mover.Drop(ctx, source.Address, handle); err != nil {
+			// The endpoints free it by themselves after a while.
+			s.log.Debug("copy not dropped", "endpoint", source.ID, "cause", err.Error())
+		}
+	}()
+}
+
 func (s *Server) copyRun(ctx context.Context, r *run, source toucanplace.Endpoint, target *toucanplace.Claim, last bool) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -147,9 +147,10 @@
 	case "kill":
 		sc.endpoint(d.CmdArgs[0].Key).kill()
 	case "awaitCopies":
-		n := 0
+		n, drops := 0, 0
 		d.ScanArgs(t, "n", &n)
-		sc.mover.await(t, n)
+		d.MaybeScanArgs(t, "drops", &drops)
+		sc.mover.await(t, n, drops)
 	case "go":
 		sc.endpoint(d.CmdArgs[0].Key).release()
 	case "end":
@@ -303,20 +304,22 @@
 	// shown bounds the orders that a script shows, since moves that fail are tried again; zero shows all.
 	shown int
 	seen  []string
+	// drops are the copies that were given up.
+	drops []string
 }
 
 func (m *scriptedMover) reset() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.seen, m.shown = nil, 0
+	m.seen, m.drops, m.shown = nil, nil, 0
 }
 
-// await waits until n orders were given; later ones are not shown.
-func (m *scriptedMover) await(t *testing.T, n int) {
+// await waits until n copies were ordered and as many given up as drops says; later copies are not shown.
+func (m *scriptedMover) await(t *testing.T, n, drops int) {
 	t.Helper()
 	for deadline := time.Now().Add(longWait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		m.mu.Lock()
-		enough := len(m.seen) >= n
+		enough := len(m.seen) >= n && len(m.drops) >= drops
 		m.shown = n
 		m.mu.Unlock()
 		if enough {
@@ -329,10 +332,11 @@
 func (m *scriptedMover) orders() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	seen := m.seen
 	if m.shown > 0 {
-		return append([]string(nil), m.seen[:m.shown]...)
+		seen = seen[:m.shown]
 	}
-	return append([]string(nil), m.seen...)
+	return append(append([]string(nil), seen...), m.drops...)
 }
 
 func (m *scriptedMover) Copy(_ context.Context, source, _, target string, last bool) (string, error) {
@@ -365,7 +369,12 @@
 	return "handle", nil
 }
 
-func (m *scriptedMover) Drop(context.Context, string, string) error { return nil }
+func (m *scriptedMover) Drop(_ context.Context, source, handle string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.drops = append(m.drops, fmt.Sprintf("drop %s at %s", handle, m.name(source).name))
+	return nil
+}
 
 func (m *scriptedMover) name(address string) *endpoint {
 	for _, e := range m.scene.endpoints {
