--- a/toucanpeer/board.go
+++ b/toucanpeer/board.go
@@ -50,8 +50,12 @@
 	report *Report
 }
 
-// OnBehind has f called whenever a peer is heard to hold newer settings than this entry. It is called before Run.
-func (b *Board) OnBehind(f func()) { b.behind = f }
+// OnBehind has f called whenever a peer is heard to hold newer settings than this entry.
+func (b *Board) OnBehind(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behind = f
+}
 
 // SetSettings notes the version of the settings that this entry holds.
 func (b *Board) SetSettings(version uint64) {
@@ -292,10 +296,11 @@
 	leaving := b.toldLeaving(now)
 	behind := r.GetSettingsVersion() > max(b.settings, b.newest)
 	b.newest = max(b.newest, r.GetSettingsVersion())
+	tell := b.behind
 	b.touch()
 	b.mu.Unlock()
 	if behind {
-		b.behind()
+		tell()
 	}
 	b.book.Observe(now, r.GetSender(), usesOf(r))
 	b.book.Doubt(now, r.GetUnreachable())
