--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -38,7 +38,7 @@
 const (
 	headerID      = "X-Id"
 	headerGenuine = "X-Genuine"
-	headerNotRun  = "X-Not-Run"
+	headerNotRun  = "X-Unrun"
 	headerResume  = "X-Resume"
 	headerLast    = "X-Last"
 	headerLeft    = "X-Left"
--- a/toucanpeer/board_test.go
+++ b/toucanpeer/board_test.go
@@ -70,6 +70,21 @@
 	assert.Assert(t, !b.Ahead(start.Add(silence+1), endpoint.Key(), larger))
 }
 
+// TestProgressIsNoNews checks that peers hear at once of other runs, and not of how far the same ones are. Entries that
+// answered each other's announcements of progress would never stop.
+func TestProgressIsNoNews(t *testing.T) {
+	b, _ := newBoard()
+	run := toucanmove.Run{ID: 1, Tokens: 10, Left: time.Second}
+	b.Announce(endpoint.Key(), []toucanmove.Run{run})
+	assert.Equal(t, len(b.urgent), 1)
+	<-b.urgent
+	run.Tokens, run.Left = 20, time.Millisecond
+	b.Announce(endpoint.Key(), []toucanmove.Run{run})
+	assert.Equal(t, len(b.urgent), 0)
+	b.Announce(endpoint.Key(), nil)
+	assert.Equal(t, len(b.urgent), 1)
+}
+
 // TestUnreachable checks that an endpoint that one entry could not reach is avoided by another while there is a choice.
 func TestUnreachable(t *testing.T) {
 	a, aBook := newBoard()
