Give back the place of a move that nobody takes up

Cause: found by reading: when the last answer of a move was lost, or its run ended before it, the target's claim was never given back, so that the account of that endpoint stayed too high until it left. Change: a handover is taken up, or its claim is given back; a move with an unknown outcome is logged as failed. Test: scripts moves, which showed an endpoint in use before the change.

--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -234,13 +234,19 @@
 		h.claim = s.book.Reclaim(source, r.demand())
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
 	default:
-		h.err = err
+		// Whether the run has stopped is unknown; if it has, its backup is what is left of it.
+		target.Done(time.Now(), toucanplace.OutcomeNeutral)
+		s.moveFailed(r, source, target.Endpoint.ID, err)
+		r.hand(handover{err: err})
+		return true, err
 	}
 	s.metrics.moves.Inc(1)
 	s.log.Info(msgMove, "requestId", r.job.ID, "endpoint", source.ID, "target", h.claim.Endpoint.ID,
 		"firstCopyMs", stoppedAt.Sub(began).Milliseconds(), "lastCopyMs", time.Since(stoppedAt).Milliseconds(),
 		"tokens", r.tokens(), "leftMs", r.forMove(stoppedAt).Left.Milliseconds(), "sameDomain", source.FailureDomain == h.claim.Endpoint.FailureDomain)
-	r.moved <- h
+	if !r.hand(h) {
+		h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
+	}
 	return true, nil
 }
 
--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -209,15 +209,36 @@
 	t.mu.Lock()
 	delete(t.runs, r)
 	t.mu.Unlock()
+	if h, ok := r.finish(); ok && h.claim != nil {
+		h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
+	}
+}
+
+// hand tells the run where it goes on. It returns false when the run has ended, so that the place is not needed.
+func (r *run) hand(h handover) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return false
+	}
+	select {
+	case r.moved <- h:
+		return true
+	default:
+		return false
+	}
+}
+
+// finish notes that the run has ended and returns a handover that nobody took.
+func (r *run) finish() (handover, bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.ended = true
-	r.mu.Unlock()
 	select {
 	case h := <-r.moved:
-		if h.claim != nil {
-			h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
-		}
+		return h, true
 	default:
+		return handover{}, false
 	}
 }
 
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -144,6 +144,8 @@
 		wait(t, began)
 	case "leave":
 		sc.list(d.CmdArgs[0].Key)
+	case "uses":
+		return sc.uses()
 	case "kill":
 		sc.endpoint(d.CmdArgs[0].Key).kill()
 	case "awaitCopies":
@@ -277,6 +279,14 @@
 	return fmt.Sprintf("%d%s %s%s\n%s", resp.StatusCode, later, text, end, sc.asked())
 }
 
+// uses tells what is still claimed, once nothing more is given back.
+func (sc *scene) uses() string {
+	for deadline := time.Now().Add(longWait); time.Now().Before(deadline) && len(sc.book.Uses()) > 0; {
+		time.Sleep(time.Millisecond)
+	}
+	return fmt.Sprintf("%d endpoints in use\n", len(sc.book.Uses()))
+}
+
 func (sc *scene) asked() string {
 	var parts []string
 	for _, e := range sc.endpoints {
