Log each decision on a request and show what an entry believes

Missing so far: where a request was placed and why, that it was held, and all gauges. Ruled out: gauges through tally tagged by endpoint: an endpoint that is gone would leave its series behind for ever. They are collected when metrics are fetched instead. A line for every placing: plain successes are logged for 1 in 64 ids (now chosen by the id, so that all lines of a request are there or none), streams and second attempts always. Change: "request placed" with the number of candidates, the cost and the next best; "request held"; "request failed at its endpoint" (the constant stood unused); the endpoint in refusals; toucandecision.Repeats writes 50 lines of one message a second and sums up the rest; toucanmetric.NewBeliefs; histograms of time held and between events; counters by workspace. Found by the new tests, each failing first: (1) an answer that is not HTTP put a word of its bytes into the log ("malformed HTTP status code ..."): the transport's error is now without bytes. (2) a failed request spent a retry of the budget and waited its backoff although no other endpoint was left, and was then refused as noEndpoint, which hid the true cause. Tests: testdata/scripts/decisions drives each message of toucanforward (a test fails if one is not brought about) and shows its fields; every script carries a mark in key, header, query, body and answers and searches the log for it.

--- a/toucancmd/platform/platform.go
+++ b/toucancmd/platform/platform.go
@@ -60,13 +60,15 @@
 	}
 	ring := toucandecision.NewRing(opts.IO.Out)
 	defer func() { _ = ring.Close() }()
-	log := slog.New(slog.NewJSONHandler(ring, nil)).With("instance", cfg.Instance)
+	repeats := toucandecision.NewRepeats(slog.NewJSONHandler(ring, nil))
+	defer repeats.Close()
+	log := slog.New(repeats).With("instance", cfg.Instance)
 	log.Info("started", "version", opts.Version, "failureDomain", cfg.FailureDomain, "callers", cfg.CallerAddress,
 		"store", cfg.StoreAddress, "memoryBytes", cfg.MemoryBytes, "stopGraceMs", cfg.StopGrace.Milliseconds())
 	stopReload := toucanprocess.OnReload(func() { reload(opts.File, log) })
 	defer stopReload()
 	err = toucanprocess.Run(log, cfg.StopTime(), func(ctx context.Context) (toucanprocess.Stopper, error) {
-		return toucanplatform.StartEntry(ctx, cfg, log)
+		return toucanplatform.StartEntry(ctx, cfg, log, toucanplatform.WithDroppedLines(ring.Dropped))
 	})
 	log.Info("stopped", "cause", errorText(err), "linesDropped", ring.Dropped())
 	return err
--- /dev/null
+++ b/toucandecision/repeats_test.go
@@ -0,0 +1,62 @@
+package toucandecision
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lines returns what was written, without times.
+func lines(b *bytes.Buffer) []string { return strings.Split(strings.TrimSpace(b.String()), "\n") }
+
+func quiet(groups []string, a slog.Attr) slog.Attr {
+	if len(groups) == 0 && (a.Key == slog.TimeKey || a.Key == slog.LevelKey) {
+		return slog.Attr{}
+	}
+	return a
+}
+
+func newRepeats() (*Repeats, *bytes.Buffer) {
+	var b bytes.Buffer
+	return NewRepeats(slog.NewJSONHandler(&b, &slog.HandlerOptions{ReplaceAttr: quiet})), &b
+}
+
+func TestRepeatsAreSummarised(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, b := newRepeats()
+		log := slog.New(h).With("instance", "i")
+		for n := range repeatsPerSecond + 30 {
+			log.Info("often", "n", n)
+		}
+		log.Info("rare")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		log.Info("often", "n", 1000)
+		got := lines(b)
+		assert.Equal(t, len(got), repeatsPerSecond+3)
+		assert.Equal(t, got[0], `{"msg":"often","instance":"i","n":0}`)
+		assert.Equal(t, got[repeatsPerSecond], `{"msg":"rare","instance":"i"}`)
+		assert.Equal(t, got[repeatsPerSecond+1], `{"msg":"often","instance":"i","n":79,"linesSummarised":30}`)
+		assert.Equal(t, got[repeatsPerSecond+2], `{"msg":"often","instance":"i","n":1000}`)
+	})
+}
+
+func TestClosedRepeatsHoldNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, b := newRepeats()
+		log := slog.New(h)
+		for n := range repeatsPerSecond + 2 {
+			log.Info("often", "n", n)
+		}
+		h.Close()
+		log.Info("often", "n", "after")
+		got := lines(b)
+		assert.Equal(t, got[len(got)-2], `{"msg":"often","n":51,"linesSummarised":2}`)
+		assert.Equal(t, got[len(got)-1], `{"msg":"often","n":"after"}`)
+	})
+}
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -66,14 +66,18 @@
 
 func (s *Server) answeredLine(j *job, a *answer, err error) {
 	took := time.Since(j.arrived)
-	s.metrics.answered(j.route.Kind, a.status, took)
+	s.metrics.answered(j.route.Kind, j.workspace, a.status, took)
 	late := a.run != nil && a.run.late()
 	if late {
 		s.metrics.streamsLate.Inc(1)
 	}
-	if err == nil && !late && a.status < http.StatusInternalServerError && s.answered.Add(1)%successSample != 1 {
+	if err == nil && !late && a.status < http.StatusInternalServerError && !j.sampled() {
 		return
 	}
+	msg := msgAnswered
+	if a.status >= http.StatusInternalServerError {
+		msg = msgFailed
+	}
 	args := []any{
 		"requestId", j.ID, "route", j.route.Name, "workspace", j.workspace, "endpoint", a.claim.Endpoint.ID,
 		"status", a.status, "attempts", j.plan.Attempts(), "tookMs", took.Milliseconds(), "settingsVersion", j.version,
@@ -84,7 +88,7 @@
 	if err != nil {
 		args = append(args, "cause", err.Error())
 	}
-	s.log.Info(msgAnswered, args...)
+	s.log.Info(msg, args...)
 }
 
 func copyHeader(to, from http.Header) {
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -17,6 +17,8 @@
 	msgRefused  = "request refused"
 	msgAnswered = "request answered"
 	msgFailed   = "request failed at its endpoint"
+	msgPlaced   = "request placed"
+	msgHeld     = "request held"
 	msgRetry    = "request is sent again"
 	msgCut      = "stream cut"
 	msgLeft     = "caller left"
@@ -25,6 +27,11 @@
 	msgResumed  = "stream resumed"
 )
 
+// messages holds all of them.
+var messages = []string{
+	msgRefused, msgAnswered, msgFailed, msgPlaced, msgHeld, msgRetry, msgCut, msgLeft, msgMove, msgMoveFail, msgResumed,
+}
+
 // reason says in logs and metrics why a request was refused.
 type reason string
 
@@ -58,7 +65,9 @@
 	reason reason
 	// after is when the caller may ask again; zero for no word on it.
 	after time.Duration
-	err   error
+	// endpoint is the last one that was tried; empty for none.
+	endpoint string
+	err      error
 }
 
 // refuseLater refuses a request that has not run and may be made again.
@@ -102,19 +111,20 @@
 
 // refusal is the final answer when no attempt follows.
 func (f *failure) refusal(ctx context.Context, j *job) refusal {
+	r := refusal{status: http.StatusBadGateway, reason: reasonUnknown, endpoint: f.endpoint, err: f.err}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		return refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: f.err}
+		r.reason = reasonCallerLeft
 	case f.notRun && j.maybeRun == 0 && ctx.Err() == nil:
-		why := reasonNotRun
+		r.status, r.after = http.StatusServiceUnavailable, comeBackFull
+		r.reason = reasonNotRun
 		if f.unsent {
-			why = reasonUnreachable
+			r.reason = reasonUnreachable
 		}
-		return refusal{status: http.StatusServiceUnavailable, reason: why, after: comeBackFull, err: f.err}
 	case ctx.Err() != nil:
-		return refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout, err: f.err}
+		r.status, r.reason, r.err = http.StatusGatewayTimeout, reasonTimeout, ctx.Err()
 	}
-	return refusal{status: http.StatusBadGateway, reason: reasonUnknown, err: f.err}
+	return r
 }
 
 // placeRefusal is the final answer when no endpoint could be claimed.
@@ -134,12 +144,15 @@
 
 // refuse gives a request an answer of our own.
 func (s *Server) refuse(j *job, r refusal) {
-	s.metrics.refused(r.reason)
+	s.metrics.refused(r.reason, j.workspace)
 	args := []any{
 		"requestId", j.ID, "route", j.route.Name, "service", j.service.Name, "workspace", j.workspace,
 		"status", r.status, "reason", string(r.reason), "settingsVersion", j.version,
 		"heldMs", time.Since(j.arrived).Milliseconds(), "mayHaveRun", j.maybeRun > 0,
 	}
+	if r.endpoint != "" {
+		args = append(args, "endpoint", r.endpoint, "attempts", j.plan.Attempts())
+	}
 	if r.err != nil {
 		args = append(args, "cause", r.err.Error())
 	}
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -28,18 +28,35 @@
 	retries    tally.Counter
 	streamsCut tally.Counter
 	// streamsLate counts streams that came to their end and were late on the way.
-	streamsLate tally.Counter
-	resumed     tally.Counter
-	moves       tally.Counter
-	unbacked    tally.Counter
-	revived     tally.Counter
-	moveFails   tally.Counter
-	firstEvent  tally.Histogram
+	streamsLate   tally.Counter
+	resumed       tally.Counter
+	moves         tally.Counter
+	unbacked      tally.Counter
+	revived       tally.Counter
+	moveFails     tally.Counter
+	firstEvent    tally.Histogram
+	betweenEvents tally.Histogram
+	held          tally.Histogram
 
 	mu       sync.Mutex
 	refusals map[reason]tally.Counter
 	answers  map[answerKey]tally.Counter
 	took     map[toucantraffic.Kind]tally.Histogram
+	// workspaces has at most maxWorkspaces names and otherWorkspaces.
+	workspaces map[string]workspaceCounters
+}
+
+const (
+	// maxWorkspaces bounds the workspaces with counters of their own; the rest share those of otherWorkspaces.
+	maxWorkspaces   = 256
+	otherWorkspaces = "other"
+	// anonymousWorkspace stands for requests without a credential.
+	anonymousWorkspace = "none"
+)
+
+// workspaceCounters count the requests of a workspace by what its callers got.
+type workspaceCounters struct {
+	answered, refused, cut tally.Counter
 }
 
 type answerKey struct {
@@ -53,23 +70,52 @@
 		scope = tally.NoopScope
 	}
 	return &metrics{
-		scope:       scope,
-		retries:     scope.Counter("request_retries"),
-		streamsLate: scope.Counter("streams_late"),
-		streamsCut:  scope.Counter("streams_cut"),
-		resumed:     scope.Counter("streams_resumed"),
-		unbacked:    scope.Counter("streams_without_backup"),
-		revived:     scope.Counter("streams_resumed_from_backup"),
-		moves:       scope.Counter("generations_moved"),
-		moveFails:   scope.Counter("generation_moves_failed"),
-		firstEvent:  scope.Histogram("first_event", answerBuckets),
-		refusals:    make(map[reason]tally.Counter),
-		answers:     make(map[answerKey]tally.Counter),
-		took:        make(map[toucantraffic.Kind]tally.Histogram),
+		scope:         scope,
+		retries:       scope.Counter("request_retries"),
+		streamsLate:   scope.Counter("streams_late"),
+		streamsCut:    scope.Counter("streams_cut"),
+		resumed:       scope.Counter("streams_resumed"),
+		unbacked:      scope.Counter("streams_without_backup"),
+		revived:       scope.Counter("streams_resumed_from_backup"),
+		moves:         scope.Counter("generations_moved"),
+		moveFails:     scope.Counter("generation_moves_failed"),
+		firstEvent:    scope.Histogram("first_event", answerBuckets),
+		betweenEvents: scope.Histogram("between_events", answerBuckets),
+		held:          scope.Histogram("request_held", answerBuckets),
+		refusals:      make(map[reason]tally.Counter),
+		answers:       make(map[answerKey]tally.Counter),
+		took:          make(map[toucantraffic.Kind]tally.Histogram),
+		workspaces:    make(map[string]workspaceCounters),
+	}
+}
+
+// workspace returns the counters of a workspace.
+func (m *metrics) workspace(name string) workspaceCounters {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if name == "" {
+		name = anonymousWorkspace
+	}
+	if c, ok := m.workspaces[name]; ok {
+		return c
+	}
+	if len(m.workspaces) >= maxWorkspaces {
+		name = otherWorkspaces
+	}
+	c, ok := m.workspaces[name]
+	if !ok {
+		counter := func(outcome string) tally.Counter {
+			tags := map[string]string{"workspace": name, "outcome": outcome}
+			return m.scope.Tagged(tags).Counter("workspace_requests")
+		}
+		c = workspaceCounters{answered: counter("answered"), refused: counter("refused"), cut: counter("cut")}
+		m.workspaces[name] = c
 	}
+	return c
 }
 
-func (m *metrics) refused(why reason) {
+func (m *metrics) refused(why reason, workspace string) {
+	m.workspace(workspace).refused.Inc(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c, ok := m.refusals[why]
@@ -80,7 +126,8 @@
 	c.Inc(1)
 }
 
-func (m *metrics) answered(kind toucantraffic.Kind, status int, took time.Duration) {
+func (m *metrics) answered(kind toucantraffic.Kind, workspace string, status int, took time.Duration) {
+	m.workspace(workspace).answered.Inc(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := answerKey{kind: kind, class: status / 100}
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucanport/toucanplace"
+	"toucanport/toucantraffic"
 	"toucanport/toucanwait"
 )
 
@@ -23,12 +27,15 @@
 	now := time.Now()
 	until := now.Add(j.patience(now))
 	defer s.waiting.leave(j)
-	for {
+	for held := false; ; held = true {
 		freed := s.book.Freed()
 		claim, err := s.tryPlace(j)
-		if err == nil || errors.Is(err, toucanplace.ErrTooLarge) {
-			j.placed = time.Now()
-			return claim, err
+		if err == nil {
+			s.placed(j, claim, now)
+			return claim, nil
+		}
+		if errors.Is(err, toucanplace.ErrTooLarge) {
+			return nil, err
 		}
 		if errors.Is(err, toucanplace.ErrNoEndpoint) && len(j.tried) > 0 {
 			return nil, err
@@ -38,6 +45,10 @@
 			return nil, err
 		}
 		s.waiting.join(j)
+		if !held {
+			s.log.Info(msgHeld, "requestId", j.ID, "route", j.route.Name, "service", j.service.Name, "workspace", j.workspace,
+				"cause", err.Error(), "tokens", j.demand.Tokens(), "waitMs", left.Milliseconds())
+		}
 		toucanwait.Signal(ctx, freed, min(left, recheckInterval))
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -45,6 +56,26 @@
 	}
 }
 
+// placed notes where a request goes and what decided it. since is when it began to look for room.
+func (s *Server) placed(j *job, claim *toucanplace.Claim, since time.Time) {
+	j.placed = time.Now()
+	held := j.placed.Sub(since)
+	s.metrics.held.RecordDuration(held)
+	if j.route.Kind != toucantraffic.Stream && len(j.tried) == 0 && !j.sampled() {
+		return
+	}
+	why := claim.Choice
+	s.log.Info(msgPlaced, "requestId", j.ID, "route", j.route.Name, "workspace", j.workspace, "endpoint", claim.Endpoint.ID,
+		"candidates", why.Candidates, "cost", roundCost(why.Cost), "next", why.Next, "nextCost", roundCost(why.NextCost),
+		"tokens", j.demand.Tokens(), "heldMs", held.Milliseconds(), "settingsVersion", j.version)
+}
+
+// roundCost shortens a cost for the log.
+func roundCost(c float64) float64 { return math.Round(c*1000) / 1000 }
+
+// sampled reports whether a request is one of those whose plain success is logged.
+func (j *job) sampled() bool { return xxhash.Sum64String(j.ID)%successSample == 0 }
+
 // patience is how long a request waits for room: a share of the time left, and no longer than a caller of a stream waits
 // for its first event.
 func (j *job) patience(now time.Time) time.Duration {
@@ -61,6 +92,8 @@
 	if !s.waiting.mayTry(now, j) {
 		return nil, toucanplace.ErrFull
 	}
-	untried := func(e toucanplace.Endpoint) bool { return !j.tried[e.ID] }
-	return s.book.Place(now, j.service.Name, j.demand, untried)
+	return s.book.Place(now, j.service.Name, j.demand, j.untried)
 }
+
+// untried reports whether an endpoint has not failed the request.
+func (j *job) untried(e toucanplace.Endpoint) bool { return !j.tried[e.ID] }
--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -58,20 +58,22 @@
 	moved     chan handover
 }
 
-// progress takes in the events passed on so far and reports whether these are the first.
-func (r *run) progress(events int) bool {
+// progress takes in the events passed on so far. first is true when these are the first; otherwise gap is the time since
+// those before.
+func (r *run) progress(events int) (first bool, gap time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	first := r.events == 0
+	first = r.events == 0
 	if first {
 		r.firstEvent = now
 	} else {
-		r.longestGap = max(r.longestGap, now.Sub(r.lastEvent))
+		gap = now.Sub(r.lastEvent)
+		r.longestGap = max(r.longestGap, gap)
 	}
 	r.lastEvent = now
 	r.events = events
-	return first
+	return first, gap
 }
 
 // late reports whether the caller has waited longer for the first event, or between two, than the route asks for.
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -28,11 +28,17 @@
 // TestScripts plays requests against endpoints that answer as the script says, and shows what the caller got, how often
 // each endpoint was asked and which moves were ordered.
 func TestScripts(t *testing.T) {
+	logged := make(map[string]bool)
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
-		sc := &scene{t: t, traffic: &toucantraffic.Current{}}
+		sc := &scene{t: t, traffic: &toucantraffic.Current{}, log: &lineLog{}}
 		sc.start()
 		datadriven.RunTest(t, path, sc.run)
+		assert.Assert(t, !strings.Contains(sc.log.all(), secretMark), "a secret is in the log")
+		sc.log.messages(t, logged)
 	})
+	for _, msg := range messages {
+		assert.Assert(t, logged[msg], "no script brings about the line %q", msg)
+	}
 }
 
 const (
@@ -44,6 +50,9 @@
 	headerLeft    = "X-Left"
 	headerBackup  = "X-Backup"
 	headerTokens  = "X-Tokens"
+	headerPrivate = "X-Private"
+	// secretMark is in every key, header, query, body and answer that must not be logged.
+	secretMark = "hush"
 	// longWait bounds what a script waits for; a test that needs it has failed.
 	longWait = 10 * time.Second
 )
@@ -92,6 +101,9 @@
 	mover     *scriptedMover
 	serial    int
 	pending   chan string
+	// abandon ends the request that was begun last from the caller's side.
+	abandon context.CancelFunc
+	log     *lineLog
 }
 
 // start begins anew with no endpoints and no memory of any. The settings stay.
@@ -107,7 +119,7 @@
 		Book:    sc.book,
 		Pool:    toucanupstream.NewPool(),
 		Budget:  toucanretry.NewBudget(toucanretry.WithReserve(100)),
-		Log:     slog.New(slog.DiscardHandler),
+		Log:     slog.New(slog.NewJSONHandler(sc.log, nil)),
 	})
 	front := httptest.NewServer(sc.server)
 	sc.front = front
@@ -136,14 +148,23 @@
 	case "moves":
 		sc.mover.outcomes = strings.Fields(d.Input)
 	case "request":
-		return sc.request(d)
+		return sc.request(t.Context(), d)
 	case "begin":
 		sc.pending = make(chan string, 1)
 		began := sc.endpoint(d.CmdArgs[1].Key).expectHold()
-		go func() { sc.pending <- sc.request(d) }()
+		ctx, abandon := context.WithCancel(t.Context())
+		t.Cleanup(abandon)
+		sc.abandon = abandon
+		go func() { sc.pending <- sc.request(ctx, d) }()
 		wait(t, began)
+	case "abandon":
+		sc.abandon()
 	case "leave":
 		sc.list(d.CmdArgs[0].Key)
+	case "lines":
+		n := 0
+		d.MaybeScanArgs(t, "n", &n)
+		return sc.log.next(t, n, sc.rename())
 	case "uses":
 		return sc.uses()
 	case "kill":
@@ -243,18 +264,24 @@
 }
 
 // request makes one request and tells what came back and who was asked.
-func (sc *scene) request(d *datadriven.TestData) string {
+func (sc *scene) request(ctx context.Context, d *datadriven.TestData) string {
 	method, path, key, tokens := http.MethodPost, "/p/x", "", "0"
 	d.MaybeScanArgs(sc.t, "path", &path)
 	d.MaybeScanArgs(sc.t, "key", &key)
 	d.MaybeScanArgs(sc.t, "tokens", &tokens)
 	sc.serial++
-	r, err := http.NewRequest(method, sc.front.URL+path, strings.NewReader(d.Input))
+	sent := strings.NewReader(d.Input + secretMark)
+	r, err := http.NewRequestWithContext(ctx, method, sc.front.URL+path+"?"+secretMark, sent)
 	assert.NilError(sc.t, err)
 	r.Host = "host"
-	r.Header.Set(headerID, fmt.Sprint("request", sc.serial))
+	id := fmt.Sprint("request", sc.serial)
+	d.MaybeScanArgs(sc.t, "id", &id)
+	if id != "none" {
+		r.Header.Set(headerID, id)
+	}
 	r.Header.Set("X-Key", key)
 	r.Header.Set(headerTokens, tokens)
+	r.Header.Set(headerPrivate, secretMark)
 	for _, e := range sc.endpoints {
 		e.reset()
 	}
@@ -270,6 +297,9 @@
 	if err != nil {
 		end = " (cut)"
 	}
+	if len(body) > bufferedAnswer {
+		body = []byte("long")
+	}
 	later := ""
 	if resp.Header.Get("Retry-After") != "" {
 		later = " later"
@@ -402,6 +432,7 @@
 //	foreign BODY     an answer to another request, on the same connection before the next line's
 //	garbage          bytes that are no answer
 //	cutBody          an answer that ends early
+//	longBody         one that is longer than what is held, and ends early
 //	reset            the connection closes without an answer
 //	events A B hold  events A to B, then wait until released or stopped
 //	events A B cut   events A to B, then the connection breaks
@@ -521,19 +552,22 @@
 	switch step[0] {
 	case "status":
 		body := strings.Join(step[2:], " ")
-		_, _ = fmt.Fprintf(rw, "HTTP/1.1 %s Any\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", step[1], headerID, id, headerGenuine, len(body), body)
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 %s Any\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: %d\r\n\r\n%s", step[1], headerID, id, headerGenuine, len(body), body)
 	case "foreign":
 		body := strings.Join(step[1:], " ")
-		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", headerID, headerGenuine, len(body), body)
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: %d\r\n\r\n%s", headerID, headerGenuine, len(body), body)
 		return true
 	case "notRun":
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 503 Busy\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerNotRun)
 	case "garbage":
-		_, _ = rw.WriteString("no answer at all\r\n\r\n")
+		_, _ = rw.WriteString("no " + secretMark + " answer\r\n\r\n")
 	case "cutBody":
-		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: 100\r\n\r\nhalf", headerID, id, headerGenuine)
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: 100\r\n\r\nhalf", headerID, id, headerGenuine)
+	case "longBody":
+		body := strings.Repeat("x", 2*bufferedAnswer)
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerGenuine, len(body)+1, body)
 	case "unframed":
-		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nConnection: close\r\n\r\n%s", headerID, id, headerGenuine, step[1])
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nConnection: close\r\n\r\n%s", headerID, id, headerGenuine, step[1])
 	case "events":
 		e.stream(rw, id, step)
 	}
@@ -543,7 +577,7 @@
 func (e *endpoint) stream(rw *bufio.ReadWriter, id string, step []string) {
 	from, _ := strconv.Atoi(step[1])
 	to, _ := strconv.Atoi(step[2])
-	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerGenuine)
+	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerGenuine)
 	for i := from; i <= to; i++ {
 		event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
 		_, _ = fmt.Fprintf(rw, "%x\r\n%s\r\n", len(event), event)
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -21,7 +21,7 @@
 	unsentAttempts = 8
 	// comeBackFull is when a caller may ask again when every endpoint is full.
 	comeBackFull = 300 * time.Millisecond
-	// successSample is how many successes stand for one log line.
+	// successSample is how many plain successes stand for one that is logged.
 	successSample = 64
 )
 
@@ -39,8 +39,6 @@
 	runs    runTable
 	lengths lengths
 	waiting waiting
-	// answered counts successes, to sample their log lines.
-	answered atomic.Uint64
 	// closing is true when connections should be closed behind the next answer.
 	closing atomic.Bool
 	started time.Time
@@ -160,6 +158,9 @@
 	if ctx.Err() != nil || j.rest != nil || j.maybeRun >= j.route.MaxAttempts {
 		return false
 	}
+	if !s.book.Offers(j.service.Name, j.untried) {
+		return false
+	}
 	delay, ok := j.plan.Next(time.Now(), toucanretry.Failure{
 		NotRun:     f.notRun,
 		Repeatable: j.route.Kind == toucantraffic.Idempotent,
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -67,6 +67,7 @@
 		msg = msgLeft
 	}
 	s.metrics.streamsCut.Inc(1)
+	s.metrics.workspace(j.workspace).cut.Inc(1)
 	s.log.Warn(msg, "requestId", j.ID, "route", j.route.Name, "endpoint", claim.Endpoint.ID, "events", seen.count,
 		"lastEvent", seen.last, "cause", cause.Error(), "notResumed", resumeErr.Error(),
 		"tookMs", time.Since(j.arrived).Milliseconds())
@@ -109,9 +110,11 @@
 	if len(whole) == 0 {
 		return nil
 	}
-	if r.progress(seen.count) {
+	if first, gap := r.progress(seen.count); first {
 		claim.Began()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
+	} else {
+		s.metrics.betweenEvents.RecordDuration(gap)
 	}
 	r.grow(&s.lengths)
 	if _, err := j.w.Write(whole); err != nil {
--- /dev/null
+++ b/toucanmetric/belief_test.go
@@ -0,0 +1,108 @@
+package toucanmetric
+
+import (
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// scrape returns the lines of the metrics, without comments.
+func scrape(t *testing.T, read func() Belief) []string {
+	t.Helper()
+	_, handler, closer := New(NewBeliefs(read)...)
+	defer func() { assert.NilError(t, closer.Close()) }()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	resp, err := server.Client().Get(server.URL)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	var lines []string
+	for _, line := range strings.Split(string(body), "\n") {
+		if line != "" && !strings.HasPrefix(line, "#") {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func has(lines []string, want string) bool {
+	for _, line := range lines {
+		if strings.HasPrefix(line, want) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestBeliefsAreShown(t *testing.T) {
+	lines := scrape(t, func() Belief {
+		return Belief{
+			Endpoints: []EndpointLoad{{
+				Name: "e1", Service: "s", Slots: 4, Requests: 3, MemoryTokens: 1000, Tokens: 700, FailureShare: 0.25, Suspect: true,
+			}},
+			Budgets:         []RetryBudget{{Service: "s", Retries: 1.5}},
+			SettingsVersion: 7,
+			SettingsAge:     3 * time.Second,
+			StoreAge:        250 * time.Millisecond,
+			Peers:           2,
+			ReportAge:       40 * time.Millisecond,
+			DroppedLines:    5,
+		}
+	})
+	for _, want := range []string{
+		`toucan_endpoint_slots{endpoint="e1",service="s"} 4`,
+		`toucan_endpoint_requests{endpoint="e1",service="s"} 3`,
+		`toucan_endpoint_memory_tokens{endpoint="e1",service="s"} 1000`,
+		`toucan_endpoint_tokens{endpoint="e1",service="s"} 700`,
+		`toucan_endpoint_failure_share{endpoint="e1",service="s"} 0.25`,
+		`toucan_endpoint_leaving{endpoint="e1",service="s"} 0`,
+		`toucan_endpoint_suspect{endpoint="e1",service="s"} 1`,
+		`toucan_retry_budget{service="s"} 1.5`,
+		`toucan_settings_version 7`,
+		`toucan_settings_age_seconds 3`,
+		`toucan_store_age_seconds 0.25`,
+		`toucan_peers_heard 2`,
+		`toucan_peer_report_age_seconds 0.04`,
+		`toucan_log_lines_dropped_total 5`,
+		`go_goroutines `,
+		`process_open_fds `,
+		`process_resident_memory_bytes `,
+	} {
+		assert.Assert(t, has(lines, want), "no line %q", want)
+	}
+}
+
+func TestWhatIsUnknownIsNotShownAsZero(t *testing.T) {
+	lines := scrape(t, func() Belief { return Belief{SettingsAge: -1, StoreAge: -1} })
+	for _, name := range []string{"toucan_settings_version", "toucan_settings_age", "toucan_store_age", "toucan_peer_report_age"} {
+		assert.Assert(t, !has(lines, name), name)
+	}
+}
+
+// TestBeliefsAreBounded shows far more endpoints and services than have gauges of their own.
+func TestBeliefsAreBounded(t *testing.T) {
+	const (
+		endpoints = 3400
+		// gaugesEach is the number of gauges of one endpoint, and others that of all that do not grow.
+		gaugesEach = 7
+		others     = 100
+	)
+	lines := scrape(t, func() Belief {
+		var b Belief
+		for i := range endpoints {
+			b.Endpoints = append(b.Endpoints, EndpointLoad{Name: fmt.Sprintf("e%04d", i), Service: "s", Slots: 2, MemoryTokens: 10})
+			b.Budgets = append(b.Budgets, RetryBudget{Service: fmt.Sprint("s", i)})
+		}
+		return b
+	})
+	assert.Assert(t, len(lines) <= (maxEndpoints+1)*gaugesEach+maxBudgets+others, "%d series", len(lines))
+	rest := fmt.Sprintf(`toucan_endpoint_slots{endpoint="other",service="other"} %d`, 2*(endpoints-maxEndpoints))
+	assert.Assert(t, has(lines, rest), rest)
+}
--- a/toucanmetric/metric.go
+++ b/toucanmetric/metric.go
@@ -38,9 +38,11 @@
 	60 * time.Second,
 }
 
-// New returns the root scope of a process and the handler of its scrape endpoint. Closing stops its duty.
-func New() (tally.Scope, http.Handler, io.Closer) {
+// New returns the root scope of a process and the handler of its scrape endpoint, which serves the collectors too.
+// Closing stops its duty.
+func New(collectors ...prometheus.Collector) (tally.Scope, http.Handler, io.Closer) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors...)
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "toucan",
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"toucanport/toucanstore"
@@ -85,6 +86,10 @@
 	// lender returns what another process has read, while the source does not answer this one.
 	lender func(ctx context.Context) ([]toucanstore.Value, error)
 	nudged chan struct{}
+	// began is when the mirror was made, and heard how long after it the source last answered, in nanoseconds; zero before
+	// it did. The time of day may jump, so that it is not used.
+	began time.Time
+	heard atomic.Int64
 }
 
 // Option changes a Mirror.
@@ -105,6 +110,7 @@
 		health:  func(bool) {},
 		sharers: func() int { return 0 },
 		nudged:  make(chan struct{}, 1),
+		began:   time.Now(),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -124,6 +130,15 @@
 	return slices.Collect(maps.Values(m.values))
 }
 
+// Age returns how long ago the source last answered, and false if it never did.
+func (m *Mirror) Age(now time.Time) (time.Duration, bool) {
+	heard := m.heard.Load()
+	if heard == 0 {
+		return 0, false
+	}
+	return now.Sub(m.began) - time.Duration(heard), true
+}
+
 // Nudge has the next call for changes made at once, as when another process knows of something newer.
 func (m *Mirror) Nudge() {
 	select {
@@ -247,6 +262,7 @@
 // answered notes that the store answers and reports whether it did not before.
 func (m *Mirror) answered() bool {
 	m.retry = firstRetry
+	m.heard.Store(int64(time.Since(m.began)))
 	if m.lost.IsZero() {
 		return false
 	}
--- a/toucanpeer/board.go
+++ b/toucanpeer/board.go
@@ -79,6 +79,19 @@
 	return n
 }
 
+// ReportAge returns how old the oldest report is of the peers that are heard, and their number.
+func (b *Board) ReportAge(now time.Time) (oldest time.Duration, peers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if age := now.Sub(p.at); age <= silence {
+			oldest = max(oldest, age)
+			peers++
+		}
+	}
+	return oldest, peers
+}
+
 // Lenders returns the names of the peers that are heard and whose copy of the store is whole.
 func (b *Board) Lenders(now time.Time) []string {
 	b.mu.Lock()
--- a/toucanplace/book.go
+++ b/toucanplace/book.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -164,10 +165,36 @@
 // Claim is one request's place on an endpoint. Its owner calls Done once.
 type Claim struct {
 	Endpoint Endpoint
-	book     *Book
-	state    *state
-	use      Use
-	done     bool
+	// Choice says why this endpoint was chosen; it is zero for places that were not chosen among several.
+	Choice Choice
+	book   *Book
+	state  *state
+	use    Use
+	done   bool
+}
+
+// Choice is what decided between endpoints. A cost has no unit; the lowest is chosen.
+type Choice struct {
+	// Candidates is the number of endpoints with room.
+	Candidates int
+	Cost       float64
+	// Next is the ID of the second best endpoint and NextCost its cost; Next is empty when there was none.
+	Next     string
+	NextCost float64
+}
+
+// take counts a candidate and reports whether it is the best so far. best is the ID of the best before it.
+func (c *Choice) take(id, best string, cost float64) bool {
+	c.Candidates++
+	if c.Candidates == 1 || cost < c.Cost {
+		c.Next, c.NextCost = best, c.Cost
+		c.Cost = cost
+		return true
+	}
+	if c.Next == "" || cost < c.NextCost {
+		c.Next, c.NextCost = id, cost
+	}
+	return false
 }
 
 // Backup claims memory for the copy of a run that is at an endpoint, where there is room to spare. The error is
@@ -207,11 +234,20 @@
 func (b *Book) Place(now time.Time, service string, d Demand, allowed Filter) (*Claim, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, err := b.choose(now, service, d, allowed, memoryShare, b.near(otherDomainCost))
+	best, why, err := b.choose(now, service, d, allowed, memoryShare, b.near(otherDomainCost))
 	if err != nil {
 		return nil, err
 	}
-	return b.claim(best, d), nil
+	c := b.claim(best, d)
+	c.Choice = why
+	return c, nil
+}
+
+// Offers reports whether a service has an endpoint that takes new requests among those that allowed accepts.
+func (b *Book) Offers(service string, allowed Filter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.services[service], func(s *state) bool { return !s.leaves() && allowed(s.Endpoint) })
 }
 
 // near returns the extra cost of endpoints outside this entry's failure domain.
@@ -237,21 +273,22 @@
 		}
 		return c
 	}
-	best, err := b.choose(now, from.Service, d, allowed, copyShare, extra)
+	best, why, err := b.choose(now, from.Service, d, allowed, copyShare, extra)
 	if err != nil {
 		return nil, err
 	}
 	c := b.claim(best, d)
+	c.Choice = why
 	c.read()
 	return c, nil
 }
 
-func (b *Book) choose(now time.Time, service string, d Demand, allowed Filter, share float64, extra func(*state) float64) (*state, error) {
-	best, err := b.chooseAmong(now, service, d, share, extra, func(s *state) bool {
+func (b *Book) choose(now time.Time, service string, d Demand, allowed Filter, share float64, extra func(*state) float64) (*state, Choice, error) {
+	best, why, err := b.chooseAmong(now, service, d, share, extra, func(s *state) bool {
 		return !s.Elsewhere && (allowed == nil || allowed(s.Endpoint))
 	})
 	if err == nil || errors.Is(err, ErrTooLarge) || !b.divided(service) {
-		return best, err
+		return best, why, err
 	}
 	return b.chooseAmong(now, service, d, share, extra, func(s *state) bool {
 		return allowed == nil || allowed(s.Endpoint)
@@ -268,9 +305,9 @@
 	return false
 }
 
-func (b *Book) chooseAmong(now time.Time, service string, d Demand, share float64, extra func(*state) float64, allowed func(*state) bool) (*state, error) {
-	var best *state
-	var bestCost float64
+func (b *Book) chooseAmong(now time.Time, service string, d Demand, share float64, extra func(*state) float64, allowed func(*state) bool) (*state, Choice, error) {
+	best, bestID := (*state)(nil), ""
+	var why Choice
 	listed, large := false, true
 	for _, s := range b.services[service] {
 		if s.leaves() || !allowed(s) {
@@ -285,19 +322,19 @@
 		if !s.fits(u, d, share) {
 			continue
 		}
-		if c := s.cost(now, u) + extra(s); best == nil || c < bestCost {
-			best, bestCost = s, c
+		if why.take(s.ID, bestID, s.cost(now, u)+extra(s)) {
+			best, bestID = s, s.ID
 		}
 	}
 	switch {
 	case best != nil:
-		return best, nil
+		return best, why, nil
 	case !listed:
-		return nil, errors.Wrap(ErrNoEndpoint, service)
+		return nil, why, errors.Wrap(ErrNoEndpoint, service)
 	case large:
-		return nil, errors.Wrap(ErrTooLarge, service)
+		return nil, why, errors.Wrap(ErrTooLarge, service)
 	}
-	return nil, errors.Wrap(ErrFull, service)
+	return nil, why, errors.Wrap(ErrFull, service)
 }
 
 // total is what all entries together have placed on an endpoint, as far as this one knows.
@@ -405,6 +442,35 @@
 	return uses
 }
 
+// Load is what an endpoint carries as far as this entry knows.
+type Load struct {
+	Endpoint
+	// Use is what all entries have placed.
+	Use Use
+	// FailureShare is the share of this entry's requests that failed lately, between 0 and 1.
+	FailureShare float64
+	// Leaves is true for an endpoint that takes no new requests, and Suspect for one that could not be reached.
+	Leaves, Suspect bool
+}
+
+// Loads returns the load of each endpoint, in the order of their IDs.
+func (b *Book) Loads(now time.Time) []Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads := make([]Load, 0, len(b.endpoints))
+	for _, s := range b.endpoints {
+		loads = append(loads, Load{
+			Endpoint:     s.Endpoint,
+			Use:          b.total(now, s),
+			FailureShare: s.failureShare(now),
+			Leaves:       s.leaves(),
+			Suspect:      now.Before(s.suspectUntil),
+		})
+	}
+	slices.SortFunc(loads, func(x, y Load) int { return strings.Compare(x.ID, y.ID) })
+	return loads
+}
+
 // SetToldLeaving replaces the endpoints that peers say leave, by their Keys.
 func (b *Book) SetToldLeaving(keys map[uint64]bool) {
 	b.mu.Lock()
--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -79,6 +81,26 @@
 	return true
 }
 
+// Balance is what a service may still spend.
+type Balance struct {
+	Service string
+	// Retries is the number of retries, with fractions.
+	Retries float64
+}
+
+// Balances returns the balance of each service that requests were made to, in the order of their names.
+func (b *Budget) Balances(now time.Time) []Balance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]Balance, 0, len(b.accounts))
+	for service := range b.accounts {
+		a := b.account(now, service)
+		list = append(list, Balance{Service: service, Retries: a.earned + a.reserve})
+	}
+	slices.SortFunc(list, func(x, y Balance) int { return strings.Compare(x.Service, y.Service) })
+	return list
+}
+
 func (b *Budget) account(now time.Time, service string) *account {
 	a, ok := b.accounts[service]
 	if !ok {
--- a/toucantraffic/current.go
+++ b/toucantraffic/current.go
@@ -1,23 +1,47 @@
 package toucantraffic
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
-// Current holds the newest known table of a process. It is safe for concurrent use.
+// Current holds the newest table. It is safe for concurrent use.
 type Current struct {
-	table atomic.Pointer[Table]
+	held atomic.Pointer[taken]
+}
+
+// taken is a table with the time when it came into force.
+type taken struct {
+	table *Table
+	at    time.Time
 }
 
 // Table returns the newest table, or nil while none is known.
-func (c *Current) Table() *Table { return c.table.Load() }
+func (c *Current) Table() *Table {
+	if held := c.held.Load(); held != nil {
+		return held.table
+	}
+	return nil
+}
+
+// Age returns how long the newest table has been in force, and false while none is known.
+func (c *Current) Age(now time.Time) (time.Duration, bool) {
+	held := c.held.Load()
+	if held == nil {
+		return 0, false
+	}
+	return now.Sub(held.at), true
+}
 
 // Offer takes t if its version is above the held one, and says whether it did. Versions never go back.
 func (c *Current) Offer(t *Table) bool {
+	next := &taken{table: t, at: time.Now()}
 	for {
-		held := c.table.Load()
-		if held != nil && held.Version >= t.Version {
+		held := c.held.Load()
+		if held != nil && held.table.Version >= t.Version {
 			return false
 		}
-		if c.table.CompareAndSwap(held, t) {
+		if c.held.CompareAndSwap(held, next) {
 			return true
 		}
 	}
--- a/toucanupstream/exchange.go
+++ b/toucanupstream/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -109,7 +110,7 @@
 	for range maxForeign + 1 {
 		resp, err := http.ReadResponse(c.r, req)
 		if err != nil {
-			return nil, err
+			return nil, readError(err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
@@ -127,6 +128,18 @@
 	return nil, errors.New("too many answers to other requests")
 }
 
+// errMalformed stands for the library's own errors, which quote what was read.
+var errMalformed = errors.New("answer is not well formed")
+
+// readError returns an error without any of the endpoint's bytes, as errors end up in logs.
+func readError(err error) error {
+	var failed net.Error
+	if errors.As(err, &failed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return errMalformed
+}
+
 func framed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
