Count failures by cause, and log the end of every request that a line speaks of

Ruled out: logging every success (the bound of 200 lines a second would drop failures under load). Change: a request has a line for its end once any line spoke of it, and every stream has one. toucanport failures counts failed requests by cause with an example each; explain and failures read any number of files. The commands that list endpoints, services and workspaces share teamlist.List (they were three copies).

--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -7,6 +7,7 @@
 	"toucanport/toucancmd/entry"
 	"toucanport/toucancmd/explain"
 	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/failures"
 	"toucanport/toucancmd/load"
 	"toucanport/toucancmd/platform"
 	"toucanport/toucancmd/service"
@@ -28,6 +29,7 @@
 			endpoint.NewCmdEndpoint(f),
 			entry.NewCmdEntry(f, nil),
 			explain.NewCmdExplain(f, nil),
+			failures.NewCmdFailures(f, nil),
 			load.NewCmdLoad(f, nil),
 			platform.NewCmdPlatform(f, nil),
 			service.NewCmdService(f),
--- a/toucancmd/explain/explain.go
+++ b/toucancmd/explain/explain.go
@@ -3,13 +3,13 @@
 
 import (
 	"encoding/json"
-	"os"
 
 	"github.com/MakeNowJust/heredoc/v2"
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
 	"toucanport/toucancmd/factory"
+	"toucanport/toucancmd/logfiles"
 	"toucanport/toucanexplain"
 	"toucanport/toucanio"
 )
@@ -17,9 +17,10 @@
 // Options are the command's inputs.
 type Options struct {
 	IO *toucanio.Streams
-	// ID is the request's id, and File a log; standard input is read when File is empty.
-	ID, File string
-	JSON     bool
+	// ID is the request's id.
+	ID    string
+	Files logfiles.Files
+	JSON  bool
 }
 
 // NewCmdExplain returns the command. Tests pass runF to see the options instead of running it.
@@ -30,11 +31,11 @@
 		Short: "tell what happened to one request, from the logs of the entries",
 		Bind: func(p *flaggy.Parser) {
 			p.AddPositionalValue(&opts.ID, "ID", 1, true, "the request's id, as its caller sent it")
-			p.AddPositionalValue(&opts.File, "FILE", 2, false, "a log; standard input by default")
+			opts.Files.Bind(p, 2)
 			p.Bool(&opts.JSON, "j", "json", "print the story as JSON")
 			p.AdditionalHelpAppend = heredoc.Doc(`
 				Examples:
-				  toucanport explain 9c41d07be2a35f68 entry.log
+				  toucanport explain 9c41d07be2a35f68 entry-1.log entry-2.log
 				  cat entry-*.log | toucanport explain 9c41d07be2a35f68 --json
 			`)
 		},
@@ -48,17 +49,8 @@
 }
 
 func explainRun(opts *Options) error {
-	log := opts.IO.In
-	if opts.File != "" {
-		file, err := os.Open(opts.File)
-		if err != nil {
-			return errors.Wrap(err, "name a log that can be read, or pipe one in")
-		}
-		defer func() { _ = file.Close() }()
-		log = file
-	}
 	r := toucanexplain.NewReader(opts.ID)
-	if err := r.Read(log); err != nil {
+	if err := opts.Files.Read(opts.IO.In, r.Read); err != nil {
 		return err
 	}
 	return show(opts, r.Story())
--- a/toucancmd/service/list/list.go
+++ b/toucancmd/service/list/list.go
@@ -2,42 +2,19 @@
 package list
 
 import (
-	"context"
-
-	"github.com/integrii/flaggy"
-
 	"toucanport/toucancmd/factory"
-	"toucanport/toucancmd/render"
-	"toucanport/toucancmd/teamview"
-	"toucanport/toucanio"
+	"toucanport/toucancmd/teamlist"
 	"toucanport/toucansettings"
 )
 
-// Options are the command's inputs.
-type Options struct {
-	IO     *toucanio.Streams
-	Target factory.Target
-	Client func(factory.Target) (teamview.Client, error)
-	JSON   bool
-}
-
 // NewCmdList returns the command. Tests pass runF to see the options instead of running it.
-func NewCmdList(f *factory.Factory, runF func(*Options) error) *factory.Command {
-	opts := &Options{IO: f.IO, Client: func(t factory.Target) (teamview.Client, error) { return f.Client(t) }}
-	return &factory.Command{
-		Name:  "list",
-		Short: "list services",
-		Bind: func(p *flaggy.Parser) {
-			opts.Target.Bind(p)
-			p.Bool(&opts.JSON, "j", "json", "print JSON")
-		},
-		Run: func() error {
-			if runF != nil {
-				return runF(opts)
-			}
-			return listRun(context.Background(), opts)
-		},
-	}
+func NewCmdList(f *factory.Factory, runF func(*teamlist.Options) error) *factory.Command {
+	return teamlist.NewCmdList(f, teamlist.List[item]{
+		Short:  "list services",
+		Header: []string{"TEAM", "SERVICE", "KIND", "MODEL", "POLICY", "WEIGH", "FIRST TOKEN", "INTER TOKEN", "ENDPOINTS"},
+		Items:  itemsOf,
+		Row:    item.row,
+	}, runF)
 }
 
 // item is one line of the list.
@@ -55,27 +32,8 @@
 	Draining  int `json:"draining"`
 }
 
-func listRun(ctx context.Context, opts *Options) error {
-	client, err := opts.Client(opts.Target)
-	if err != nil {
-		return err
-	}
-	teams, err := teamview.Teams(ctx, client)
-	if err != nil {
-		return err
-	}
-	items := []item{}
-	for _, team := range teams {
-		items = append(items, itemsOf(team)...)
-	}
-	if opts.JSON {
-		return render.JSON(opts.IO, items)
-	}
-	table := render.NewTable(opts.IO, "TEAM", "SERVICE", "KIND", "MODEL", "POLICY", "WEIGH", "FIRST TOKEN", "INTER TOKEN", "ENDPOINTS")
-	for _, i := range items {
-		table.Row(i.Team, i.Service, i.Kind, i.Model, i.Policy, i.Weigh, i.FirstToken, i.InterToken, i.Endpoints)
-	}
-	return table.Print()
+func (i item) row() []any {
+	return []any{i.Team, i.Service, i.Kind, i.Model, i.Policy, i.Weigh, i.FirstToken, i.InterToken, i.Endpoints}
 }
 
 func itemsOf(team toucansettings.Team) []item {
--- a/toucanexplain/explain.go
+++ b/toucanexplain/explain.go
@@ -35,7 +35,7 @@
 
 	request  string
 	endpoint string
-	dropped  float64
+	fields   map[string]any
 }
 
 // Story is what the logs tell of one request.
@@ -43,7 +43,7 @@
 	RequestID string `json:"requestId"`
 	// Lines are the request's own and those around it, in order of time.
 	Lines []Line `json:"lines"`
-	// Broken counts lines that could not be read, and Dropped those that processes say they dropped.
+	// Broken counts lines that could not be read, and Dropped those that processes say they dropped or summed up.
 	Broken  int `json:"broken"`
 	Dropped int `json:"dropped"`
 	// Ending says in a sentence how the request ended, as far as the logs tell.
@@ -63,12 +63,15 @@
 func NewReader(id string) *Reader { return &Reader{id: id} }
 
 // Read takes in one log. Lines that can't be read are counted and passed over.
-func (r *Reader) Read(log io.Reader) error {
+func (r *Reader) Read(log io.Reader) error { return readLines(log, r.line) }
+
+// readLines hands each line of a log that is not blank to take.
+func readLines(log io.Reader, take func([]byte)) error {
 	lines := bufio.NewReaderSize(log, 64<<10)
 	for {
 		text, err := lines.ReadBytes('\n')
 		if len(bytes.TrimSpace(text)) > 0 {
-			r.line(text)
+			take(text)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -81,18 +84,49 @@
 
 func (r *Reader) line(text []byte) {
 	l, err := parse(text)
-	switch {
-	case err != nil:
+	if err != nil {
 		r.broken++
+		return
+	}
+	r.dropped += l.missing()
+	switch {
 	case l.request == r.id:
 		r.own = append(r.own, l)
-	case l.dropped > 0:
-		r.dropped += int(l.dropped)
+	case l.Message == droppedMessage:
 	case l.request == "" && len(r.events) < maxEvents:
 		r.events = append(r.events, l)
 	}
 }
 
+// droppedMessage is the line of a process that dropped others.
+const droppedMessage = "log lines dropped"
+
+// missing returns how many lines are not in the log for which this one stands.
+func (l Line) missing() int {
+	if l.Message == droppedMessage {
+		return l.number("lines")
+	}
+	if n := l.number("linesSummarised"); n > 0 {
+		return n - 1
+	}
+	return 0
+}
+
+// text returns a field as text; empty when it is not there.
+func (l Line) text(name string) string {
+	value, ok := l.fields[name]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprint(value)
+}
+
+// number returns a field that is a number; zero when it is not there.
+func (l Line) number(name string) int {
+	n, _ := l.fields[name].(float64)
+	return int(n)
+}
+
 // parse reads a line. What a collector put before the JSON is passed over.
 func parse(text []byte) (Line, error) {
 	start := bytes.IndexByte(text, '{')
@@ -103,8 +137,7 @@
 	if err := json.Unmarshal(text[start:], &fields); err != nil {
 		return Line{}, errors.Wrap(err, "log line")
 	}
-	l := Line{Instance: str(fields["instance"]), Message: str(fields["msg"]), request: str(fields["requestId"]), endpoint: str(fields["endpoint"])}
-	l.dropped, _ = fields["lines"].(float64)
+	l := Line{Instance: str(fields["instance"]), Message: str(fields["msg"]), request: str(fields["requestId"]), endpoint: str(fields["endpoint"]), fields: fields}
 	at, err := time.Parse(time.RFC3339Nano, str(fields["time"]))
 	if err != nil {
 		return Line{}, errors.Wrap(err, "time of a log line")
@@ -169,6 +202,7 @@
 // endings say what a request's last line means, by how the line's message begins.
 var endings = []struct{ message, sentence string }{
 	{"request answered", "The caller got the endpoint's answer"},
+	{"request failed at its endpoint", "The caller got the endpoint's own failure"},
 	{"request refused", "The caller got an answer of the entry's own"},
 	{"stream cut", "The caller's connection was closed before the stream's end"},
 	{"caller left", "The caller left before the end"},
--- a/toucanexplain/explain_test.go
+++ b/toucanexplain/explain_test.go
@@ -13,6 +13,9 @@
 func TestStories(t *testing.T) {
 	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "failures" {
+				return failures(t, d.Input)
+			}
 			r := NewReader(d.CmdArgs[0].Key)
 			assert.NilError(t, r.Read(strings.NewReader(d.Input)))
 			s := r.Story()
@@ -25,3 +28,15 @@
 		})
 	})
 }
+
+func failures(t *testing.T, log string) string {
+	c := NewCounter()
+	assert.NilError(t, c.Read(strings.NewReader(log)))
+	s := c.Summary()
+	var b strings.Builder
+	for _, cause := range s.Causes {
+		fmt.Fprintf(&b, "%d %s (%s)\n", cause.Requests, cause.Name, cause.Example)
+	}
+	fmt.Fprintf(&b, "failed %d, unexplained %d, late %d, broken %d, dropped %d\n", s.Failed, s.Unexplained, s.Late, s.Broken, s.Dropped)
+	return b.String()
+}
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -71,7 +71,8 @@
 	if late {
 		s.metrics.streamsLate.Inc(1)
 	}
-	if err == nil && !late && a.status < http.StatusInternalServerError && !j.sampled() {
+	plain := a.run == nil && a.status < http.StatusInternalServerError && !j.logged
+	if err == nil && plain && !j.sampled() {
 		return
 	}
 	msg := msgAnswered
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -46,6 +46,7 @@
 		}
 		s.waiting.join(j)
 		if !held {
+			j.logged = true
 			s.log.Info(msgHeld, "requestId", j.ID, "route", j.route.Name, "service", j.service.Name, "workspace", j.workspace,
 				"cause", err.Error(), "tokens", j.demand.Tokens(), "waitMs", left.Milliseconds())
 		}
@@ -64,6 +65,7 @@
 	if j.route.Kind != toucantraffic.Stream && len(j.tried) == 0 && !j.sampled() {
 		return
 	}
+	j.logged = true
 	why := claim.Choice
 	s.log.Info(msgPlaced, "requestId", j.ID, "route", j.route.Name, "workspace", j.workspace, "endpoint", claim.Endpoint.ID,
 		"candidates", why.Candidates, "cost", roundCost(why.Cost), "next", why.Next, "nextCost", roundCost(why.NextCost),
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -101,6 +101,8 @@
 	backup *toucanplace.Claim
 	// maybeRun counts the attempts that may have run.
 	maybeRun int
+	// logged is true once a line speaks of the request, so that its end must have one too.
+	logged bool
 	// tried holds the endpoints that failed the request.
 	tried map[string]bool
 }
@@ -169,6 +171,7 @@
 	if !ok {
 		return false
 	}
+	j.logged = true
 	s.log.Info(msgRetry, "requestId", j.ID, "endpoint", f.endpoint, "cause", f.Error(), "notRun", f.notRun,
 		"attempts", j.plan.Attempts(), "delayMs", delay.Milliseconds())
 	s.metrics.retries.Inc(1)
