Keep the names of log lines in one package and check what each belief's line says

Messages stood in six packages, and toucanexplain spelled them again. Ruled out: constants a package (explain would still have to know them all). Change: toucandecision becomes toucanlog and holds the messages and fields; one pair of field and value a line. Found: the script of an abandoned stream raced with its own client; it now waits for the events and for the client's end.

--- a/toucancmd/platform/platform.go
+++ b/toucancmd/platform/platform.go
@@ -11,8 +11,8 @@
 
 	toucanplatform "toucanport/platform"
 	"toucanport/toucancmd/factory"
-	"toucanport/toucandecision"
 	"toucanport/toucanio"
+	"toucanport/toucanlog"
 	"toucanport/toucanprocess"
 )
 
@@ -58,19 +58,28 @@
 	if err != nil {
 		return err
 	}
-	ring := toucandecision.NewRing(opts.IO.Out)
+	ring := toucanlog.NewRing(opts.IO.Out)
 	defer func() { _ = ring.Close() }()
-	repeats := toucandecision.NewRepeats(slog.NewJSONHandler(ring, nil))
+	repeats := toucanlog.NewRepeats(slog.NewJSONHandler(ring, nil))
 	defer repeats.Close()
-	log := slog.New(repeats).With("instance", cfg.Instance)
-	log.Info("started", "version", opts.Version, "failureDomain", cfg.FailureDomain, "callers", cfg.CallerAddress,
-		"store", cfg.StoreAddress, "memoryBytes", cfg.MemoryBytes, "stopGraceMs", cfg.StopGrace.Milliseconds())
+	log := slog.New(repeats).With(toucanlog.Instance, cfg.Instance)
+	log.Info(toucanlog.MsgStarted,
+		toucanlog.Version, opts.Version,
+		toucanlog.FailureDomain, cfg.FailureDomain,
+		toucanlog.Callers, cfg.CallerAddress,
+		toucanlog.Store, cfg.StoreAddress,
+		toucanlog.MemoryBytes, cfg.MemoryBytes,
+		toucanlog.StopGraceMs, cfg.StopGrace.Milliseconds(),
+	)
 	stopReload := toucanprocess.OnReload(func() { reload(opts.File, log) })
 	defer stopReload()
 	err = toucanprocess.Run(log, cfg.StopTime(), func(ctx context.Context) (toucanprocess.Stopper, error) {
 		return toucanplatform.StartEntry(ctx, cfg, log, toucanplatform.WithDroppedLines(ring.Dropped))
 	})
-	log.Info("stopped", "cause", errorText(err), "linesDropped", ring.Dropped())
+	log.Info(toucanlog.MsgStopped,
+		toucanlog.Cause, errorText(err),
+		toucanlog.LinesDropped, ring.Dropped(),
+	)
 	return err
 }
 
@@ -78,10 +87,10 @@
 // progress; a process that starts anew takes the file as it is then.
 func reload(file string, log *slog.Logger) {
 	if _, err := toucanplatform.LoadSettings(file); err != nil {
-		log.Error("reload: settings stay as they were", "cause", err.Error())
+		log.Error(toucanlog.MsgNotReloaded, toucanlog.Cause, err.Error())
 		return
 	}
-	log.Info("reload: settings file is good and will hold from the next start")
+	log.Info(toucanlog.MsgReloaded)
 }
 
 func errorText(err error) string {
--- a/toucanexplain/explain.go
+++ b/toucanexplain/explain.go
@@ -8,11 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"toucanport/toucanlog"
 )
 
 const (
@@ -92,21 +95,18 @@
 	switch {
 	case l.request == r.id:
 		r.own = append(r.own, l)
-	case l.Message == droppedMessage:
+	case l.Message == toucanlog.MsgLinesDropped:
 	case l.request == "" && len(r.events) < maxEvents:
 		r.events = append(r.events, l)
 	}
 }
 
-// droppedMessage is the line of a process that dropped others.
-const droppedMessage = "log lines dropped"
-
 // missing returns how many lines are not in the log for which this one stands.
 func (l Line) missing() int {
-	if l.Message == droppedMessage {
-		return l.number("lines")
+	if l.Message == toucanlog.MsgLinesDropped {
+		return l.number(toucanlog.Lines)
 	}
-	if n := l.number("linesSummarised"); n > 0 {
+	if n := l.number(toucanlog.LinesSummarised); n > 0 {
 		return n - 1
 	}
 	return 0
@@ -137,15 +137,15 @@
 	if err := json.Unmarshal(text[start:], &fields); err != nil {
 		return Line{}, errors.Wrap(err, "log line")
 	}
-	l := Line{Instance: str(fields["instance"]), Message: str(fields["msg"]), request: str(fields["requestId"]), endpoint: str(fields["endpoint"]), fields: fields}
-	at, err := time.Parse(time.RFC3339Nano, str(fields["time"]))
+	l := Line{Instance: str(fields[toucanlog.Instance]), Message: str(fields[slog.MessageKey]), request: str(fields[toucanlog.RequestID]), endpoint: str(fields[toucanlog.Endpoint]), fields: fields}
+	at, err := time.Parse(time.RFC3339Nano, str(fields[slog.TimeKey]))
 	if err != nil {
 		return Line{}, errors.Wrap(err, "time of a log line")
 	}
 	l.Time = at
 	for name, value := range fields {
 		switch name {
-		case "time", "level", "msg", "instance", "requestId":
+		case slog.TimeKey, slog.LevelKey, slog.MessageKey, toucanlog.Instance, toucanlog.RequestID:
 		default:
 			l.Details = append(l.Details, fmt.Sprintf("%s=%v", name, value))
 		}
@@ -201,11 +201,11 @@
 
 // endings say what a request's last line means, by how the line's message begins.
 var endings = []struct{ message, sentence string }{
-	{"request answered", "The caller got the endpoint's answer"},
-	{"request failed at its endpoint", "The caller got the endpoint's own failure"},
-	{"request refused", "The caller got an answer of the entry's own"},
-	{"stream cut", "The caller's connection was closed before the stream's end"},
-	{"caller left", "The caller left before the end"},
+	{toucanlog.MsgRequestAnswered, "The caller got the endpoint's answer"},
+	{toucanlog.MsgRequestFailed, "The caller got the endpoint's own failure"},
+	{toucanlog.MsgRequestRefused, "The caller got an answer of the entry's own"},
+	{toucanlog.MsgStreamCut, "The caller's connection was closed before the stream's end"},
+	{toucanlog.MsgCallerLeft, "The caller left before the end"},
 }
 
 func (r *Reader) ending(own []Line) string {
--- a/toucanexplain/summary.go
+++ b/toucanexplain/summary.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"toucanport/toucanlog"
 )
 
 // Cause is one reason for which requests failed.
@@ -76,9 +78,9 @@
 	switch {
 	case l.request != "":
 		c.request(l)
-	case l.Message == "started":
+	case l.Message == toucanlog.MsgStarted:
 		c.starts[l.Instance] = append(c.starts[l.Instance], l.Time)
-	case l.Message == "stopped":
+	case l.Message == toucanlog.MsgStopped:
 		c.stops[l.Instance] = append(c.stops[l.Instance], l.Time)
 	}
 }
@@ -94,23 +96,23 @@
 	}
 	if cause, ends := failureOf(l); ends {
 		p.ended, p.cause = true, cause
-		p.late = p.late || l.text("late") == "true"
+		p.late = p.late || l.text(toucanlog.Late) == "true"
 	}
 }
 
 // failureOf reports whether a line tells of a request's end, and the cause if the request failed.
 func failureOf(l Line) (cause string, ends bool) {
 	switch l.Message {
-	case "request answered":
+	case toucanlog.MsgRequestAnswered:
 		return "", true
-	case "request refused":
-		return "refused: " + l.text("reason"), true
-	case "request failed at its endpoint":
-		return "endpoint answered with status " + l.text("status"), true
-	case "caller left":
+	case toucanlog.MsgRequestRefused:
+		return "refused: " + l.text(toucanlog.Reason), true
+	case toucanlog.MsgRequestFailed:
+		return "endpoint answered with status " + l.text(toucanlog.Status), true
+	case toucanlog.MsgCallerLeft:
 		return "caller left its stream", true
-	case "stream cut":
-		return "stream cut: " + lastPart(l.text("cause")) + ", " + lastPart(l.text("notResumed")), true
+	case toucanlog.MsgStreamCut:
+		return "stream cut: " + lastPart(l.text(toucanlog.Cause)) + ", " + lastPart(l.text(toucanlog.NotResumed)), true
 	}
 	return "", false
 }
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanupstream"
 )
@@ -57,7 +58,11 @@
 	a.rest.Close()
 	if err != nil {
 		a.claim.Done(time.Now(), (&failure{err: err}).outcome(ctx))
-		s.log.Warn(msgCut, "requestId", j.ID, "endpoint", a.claim.Endpoint.ID, "cause", err.Error())
+		s.log.Warn(toucanlog.MsgStreamCut,
+			toucanlog.RequestID, j.ID,
+			toucanlog.Endpoint, a.claim.Endpoint.ID,
+			toucanlog.Cause, err.Error(),
+		)
 		panic(http.ErrAbortHandler)
 	}
 	a.claim.Done(time.Now(), toucanplace.OutcomeGood)
@@ -75,19 +80,25 @@
 	if err == nil && plain && !j.sampled() {
 		return
 	}
-	msg := msgAnswered
+	msg := toucanlog.MsgRequestAnswered
 	if a.status >= http.StatusInternalServerError {
-		msg = msgFailed
+		msg = toucanlog.MsgRequestFailed
 	}
 	args := []any{
-		"requestId", j.ID, "route", j.route.Name, "workspace", j.workspace, "endpoint", a.claim.Endpoint.ID,
-		"status", a.status, "attempts", j.plan.Attempts(), "tookMs", took.Milliseconds(), "settingsVersion", j.version,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Route, j.route.Name,
+		toucanlog.Workspace, j.workspace,
+		toucanlog.Endpoint, a.claim.Endpoint.ID,
+		toucanlog.Status, a.status,
+		toucanlog.Attempts, j.plan.Attempts(),
+		toucanlog.TookMs, took.Milliseconds(),
+		toucanlog.SettingsVersion, j.version,
 	}
 	if a.run != nil {
-		args = append(append(args, "late", late), a.run.logArgs()...)
+		args = append(append(args, toucanlog.Late, late), a.run.logArgs()...)
 	}
 	if err != nil {
-		args = append(args, "cause", err.Error())
+		args = append(args, toucanlog.Cause, err.Error())
 	}
 	s.log.Info(msg, args...)
 }
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -8,30 +8,11 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanupstream"
 )
 
-// Log messages of this package.
-const (
-	msgRefused  = "request refused"
-	msgAnswered = "request answered"
-	msgFailed   = "request failed at its endpoint"
-	msgPlaced   = "request placed"
-	msgHeld     = "request held"
-	msgRetry    = "request is sent again"
-	msgCut      = "stream cut"
-	msgLeft     = "caller left"
-	msgMove     = "generation moved"
-	msgMoveFail = "generation could not be moved"
-	msgResumed  = "stream resumed"
-)
-
-// messages holds all of them.
-var messages = []string{
-	msgRefused, msgAnswered, msgFailed, msgPlaced, msgHeld, msgRetry, msgCut, msgLeft, msgMove, msgMoveFail, msgResumed,
-}
-
 // reason says in logs and metrics why a request was refused.
 type reason string
 
@@ -146,17 +127,23 @@
 func (s *Server) refuse(j *job, r refusal) {
 	s.metrics.refused(r.reason, j.workspace)
 	args := []any{
-		"requestId", j.ID, "route", j.route.Name, "service", j.service.Name, "workspace", j.workspace,
-		"status", r.status, "reason", string(r.reason), "settingsVersion", j.version,
-		"heldMs", time.Since(j.arrived).Milliseconds(), "mayHaveRun", j.maybeRun > 0,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Route, j.route.Name,
+		toucanlog.Service, j.service.Name,
+		toucanlog.Workspace, j.workspace,
+		toucanlog.Status, r.status,
+		toucanlog.Reason, string(r.reason),
+		toucanlog.SettingsVersion, j.version,
+		toucanlog.HeldMs, time.Since(j.arrived).Milliseconds(),
+		toucanlog.MayHaveRun, j.maybeRun > 0,
 	}
 	if r.endpoint != "" {
-		args = append(args, "endpoint", r.endpoint, "attempts", j.plan.Attempts())
+		args = append(args, toucanlog.Endpoint, r.endpoint, toucanlog.Attempts, j.plan.Attempts())
 	}
 	if r.err != nil {
-		args = append(args, "cause", r.err.Error())
+		args = append(args, toucanlog.Cause, r.err.Error())
 	}
-	s.log.Warn(msgRefused, args...)
+	s.log.Warn(toucanlog.MsgRequestRefused, args...)
 	if r.after > 0 {
 		j.w.Header().Set("Retry-After", retryAfter(r.after))
 	}
--- a/toucanforward/move.go
+++ b/toucanforward/move.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanmove"
 	"toucanport/toucanplace"
 	"toucanport/toucanwait"
@@ -206,7 +207,12 @@
 	if !r.firstFailure(err.Error()) {
 		return
 	}
-	s.log.Warn(msgMoveFail, "requestId", r.job.ID, "endpoint", source.ID, "target", target, "cause", err.Error())
+	s.log.Warn(toucanlog.MsgGenerationNotMoved,
+		toucanlog.RequestID, r.job.ID,
+		toucanlog.Endpoint, source.ID,
+		toucanlog.Target, target,
+		toucanlog.Cause, err.Error(),
+	)
 }
 
 // moveTo moves a run to one target. It returns true when the run goes on there or has been told that it can't.
@@ -241,9 +247,16 @@
 		return true, err
 	}
 	s.metrics.moves.Inc(1)
-	s.log.Info(msgMove, "requestId", r.job.ID, "endpoint", source.ID, "target", h.claim.Endpoint.ID,
-		"firstCopyMs", stoppedAt.Sub(began).Milliseconds(), "lastCopyMs", time.Since(stoppedAt).Milliseconds(),
-		"tokens", r.tokens(), "leftMs", r.forMove(stoppedAt).Left.Milliseconds(), "sameDomain", source.FailureDomain == h.claim.Endpoint.FailureDomain)
+	s.log.Info(toucanlog.MsgGenerationMoved,
+		toucanlog.RequestID, r.job.ID,
+		toucanlog.Endpoint, source.ID,
+		toucanlog.Target, h.claim.Endpoint.ID,
+		toucanlog.FirstCopyMs, stoppedAt.Sub(began).Milliseconds(),
+		toucanlog.LastCopyMs, time.Since(stoppedAt).Milliseconds(),
+		toucanlog.Tokens, r.tokens(),
+		toucanlog.LeftMs, r.forMove(stoppedAt).Left.Milliseconds(),
+		toucanlog.SameDomain, source.FailureDomain == h.claim.Endpoint.FailureDomain,
+	)
 	if !r.hand(h) {
 		h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
 	}
@@ -260,7 +273,10 @@
 		defer cancel()
 		if err := s.mover.Drop(ctx, source.Address, handle); err != nil {
 			// The endpoints free it by themselves after a while.
-			s.log.Debug("copy not dropped", "endpoint", source.ID, "cause", err.Error())
+			s.log.Debug(toucanlog.MsgCopyNotDropped,
+				toucanlog.Endpoint, source.ID,
+				toucanlog.Cause, err.Error(),
+			)
 		}
 	}()
 }
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucantraffic"
 	"toucanport/toucanwait"
@@ -47,8 +48,15 @@
 		s.waiting.join(j)
 		if !held {
 			j.logged = true
-			s.log.Info(msgHeld, "requestId", j.ID, "route", j.route.Name, "service", j.service.Name, "workspace", j.workspace,
-				"cause", err.Error(), "tokens", j.demand.Tokens(), "waitMs", left.Milliseconds())
+			s.log.Info(toucanlog.MsgRequestHeld,
+				toucanlog.RequestID, j.ID,
+				toucanlog.Route, j.route.Name,
+				toucanlog.Service, j.service.Name,
+				toucanlog.Workspace, j.workspace,
+				toucanlog.Cause, err.Error(),
+				toucanlog.Tokens, j.demand.Tokens(),
+				toucanlog.WaitMs, left.Milliseconds(),
+			)
 		}
 		toucanwait.Signal(ctx, freed, min(left, recheckInterval))
 		if ctx.Err() != nil {
@@ -67,9 +75,19 @@
 	}
 	j.logged = true
 	why := claim.Choice
-	s.log.Info(msgPlaced, "requestId", j.ID, "route", j.route.Name, "workspace", j.workspace, "endpoint", claim.Endpoint.ID,
-		"candidates", why.Candidates, "cost", roundCost(why.Cost), "next", why.Next, "nextCost", roundCost(why.NextCost),
-		"tokens", j.demand.Tokens(), "heldMs", held.Milliseconds(), "settingsVersion", j.version)
+	s.log.Info(toucanlog.MsgRequestPlaced,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Route, j.route.Name,
+		toucanlog.Workspace, j.workspace,
+		toucanlog.Endpoint, claim.Endpoint.ID,
+		toucanlog.Candidates, why.Candidates,
+		toucanlog.Cost, roundCost(why.Cost),
+		toucanlog.Next, why.Next,
+		toucanlog.NextCost, roundCost(why.NextCost),
+		toucanlog.Tokens, j.demand.Tokens(),
+		toucanlog.HeldMs, held.Milliseconds(),
+		toucanlog.SettingsVersion, j.version,
+	)
 }
 
 // roundCost shortens a cost for the log.
--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanmove"
 	"toucanport/toucanplace"
 )
@@ -104,9 +105,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return []any{
-		"placedMs", r.job.placed.Sub(r.job.arrived).Milliseconds(),
-		"firstEventMs", r.firstEvent.Sub(r.job.arrived).Milliseconds(), "longestGapMs", r.longestGap.Milliseconds(),
-		"events", r.events, "moves", r.moves, "forecastTokens", r.job.demand.Output, "madeTokens", r.events * r.tokensPerEvent(), "promptTokens", r.job.Prompt,
+		toucanlog.PlacedMs, r.job.placed.Sub(r.job.arrived).Milliseconds(),
+		toucanlog.FirstEventMs, r.firstEvent.Sub(r.job.arrived).Milliseconds(),
+		toucanlog.LongestGapMs, r.longestGap.Milliseconds(),
+		toucanlog.Events, r.events,
+		toucanlog.Moves, r.moves,
+		toucanlog.ForecastTokens, r.job.demand.Output,
+		toucanlog.MadeTokens, r.events * r.tokensPerEvent(),
+		toucanlog.PromptTokens, r.job.Prompt,
 	}
 }
 
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -18,6 +17,7 @@
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanlogtest"
 	"toucanport/toucanmove"
 	"toucanport/toucanplace"
 	"toucanport/toucanretry"
@@ -30,13 +30,13 @@
 func TestScripts(t *testing.T) {
 	logged := make(map[string]bool)
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
-		sc := &scene{t: t, traffic: &toucantraffic.Current{}, log: &lineLog{}}
+		sc := &scene{t: t, traffic: &toucantraffic.Current{}, log: &toucanlogtest.Log{}}
 		sc.start()
 		datadriven.RunTest(t, path, sc.run)
-		assert.Assert(t, !strings.Contains(sc.log.all(), secretMark), "a secret is in the log")
-		sc.log.messages(t, logged)
+		assert.Assert(t, !strings.Contains(sc.log.All(), secretMark), "a secret is in the log")
+		sc.log.Messages(t, logged)
 	})
-	for _, msg := range messages {
+	for _, msg := range requestMessages {
 		assert.Assert(t, logged[msg], "no script brings about the line %q", msg)
 	}
 }
@@ -103,7 +103,7 @@
 	pending   chan string
 	// abandon ends the request that was begun last from the caller's side.
 	abandon context.CancelFunc
-	log     *lineLog
+	log     *toucanlogtest.Log
 }
 
 // start begins anew with no endpoints and no memory of any. The settings stay.
@@ -119,7 +119,7 @@
 		Book:    sc.book,
 		Pool:    toucanupstream.NewPool(),
 		Budget:  toucanretry.NewBudget(toucanretry.WithReserve(100)),
-		Log:     slog.New(slog.NewJSONHandler(sc.log, nil)),
+		Log:     sc.log.Logger(),
 	})
 	front := httptest.NewServer(sc.server)
 	sc.front = front
@@ -158,13 +158,17 @@
 		go func() { sc.pending <- sc.request(ctx, d) }()
 		wait(t, began)
 	case "abandon":
+		events := 0
+		d.ScanArgs(t, "events", &events)
+		sc.awaitEvents(events)
 		sc.abandon()
+		<-sc.pending
 	case "leave":
 		sc.list(d.CmdArgs[0].Key)
 	case "lines":
 		n := 0
 		d.MaybeScanArgs(t, "n", &n)
-		return sc.log.next(t, n, sc.rename())
+		return sc.steady(sc.log.Next(t, n))
 	case "uses":
 		return sc.uses()
 	case "kill":
@@ -189,6 +193,27 @@
 	return ""
 }
 
+// awaitEvents waits until the one stream in progress has passed on a number of events.
+func (sc *scene) awaitEvents(n int) {
+	passed := func() bool {
+		sc.server.runs.mu.Lock()
+		defer sc.server.runs.mu.Unlock()
+		for r := range sc.server.runs.runs {
+			r.mu.Lock()
+			events := r.events
+			r.mu.Unlock()
+			return events == n
+		}
+		return false
+	}
+	for deadline := time.Now().Add(longWait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if passed() {
+			return
+		}
+	}
+	sc.t.Fatalf("no stream has passed on %d events", n)
+}
+
 func wait(t *testing.T, c <-chan struct{}) {
 	t.Helper()
 	select {
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
@@ -172,8 +173,14 @@
 		return false
 	}
 	j.logged = true
-	s.log.Info(msgRetry, "requestId", j.ID, "endpoint", f.endpoint, "cause", f.Error(), "notRun", f.notRun,
-		"attempts", j.plan.Attempts(), "delayMs", delay.Milliseconds())
+	s.log.Info(toucanlog.MsgRequestRetried,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Endpoint, f.endpoint,
+		toucanlog.Cause, f.Error(),
+		toucanlog.NotRun, f.notRun,
+		toucanlog.Attempts, j.plan.Attempts(),
+		toucanlog.DelayMs, delay.Milliseconds(),
+	)
 	s.metrics.retries.Inc(1)
 	return toucanwait.Sleep(ctx, delay)
 }
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanupstream"
 )
@@ -62,15 +63,22 @@
 
 // cut ends a stream that can't go on, so that it does not look complete.
 func (s *Server) cut(ctx context.Context, j *job, claim *toucanplace.Claim, seen *events, cause, resumeErr error) {
-	msg := msgCut
+	msg := toucanlog.MsgStreamCut
 	if errors.Is(ctx.Err(), context.Canceled) && !s.closing.Load() {
-		msg = msgLeft
+		msg = toucanlog.MsgCallerLeft
 	}
 	s.metrics.streamsCut.Inc(1)
 	s.metrics.workspace(j.workspace).cut.Inc(1)
-	s.log.Warn(msg, "requestId", j.ID, "route", j.route.Name, "endpoint", claim.Endpoint.ID, "events", seen.count,
-		"lastEvent", seen.last, "cause", cause.Error(), "notResumed", resumeErr.Error(),
-		"tookMs", time.Since(j.arrived).Milliseconds())
+	s.log.Warn(msg,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Route, j.route.Name,
+		toucanlog.Endpoint, claim.Endpoint.ID,
+		toucanlog.Events, seen.count,
+		toucanlog.LastEvent, seen.last,
+		toucanlog.Cause, cause.Error(),
+		toucanlog.NotResumed, resumeErr.Error(),
+		toucanlog.TookMs, time.Since(j.arrived).Milliseconds(),
+	)
 	panic(http.ErrAbortHandler)
 }
 
@@ -170,8 +178,14 @@
 	}
 	r.moveTo(h.claim)
 	s.metrics.resumed.Inc(1)
-	s.log.Info(msgResumed, "requestId", j.ID, "endpoint", h.claim.Endpoint.ID, "from", h.source, "lastEvent", seen.last,
-		"backup", h.backup, "pauseMs", time.Since(h.stoppedAt).Milliseconds())
+	s.log.Info(toucanlog.MsgStreamResumed,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Endpoint, h.claim.Endpoint.ID,
+		toucanlog.From, h.source,
+		toucanlog.LastEvent, seen.last,
+		toucanlog.Backup, h.backup,
+		toucanlog.PauseMs, time.Since(h.stoppedAt).Milliseconds(),
+	)
 	return x, h.claim, nil
 }
 
--- a/toucandecision/repeats.go
+++ b/toucanlog/repeats.go
@@ -1,4 +1,4 @@
-package toucandecision
+package toucanlog
 
 import (
 	"context"
@@ -10,8 +10,6 @@
 const (
 	// repeatsPerSecond is how many lines with one message are written in a second; what comes beyond that is summarised.
 	repeatsPerSecond = 50
-	// fieldSummarised is the field of a summary that holds how many lines it stands for.
-	fieldSummarised = "linesSummarised"
 )
 
 // Repeats is a slog.Handler that keeps one kind of line from crowding out the others: the first lines with a message in
@@ -129,6 +127,6 @@
 	if k.held == 0 {
 		return
 	}
-	k.last.AddAttrs(slog.Int(fieldSummarised, k.held))
+	k.last.AddAttrs(slog.Int(LinesSummarised, k.held))
 	_ = k.next.Handle(context.Background(), k.last) // Nothing can be told of a log that can't be written.
 }
--- a/toucandecision/ring.go
+++ b/toucanlog/ring.go
@@ -1,10 +1,11 @@
-// Package toucandecision writes a process's log of decisions without ever blocking: lines go into a bounded ring that
+// Package toucanlog writes a process's log of decisions without ever blocking: lines go into a bounded ring that
 // one goroutine empties, and what does not fit is counted and told once a second.
-package toucandecision
+package toucanlog
 
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,8 +96,8 @@
 func (r *Ring) tell(w io.Writer, told uint64) uint64 {
 	dropped := r.dropped.Load()
 	if dropped > told {
-		_, _ = fmt.Fprintf(w, `{"time":%q,"level":"WARN","msg":"log lines dropped","lines":%d}`+"\n",
-			time.Now().Format(time.RFC3339Nano), dropped-told)
+		_, _ = fmt.Fprintf(w, `{%q:%q,%q:"WARN",%q:%q,%q:%d}`+"\n", slog.TimeKey, time.Now().Format(time.RFC3339Nano),
+			slog.LevelKey, slog.MessageKey, MsgLinesDropped, Lines, dropped-told)
 	}
 	return dropped
 }
--- a/toucandecision/ring_test.go
+++ b/toucanlog/ring_test.go
@@ -1,4 +1,4 @@
-package toucandecision
+package toucanlog
 
 import (
 	"bytes"
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanstore"
 	"toucanport/toucanwait"
 )
@@ -249,7 +250,7 @@
 	values, err := m.lender(ctx)
 	if err != nil {
 		// The mirror keeps what it has; the loss of the source was logged.
-		m.log.Debug("nothing to borrow", "cause", err.Error())
+		m.log.Debug(toucanlog.MsgNothingToBorrow, toucanlog.Cause, err.Error())
 		return
 	}
 	if len(values) == 0 {
@@ -266,7 +267,7 @@
 	if m.lost.IsZero() {
 		return false
 	}
-	m.log.Info("store regained", "awayMs", time.Since(m.lost).Milliseconds())
+	m.log.Info(toucanlog.MsgStoreRegained, toucanlog.AwayMs, time.Since(m.lost).Milliseconds())
 	m.lost = time.Time{}
 	m.health(false)
 	return true
@@ -275,13 +276,13 @@
 // failed notes that the store does not answer and returns how long to wait.
 func (m *Mirror) failed(err error) time.Duration {
 	if errors.Is(err, ErrHistoryLost) {
-		m.log.Warn("history of the store lost, reading everything anew")
+		m.log.Warn(toucanlog.MsgHistoryLost)
 		return 0
 	}
 	if m.lost.IsZero() {
 		m.lost = time.Now()
 		m.health(true)
-		m.log.Warn("store lost", "cause", err.Error())
+		m.log.Warn(toucanlog.MsgStoreLost, toucanlog.Cause, err.Error())
 	}
 	wait := m.retry/2 + rand.N(m.retry)
 	m.retry = min(2*m.retry, maxRetry)
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanlogtest"
 	"toucanport/toucanstore"
 )
 
@@ -101,8 +102,9 @@
 	return changes, f.revision, nil
 }
 
-// run mirrors f while body runs, in a bubble, and returns what was taken.
-func run(t *testing.T, f *fakeSource, body func(seen func(string) string)) {
+// run mirrors f while body runs, in a bubble, and returns what was logged.
+func run(t *testing.T, f *fakeSource, body func(seen func(string) string)) string {
+	log := &toucanlogtest.Log{}
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
 		held := make(map[string]string)
@@ -110,7 +112,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			New(f, slog.New(slog.DiscardHandler)).Run(ctx, func(s State) {
+			New(f, log.Logger()).Run(ctx, func(s State) {
 				mu.Lock()
 				defer mu.Unlock()
 				held = make(map[string]string)
@@ -127,6 +129,7 @@
 		cancel()
 		<-done
 	})
+	return log.Next(t, 0)
 }
 
 // settle is longer than a watch, the pace and a retry together.
@@ -176,7 +179,7 @@
 // first state afterwards says so.
 func TestOutage(t *testing.T) {
 	f := newFakeSource()
-	run(t, f, func(seen func(string) string) {
+	logged := run(t, f, func(seen func(string) string) {
 		f.write("a", "1")
 		time.Sleep(settle)
 		f.set(func(f *fakeSource) { f.away = true })
@@ -193,6 +196,7 @@
 		time.Sleep(settle)
 		assert.Equal(t, seen("a"), "2")
 	})
+	assert.Equal(t, logged, "WARN store lost: cause=store is away\nINFO store regained: awayMs\n")
 }
 
 // TestPace checks that a store that changes all the time is asked at the pace, and more rarely by many.
--- a/toucanpeer/board_test.go
+++ b/toucanpeer/board_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"log/slog"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanlogtest"
 	"toucanport/toucanmove"
 	"toucanport/toucanplace"
 	"toucanport/toucanstore"
@@ -149,12 +151,12 @@
 
 // TestMesh joins two entries over loopback and waits until each knows what the other placed.
 func TestMesh(t *testing.T) {
-	log := slog.New(slog.DiscardHandler)
+	aLog, bLog := &toucanlogtest.Log{}, &toucanlogtest.Log{}
 	a, aBook := newBoard()
 	b, bBook := newBoard()
-	am, err := Listen("a", "127.0.0.1:0", a, log)
+	am, err := Listen("a", "127.0.0.1:0", a, aLog.Logger())
 	assert.NilError(t, err)
-	bm, err := Listen("b", "127.0.0.1:0", b, log)
+	bm, err := Listen("b", "127.0.0.1:0", b, bLog.Logger())
 	assert.NilError(t, err)
 	peers := map[string]netip.AddrPort{"a": am.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort(), "b": bm.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()}
 	am.SetPeers(peers)
@@ -189,6 +191,7 @@
 		_, err := am.Borrow(t.Context())
 		return errors.Is(err, ErrNoLender)
 	})
+	assert.Equal(t, strings.ReplaceAll(aLog.Next(t, 1), peers["b"].String(), "b's"), "INFO peer joined: address=b's peer=b\n")
 	// A peer that is no longer listed is still heard: the store may have turned it away.
 	am.SetPeers(nil)
 	assert.Equal(t, am.Peers(), 1)
--- a/toucanpeer/lend.go
+++ b/toucanpeer/lend.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanstore"
 )
 
@@ -32,7 +33,7 @@
 			return
 		}
 		if err != nil {
-			m.log.Warn("peer could not be answered", "cause", err.Error())
+			m.log.Warn(toucanlog.MsgPeerNotAnswered, toucanlog.Cause, err.Error())
 			continue
 		}
 		go m.lend(conn, read())
@@ -46,7 +47,7 @@
 		s.Items[i] = &Item{Key: v.Key, Body: v.Body, Revision: v.Revision}
 	}
 	if err := conn.SetWriteDeadline(time.Now().Add(lendTimeout)); err != nil {
-		m.log.Warn("peer could not be answered", "cause", err.Error())
+		m.log.Warn(toucanlog.MsgPeerNotAnswered, toucanlog.Cause, err.Error())
 		return
 	}
 	w := bufio.NewWriter(conn)
@@ -55,7 +56,7 @@
 		err = w.Flush()
 	}
 	if err != nil {
-		m.log.Warn("peer could not be answered", "cause", err.Error())
+		m.log.Warn(toucanlog.MsgPeerNotAnswered, toucanlog.Cause, err.Error())
 	}
 }
 
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanmember"
 )
 
@@ -100,7 +101,10 @@
 			continue
 		}
 		if held, ok := m.peers[name]; !ok || held != address {
-			m.log.Info("peer joined", "peer", name, "address", address.String())
+			m.log.Info(toucanlog.MsgPeerJoined,
+				toucanlog.Peer, name,
+				toucanlog.Address, address.String(),
+			)
 		}
 		next[name] = address
 	}
@@ -119,7 +123,7 @@
 			continue
 		}
 		delete(m.unlisted, name)
-		m.log.Info("peer left", "peer", name)
+		m.log.Info(toucanlog.MsgPeerLeft, toucanlog.Peer, name)
 	}
 	m.peers = next
 }
@@ -224,7 +228,10 @@
 	r.Sender, r.Boot, r.Serial = m.name, m.boot, m.serial
 	encoded, err := proto.Marshal(r)
 	if err != nil || len(encoded) > maxDatagram {
-		m.log.Error("report to peers not sent", "bytes", len(encoded), "cause", errors.Wrap(err, "too long").Error())
+		m.log.Error(toucanlog.MsgReportNotSent,
+			toucanlog.Bytes, len(encoded),
+			toucanlog.Cause, errors.Wrap(err, "too long").Error(),
+		)
 		return
 	}
 	for _, address := range peers {
--- a/toucanpeer/register.go
+++ b/toucanpeer/register.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanstore"
 )
 
@@ -45,7 +46,7 @@
 	for {
 		err := register(ctx, store, name, address, &lease)
 		if err != nil && ctx.Err() == nil && registered {
-			log.Warn("entry may no longer be listed for its peers", "cause", err.Error())
+			log.Warn(toucanlog.MsgUnlisted, toucanlog.Cause, err.Error())
 		}
 		registered = err == nil
 		wait := renewInterval
@@ -70,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registerRetry)
 	defer cancel()
 	if err := store.Revoke(ctx, lease); err != nil {
-		log.Warn("entry stays listed until its lease ends", "cause", err.Error())
+		log.Warn(toucanlog.MsgStaysListed, toucanlog.Cause, err.Error())
 	}
 }
 
--- a/toucanprobe/probe.go
+++ b/toucanprobe/probe.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanmember"
 	"toucanport/toucanplace"
 )
@@ -87,7 +88,10 @@
 	blind := d.board.Blind(now)
 	if blind != d.asking {
 		d.asking = blind
-		d.log.Info("asking endpoints whether they leave", "asking", blind, "peersHeard", len(d.board.Heard(now)))
+		d.log.Info(toucanlog.MsgAskingEndpoints,
+			toucanlog.Asking, blind,
+			toucanlog.PeersHeard, len(d.board.Heard(now)),
+		)
 	}
 	return blind
 }
@@ -116,7 +120,10 @@
 	delete(d.unanswered, e.ID)
 	d.mu.Unlock()
 	if leaving {
-		d.log.Info("endpoint says that it leaves", "endpoint", e.ID, "address", e.Address)
+		d.log.Info(toucanlog.MsgEndpointLeaves,
+			toucanlog.Endpoint, e.ID,
+			toucanlog.Address, e.Address,
+		)
 		d.board.TakeLeaving(time.Now(), e.Key())
 	}
 }
@@ -132,7 +139,12 @@
 	}
 	d.mu.Unlock()
 	if n == maxUnanswered {
-		d.log.Warn("endpoint does not answer", "endpoint", e.ID, "address", e.Address, "questions", n, "cause", err.Error())
+		d.log.Warn(toucanlog.MsgEndpointSilent,
+			toucanlog.Endpoint, e.ID,
+			toucanlog.Address, e.Address,
+			toucanlog.Questions, n,
+			toucanlog.Cause, err.Error(),
+		)
 		d.board.TakeLeaving(time.Now(), e.Key())
 	}
 }
--- a/toucanprobe/probe_test.go
+++ b/toucanprobe/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanlogtest"
 	"toucanport/toucanplace"
 )
 
@@ -76,7 +78,8 @@
 		board := &fakeBoard{left: make(map[uint64]bool)}
 		prober := &fakeProber{asked: make(map[string]int)}
 		ctx, cancel := context.WithCancel(t.Context())
-		go New("self", prober, book, board, slog.New(slog.DiscardHandler)).Run(ctx)
+		log := &toucanlogtest.Log{}
+		go New("self", prober, book, board, log.Logger()).Run(ctx)
 		time.Sleep(3 * interval)
 		assert.Equal(t, len(prober.asked), 0)
 		board.mu.Lock()
@@ -88,6 +91,14 @@
 		assert.Assert(t, board.left[keys["dead"]])
 		assert.Assert(t, !board.left[keys["fine"]])
 		assert.Equal(t, prober.asked["plain"], 0)
+		lines := log.Next(t, 3)
+		for _, want := range []string{
+			"INFO asking endpoints whether they leave: asking=true peersHeard=0\n",
+			"INFO endpoint says that it leaves: address=leaving endpoint=leaving\n",
+			"WARN endpoint does not answer: address=dead cause=refused endpoint=dead questions=2\n",
+		} {
+			assert.Assert(t, strings.Contains(lines, want), lines)
+		}
 		cancel()
 		synctest.Wait()
 	})
