Ask endpoints whether they leave as soon as the store has told no entry anything for 850 ms

A stopping entry kept its share of the endpoints for two seconds after its end, in which nobody asked them. Change: entries tell how long ago the store answered them; the questions start 850 ms after the last answer to any of them, and look every 70 ms whether they are due. An entry that stops says so and has no share.

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -82,6 +82,8 @@
 	verified time.Time
 	retry    time.Duration
 	health   func(away bool)
+	// tellHeard is called at each answer of the store.
+	tellHeard func()
 	// sharers returns the number of other processes that tell this one of what they see.
 	sharers func() int
 	// lender returns what another process has read, while the source does not answer this one.
@@ -99,19 +101,23 @@
 // WithHealth calls f when the store stops answering and when it answers again.
 func WithHealth(f func(away bool)) Option { return func(m *Mirror) { m.health = f } }
 
+// WithHeard calls f at each answer of the store.
+func WithHeard(f func()) Option { return func(m *Mirror) { m.tellHeard = f } }
+
 // WithSharers makes the calls rarer the more other processes tell this one of what they see; f returns their number.
 func WithSharers(f func() int) Option { return func(m *Mirror) { m.sharers = f } }
 
 // New returns a mirror of source.
 func New(source Source, log *slog.Logger, opts ...Option) *Mirror {
 	m := &Mirror{
-		source:  source,
-		log:     log,
-		retry:   firstRetry,
-		health:  func(bool) {},
-		sharers: func() int { return 0 },
-		nudged:  make(chan struct{}, 1),
-		began:   time.Now(),
+		source:    source,
+		log:       log,
+		retry:     firstRetry,
+		health:    func(bool) {},
+		tellHeard: func() {},
+		sharers:   func() int { return 0 },
+		nudged:    make(chan struct{}, 1),
+		began:     time.Now(),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -264,6 +270,7 @@
 func (m *Mirror) answered() bool {
 	m.retry = firstRetry
 	m.heard.Store(int64(time.Since(m.began)))
+	m.tellHeard()
 	if m.lost.IsZero() {
 		return false
 	}
--- a/toucanpeer/board.go
+++ b/toucanpeer/board.go
@@ -33,6 +33,10 @@
 	storeAway bool
 	// seenSince is when the store began to answer this entry.
 	seenSince time.Time
+	// storeHeard is when the store last answered this entry; zero before it did.
+	storeHeard time.Time
+	// stopping is true once this entry has been told to stop.
+	stopping bool
 	// settings is the version of the settings that this entry holds; newest the highest that peers told.
 	settings, newest uint64
 	// behind is called when a peer holds newer settings.
@@ -189,13 +193,48 @@
 	return b.storeAway
 }
 
-// Heard returns the names of the entries that this one hears.
+// SetStoreHeard notes that the store has answered this entry now.
+func (b *Board) SetStoreHeard() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.storeHeard = time.Now()
+}
+
+// SetStopping tells the peers that this entry stops.
+func (b *Board) SetStopping() {
+	b.mu.Lock()
+	b.stopping = true
+	b.mu.Unlock()
+	b.hurry()
+}
+
+// storeSilence is above the longest time between two answers of the store to one entry; all entries may call it in step.
+const storeSilence = 850 * time.Millisecond
+
+// StoreSilent reports whether the store has answered no entry that this one hears for longer than it should take. That is
+// known sooner than that the store is away, and less surely.
+func (b *Board) StoreSilent(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	age := now.Sub(b.storeHeard)
+	for _, p := range b.peers {
+		if now.Sub(p.at) > silence {
+			continue
+		}
+		if ms := p.report.GetStoreSilentMillis(); ms > 0 {
+			age = min(age, now.Sub(p.at)+time.Duration(ms)*time.Millisecond)
+		}
+	}
+	return age > storeSilence
+}
+
+// Heard returns the names of the entries that this one hears and that do not stop.
 func (b *Board) Heard(now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var names []string
 	for name, p := range b.peers {
-		if now.Sub(p.at) <= silence {
+		if now.Sub(p.at) <= silence && !p.report.GetStopping() {
 			names = append(names, name)
 		}
 	}
@@ -383,6 +422,10 @@
 		r.Leaving = append(r.Leaving, key)
 	}
 	r.StoreAway = b.storeAway
+	r.Stopping = b.stopping
+	if !b.storeHeard.IsZero() {
+		r.StoreSilentMillis = uint32(max(time.Since(b.storeHeard).Milliseconds(), 1))
+	}
 	r.Lends = b.lends(time.Now())
 	r.SettingsVersion = b.settings
 	for endpoint, runs := range b.runs {
--- a/toucanpeer/board_test.go
+++ b/toucanpeer/board_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -121,6 +122,48 @@
 	assert.Assert(t, b.Copying(start, 1))
 }
 
+// TestStoreSilent checks that the store is silent once it has told neither this entry nor a peer that it hears anything
+// for longer than it should take.
+func TestStoreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newBoard()
+		assert.Assert(t, b.StoreSilent(time.Now()))
+		b.SetStoreHeard()
+		time.Sleep(storeSilence)
+		assert.Assert(t, !b.StoreSilent(time.Now()))
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, b.StoreSilent(time.Now()))
+		// A peer heard of it 100 ms before it reported.
+		r := report(1, 1)
+		r.StoreSilentMillis = 100
+		b.Take(time.Now(), r)
+		time.Sleep(storeSilence - 100*time.Millisecond)
+		assert.Assert(t, !b.StoreSilent(time.Now()))
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, b.StoreSilent(time.Now()))
+		// One that has never heard of it says nothing.
+		b.Take(time.Now(), report(1, 2))
+		assert.Assert(t, b.StoreSilent(time.Now()))
+	})
+}
+
+// TestStoppingPeers checks that a peer that stops has no share of what the entries divide among themselves, while its
+// report still holds.
+func TestStoppingPeers(t *testing.T) {
+	b, book := newBoard()
+	b.Take(start, report(1, 1))
+	assert.Equal(t, len(b.Heard(start)), 1)
+	r := report(1, 2)
+	r.Stopping = true
+	r.Uses = []*EndpointUse{{Endpoint: endpoint.Key(), Requests: uint32(endpoint.Slots)}}
+	b.Take(start, r)
+	assert.Equal(t, len(b.Heard(start)), 0)
+	_, err := book.Place(start, "s", toucanplace.Demand{Prompt: 1}, nil)
+	assert.Assert(t, errors.Is(err, toucanplace.ErrFull))
+	b.SetStopping()
+	assert.Assert(t, b.report().GetStopping())
+}
+
 // TestBlind checks that an entry is blind only when neither it nor a peer it hears sees the store.
 func TestBlind(t *testing.T) {
 	b, _ := newBoard()
--- a/toucanprobe/probe.go
+++ b/toucanprobe/probe.go
@@ -16,6 +16,8 @@
 const (
 	// interval is the time between two questions to one endpoint.
 	interval = 350 * time.Millisecond
+	// checkInterval is the time between two looks whether endpoints have to be asked.
+	checkInterval = 70 * time.Millisecond
 	// timeout bounds one question.
 	timeout = 300 * time.Millisecond
 	// probers is how many entries ask one endpoint.
@@ -32,8 +34,8 @@
 
 // Board is where entries tell one another of leaving endpoints.
 type Board interface {
-	// Blind reports whether the store answers none of the entries.
-	Blind(now time.Time) bool
+	// StoreSilent reports whether the store has told none of the entries anything for longer than it should take.
+	StoreSilent(now time.Time) bool
 	// Heard returns the names of the other entries that are heard.
 	Heard(now time.Time) []string
 	// TakeLeaving takes in that an endpoint leaves.
@@ -69,12 +71,14 @@
 
 // Run asks until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	var asked time.Time
 	for {
 		select {
-		case now := <-ticker.C:
-			if d.due(now) {
+		case <-ticker.C:
+			if now := time.Now(); d.due(now) && now.Sub(asked) >= interval {
+				asked = now
 				d.round(ctx, now)
 			}
 		case <-ctx.Done():
@@ -85,15 +89,15 @@
 
 // due reports whether endpoints have to be asked.
 func (d *Duty) due(now time.Time) bool {
-	blind := d.board.Blind(now)
-	if blind != d.asking {
-		d.asking = blind
+	silent := d.board.StoreSilent(now)
+	if silent != d.asking {
+		d.asking = silent
 		d.log.Info(toucanlog.MsgAskingEndpoints,
-			toucanlog.Asking, blind,
+			toucanlog.Asking, silent,
 			toucanlog.PeersHeard, len(d.board.Heard(now)),
 		)
 	}
-	return blind
+	return silent
 }
 
 // round asks each endpoint of this entry's share once, all at the same time.
--- a/toucanprobe/probe_test.go
+++ b/toucanprobe/probe_test.go
@@ -16,18 +16,18 @@
 	"toucanport/toucanplace"
 )
 
-// fakeBoard is blind or not, with peers.
+// fakeBoard has heard of the store or not, with peers.
 type fakeBoard struct {
-	mu    sync.Mutex
-	blind bool
-	peers []string
-	left  map[uint64]bool
+	mu     sync.Mutex
+	silent bool
+	peers  []string
+	left   map[uint64]bool
 }
 
-func (b *fakeBoard) Blind(time.Time) bool {
+func (b *fakeBoard) StoreSilent(time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.blind
+	return b.silent
 }
 
 func (b *fakeBoard) Heard(time.Time) []string { return b.peers }
@@ -71,8 +71,8 @@
 	return book, keys
 }
 
-// TestAsksOnlyWhileBlind checks who is asked, and that silent and leaving endpoints are told of.
-func TestAsksOnlyWhileBlind(t *testing.T) {
+// TestAsksOnlyWhileStoreIsSilent checks who is asked, and that silent and leaving endpoints are told of.
+func TestAsksOnlyWhileStoreIsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		book, keys := endpoints()
 		board := &fakeBoard{left: make(map[uint64]bool)}
@@ -83,7 +83,7 @@
 		time.Sleep(3 * interval)
 		assert.Equal(t, len(prober.asked), 0)
 		board.mu.Lock()
-		board.blind = true
+		board.silent = true
 		board.mu.Unlock()
 		time.Sleep(maxUnanswered*interval + interval)
 		synctest.Wait()
@@ -110,7 +110,7 @@
 	asked := make(map[string]int)
 	for self, peer := range map[string]string{"a": "b", "b": "a"} {
 		prober := &fakeProber{asked: make(map[string]int)}
-		board := &fakeBoard{blind: true, peers: []string{peer}, left: make(map[uint64]bool)}
+		board := &fakeBoard{silent: true, peers: []string{peer}, left: make(map[uint64]bool)}
 		New(self, prober, book, board, slog.New(slog.DiscardHandler)).round(t.Context(), time.Now())
 		for address, n := range prober.asked {
 			asked[address] += n
