--- a/toucanforward/run.go
+++ b/toucanforward/run.go
@@ -45,6 +45,8 @@
 	longestGap time.Duration
 	// moves counts the endpoints that the run was taken on by after its first.
 	moves int
+	// planned is the run's size in tokens when it was first planned for at its present endpoint; zero before.
+	planned int
 	// notBefore is when a move that failed may be tried again.
 	notBefore time.Time
 	// moveFailure is the cause of the last failed move.
@@ -151,6 +153,7 @@
 	defer r.mu.Unlock()
 	r.claim = c
 	r.moves++
+	r.planned = 0
 	r.stopping = false
 }
 
@@ -165,11 +168,16 @@
 // tokenTime is the forecast time of one token of a run that has made none yet.
 const tokenTime = 9 * time.Millisecond
 
-// forMove describes the run to the plan of moves.
+// forMove describes the run to the plan of moves. Its size stays what it was when the run was first planned for at its
+// endpoint: entries compare their own runs with what the others told of theirs a while ago, and would each take the
+// others to be ahead if all sizes grew meanwhile.
 func (r *run) forMove(now time.Time) toucanmove.Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	made := r.events * r.tokensPerEvent()
+	if r.planned == 0 {
+		r.planned = r.job.Prompt + made
+	}
 	left := float64(max(r.forecast-made, 0))
 	pace := tokenTime
 	if made > 0 {
@@ -177,7 +185,7 @@
 	}
 	return toucanmove.Run{
 		ID:     xxhash.Sum64String(r.job.ID),
-		Tokens: r.job.Prompt + made,
+		Tokens: r.planned,
 		Left:   time.Duration(left * float64(pace)),
 	}
 }
@@ -197,7 +205,7 @@
 }
 
 // tokens is the memory that the run takes now.
-func (r *run) tokens() int { return r.forMove(time.Now()).Tokens }
+func (r *run) tokens() int { return r.job.Prompt + r.made() }
 
 // runTable holds the generations whose events are being passed on.
 type runTable struct {
