--- a/toucanforward/backup.go
+++ b/toucanforward/backup.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanplace"
+	"toucanport/toucanrun"
 )
 
 // stopTimeout bounds the call that makes sure that an endpoint whose stream broke does not go on with the run.
@@ -20,28 +21,28 @@
 
 // revive finds the place where a generation goes on whose stream broke without a move: at the endpoint with its backup.
 // An endpoint that still answers is told to stop the run first, so that it never runs at two places.
-func (s *Server) revive(ctx context.Context, j *job, r *run, cutAt time.Time) (handover, error) {
+func (s *Server) revive(ctx context.Context, j *job, r *toucanrun.Run, cutAt time.Time) (toucanrun.Handover, error) {
 	backup := j.backup
 	if backup == nil {
-		return handover{}, errNoBackup
+		return toucanrun.Handover{}, errNoBackup
 	}
 	j.backup = nil
-	source := r.endpoint()
-	h := handover{
-		claim:     s.book.Reclaim(backup.Endpoint, r.demand()),
-		source:    backup.Endpoint.Address,
-		handle:    j.ID,
-		stoppedAt: cutAt,
-		backup:    true,
+	source := r.Endpoint()
+	h := toucanrun.Handover{
+		Claim:     s.book.Reclaim(backup.Endpoint, r.Demand()),
+		Source:    backup.Endpoint.Address,
+		Handle:    j.ID,
+		StoppedAt: cutAt,
+		Backup:    true,
 	}
 	backup.Done(time.Now(), toucanplace.OutcomeNeutral)
 	stopCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	handle, err := s.mover.Copy(stopCtx, source.Address, j.ID, backup.Endpoint.Address, true)
 	if err == nil || handle != "" {
-		h.source, h.handle, h.backup = source.Address, handle, false
+		h.Source, h.Handle, h.Backup = source.Address, handle, false
 	}
-	if h.backup {
+	if h.Backup {
 		s.metrics.revived.Inc(1)
 	}
 	return h, nil
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -9,6 +9,7 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrun"
 	"toucanport/toucanupstream"
 )
 
@@ -25,7 +26,7 @@
 	// claim is held while rest or stream is being read.
 	claim *toucanplace.Claim
 	// run is set for a stream that has come to its end.
-	run *run
+	run *toucanrun.Run
 }
 
 // deliver passes an answer on to the caller.
@@ -72,7 +73,7 @@
 func (s *Server) answeredLine(j *job, a *answer, err error) {
 	took := time.Since(j.arrived)
 	s.metrics.answered(j.route.Kind, j.workspace, a.status, took)
-	late := a.run != nil && a.run.late()
+	late := a.run != nil && a.run.Late()
 	if late {
 		s.metrics.streamsLate.Inc(1)
 	}
@@ -95,7 +96,7 @@
 		toucanlog.SettingsVersion, j.version,
 	}
 	if a.run != nil {
-		args = append(append(args, toucanlog.Late, late), a.run.logArgs()...)
+		args = append(append(args, toucanlog.Late, late), a.run.LogArgs()...)
 	}
 	if err != nil {
 		args = append(args, toucanlog.Cause, err.Error())
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -30,10 +30,8 @@
 	// streamsLate counts streams that came to their end and were late on the way.
 	streamsLate   tally.Counter
 	resumed       tally.Counter
-	moves         tally.Counter
 	unbacked      tally.Counter
 	revived       tally.Counter
-	moveFails     tally.Counter
 	firstEvent    tally.Histogram
 	betweenEvents tally.Histogram
 	held          tally.Histogram
@@ -77,8 +75,6 @@
 		resumed:       scope.Counter("streams_resumed"),
 		unbacked:      scope.Counter("streams_without_backup"),
 		revived:       scope.Counter("streams_resumed_from_backup"),
-		moves:         scope.Counter("generations_moved"),
-		moveFails:     scope.Counter("generation_moves_failed"),
 		firstEvent:    scope.Histogram("first_event", answerBuckets),
 		betweenEvents: scope.Histogram("between_events", answerBuckets),
 		held:          scope.Histogram("request_held", answerBuckets),
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -4,7 +4,6 @@
 package toucanforward
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -76,23 +75,6 @@
 	Answer(status int, h http.Header, id string) Answer
 }
 
-// Mover asks endpoints to copy the memory of running generations.
-type Mover interface {
-	// Copy copies the memory of a run to another endpoint. With last, the run stops before the copy. The error is
-	// ErrNoRun, ErrNoRoom, which brings the handle if the run has stopped, or another one, after which the run may
-	// have stopped.
-	Copy(ctx context.Context, source, requestID, target string, last bool) (handle string, err error)
-	// Drop frees a copy that will not be used.
-	Drop(ctx context.Context, source, handle string) error
-}
-
-var (
-	// ErrNoRun says that the endpoint does not run the request.
-	ErrNoRun = errors.New("endpoint does not run the request")
-	// ErrNoRoom says that the target has no room for the copy or can't be reached from the source.
-	ErrNoRoom = errors.New("target has no room for the copy")
-)
-
 // connectionHeaders concern one connection only and are not passed on.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -21,6 +21,7 @@
 	"toucanport/toucanmove"
 	"toucanport/toucanplace"
 	"toucanport/toucanretry"
+	"toucanport/toucanrun"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
 )
@@ -195,17 +196,7 @@
 
 // awaitEvents waits until the one stream in progress has passed on a number of events.
 func (sc *scene) awaitEvents(n int) {
-	passed := func() bool {
-		sc.server.runs.mu.Lock()
-		defer sc.server.runs.mu.Unlock()
-		for r := range sc.server.runs.runs {
-			r.mu.Lock()
-			events := r.events
-			r.mu.Unlock()
-			return events == n
-		}
-		return false
-	}
+	passed := func() bool { return sc.server.runs.Events() == n }
 	for deadline := time.Now().Add(longWait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		if passed() {
 			return
@@ -418,12 +409,12 @@
 	m.mu.Unlock()
 	switch outcome {
 	case "noRun":
-		return "", ErrNoRun
+		return "", toucanrun.ErrNoRun
 	case "noRoom":
-		return "", ErrNoRoom
+		return "", toucanrun.ErrNoRoom
 	case "noRoomStopped":
 		from.stop()
-		return "handle", ErrNoRoom
+		return "handle", toucanrun.ErrNoRoom
 	case "lost":
 		from.stop()
 		return "", io.ErrUnexpectedEOF
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -12,6 +12,7 @@
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanretry"
+	"toucanport/toucanrun"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
 	"toucanport/toucanwait"
@@ -29,15 +30,15 @@
 // Server is the handler for callers' requests.
 type Server struct {
 	codec   Codec
-	mover   Mover
-	board   Board
+	mover   toucanrun.Mover
+	board   toucanrun.Board
 	traffic *toucantraffic.Current
 	book    *toucanplace.Book
 	pool    *toucanupstream.Pool
 	budget  *toucanretry.Budget
 	log     *slog.Logger
 	metrics *metrics
-	runs    runTable
+	runs    *toucanrun.Runs
 	lengths lengths
 	waiting waiting
 	// closing is true when connections should be closed behind the next answer.
@@ -51,8 +52,8 @@
 // Config holds what a Server works with.
 type Config struct {
 	Codec   Codec
-	Mover   Mover
-	Board   Board
+	Mover   toucanrun.Mover
+	Board   toucanrun.Board
 	Traffic *toucantraffic.Current
 	Book    *toucanplace.Book
 	Pool    *toucanupstream.Pool
@@ -63,6 +64,7 @@
 
 // New returns a server.
 func New(cfg Config) *Server {
+	m := newMetrics(cfg.Metrics)
 	return &Server{
 		codec:   cfg.Codec,
 		mover:   cfg.Mover,
@@ -72,12 +74,21 @@
 		pool:    cfg.Pool,
 		budget:  cfg.Budget,
 		log:     cfg.Log,
-		metrics: newMetrics(cfg.Metrics),
-		runs:    runTable{runs: make(map[*run]struct{})},
+		metrics: m,
+		runs: toucanrun.New(toucanrun.Config{
+			Book:  cfg.Book,
+			Board: cfg.Board,
+			Mover: cfg.Mover,
+			Log:   cfg.Log,
+			Scope: m.scope,
+		}),
 		started: time.Now(),
 	}
 }
 
+// RunMoves moves generations off endpoints that leave until ctx ends.
+func (s *Server) RunMoves(ctx context.Context) { s.runs.Move(ctx) }
+
 // CloseConnections makes the server close each connection behind its next answer.
 func (s *Server) CloseConnections() { s.closing.Store(true) }
 
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -10,13 +10,12 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrun"
 	"toucanport/toucanupstream"
 )
 
 const (
 	relayBuffer = 8 << 10
-	// handoverWait is how long a stream that was stopped for a move waits for the place where it goes on.
-	handoverWait = 3 * time.Second
 )
 
 var (
@@ -26,8 +25,8 @@
 
 // relay passes events on as they come, from one endpoint after the other when the generation is moved.
 func (s *Server) relay(ctx context.Context, j *job, a *answer) {
-	r := s.runs.begin(j, a.claim)
-	defer s.runs.end(r)
+	r := s.runs.Begin(j.run(), a.claim)
+	defer s.runs.End(r)
 	j.w.Header().Del("Content-Length")
 	j.w.WriteHeader(a.status)
 	var seen events
@@ -40,7 +39,7 @@
 			return
 		}
 		next, nextClaim, resumeErr := s.resume(ctx, j, r, &seen)
-		if errors.Is(resumeErr, errNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 {
+		if errors.Is(resumeErr, toucanrun.ErrNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 {
 			s.finished(j, a, claim, r)
 			return
 		}
@@ -54,10 +53,24 @@
 	}
 }
 
+// run describes the request as a generation.
+func (j *job) run() toucanrun.Spec {
+	return toucanrun.Spec{
+		ID:       j.ID,
+		Prompt:   j.Prompt,
+		Forecast: j.demand.Output,
+		Engine:   j.service.Engine,
+		Goal:     j.route.Goal,
+		Gap:      j.route.Gap,
+		Arrived:  j.arrived,
+		Placed:   j.placed,
+	}
+}
+
 // finished notes that a stream came to its own end.
-func (s *Server) finished(j *job, a *answer, claim *toucanplace.Claim, r *run) {
+func (s *Server) finished(j *job, a *answer, claim *toucanplace.Claim, r *toucanrun.Run) {
 	claim.Done(time.Now(), toucanplace.OutcomeGood)
-	s.lengths.observe(j.route.Name, j.Request, r.made())
+	s.lengths.observe(j.route.Name, j.Request, r.Made())
 	s.answeredLine(j, &answer{status: a.status, claim: claim, run: r}, nil)
 }
 
@@ -83,7 +96,7 @@
 }
 
 // relayFrom passes on one endpoint's part of a stream. It returns nil at the stream's own end.
-func (s *Server) relayFrom(ctx context.Context, j *job, r *run, claim *toucanplace.Claim, x *toucanupstream.Exchange, seen *events) error {
+func (s *Server) relayFrom(ctx context.Context, j *job, r *toucanrun.Run, claim *toucanplace.Claim, x *toucanupstream.Exchange, seen *events) error {
 	flusher := http.NewResponseController(j.w)
 	buf := make([]byte, relayBuffer)
 	for {
@@ -103,7 +116,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if !errors.Is(readErr, io.EOF) || !x.Framed && r.stopped() {
+		if !errors.Is(readErr, io.EOF) || !x.Framed && r.Stopped() {
 			return readErr
 		}
 		if len(seen.pending) > 0 {
@@ -114,17 +127,17 @@
 }
 
 // pass hands whole events to the caller.
-func (s *Server) pass(j *job, r *run, claim *toucanplace.Claim, flusher *http.ResponseController, whole []byte, seen *events) error {
+func (s *Server) pass(j *job, r *toucanrun.Run, claim *toucanplace.Claim, flusher *http.ResponseController, whole []byte, seen *events) error {
 	if len(whole) == 0 {
 		return nil
 	}
-	if first, gap := r.progress(seen.count); first {
+	if first, gap := r.Progress(seen.count); first {
 		claim.Began()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	} else {
 		s.metrics.betweenEvents.RecordDuration(gap)
 	}
-	r.grow(&s.lengths)
+	r.Grow(func(made int) int { return s.lengths.forecast(j.route.Name, j.Request, made) })
 	if _, err := j.w.Write(whole); err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
@@ -132,13 +145,13 @@
 }
 
 // resume opens the rest of a stream where its generation was moved to, or else where its backup is.
-func (s *Server) resume(ctx context.Context, j *job, r *run, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
+func (s *Server) resume(ctx context.Context, j *job, r *toucanrun.Run, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
 	if ctx.Err() != nil {
 		return nil, nil, ctx.Err()
 	}
 	cutAt := time.Now()
-	h, err := r.awaitHandover(ctx)
-	if errors.Is(err, errNotStopped) {
+	h, err := r.AwaitHandover(ctx)
+	if errors.Is(err, toucanrun.ErrNotStopped) {
 		return nil, nil, err
 	}
 	if err == nil {
@@ -147,7 +160,7 @@
 			return x, claim, err
 		}
 	}
-	if s.book.Staying(r.endpoint().ID) {
+	if s.book.Staying(r.Endpoint().ID) {
 		s.brokeAfter.Store(int64(cutAt.Sub(s.started)))
 	}
 	h, err = s.revive(ctx, j, r, cutAt)
@@ -159,12 +172,12 @@
 
 // resumeAt opens the rest of a stream at one place. The error is errNotRun on proof that the endpoint did nothing, so that
 // the run may go on elsewhere.
-func (s *Server) resumeAt(ctx context.Context, j *job, r *run, h handover, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
+func (s *Server) resumeAt(ctx context.Context, j *job, r *toucanrun.Run, h toucanrun.Handover, seen *events) (*toucanupstream.Exchange, *toucanplace.Claim, error) {
 	seen.restart()
-	x, err := s.send(ctx, j, h.claim, &Resume{Source: h.source, Handle: h.handle, LastEvent: seen.last})
+	x, err := s.send(ctx, j, h.Claim, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.last})
 	if err != nil {
-		f := newFailure(h.claim, err)
-		h.claim.Done(time.Now(), f.outcome(ctx))
+		f := newFailure(h.Claim, err)
+		h.Claim.Done(time.Now(), f.outcome(ctx))
 		if f.notRun {
 			err = errors.Wrap(errNotRun, err.Error())
 		}
@@ -173,25 +186,25 @@
 	told := s.codec.Answer(x.Status, x.Header, j.ID)
 	if x.Status != http.StatusOK || !told.Genuine || !told.Named || !isEventStream(x.Header) {
 		x.Close()
-		h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
+		h.Claim.Done(time.Now(), toucanplace.OutcomeNeutral)
 		return nil, nil, notResumed(h, x.Status, told)
 	}
-	r.moveTo(h.claim)
+	r.MoveTo(h.Claim)
 	s.metrics.resumed.Inc(1)
 	s.log.Info(toucanlog.MsgStreamResumed,
 		toucanlog.RequestID, j.ID,
-		toucanlog.Endpoint, h.claim.Endpoint.ID,
-		toucanlog.From, h.source,
+		toucanlog.Endpoint, h.Claim.Endpoint.ID,
+		toucanlog.From, h.Source,
 		toucanlog.LastEvent, seen.last,
-		toucanlog.Backup, h.backup,
-		toucanlog.PauseMs, time.Since(h.stoppedAt).Milliseconds(),
+		toucanlog.Backup, h.Backup,
+		toucanlog.PauseMs, time.Since(h.StoppedAt).Milliseconds(),
 	)
-	return x, h.claim, nil
+	return x, h.Claim, nil
 }
 
 // notResumed is the error of an endpoint that does not go on with a run.
-func notResumed(h handover, status int, told Answer) error {
-	err := errors.Errorf("endpoint %s does not go on: status %d", h.claim.Endpoint.ID, status)
+func notResumed(h toucanrun.Handover, status int, told Answer) error {
+	err := errors.Errorf("endpoint %s does not go on: status %d", h.Claim.Endpoint.ID, status)
 	if told.NotRun {
 		err = errors.Wrap(errNotRun, err.Error())
 	}
--- a/toucanlog/names_test.go
+++ b/toucanlog/names_test.go
@@ -14,7 +14,7 @@
 
 // writers are the packages of an entry on the users' platform, whose lines have their names from here.
 var writers = []string{
-	"platform", "toucanforward", "toucanmirror", "toucanpeer", "toucanprobe", filepath.Join("toucancmd", "platform"),
+	"platform", "toucanforward", "toucanmirror", "toucanpeer", "toucanprobe", "toucanrun", filepath.Join("toucancmd", "platform"),
 }
 
 // TestNamesStayHere checks that no log line has a message or a field that is spelled where it is written.
--- a/toucanforward/move_test.go
+++ b/toucanrun/order_test.go
@@ -1,4 +1,4 @@
-package toucanforward
+package toucanrun
 
 import (
 	"fmt"
@@ -16,10 +16,10 @@
 // how far the others' runs were a while ago; one of them must still go first.
 func TestOrderOfMovesStaysAgreed(t *testing.T) {
 	began := time.Now()
-	var runs []*run
+	var runs []*Run
 	for i := range 3 {
-		j := &job{Request: Request{ID: fmt.Sprint("request", i), Prompt: 10}, service: toucantraffic.Service{Engine: &toucantraffic.Engine{}}}
-		r := &run{job: j, claim: &toucanplace.Claim{Endpoint: toucanplace.Endpoint{ID: "leaving"}}, forecast: 1000}
+		spec := Spec{ID: fmt.Sprint("request", i), Prompt: 10, Engine: &toucantraffic.Engine{}}
+		r := &Run{spec: spec, claim: &toucanplace.Claim{Endpoint: toucanplace.Endpoint{ID: "leaving"}}, forecast: 1000}
 		r.firstEvent, r.events = began.Add(-time.Second), 5
 		runs = append(runs, r)
 	}
@@ -39,6 +39,6 @@
 	}
 	assert.Equal(t, first, 1)
 	// At the next endpoint the size of then counts.
-	runs[0].moveTo(&toucanplace.Claim{Endpoint: toucanplace.Endpoint{ID: "next"}})
+	runs[0].MoveTo(&toucanplace.Claim{Endpoint: toucanplace.Endpoint{ID: "next"}})
 	assert.Equal(t, runs[0].forMove(began.Add(time.Second)).Tokens, 23)
 }
--- a/toucanforward/run.go
+++ b/toucanrun/run.go
@@ -1,4 +1,4 @@
-package toucanforward
+package toucanrun
 
 import (
 	"context"
@@ -11,29 +11,43 @@
 	"toucanport/toucanlog"
 	"toucanport/toucanmove"
 	"toucanport/toucanplace"
+	"toucanport/toucantraffic"
 )
 
 var (
 	errNotMoved = errors.New("generation was not moved")
-	// errNotStopped says that a stream ended by itself while its move was under way.
-	errNotStopped = errors.New("generation was not stopped")
+	// ErrNotStopped says that a stream ended by itself while its move was under way.
+	ErrNotStopped = errors.New("generation was not stopped")
 )
 
-// handover says where a stopped generation goes on.
-type handover struct {
-	claim *toucanplace.Claim
-	// source is the address that the memory comes from.
-	source    string
-	handle    string
-	stoppedAt time.Time
-	// backup is true when the memory is a backup's.
-	backup bool
+// Handover says where a stopped generation goes on.
+type Handover struct {
+	Claim *toucanplace.Claim
+	// Source is the address that the memory comes from, and Handle its name there.
+	Source, Handle string
+	StoppedAt      time.Time
+	// Backup is true when the memory is a backup's.
+	Backup bool
 	err    error
 }
 
-// run is one generation whose events are being passed on.
-type run struct {
-	job *job
+// Spec is what is known of a generation when it begins. It is immutable.
+type Spec struct {
+	// ID is the request's.
+	ID string
+	// Prompt is the tokens of the prompt, and Forecast those that are expected of the answer.
+	Prompt, Forecast int
+	// Engine is nil for services without model engines.
+	Engine *toucantraffic.Engine
+	// Goal is the time to the first event, and Gap that between two, beyond which the answer is late; zero for no bound.
+	Goal, Gap time.Duration
+	// Arrived is when the request came, and Placed when its endpoint was claimed.
+	Arrived, Placed time.Time
+}
+
+// Run is one generation whose events are being passed on.
+type Run struct {
+	spec Spec
 
 	mu     sync.Mutex
 	claim  *toucanplace.Claim
@@ -58,12 +72,12 @@
 	// unstopped is closed when it turns out that the endpoint did not stop the run.
 	unstopped chan struct{}
 	ended     bool
-	moved     chan handover
+	moved     chan Handover
 }
 
-// progress takes in the events passed on so far. first is true when these are the first; otherwise gap is the time since
+// Progress takes in the events passed on so far. first is true when these are the first; otherwise gap is the time since
 // those before.
-func (r *run) progress(events int) (first bool, gap time.Duration) {
+func (r *Run) Progress(events int) (first bool, gap time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -79,59 +93,62 @@
 	return first, gap
 }
 
-// late reports whether the caller has waited longer for the first event, or between two, than the route asks for.
-func (r *run) late() bool {
-	route := r.job.route
+// Late reports whether the caller has waited longer for the first event, or between two, than the route asks for.
+func (r *Run) Late() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return route.Goal > 0 && r.firstEvent.Sub(r.job.arrived) > route.Goal || route.Gap > 0 && r.longestGap > route.Gap
+	return r.spec.Goal > 0 && r.firstEvent.Sub(r.spec.Arrived) > r.spec.Goal || r.spec.Gap > 0 && r.longestGap > r.spec.Gap
 }
 
 // reforecast is the number of events between two forecasts of a run's length.
 const reforecast = 24
 
-// grow makes a new forecast from time to time and tells the book of it.
-func (r *run) grow(l *lengths) {
+// Grow makes a new forecast from time to time and tells the book of it. forecast returns the expected tokens of an answer
+// that has made some already.
+func (r *Run) Grow(forecast func(made int) int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.events-r.forecastAt < reforecast {
 		return
 	}
 	r.forecastAt = r.events
-	r.forecast = l.forecast(r.job.route.Name, r.job.Request, r.events*r.tokensPerEvent())
-	r.claim.Resize(r.job.Prompt + r.forecast)
+	r.forecast = forecast(r.events * r.tokensPerEvent())
+	r.claim.Resize(r.spec.Prompt + r.forecast)
 }
 
-// logArgs describe the course of the run.
-func (r *run) logArgs() []any {
+// LogArgs describe the course of the run.
+func (r *Run) LogArgs() []any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return []any{
-		toucanlog.PlacedMs, r.job.placed.Sub(r.job.arrived).Milliseconds(),
-		toucanlog.FirstEventMs, r.firstEvent.Sub(r.job.arrived).Milliseconds(),
+		toucanlog.PlacedMs, r.spec.Placed.Sub(r.spec.Arrived).Milliseconds(),
+		toucanlog.FirstEventMs, r.firstEvent.Sub(r.spec.Arrived).Milliseconds(),
 		toucanlog.LongestGapMs, r.longestGap.Milliseconds(),
 		toucanlog.Events, r.events,
 		toucanlog.Moves, r.moves,
-		toucanlog.ForecastTokens, r.job.demand.Output,
+		toucanlog.ForecastTokens, r.spec.Forecast,
 		toucanlog.MadeTokens, r.events * r.tokensPerEvent(),
-		toucanlog.PromptTokens, r.job.Prompt,
+		toucanlog.PromptTokens, r.spec.Prompt,
 	}
 }
 
-// stopped reports whether the endpoint was told to stop the run.
-func (r *run) stopped() bool {
+// Stopped reports whether the endpoint was told to stop the run.
+func (r *Run) Stopped() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.stopping
 }
 
-// awaitHandover waits for the place where a stopped run goes on.
-func (r *run) awaitHandover(ctx context.Context) (handover, error) {
+// handoverWait is how long a stream that was stopped for a move waits for the place where it goes on.
+const handoverWait = 3 * time.Second
+
+// AwaitHandover waits for the place where a stopped run goes on.
+func (r *Run) AwaitHandover(ctx context.Context) (Handover, error) {
 	r.mu.Lock()
 	stopping, unstopped := r.stopping, r.unstopped
 	r.mu.Unlock()
 	if !stopping {
-		return handover{}, errNotMoved
+		return Handover{}, errNotMoved
 	}
 	timer := time.NewTimer(handoverWait)
 	defer timer.Stop()
@@ -139,16 +156,16 @@
 	case h := <-r.moved:
 		return h, h.err
 	case <-unstopped:
-		return handover{}, errNotStopped
+		return Handover{}, ErrNotStopped
 	case <-timer.C:
-		return handover{}, errors.Wrap(errNotMoved, "move takes too long")
+		return Handover{}, errors.Wrap(errNotMoved, "move takes too long")
 	case <-ctx.Done():
-		return handover{}, ctx.Err()
+		return Handover{}, ctx.Err()
 	}
 }
 
-// moveTo notes where the run goes on.
-func (r *run) moveTo(c *toucanplace.Claim) {
+// MoveTo notes where the run goes on.
+func (r *Run) MoveTo(c *toucanplace.Claim) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.claim = c
@@ -158,8 +175,8 @@
 }
 
 // tokensPerEvent returns how many tokens one event of the run holds.
-func (r *run) tokensPerEvent() int {
-	if e := r.job.service.Engine; e != nil && e.TokensPerEvent > 0 {
+func (r *Run) tokensPerEvent() int {
+	if e := r.spec.Engine; e != nil && e.TokensPerEvent > 0 {
 		return e.TokensPerEvent
 	}
 	return 1
@@ -171,12 +188,12 @@
 // forMove describes the run to the plan of moves. Its size stays what it was when the run was first planned for at its
 // endpoint: entries compare their own runs with what the others told of theirs a while ago, and would each take the
 // others to be ahead if all sizes grew meanwhile.
-func (r *run) forMove(now time.Time) toucanmove.Run {
+func (r *Run) forMove(now time.Time) toucanmove.Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	made := r.events * r.tokensPerEvent()
 	if r.planned == 0 {
-		r.planned = r.job.Prompt + made
+		r.planned = r.spec.Prompt + made
 	}
 	left := float64(max(r.forecast-made, 0))
 	pace := tokenTime
@@ -184,54 +201,38 @@
 		pace = now.Sub(r.firstEvent) / time.Duration(made)
 	}
 	return toucanmove.Run{
-		ID:     xxhash.Sum64String(r.job.ID),
+		ID:     xxhash.Sum64String(r.spec.ID),
 		Tokens: r.planned,
 		Left:   time.Duration(left * float64(pace)),
 	}
 }
 
-// demand is what the run takes of an endpoint by its last forecast.
-func (r *run) demand() toucanplace.Demand {
+// Demand is what the run takes of an endpoint by its last forecast.
+func (r *Run) Demand() toucanplace.Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return toucanplace.Demand{Prompt: r.job.Prompt, Output: r.forecast}
+	return toucanplace.Demand{Prompt: r.spec.Prompt, Output: r.forecast}
 }
 
-// made returns the tokens made so far.
-func (r *run) made() int {
+// passed returns the number of events passed on so far.
+func (r *Run) passed() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.events * r.tokensPerEvent()
+	return r.events
 }
 
-// tokens is the memory that the run takes now.
-func (r *run) tokens() int { return r.job.Prompt + r.made() }
-
-// runTable holds the generations whose events are being passed on.
-type runTable struct {
-	mu   sync.Mutex
-	runs map[*run]struct{}
-}
-
-func (t *runTable) begin(j *job, c *toucanplace.Claim) *run {
-	r := &run{job: j, claim: c, forecast: j.demand.Output, moved: make(chan handover, 1)}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.runs[r] = struct{}{}
-	return r
+// Made returns the tokens made so far.
+func (r *Run) Made() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events * r.tokensPerEvent()
 }
 
-func (t *runTable) end(r *run) {
-	t.mu.Lock()
-	delete(t.runs, r)
-	t.mu.Unlock()
-	if h, ok := r.finish(); ok && h.claim != nil {
-		h.claim.Done(time.Now(), toucanplace.OutcomeNeutral)
-	}
-}
+// tokens is the memory that the run takes now.
+func (r *Run) tokens() int { return r.spec.Prompt + r.Made() }
 
 // hand tells the run where it goes on. It returns false when the run has ended, so that the place is not needed.
-func (r *run) hand(h handover) bool {
+func (r *Run) hand(h Handover) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
@@ -245,8 +246,8 @@
 	}
 }
 
-// finish notes that the run has ended and returns a handover that nobody took.
-func (r *run) finish() (handover, bool) {
+// finish notes that the run has ended and returns a Handover that nobody took.
+func (r *Run) finish() (Handover, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ended = true
@@ -254,19 +255,6 @@
 	case h := <-r.moved:
 		return h, true
 	default:
-		return handover{}, false
-	}
-}
-
-// all returns the runs for which f holds.
-func (t *runTable) all(f func(*run) bool) []*run {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var found []*run
-	for r := range t.runs {
-		if f(r) {
-			found = append(found, r)
-		}
+		return Handover{}, false
 	}
-	return found
 }
