Have the scripted endpoint say that it closes its connections

The stand-in closes the connection behind each answer without saying so; the entry kept it, and the next request was written to it before the close arrived. Ruled out: load as the cause by itself; with 20 ms before the close the test fails every time. Change: the stand-in's whole answers and streams carry Connection: close. No check is weaker: connections that close unannounced are toucanupstream's tests. Conclusion: the fault was the test's.

--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -568,13 +568,14 @@
 	switch step[0] {
 	case "status":
 		body := strings.Join(step[2:], " ")
-		_, _ = fmt.Fprintf(rw, "HTTP/1.1 %s Any\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: %d\r\n\r\n%s", step[1], headerID, id, headerGenuine, len(body), body)
+		// The connection is closed behind every answer, which is said so that it is not used again.
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 %s Any\r\nConnection: close\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: %d\r\n\r\n%s", step[1], headerID, id, headerGenuine, len(body), body)
 	case "foreign":
 		body := strings.Join(step[1:], " ")
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: %d\r\n\r\n%s", headerID, headerGenuine, len(body), body)
 		return true
 	case "notRun":
-		_, _ = fmt.Fprintf(rw, "HTTP/1.1 503 Busy\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerNotRun)
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 503 Busy\r\nConnection: close\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerNotRun)
 	case "garbage":
 		_, _ = rw.WriteString("no " + secretMark + " answer\r\n\r\n")
 	case "cutBody":
@@ -593,7 +594,7 @@
 func (e *endpoint) stream(rw *bufio.ReadWriter, id string, step []string) {
 	from, _ := strconv.Atoi(step[1])
 	to, _ := strconv.Atoi(step[2])
-	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerGenuine)
+	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n", headerID, id, headerGenuine)
 	for i := from; i <= to; i++ {
 		event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
 		_, _ = fmt.Fprintf(rw, "%x\r\n%s\r\n", len(event), event)
