Log what tells apart why an entry serves by older settings

Cause under suspicion (docs/incidents/2026-12-settings-not-in-force.md): a watch that leaves out changes, a store that comes back older, or an older copy.

A complete read logs and counts values that a watch had passed over, and that the store is at an earlier position than before. `settings taken` has its origin, and an entry logs once a version that a peer has newer settings. Four metrics. Tests of both lines.

--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -26,6 +26,11 @@
 	// SettingsAge is the time since the settings came into force. StoreAge is the time since the store last answered,
 	// which is the age of the list of endpoints. Both are negative if that never happened.
 	SettingsAge, StoreAge time.Duration
+	// NewestSettings is the highest version of the settings that this process or a peer has.
+	NewestSettings uint64
+	// StoreEra counts how often the store came back from an older copy, as the store says, and StoreRestores how often
+	// this process has noticed it. OmittedChanges is the number of changes that watches of the store left out.
+	StoreEra, StoreRestores, OmittedChanges uint64
 	// Peers is the number of peers with a valid report, ReportAge the age of the oldest of these reports.
 	Peers     int
 	ReportAge time.Duration
@@ -58,6 +63,7 @@
 	slots, requests, capacity, tokens, failures, leaving, suspect *prometheus.Desc
 	budget, version, settingsAge, storeAge, reportAge             *prometheus.Desc
 	peers, dropped                                                *prometheus.Desc
+	newestSettings, storeEra, storeRestores, omittedChanges       *prometheus.Desc
 }
 
 // NewStateCollectors returns collectors of the state that read returns, of the Go runtime and of the process.
@@ -70,21 +76,25 @@
 	}
 	return []prometheus.Collector{
 		&stateCollector{
-			read:        read,
-			slots:       endpoint("slots", "requests that the endpoint runs at once"),
-			requests:    endpoint("requests", "requests that all entries are believed to have placed"),
-			capacity:    endpoint("memory_tokens", "tokens that fit into the endpoint's memory"),
-			tokens:      endpoint("tokens", "tokens that are forecast to be in memory at the end of its requests"),
-			failures:    endpoint("failure_share", "share of this entry's requests that failed lately"),
-			leaving:     endpoint("leaving", "1 for an endpoint that takes no new requests"),
-			suspect:     endpoint("suspect", "1 for an endpoint that could not be reached lately"),
-			budget:      plain("retry_budget", "retries that may still be made", "service"),
-			version:     plain("settings_version", "version of the settings in force"),
-			settingsAge: plain("settings_age_seconds", "time since the settings came into force"),
-			storeAge:    plain("store_age_seconds", "time since the store last answered: the age of the list of endpoints"),
-			reportAge:   plain("peer_report_age_seconds", "age of the oldest report of a peer that is heard"),
-			peers:       plain("peers_heard", "peers that are heard"),
-			dropped:     plain("log_lines_dropped_total", "log lines that were dropped"),
+			read:           read,
+			slots:          endpoint("slots", "requests that the endpoint runs at once"),
+			requests:       endpoint("requests", "requests that all entries are believed to have placed"),
+			capacity:       endpoint("memory_tokens", "tokens that fit into the endpoint's memory"),
+			tokens:         endpoint("tokens", "tokens that are forecast to be in memory at the end of its requests"),
+			failures:       endpoint("failure_share", "share of this entry's requests that failed lately"),
+			leaving:        endpoint("leaving", "1 for an endpoint that takes no new requests"),
+			suspect:        endpoint("suspect", "1 for an endpoint that could not be reached lately"),
+			budget:         plain("retry_budget", "retries that may still be made", "service"),
+			version:        plain("settings_version", "version of the settings in force"),
+			settingsAge:    plain("settings_age_seconds", "time since the settings came into force"),
+			storeAge:       plain("store_age_seconds", "time since the store last answered: the age of the list of endpoints"),
+			reportAge:      plain("peer_report_age_seconds", "age of the oldest report of a peer that is heard"),
+			newestSettings: plain("settings_newest_version", "highest version of the settings that this entry or a peer has"),
+			storeEra:       plain("store_era", "how often the store came back from an older copy, as it says"),
+			storeRestores:  plain("store_restores_total", "how often this entry noticed that the store came back from an older copy"),
+			omittedChanges: plain("store_changes_omitted_total", "changes that a watch of the store left out"),
+			peers:          plain("peers_heard", "peers that are heard"),
+			dropped:        plain("log_lines_dropped_total", "log lines that were dropped"),
 		},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
@@ -95,7 +105,7 @@
 func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		c.slots, c.requests, c.capacity, c.tokens, c.failures, c.leaving, c.suspect, c.budget, c.version, c.settingsAge,
-		c.storeAge, c.reportAge, c.peers, c.dropped,
+		c.storeAge, c.reportAge, c.peers, c.dropped, c.newestSettings, c.storeEra, c.storeRestores, c.omittedChanges,
 	} {
 		ch <- d
 	}
@@ -121,7 +131,11 @@
 	if state.Peers > 0 {
 		ch <- gauge(c.reportAge, state.ReportAge.Seconds())
 	}
-	ch <- prometheus.MustNewConstMetric(c.dropped, prometheus.CounterValue, float64(state.DroppedLines))
+	ch <- gauge(c.newestSettings, float64(state.NewestSettings))
+	ch <- gauge(c.storeEra, float64(state.StoreEra))
+	ch <- counter(c.storeRestores, state.StoreRestores)
+	ch <- counter(c.omittedChanges, state.OmittedChanges)
+	ch <- counter(c.dropped, state.DroppedLines)
 }
 
 func (c *stateCollector) collectEndpoint(ch chan<- prometheus.Metric, e EndpointLoad) {
@@ -159,6 +173,10 @@
 	return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 }
 
+func counter(d *prometheus.Desc, n uint64) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n))
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -27,15 +27,33 @@
 	Removed bool
 }
 
+// Position is a point in the store's history. The zero value is no position.
+type Position struct {
+	// Era counts how often the store came back from an older copy; zero if the store does not report it. Revisions of
+	// different eras are not comparable.
+	Era      uint64
+	Revision uint64
+}
+
 // Source is the part of the store that is copied.
 type Source interface {
-	// Snapshot returns all values, and a revision from which Changes continues without missing a change.
-	Snapshot(ctx context.Context) ([]toucanstore.Value, uint64, error)
-	// Changes waits for a limited time for changes after a revision, and returns the revision to continue from. The
+	// Snapshot returns all values, and a position from which Changes continues without missing a change.
+	Snapshot(ctx context.Context) ([]toucanstore.Value, Position, error)
+	// Changes waits for a limited time for changes after a position, and returns the position to continue from. The
 	// error is ErrHistoryLost if changes can be missing.
-	Changes(ctx context.Context, after uint64) ([]Change, uint64, error)
+	Changes(ctx context.Context, after Position) ([]Change, Position, error)
 }
 
+// Origin is where a state was read from.
+type Origin string
+
+// Origins of a state.
+const (
+	OriginWatch    Origin = "watch"
+	OriginSnapshot Origin = "snapshot"
+	OriginPeer     Origin = "peer"
+)
+
 const (
 	// minInterval is the mean time between two calls for changes while few processes make them.
 	minInterval = 250 * time.Millisecond
@@ -66,6 +84,8 @@
 	Removed []string
 	// Resumed is true for the first state read from the store after an outage.
 	Resumed bool
+	// Origin is where the changes were read from.
+	Origin Origin
 }
 
 // Mirror keeps the copy. Values, Age and Wake are safe for concurrent use; everything else belongs to the goroutine
@@ -78,8 +98,10 @@
 	// values is written only by the goroutine of Run, and only while it holds mu.
 	values map[string]toucanstore.Value
 
-	// revision is the revision of the copy; zero if the next call must be for a snapshot.
-	revision uint64
+	// position is the position of the copy; zero if the next call must be for a snapshot.
+	position Position
+	// lastPosition is the last position that was read from the store, also while position is zero.
+	lastPosition Position
 	// outageSince is when the store stopped answering; zero while it answers.
 	outageSince time.Time
 	// lastSnapshot is when the last snapshot was read from the store.
@@ -98,6 +120,9 @@
 	// nanoseconds; zero if it never answered. A difference is stored because the wall clock can jump.
 	startedAt  time.Time
 	lastAnswer atomic.Int64
+	// omitted counts the values that a watch left out and a snapshot found, and restores how often the store came back
+	// from an older copy. era is the store's last era.
+	omitted, restores, era atomic.Uint64
 }
 
 // Option configures a Mirror.
@@ -152,6 +177,21 @@
 	return now.Sub(m.startedAt) - time.Duration(answered), true
 }
 
+// Stats describes what the mirror has noticed about the store.
+type Stats struct {
+	// Omitted is the number of values that a watch left out and a later snapshot found.
+	Omitted uint64
+	// Restores is the number of times that the store came back from an older copy.
+	Restores uint64
+	// Era is the store's last era.
+	Era uint64
+}
+
+// Stats returns the counts since the mirror was created.
+func (m *Mirror) Stats() Stats {
+	return Stats{Omitted: m.omitted.Load(), Restores: m.restores.Load(), Era: m.era.Load()}
+}
+
 // Wake makes the next call for changes happen at once, for example when a peer reports newer settings.
 func (m *Mirror) Wake() {
 	select {
@@ -188,20 +228,20 @@
 }
 
 func (m *Mirror) step(ctx context.Context, apply func(State)) error {
-	if m.revision == 0 || time.Since(m.lastSnapshot) > time.Duration(m.intervalFactor()*float64(verifyInterval)) {
+	if m.position == (Position{}) || time.Since(m.lastSnapshot) > time.Duration(m.intervalFactor()*float64(verifyInterval)) {
 		return m.snapshot(ctx, apply)
 	}
-	changes, revision, err := m.source.Changes(ctx, m.revision)
+	changes, position, err := m.source.Changes(ctx, m.position)
 	if err != nil {
 		// A watch that fails can have missed changes.
-		m.revision = 0
+		m.position = Position{}
 		return err
 	}
 	m.recordAnswer()
-	m.revision = revision
+	m.position, m.lastPosition = position, position
 	if len(changes) > 0 {
 		written, removed := m.apply(changes)
-		apply(State{Values: m.values, Changed: written, Removed: removed})
+		apply(State{Values: m.values, Changed: written, Removed: removed, Origin: OriginWatch})
 	}
 	return nil
 }
@@ -226,16 +266,56 @@
 func (m *Mirror) snapshot(ctx context.Context, apply func(State)) error {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	values, revision, err := m.source.Snapshot(ctx)
+	values, position, err := m.source.Snapshot(ctx)
 	if err != nil {
 		return err
 	}
+	m.recordRestore(position)
+	m.recordOmitted(values)
 	removed := m.replace(values)
-	m.revision, m.lastSnapshot = revision, time.Now()
-	apply(State{Values: m.values, Removed: removed, Resumed: m.recordAnswer()})
+	m.position, m.lastPosition, m.lastSnapshot = position, position, time.Now()
+	apply(State{Values: m.values, Removed: removed, Resumed: m.recordAnswer(), Origin: OriginSnapshot})
 	return nil
 }
 
+// recordRestore counts and logs that a snapshot shows the store at an earlier position than before.
+func (m *Mirror) recordRestore(position Position) {
+	last := m.lastPosition
+	m.era.Store(position.Era)
+	if last == (Position{}) || position.Era == last.Era && position.Revision >= last.Revision {
+		return
+	}
+	m.restores.Add(1)
+	m.log.Warn(toucanlog.MsgStoreOlder,
+		toucanlog.EraBefore, last.Era,
+		toucanlog.Era, position.Era,
+		toucanlog.RevisionBefore, last.Revision,
+		toucanlog.Revision, position.Revision,
+	)
+}
+
+// recordOmitted counts and logs the values of a snapshot that are not newer than the copy's position, but missing from
+// the copy: the watch left them out.
+func (m *Mirror) recordOmitted(values []toucanstore.Value) {
+	count, key := 0, ""
+	for _, v := range values {
+		held, ok := m.values[v.Key]
+		if v.Revision <= m.position.Revision && (!ok || held.Revision < v.Revision) {
+			count++
+			key = v.Key
+		}
+	}
+	if count == 0 {
+		return
+	}
+	m.omitted.Add(uint64(count))
+	m.log.Warn(toucanlog.MsgWatchOmitted,
+		toucanlog.Changes, count,
+		toucanlog.Key, key,
+		toucanlog.Revision, m.position.Revision,
+	)
+}
+
 // replace replaces the copy by values and returns the keys that were removed.
 func (m *Mirror) replace(values []toucanstore.Value) []string {
 	next := make(map[string]toucanstore.Value, len(values))
@@ -271,7 +351,7 @@
 		return
 	}
 	removed := m.replace(values)
-	apply(State{Values: m.values, Removed: removed})
+	apply(State{Values: m.values, Removed: removed, Origin: OriginPeer})
 }
 
 // recordAnswer records that the store answered, and reports whether this ends an outage.
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -29,8 +29,10 @@
 	oldestRevision uint64
 	// omitsChanges makes watches report no changes, watchFails makes them fail, and unavailable makes all calls fail.
 	omitsChanges, watchFails, unavailable bool
-	snapshots                             int
-	watches                               int
+	// skipsChanges makes watches report no changes and yet return the current revision.
+	skipsChanges bool
+	snapshots    int
+	watches      int
 }
 
 func newFakeSource() *fakeSource {
@@ -60,26 +62,26 @@
 	change(f)
 }
 
-func (f *fakeSource) Snapshot(context.Context) ([]toucanstore.Value, uint64, error) {
+func (f *fakeSource) Snapshot(context.Context) ([]toucanstore.Value, Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snapshots++
 	if f.unavailable {
-		return nil, 0, errUnavailable
+		return nil, Position{}, errUnavailable
 	}
-	return slices.Collect(maps.Values(f.values)), f.revision, nil
+	return slices.Collect(maps.Values(f.values)), Position{Revision: f.revision}, nil
 }
 
 const watchTimeout = 500 * time.Millisecond
 
-func (f *fakeSource) Changes(ctx context.Context, after uint64) ([]Change, uint64, error) {
+func (f *fakeSource) Changes(ctx context.Context, after Position) ([]Change, Position, error) {
 	f.update(func(f *fakeSource) { f.watches++ })
 	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		f.mu.Lock()
-		changes, revision, err := f.changesAfter(after)
+		changes, revision, err := f.changesAfter(after.Revision)
 		f.mu.Unlock()
 		if len(changes) > 0 || err != nil || time.Since(began) > watchTimeout || ctx.Err() != nil {
-			return changes, revision, err
+			return changes, Position{Revision: revision}, err
 		}
 	}
 }
@@ -92,6 +94,8 @@
 		return nil, after, ErrHistoryLost
 	case f.omitsChanges:
 		return nil, after, nil
+	case f.skipsChanges:
+		return nil, f.revision, nil
 	}
 	var changes []Change
 	for _, c := range f.history {
@@ -176,6 +180,36 @@
 	})
 }
 
+// TestChangesThatWatchSkipsAreLogged checks that a snapshot logs and counts the values that a watch passed over.
+func TestChangesThatWatchSkipsAreLogged(t *testing.T) {
+	f := newFakeSource()
+	f.skipsChanges = true
+	log := &toucanlogtest.Log{}
+	synctest.Test(t, func(t *testing.T) {
+		m := New(f, log.Logger())
+		ctx, cancel := context.WithTimeout(t.Context(), 2*verifyInterval)
+		defer cancel()
+		time.AfterFunc(settleTime, func() { f.write("a", "1") })
+		m.Run(ctx, func(State) {})
+		assert.Equal(t, m.Stats().Omitted, uint64(1))
+	})
+	assert.Equal(t, log.Next(t, 0), "WARN watch left out changes of the store: changes=1 key=a revision=2\n")
+}
+
+// TestOlderStoreIsLogged checks that a snapshot at an earlier position than before is logged and counted.
+func TestOlderStoreIsLogged(t *testing.T) {
+	log := &toucanlogtest.Log{}
+	m := New(newFakeSource(), log.Logger())
+	m.recordRestore(Position{Era: 1, Revision: 9})
+	m.lastPosition = Position{Era: 1, Revision: 9}
+	m.recordRestore(Position{Era: 1, Revision: 9})
+	m.recordRestore(Position{Era: 2, Revision: 12})
+	m.recordRestore(Position{Era: 1, Revision: 8})
+	assert.Equal(t, m.Stats(), Stats{Restores: 2, Era: 1})
+	assert.Equal(t, log.Next(t, 0), "WARN store came back from an older copy: era=2 eraBefore=1 revision=12 revisionBefore=9\n"+
+		"WARN store came back from an older copy: era=1 eraBefore=1 revision=8 revisionBefore=9\n")
+}
+
 // TestKeepsStateDuringOutage checks that the last state remains during an outage, that retries back off, and that the
 // mirror recovers afterwards.
 func TestKeepsStateDuringOutage(t *testing.T) {
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -41,8 +41,9 @@
 	stopping bool
 	// settings is the version of this entry's settings, newestSettings the highest version that any peer reported.
 	settings, newestSettings uint64
-	// onNewerSettings is called when a peer reports newer settings than this entry has seen.
-	onNewerSettings func()
+	// onNewerSettings is called when a peer reports newer settings than this entry has seen, with the peer's name and
+	// the version.
+	onNewerSettings func(peer string, version uint64)
 	// changed is closed and replaced whenever a peer's report is applied.
 	changed chan struct{}
 	// sendNow is signalled when the next report must be sent without waiting for the interval.
@@ -58,8 +59,8 @@
 }
 
 // OnNewerSettings sets the function to call when a peer reports settings newer than this entry's and than those of
-// earlier reports.
-func (s *SharedState) OnNewerSettings(f func()) {
+// earlier reports. It is called with the peer's name and the version.
+func (s *SharedState) OnNewerSettings(f func(peer string, version uint64)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.onNewerSettings = f
@@ -73,6 +74,13 @@
 	s.requestReport()
 }
 
+// NewestSettings returns the highest version of the settings that this entry has or a peer reported.
+func (s *SharedState) NewestSettings() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.settings, s.newestSettings)
+}
+
 // PeersWithStore returns the number of peers with a valid report that can reach the store.
 func (s *SharedState) PeersWithStore() int {
 	now := time.Now()
@@ -122,7 +130,7 @@
 		copying:         make(map[uint64]int),
 		leaving:         make(map[uint64]bool),
 		probedLeaving:   make(map[uint64]time.Time),
-		onNewerSettings: func() {},
+		onNewerSettings: func(string, uint64) {},
 		changed:         make(chan struct{}),
 		sendNow:         make(chan struct{}, 1),
 	}
@@ -361,7 +369,7 @@
 	s.notifyChange()
 	s.mu.Unlock()
 	if newer {
-		notify()
+		notify(r.GetSender(), r.GetSettingsVersion())
 	}
 	s.placer.Observe(now, r.GetSender(), usesByEndpoint(r))
 	s.placer.MarkUnreachable(now, r.GetUnreachable())
--- a/toucanpeer/state_test.go
+++ b/toucanpeer/state_test.go
@@ -186,7 +186,11 @@
 func TestNewerSettingsReportedOncePerVersion(t *testing.T) {
 	b, _ := newState()
 	calls := 0
-	b.OnNewerSettings(func() { calls++ })
+	b.OnNewerSettings(func(peer string, version uint64) {
+		assert.Equal(t, peer, "p")
+		assert.Equal(t, version, uint64(6))
+		calls++
+	})
 	b.SetSettings(5)
 	for serial, version := range []uint64{4, 5, 6, 6} {
 		r := testReport(1, uint64(serial+1))
