--- a/toucanpeer/bench_test.go
+++ b/toucanpeer/bench_test.go
@@ -33,7 +33,7 @@
 	size := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		r := state.buildReport()
+		r := state.Report()
 		r.Sender = "entry-17"
 		encoded, err := proto.Marshal(r)
 		if err != nil {
@@ -47,7 +47,7 @@
 // BenchmarkApply measures encoding, decoding and applying a report.
 func BenchmarkApply(b *testing.B) {
 	state := newLoadedState(b)
-	r := state.buildReport()
+	r := state.Report()
 	r.Sender, r.Boot = "entry-18", 1
 	serial := uint64(0)
 	b.ReportAllocs()
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -226,7 +226,7 @@
 		return
 	}
 	m.serial++
-	r := m.state.buildReport()
+	r := m.state.Report()
 	r.Sender, r.Boot, r.Serial = m.name, m.boot, m.serial
 	encoded, err := proto.Marshal(r)
 	if err != nil || len(encoded) > maxDatagram {
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -420,8 +420,8 @@
 	return uses
 }
 
-// buildReport returns a report of this entry's current state, without sender, boot and serial.
-func (s *SharedState) buildReport() *Report {
+// Report returns a report of this entry's current state, without sender, boot and serial.
+func (s *SharedState) Report() *Report {
 	r := &Report{Unreachable: s.placer.Unreachable(time.Now())}
 	for key, u := range s.placer.OwnUse() {
 		r.Uses = append(r.Uses, &EndpointUse{
--- a/toucanpeer/state_test.go
+++ b/toucanpeer/state_test.go
@@ -103,7 +103,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, reservation.Endpoint.ID, "e")
 	reservation.Done(now, toucanplace.OutcomeUnreachable)
-	r := a.buildReport()
+	r := a.Report()
 	r.Sender, r.Boot, r.Serial = "a", 1, 1
 	b.Apply(now, r)
 	reservation, err = bPlacer.Place(now, "s", toucanplace.Demand{}, nil)
@@ -164,7 +164,7 @@
 	_, err := placer.Place(start, "s", toucanplace.Demand{Prompt: 1}, nil)
 	assert.Assert(t, errors.Is(err, toucanplace.ErrFull))
 	b.SetStopping()
-	assert.Assert(t, b.buildReport().GetStopping())
+	assert.Assert(t, b.Report().GetStopping())
 }
 
 // TestStoreUnreachableOnlyIfNoEntryReachesStore checks that StoreUnreachable holds only if neither the entry nor any of
