Verify the copy of the store by complete reads that entries share

What callers saw: requests handled by an older configuration, seconds after a newer one was acknowledged.

Cause: the copy was trusted as far as the watch's revision went. A watch call that hears nothing ends with the store's revision, so that a change it left out lies behind the position and comes only with the next complete read, 4 s later at one entry and 21.6 s at 27 (4 s x entries / 5). A peer's report of a newer version made the next watch call earlier, and that call has the same position.

Ruled out: settings that go back in one process (Current.Offer keeps the highest version; TestCurrentNeverGoesBack).

Change: complete reads are shared: reports carry the age of the sender's last one, and whoever first finds that nobody verified for 0.8 to 1 s does. The total is what it was (1.25/s at 27 entries before), but without the chance gaps of 27 independent timers. A watch call that returns a higher revision and no change is followed by a complete read, and so is a peer's newer version that the watch does not deliver within 0.3 s. Reads are bounded by bytes: 12 kB/s an entry.

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -69,9 +69,6 @@
 	snapshotTimeout = 1500 * time.Millisecond
 	// peerTimeout limits the call that reads a peer's copy.
 	peerTimeout = 500 * time.Millisecond
-	// verifyInterval is the time between two snapshots, which repair changes that the watch omitted. It grows with the
-	// number of peers.
-	verifyInterval = 4 * time.Second
 )
 
 // State is the copy at one moment, with the difference to the previous state.
@@ -104,15 +101,28 @@
 	lastPosition Position
 	// outageSince is when the store stopped answering; zero while it answers.
 	outageSince time.Time
-	// lastSnapshot is when the last snapshot was read from the store.
+	// lastSnapshot is when the last snapshot was read from the store, and copyBytes its approximate size.
 	lastSnapshot time.Time
-	retry        time.Duration
+	copyBytes    int
+	// verifyAfter is how old the last snapshot of this process and its peers may become before the next one.
+	verifyAfter time.Duration
+	// verifyNext is true if the next call must be for a snapshot because the watch left out a change.
+	verifyNext bool
+	// requestedVersion is the highest version of the settings for which a snapshot was taken because a peer has it.
+	requestedVersion uint64
+	retry            time.Duration
 	// onOutage is called with true when an outage begins and with false when it ends.
 	onOutage func(down bool)
 	// onAnswer is called at each answer of the store.
 	onAnswer func()
 	// peerCount returns the number of peers that can reach the store and report newer settings to this process.
 	peerCount func() int
+	// peerSnapshotAge returns the time since a peer's last snapshot, or false if there is none.
+	peerSnapshotAge func() (time.Duration, bool)
+	// missingVersion returns the highest version of the settings that a peer has and this process lacks, or zero.
+	missingVersion func() uint64
+	// onSnapshot is called after each snapshot from the store.
+	onSnapshot func()
 	// readPeer returns a peer's copy during an outage; nil if there is no such source.
 	readPeer func(ctx context.Context) ([]toucanstore.Value, error)
 	wake     chan struct{}
@@ -141,14 +151,17 @@
 // New returns a mirror of source. It is empty until Run has read a snapshot.
 func New(source Source, log *slog.Logger, opts ...Option) *Mirror {
 	m := &Mirror{
-		source:    source,
-		log:       log,
-		retry:     minRetry,
-		onOutage:  func(bool) {},
-		onAnswer:  func() {},
-		peerCount: func() int { return 0 },
-		wake:      make(chan struct{}, 1),
-		startedAt: time.Now(),
+		source:          source,
+		log:             log,
+		retry:           minRetry,
+		onOutage:        func(bool) {},
+		onAnswer:        func() {},
+		peerCount:       func() int { return 0 },
+		peerSnapshotAge: func() (time.Duration, bool) { return 0, false },
+		missingVersion:  func() uint64 { return 0 },
+		onSnapshot:      func() {},
+		wake:            make(chan struct{}, 1),
+		startedAt:       time.Now(),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -192,7 +205,8 @@
 	return Stats{Omitted: m.omitted.Load(), Restores: m.restores.Load(), Era: m.era.Load()}
 }
 
-// Wake makes the next call for changes happen at once, for example when a peer reports newer settings.
+// Wake makes the next call for changes happen at once because a peer has newer settings. A call that is waiting is
+// replaced by a snapshot unless it returns within wakeGrace.
 func (m *Mirror) Wake() {
 	select {
 	case m.wake <- struct{}{}:
@@ -217,6 +231,9 @@
 		began := time.Now()
 		err := m.step(ctx, apply)
 		wait := m.interval() - time.Since(began)
+		if m.verifyNext {
+			wait = 0
+		}
 		if err != nil && ctx.Err() == nil {
 			wait = m.recordFailure(err)
 			m.readFromPeer(ctx, apply)
@@ -228,21 +245,28 @@
 }
 
 func (m *Mirror) step(ctx context.Context, apply func(State)) error {
-	if m.position == (Position{}) || time.Since(m.lastSnapshot) > time.Duration(m.intervalFactor()*float64(verifyInterval)) {
+	if m.position == (Position{}) || m.verifyNext || m.verifyDue(time.Now()) {
 		return m.snapshot(ctx, apply)
 	}
-	changes, position, err := m.source.Changes(ctx, m.position)
+	changes, position, err := m.watch(ctx)
+	if errors.Is(err, errWatchReplaced) {
+		m.verifyNext = true
+		return nil
+	}
 	if err != nil {
 		// A watch that fails can have missed changes.
 		m.position = Position{}
 		return err
 	}
 	m.recordAnswer()
+	// The copy holds all keys, so each new revision is that of a change.
+	passedOver := len(changes) == 0 && position.Revision > m.position.Revision
 	m.position, m.lastPosition = position, position
 	if len(changes) > 0 {
 		written, removed := m.apply(changes)
 		apply(State{Values: m.values, Changed: written, Removed: removed, Origin: OriginWatch})
 	}
+	m.verifyNext = passedOver || m.lacksVersion()
 	return nil
 }
 
@@ -274,6 +298,9 @@
 	m.recordOmitted(values)
 	removed := m.replace(values)
 	m.position, m.lastPosition, m.lastSnapshot = position, position, time.Now()
+	m.verifyNext, m.copyBytes = false, snapshotBytes(values)
+	m.scheduleVerify()
+	m.onSnapshot()
 	apply(State{Values: m.values, Removed: removed, Resumed: m.recordAnswer(), Origin: OriginSnapshot})
 	return nil
 }
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -186,8 +186,8 @@
 	f.skipsChanges = true
 	log := &toucanlogtest.Log{}
 	synctest.Test(t, func(t *testing.T) {
-		m := New(f, log.Logger())
-		ctx, cancel := context.WithTimeout(t.Context(), 2*verifyInterval)
+		m := New(f, log.Logger(), WithPeerSnapshotAge(verifiedNow))
+		ctx, cancel := context.WithTimeout(t.Context(), 2*settleTime)
 		defer cancel()
 		time.AfterFunc(settleTime, func() { f.write("a", "1") })
 		m.Run(ctx, func(State) {})
@@ -234,6 +234,61 @@
 	assert.Equal(t, logged, "WARN store lost: cause=store unavailable\nINFO store regained: awayMs\n")
 }
 
+// verifiedNow is the snapshot age of peers of which one has just verified its copy.
+func verifiedNow() (time.Duration, bool) { return 0, true }
+
+// TestVerificationIsSharedByPeers checks that all processes together take about as many snapshots as one alone.
+func TestVerificationIsSharedByPeers(t *testing.T) {
+	const processes, duration = 27, 30 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeSource()
+		var mu sync.Mutex
+		var last time.Time
+		ctx, cancel := context.WithTimeout(t.Context(), duration)
+		defer cancel()
+		var wg sync.WaitGroup
+		for range processes {
+			m := New(f, slog.New(slog.DiscardHandler),
+				WithPeerCount(func() int { return processes - 1 }),
+				WithPeerSnapshotAge(func() (time.Duration, bool) {
+					mu.Lock()
+					defer mu.Unlock()
+					return time.Since(last), true
+				}),
+				WithSnapshotCallback(func() {
+					mu.Lock()
+					defer mu.Unlock()
+					last = time.Now()
+				}),
+			)
+			wg.Go(func() { m.Run(ctx, func(State) {}) })
+		}
+		wg.Wait()
+		most := processes + int(duration/verifyInterval)
+		assert.Assert(t, f.snapshots <= most, "%d snapshots", f.snapshots)
+		assert.Assert(t, f.snapshots >= int(duration/(2*verifyInterval)), "%d snapshots", f.snapshots)
+	})
+}
+
+// TestLargeCopyIsVerifiedLessOften checks that the interval between two snapshots grows with the size of the copy and
+// falls with the number of processes that share them.
+func TestLargeCopyIsVerifiedLessOften(t *testing.T) {
+	for _, tc := range []struct {
+		peers, bytes int
+		least, most  time.Duration
+	}{
+		{0, 20 << 10, verifyInterval, 5 * verifyInterval / 4},
+		{26, 60 << 10, verifyInterval, 5 * verifyInterval / 4},
+		{0, 1 << 20, 16 * time.Second, 20 * time.Second},
+		{15, 3 << 19, 8 * time.Second, 10 * time.Second},
+	} {
+		m := New(newFakeSource(), slog.New(slog.DiscardHandler), WithPeerCount(func() int { return tc.peers }))
+		m.copyBytes = tc.bytes
+		m.scheduleVerify()
+		assert.Check(t, m.verifyAfter >= tc.least && m.verifyAfter <= tc.most, "%d peers, %d bytes: %v", tc.peers, tc.bytes, m.verifyAfter)
+	}
+}
+
 // TestCallIntervalGrowsWithPeers checks that a store that changes constantly is called at minInterval, and less often
 // by a process with many peers.
 func TestCallIntervalGrowsWithPeers(t *testing.T) {
@@ -243,7 +298,7 @@
 	}{{0, 60}, {19, 16}} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFakeSource()
-			m := New(f, slog.New(slog.DiscardHandler), WithPeerCount(func() int { return tc.peers }))
+			m := New(f, slog.New(slog.DiscardHandler), WithPeerCount(func() int { return tc.peers }), WithPeerSnapshotAge(verifiedNow))
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			var wg sync.WaitGroup
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -37,6 +37,8 @@
 	storeUpSince time.Time
 	// lastStoreAnswer is when the store last answered this entry; zero if it never did.
 	lastStoreAnswer time.Time
+	// lastSnapshot is when this entry last read the whole store; zero if it never did.
+	lastSnapshot time.Time
 	// stopping is true once this entry has begun to shut down.
 	stopping bool
 	// settings is the version of this entry's settings, newestSettings the highest version that any peer reported.
@@ -74,6 +76,25 @@
 	s.requestReport()
 }
 
+// reportedAge returns the time since t in milliseconds, at least 1, or zero if t is zero.
+func reportedAge(t time.Time) uint32 {
+	if t.IsZero() {
+		return 0
+	}
+	return uint32(max(time.Since(t).Milliseconds(), 1))
+}
+
+// MissingSettings returns the highest version of the settings that a peer reported and this entry lacks; zero if there
+// is none.
+func (s *SharedState) MissingSettings() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.newestSettings <= s.settings {
+		return 0
+	}
+	return s.newestSettings
+}
+
 // NewestSettings returns the highest version of the settings that this entry has or a peer reported.
 func (s *SharedState) NewestSettings() uint64 {
 	s.mu.Lock()
@@ -213,6 +234,33 @@
 	s.lastStoreAnswer = time.Now()
 }
 
+// RecordSnapshot records that this entry has read the whole store now.
+func (s *SharedState) RecordSnapshot() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastSnapshot = time.Now()
+}
+
+// PeerSnapshotAge returns the time since a peer with a valid report last read the whole store, or false if none did.
+func (s *SharedState) PeerSnapshotAge() (time.Duration, bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest, ok := time.Duration(0), false
+	for _, p := range s.peers {
+		since := now.Sub(p.receivedAt)
+		ms := p.report.GetSnapshotAgeMillis()
+		if since > reportTimeout || ms == 0 {
+			continue
+		}
+		age := since + time.Duration(ms)*time.Millisecond
+		if !ok || age < newest {
+			newest, ok = age, true
+		}
+	}
+	return newest, ok
+}
+
 // SetStopping reports to the peers that this entry is shutting down.
 func (s *SharedState) SetStopping() {
 	s.mu.Lock()
@@ -441,9 +489,8 @@
 	}
 	r.StoreAway = s.storeDown
 	r.Stopping = s.stopping
-	if !s.lastStoreAnswer.IsZero() {
-		r.StoreSilentMillis = uint32(max(time.Since(s.lastStoreAnswer).Milliseconds(), 1))
-	}
+	r.StoreSilentMillis = reportedAge(s.lastStoreAnswer)
+	r.SnapshotAgeMillis = reportedAge(s.lastSnapshot)
 	r.Lends = s.canServeSnapshot(time.Now())
 	r.SettingsVersion = s.settings
 	for endpoint, generations := range s.generations {
