Follow a store that comes back from an older copy

What callers saw: requests handled by an older configuration than the one acknowledged, at all entries, for good.

Cause: revisions were taken to rise for ever. After a return from an older copy they are given out again: settings with a revision that had been parsed before were skipped (tableUpdater), changes below the revision of the lost value were dropped (Mirror.apply), and a watch from the old revision went on, as soon as the endpoints' own writes had lifted the store above it (storeClient.changes took the higher of the two). On the grown sites 47 to 52 endpoints write themselves again and half of the entries wait between two calls, so that no call fails.

A peer's copy has its era too, and an older one is ignored.

--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -25,6 +25,7 @@
 	MsgEndpointListed     = "endpoint listed"
 	MsgEndpointLeaves     = "endpoint says that it leaves"
 	MsgHistoryLost        = "history of the store lost, reading everything anew"
+	MsgNoPeerSettings     = "newer settings of a peer can't be read"
 	MsgNoPeerSnapshot     = "nothing to borrow"
 	MsgPeerJoined         = "peer joined"
 	MsgPeerLeft           = "peer left"
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -81,6 +81,9 @@
 	Removed []string
 	// Resumed is true for the first state read from the store after an outage.
 	Resumed bool
+	// Restored is true for the first state after the store came back from an older copy. Values can then be older than
+	// those of earlier states, and their revisions don't compare.
+	Restored bool
 	// Origin is where the changes were read from.
 	Origin Origin
 }
@@ -92,8 +95,10 @@
 	log    *slog.Logger
 
 	mu sync.Mutex
-	// values is written only by the goroutine of Run, and only while it holds mu.
-	values map[string]toucanstore.Value
+	// values and valuesEra, the era that they were read in, are written only by the goroutine of Run, and only while it
+	// holds mu.
+	values    map[string]toucanstore.Value
+	valuesEra uint64
 
 	// position is the position of the copy; zero if the next call must be for a snapshot.
 	position Position
@@ -121,10 +126,12 @@
 	peerSnapshotAge func() (time.Duration, bool)
 	// missingVersion returns the highest version of the settings that a peer has and this process lacks, or zero.
 	missingVersion func() uint64
+	// onLostVersion is called while a peer has a version of the settings that the store itself lacks.
+	onLostVersion func(ctx context.Context)
 	// onSnapshot is called after each snapshot from the store.
 	onSnapshot func()
-	// readPeer returns a peer's copy during an outage; nil if there is no such source.
-	readPeer func(ctx context.Context) ([]toucanstore.Value, error)
+	// readPeer returns a peer's copy during an outage, and its era; nil if there is no such source.
+	readPeer func(ctx context.Context) ([]toucanstore.Value, uint64, error)
 	wake     chan struct{}
 	// startedAt is when the mirror was created, and lastAnswer the time from then to the last answer of the source, in
 	// nanoseconds; zero if it never answered. A difference is stored because the wall clock can jump.
@@ -159,6 +166,7 @@
 		peerCount:       func() int { return 0 },
 		peerSnapshotAge: func() (time.Duration, bool) { return 0, false },
 		missingVersion:  func() uint64 { return 0 },
+		onLostVersion:   func(context.Context) {},
 		onSnapshot:      func() {},
 		wake:            make(chan struct{}, 1),
 		startedAt:       time.Now(),
@@ -169,16 +177,16 @@
 	return m
 }
 
-// WithPeerSnapshot sets the function that reads a peer's copy during an outage of the store.
-func WithPeerSnapshot(f func(ctx context.Context) ([]toucanstore.Value, error)) Option {
+// WithPeerSnapshot sets the function that reads a peer's copy, and the era of its values, during an outage of the store.
+func WithPeerSnapshot(f func(ctx context.Context) ([]toucanstore.Value, uint64, error)) Option {
 	return func(m *Mirror) { m.readPeer = f }
 }
 
-// Values returns the current values, in no particular order.
-func (m *Mirror) Values() []toucanstore.Value {
+// Values returns the current values, in no particular order, and their era.
+func (m *Mirror) Values() ([]toucanstore.Value, uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Collect(maps.Values(m.values))
+	return slices.Collect(maps.Values(m.values)), m.valuesEra
 }
 
 // Age returns the time since the source last answered, or false if it never did.
@@ -267,6 +275,9 @@
 		apply(State{Values: m.values, Changed: written, Removed: removed, Origin: OriginWatch})
 	}
 	m.verifyNext = passedOver || m.lacksVersion()
+	if !m.verifyNext && m.missingVersion() > 0 {
+		m.onLostVersion(ctx)
+	}
 	return nil
 }
 
@@ -294,23 +305,25 @@
 	if err != nil {
 		return err
 	}
-	m.recordRestore(position)
-	m.recordOmitted(values)
-	removed := m.replace(values)
+	restored := m.recordRestore(position)
+	if !restored {
+		m.recordOmitted(values)
+	}
+	removed := m.replace(values, position.Era)
 	m.position, m.lastPosition, m.lastSnapshot = position, position, time.Now()
 	m.verifyNext, m.copyBytes = false, snapshotBytes(values)
 	m.scheduleVerify()
 	m.onSnapshot()
-	apply(State{Values: m.values, Removed: removed, Resumed: m.recordAnswer(), Origin: OriginSnapshot})
+	apply(State{Values: m.values, Removed: removed, Resumed: m.recordAnswer(), Restored: restored, Origin: OriginSnapshot})
 	return nil
 }
 
-// recordRestore counts and logs that a snapshot shows the store at an earlier position than before.
-func (m *Mirror) recordRestore(position Position) {
+// recordRestore reports whether a snapshot shows that the store came back from an older copy, and counts and logs it.
+func (m *Mirror) recordRestore(position Position) bool {
 	last := m.lastPosition
 	m.era.Store(position.Era)
 	if last == (Position{}) || position.Era == last.Era && position.Revision >= last.Revision {
-		return
+		return false
 	}
 	m.restores.Add(1)
 	m.log.Warn(toucanlog.MsgStoreOlder,
@@ -319,6 +332,7 @@
 		toucanlog.RevisionBefore, last.Revision,
 		toucanlog.Revision, position.Revision,
 	)
+	return true
 }
 
 // recordOmitted counts and logs the values of a snapshot that are not newer than the copy's position, but missing from
@@ -343,8 +357,8 @@
 	)
 }
 
-// replace replaces the copy by values and returns the keys that were removed.
-func (m *Mirror) replace(values []toucanstore.Value) []string {
+// replace replaces the copy by values of an era and returns the keys that were removed.
+func (m *Mirror) replace(values []toucanstore.Value, era uint64) []string {
 	next := make(map[string]toucanstore.Value, len(values))
 	for _, v := range values {
 		next[v.Key] = v
@@ -357,28 +371,32 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.values = next
+	m.values, m.valuesEra = next, era
 	return removed
 }
 
-// readFromPeer replaces the copy by that of a peer during an outage of the store.
+// readFromPeer replaces the copy by that of a peer during an outage of the store. A copy of an earlier era is ignored.
 func (m *Mirror) readFromPeer(ctx context.Context, apply func(State)) {
 	if m.readPeer == nil || m.outageSince.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	values, err := m.readPeer(ctx)
+	values, era, err := m.readPeer(ctx)
 	if err != nil {
 		// The mirror keeps its values. The start of the outage was logged.
 		m.log.Debug(toucanlog.MsgNoPeerSnapshot, toucanlog.Cause, err.Error())
 		return
 	}
-	if len(values) == 0 {
+	if len(values) == 0 || era < m.lastPosition.Era {
 		return
 	}
-	removed := m.replace(values)
-	apply(State{Values: m.values, Removed: removed, Origin: OriginPeer})
+	restored := m.lastPosition != (Position{}) && era > m.lastPosition.Era
+	if restored {
+		m.lastPosition = Position{Era: era}
+	}
+	removed := m.replace(values, era)
+	apply(State{Values: m.values, Removed: removed, Restored: restored, Origin: OriginPeer})
 }
 
 // recordAnswer records that the store answered, and reports whether this ends an outage.
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -323,16 +323,17 @@
 		f := newFakeSource()
 		f.unavailable = true
 		peerValue := "1"
-		m := New(f, slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, error) {
+		m := New(f, slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, uint64, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if peerValue == "" {
-				return nil, errUnavailable
+				return nil, 0, errUnavailable
 			}
-			return []toucanstore.Value{{Key: "a", Body: []byte(peerValue), Revision: 5}}, nil
+			return []toucanstore.Value{{Key: "a", Body: []byte(peerValue), Revision: 5}}, 0, nil
 		}))
 		held := func() string {
-			for _, v := range m.Values() {
+			values, _ := m.Values()
+			for _, v := range values {
 				return string(v.Body)
 			}
 			return ""
@@ -356,3 +357,22 @@
 		<-done
 	})
 }
+
+// TestPeerCopyOfAnotherEra checks that a peer's copy of a newer era is taken as that of a restored store, once, and that
+// one of an earlier era is ignored.
+func TestPeerCopyOfAnotherEra(t *testing.T) {
+	era := uint64(2)
+	m := New(newFakeSource(), slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, uint64, error) {
+		return []toucanstore.Value{{Key: "a", Revision: 3}}, era, nil
+	}))
+	m.outageSince = time.Now()
+	m.lastPosition = Position{Era: 1, Revision: 9}
+	var states []State
+	read := func() { m.readFromPeer(t.Context(), func(s State) { states = append(states, s) }) }
+	read()
+	read()
+	era = 1
+	read()
+	assert.Equal(t, len(states), 2)
+	assert.Assert(t, states[0].Restored && !states[1].Restored)
+}
--- a/toucanmirror/verify.go
+++ b/toucanmirror/verify.go
@@ -43,6 +43,12 @@
 // process lacks; zero if there is none.
 func WithMissingVersion(f func() uint64) Option { return func(m *Mirror) { m.missingVersion = f } }
 
+// WithLostVersionCallback calls f while a peer has a version of the settings that snapshots of the store lack, because the
+// store came back from an older copy. f can read it from the peer.
+func WithLostVersionCallback(f func(ctx context.Context)) Option {
+	return func(m *Mirror) { m.onLostVersion = f }
+}
+
 // WithSnapshotCallback calls f after each snapshot from the store.
 func WithSnapshotCallback(f func()) Option { return func(m *Mirror) { m.onSnapshot = f } }
 
--- a/toucanpeer/snapshot.go
+++ b/toucanpeer/snapshot.go
@@ -24,9 +24,17 @@
 // ErrNoSnapshotPeer is returned if no peer with a valid report has a complete copy of the store.
 var ErrNoSnapshotPeer = errors.New("no peer has a complete copy of the store")
 
-// ServeSnapshots serves the values that read returns to peers, until the mesh is closed. Each connection carries one
+// StoreCopy is an entry's copy of the store. Its values must not be modified.
+type StoreCopy struct {
+	Values []toucanstore.Value
+	// Era counts how often the store had come back from an older copy when the values were read. Revisions of different
+	// eras are not comparable.
+	Era uint64
+}
+
+// ServeSnapshots serves the copy that read returns to peers, until the mesh is closed. Each connection carries one
 // snapshot as a single message, so no multiplexing is needed.
-func (m *Mesh) ServeSnapshots(read func() []toucanstore.Value) {
+func (m *Mesh) ServeSnapshots(read func() StoreCopy) {
 	for {
 		conn, err := m.snapshotListener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -40,10 +48,10 @@
 	}
 }
 
-func (m *Mesh) sendSnapshot(conn net.Conn, values []toucanstore.Value) {
+func (m *Mesh) sendSnapshot(conn net.Conn, c StoreCopy) {
 	defer func() { _ = conn.Close() }()
-	s := &Snapshot{Items: make([]*Item, len(values))}
-	for i, v := range values {
+	s := &Snapshot{Items: make([]*Item, len(c.Values)), Era: c.Era}
+	for i, v := range c.Values {
 		s.Items[i] = &Item{Key: v.Key, Body: v.Body, Revision: v.Revision}
 	}
 	if err := conn.SetWriteDeadline(time.Now().Add(snapshotSendTimeout)); err != nil {
@@ -60,35 +68,45 @@
 	}
 }
 
-// FetchSnapshot fetches the values of the store from a random peer that has a complete copy of it. The error is
+// FetchSnapshot fetches a copy of the store from a random peer that has a complete copy of it. The error is
 // ErrNoSnapshotPeer if there is no such peer.
-func (m *Mesh) FetchSnapshot(ctx context.Context) ([]toucanstore.Value, error) {
-	peers := m.state.SnapshotPeers(time.Now())
+func (m *Mesh) FetchSnapshot(ctx context.Context) (StoreCopy, error) {
+	return m.fetchFrom(ctx, m.state.SnapshotPeers(time.Now()))
+}
+
+// FetchNewestSettings fetches the copy of a random peer that has newer settings than this entry. The error is
+// ErrNoSnapshotPeer if there is none.
+func (m *Mesh) FetchNewestSettings(ctx context.Context) (StoreCopy, error) {
+	return m.fetchFrom(ctx, m.state.NewerSettingsPeers(time.Now()))
+}
+
+// fetchFrom fetches the copy of a random one of the peers.
+func (m *Mesh) fetchFrom(ctx context.Context, peers []string) (StoreCopy, error) {
 	if len(peers) == 0 {
-		return nil, ErrNoSnapshotPeer
+		return StoreCopy{}, ErrNoSnapshotPeer
 	}
 	name := peers[rand.IntN(len(peers))]
 	m.mu.Lock()
 	address, ok := m.peers[name]
 	m.mu.Unlock()
 	if !ok {
-		return nil, errors.Wrap(ErrNoSnapshotPeer, name)
+		return StoreCopy{}, errors.Wrap(ErrNoSnapshotPeer, name)
 	}
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
-		return nil, errors.Wrapf(err, "fetch snapshot from %s", name)
+		return StoreCopy{}, errors.Wrapf(err, "fetch snapshot from %s", name)
 	}
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	s := &Snapshot{}
 	if err := (protodelim.UnmarshalOptions{MaxSize: maxSnapshotBytes}).UnmarshalFrom(bufio.NewReader(conn), s); err != nil {
-		return nil, errors.Wrapf(err, "fetch snapshot from %s", name)
+		return StoreCopy{}, errors.Wrapf(err, "fetch snapshot from %s", name)
 	}
 	values := make([]toucanstore.Value, len(s.GetItems()))
 	for i, it := range s.GetItems() {
 		values[i] = toucanstore.Value{Key: it.GetKey(), Body: it.GetBody(), Revision: it.GetRevision()}
 	}
-	return values, nil
+	return StoreCopy{Values: values, Era: s.GetEra()}, nil
 }
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -131,11 +131,29 @@
 
 // SnapshotPeers returns the names of the peers with a valid report that have a complete copy of the store.
 func (s *SharedState) SnapshotPeers(now time.Time) []string {
+	return s.filterPeers(now, (*Report).GetLends)
+}
+
+// NewerSettingsPeers returns the names of the peers with a valid report that have newer settings than this entry.
+func (s *SharedState) NewerSettingsPeers(now time.Time) []string {
+	s.mu.Lock()
+	own := s.settings
+	s.mu.Unlock()
+	return s.filterPeers(now, func(r *Report) bool { return r.GetSettingsVersion() > own })
+}
+
+// ActivePeers returns the names of the peers with a valid report that are not shutting down.
+func (s *SharedState) ActivePeers(now time.Time) []string {
+	return s.filterPeers(now, func(r *Report) bool { return !r.GetStopping() })
+}
+
+// filterPeers returns the names of the peers with a valid report that accept returns true for.
+func (s *SharedState) filterPeers(now time.Time, accept func(*Report) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
 	for name, p := range s.peers {
-		if now.Sub(p.receivedAt) <= reportTimeout && p.report.GetLends() {
+		if now.Sub(p.receivedAt) <= reportTimeout && accept(p.report) {
 			names = append(names, name)
 		}
 	}
@@ -291,19 +309,6 @@
 	return age > storeSilentAfter
 }
 
-// ActivePeers returns the names of the peers with a valid report that are not shutting down.
-func (s *SharedState) ActivePeers(now time.Time) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var names []string
-	for name, p := range s.peers {
-		if now.Sub(p.receivedAt) <= reportTimeout && !p.report.GetStopping() {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // probeValidity is how long an endpoint counts as draining after a probe found it so.
 const probeValidity = 6 * time.Second
 
--- a/toucanpeer/state_test.go
+++ b/toucanpeer/state_test.go
@@ -230,12 +230,24 @@
 	})
 	// An entry without the store fetches a snapshot from a peer.
 	values := []toucanstore.Value{{Key: "op/x", Body: []byte("body"), Revision: 7}}
-	go bm.ServeSnapshots(func() []toucanstore.Value { return values })
+	go bm.ServeSnapshots(func() StoreCopy { return StoreCopy{Values: values, Era: 2} })
 	b.SetSettings(3)
 	eventually(t, func() bool {
 		got, err := am.FetchSnapshot(t.Context())
-		return err == nil && len(got) == 1 && got[0].Key == "op/x" && string(got[0].Body) == "body" && got[0].Revision == 7
+		if err != nil || got.Era != 2 || len(got.Values) != 1 {
+			return false
+		}
+		v := got.Values[0]
+		return v.Key == "op/x" && string(v.Body) == "body" && v.Revision == 7
+	})
+	// Only a peer with newer settings is asked for them.
+	eventually(t, func() bool {
+		_, err := am.FetchNewestSettings(t.Context())
+		return err == nil
 	})
+	a.SetSettings(3)
+	_, err = am.FetchNewestSettings(t.Context())
+	assert.ErrorIs(t, err, ErrNoSnapshotPeer)
 	// Right after an outage a peer serves no snapshots: endpoints whose leases expired during it are still missing.
 	b.SetStoreDown(true)
 	b.SetStoreDown(false)
