Log the shared parts of prompts whose streams are cut

Cause under suspicion (docs/incidents/2026-12-prompt-part-crashes-engines.md): no entry learns that the requests which end engines have a part in common. The logs could not show it: `stream cut` had neither the workspace nor anything of the prompt.

`toucan_streams_cut_at_start` counts cut streams without an event.

--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -141,6 +142,9 @@
 	if r.endpoint != "" {
 		args = append(args, toucanlog.Endpoint, r.endpoint, toucanlog.Attempts, j.plan.Attempts())
 	}
+	if len(j.SharedParts) > 0 && j.maybeRun > 0 {
+		args = append(args, toucanlog.PromptParts, formatParts(j.SharedParts))
+	}
 	if r.err != nil {
 		args = append(args, toucanlog.Cause, r.err.Error())
 	}
@@ -156,3 +160,12 @@
 func formatRetryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
+
+// formatParts formats the ids of prompt parts for the log, as callers send them.
+func formatParts(parts []Part) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = strconv.FormatUint(uint64(p), 16)
+	}
+	return strings.Join(ids, ",")
+}
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -29,6 +29,8 @@
 	scope      tally.Scope
 	retries    tally.Counter
 	streamsCut tally.Counter
+	// cutAtStart counts the cut streams of which no event had been passed on.
+	cutAtStart tally.Counter
 	// streamsLate counts streams that completed, but whose first event or a later one was late.
 	streamsLate       tally.Counter
 	resumed           tally.Counter
@@ -76,6 +78,7 @@
 		retries:           scope.Counter("request_retries"),
 		streamsLate:       scope.Counter("streams_late"),
 		streamsCut:        scope.Counter("streams_cut"),
+		cutAtStart:        scope.Counter("streams_cut_at_start"),
 		resumed:           scope.Counter("streams_resumed"),
 		withoutBackup:     scope.Counter("streams_without_backup"),
 		resumedFromBackup: scope.Counter("streams_resumed_from_backup"),
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -83,6 +83,9 @@
 		msg = toucanlog.MsgCallerLeft
 	}
 	s.metrics.streamsCut.Inc(1)
+	if seen.count == 0 {
+		s.metrics.cutAtStart.Inc(1)
+	}
 	s.metrics.workspace(j.workspace).cut.Inc(1)
 	s.log.Warn(msg,
 		toucanlog.RequestID, j.ID,
@@ -93,6 +96,8 @@
 		toucanlog.Cause, cause.Error(),
 		toucanlog.NotResumed, resumeErr.Error(),
 		toucanlog.TookMs, time.Since(j.arrived).Milliseconds(),
+		toucanlog.Workspace, j.workspace,
+		toucanlog.PromptParts, formatParts(j.SharedParts),
 	)
 	panic(http.ErrAbortHandler)
 }
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -101,6 +101,7 @@
 	Peer            = "peer"
 	PeersHeard      = "peersHeard"
 	PlacedMs        = "placedMs"
+	PromptParts     = "promptParts"
 	PromptTokens    = "promptTokens"
 	Questions       = "questions"
 	Reason          = "reason"
