Quarantine parts of prompts under which engines end

Cause: an entry took each end as a fault of the endpoint alone, kept nothing about the request, and told its peers nothing but that the endpoint was unreachable; four entries saw the first five ends.

Change: toucanquarantine, pure, decides from evidence that entries exchange: ends of engines under starting runs with their parts, and parts that were answered since. The part with the most ends explains them; three ends are enough, a part that is answered is ruled out, parts that nothing tells apart are only rejected together, and evidence from one workspace affects no other. An end is confirmed by a refused connection. Requests under quarantine get 422 at once, those that wait at an engine are cancelled, and one whose engine ended twice is not sent again.

Why it works: the part is in every end and never answered, while what sound requests share with it is answered all the time, within a second of the next end; so the verdict needs three ends, and comes to all entries with one datagram.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -24,6 +24,9 @@
 	if err != nil {
 		f := newFailure(reservation, err)
 		reservation.Done(time.Now(), f.outcome(ctx))
+		if !f.unsent && ctx.Err() == nil {
+			s.recordBreak(j, reservation.Endpoint, 0)
+		}
 		return nil, f
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
@@ -99,6 +102,9 @@
 		resp.Close()
 		f := &failure{endpoint: reservation.Endpoint.ID, err: err}
 		reservation.Done(time.Now(), f.outcome(ctx))
+		if ctx.Err() == nil {
+			s.recordBreak(j, reservation.Endpoint, 0)
+		}
 		return nil, f
 	}
 	a := &answer{status: resp.Status, header: resp.Header, body: body.Bytes(), reservation: reservation}
@@ -111,6 +117,9 @@
 	if f != nil && a.rest != nil {
 		resp.Close()
 	}
+	if f == nil && a.status < http.StatusMultipleChoices {
+		s.recordProven(j)
+	}
 	if f == nil && a.rest == nil {
 		reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	}
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -11,6 +11,7 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
 	"toucanport/toucanupstream"
 )
 
@@ -32,6 +33,7 @@
 	reasonNotRun      reason = "notRun"
 	reasonUnreachable reason = "unreachable"
 	reasonUnknown     reason = "outcomeUnknown"
+	reasonQuarantined reason = "quarantined"
 )
 
 var (
@@ -96,6 +98,8 @@
 func (f *failure) refusal(ctx context.Context, j *job) refusal {
 	r := refusal{status: http.StatusBadGateway, reason: reasonUnknown, endpoint: f.endpoint, err: f.err}
 	switch {
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		r.status, r.reason, r.err = http.StatusUnprocessableEntity, reasonQuarantined, errQuarantined
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.reason = reasonCallerLeft
 	case f.notRun && j.maybeRun == 0 && ctx.Err() == nil:
@@ -113,6 +117,8 @@
 // placeRefusal returns the refusal for a request for which no endpoint could be reserved.
 func placeRefusal(ctx context.Context, j *job, err error) refusal {
 	switch {
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		return refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
 	case errors.Is(ctx.Err(), context.Canceled):
 		return refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: err}
 	case j.maybeRun > 0 || ctx.Err() != nil:
@@ -162,7 +168,7 @@
 }
 
 // formatParts formats the ids of prompt parts for the log, as callers send them.
-func formatParts(parts []Part) string {
+func formatParts(parts []toucanquarantine.Part) string {
 	ids := make([]string, len(parts))
 	for i, p := range parts {
 		ids[i] = strconv.FormatUint(uint64(p), 16)
--- a/toucanforward/normalize_test.go
+++ b/toucanforward/normalize_test.go
@@ -24,5 +24,5 @@
 	toucanlog.MsgRequestPlaced, toucanlog.MsgRequestHeld, toucanlog.MsgRequestRefused,
 	toucanlog.MsgRequestAnswered, toucanlog.MsgRequestFailed, toucanlog.MsgRequestRetried,
 	toucanlog.MsgStreamCut, toucanlog.MsgCallerLeft, toucanlog.MsgGenerationMoved,
-	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed,
+	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed, toucanlog.MsgEndpointEnded, toucanlog.MsgPartQuarantined,
 }
--- /dev/null
+++ b/toucanforward/quarantine.go
@@ -0,0 +1,138 @@
+package toucanforward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"toucanport/toucanlog"
+	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
+)
+
+const (
+	// provenEvents is the number of events after which a stream can't be what ends its engine. A complete answer proves
+	// the same with fewer.
+	provenEvents = 8
+	// maxBrokenStarts is how many engines may end under a starting request before it is not sent again.
+	maxBrokenStarts = 2
+	// confirmTimeout bounds the check whether an endpoint whose connection broke has ended.
+	confirmTimeout = 300 * time.Millisecond
+)
+
+// errQuarantined means that a request has a part of a prompt that ends engines.
+var errQuarantined = errors.New("engines end when they answer on a part of the prompt")
+
+// startingRequests holds the requests whose engine has not answered far enough to rule them out, with the functions that
+// cancel them. It is safe for concurrent use.
+type startingRequests struct {
+	mu     sync.Mutex
+	cancel map[*job]context.CancelCauseFunc
+}
+
+func (s *startingRequests) add(j *job, cancel context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel == nil {
+		s.cancel = make(map[*job]context.CancelCauseFunc)
+	}
+	s.cancel[j] = cancel
+}
+
+func (s *startingRequests) remove(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.cancel, j)
+}
+
+// cancelIf cancels the requests for which f returns true.
+func (s *startingRequests) cancelIf(f func(*job) bool, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for j, cancel := range s.cancel {
+		if f(j) {
+			cancel(cause)
+			delete(s.cancel, j)
+		}
+	}
+}
+
+// RunQuarantine cancels the requests that fall under a new quarantine, before an engine begins to answer them, and logs
+// it. It returns when ctx ends.
+func (s *Server) RunQuarantine(ctx context.Context) {
+	for {
+		changed := s.quarantine.Changed()
+		s.starting.cancelIf(s.isQuarantined, errQuarantined)
+		select {
+		case <-changed:
+			s.logVerdicts()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) logVerdicts() {
+	now := time.Now()
+	for _, v := range s.quarantine.Verdicts(now) {
+		args := []any{
+			toucanlog.Service, v.Service,
+			toucanlog.PromptParts, formatParts(v.Parts),
+			toucanlog.Ends, v.Crashes,
+			toucanlog.LeftMs, v.Until.Sub(now).Milliseconds(),
+		}
+		if v.OneWorkspace {
+			args = append(args, toucanlog.Workspace, v.Workspace)
+		}
+		s.log.Warn(toucanlog.MsgPartQuarantined, args...)
+	}
+}
+
+// isQuarantined reports whether a request must not be sent to an engine.
+func (s *Server) isQuarantined(j *job) bool {
+	return len(j.SharedParts) > 0 && s.quarantine.Quarantined(time.Now(), j.service.Name, j.workspace, j.SharedParts)
+}
+
+// mayStartAgain reports whether a request whose connection broke may be sent to an engine again.
+func (s *Server) mayStartAgain(j *job) bool {
+	return j.brokenStarts < maxBrokenStarts && !s.isQuarantined(j)
+}
+
+// recordBreak records that the connection to an endpoint broke after a number of events. If the request was starting and
+// the endpoint has ended, that is evidence against the request's parts.
+func (s *Server) recordBreak(j *job, e toucanplace.Endpoint, events int) {
+	if len(j.SharedParts) == 0 || events >= provenEvents {
+		return
+	}
+	j.brokenStarts++
+	run := toucanquarantine.Run{Workspace: j.workspace, Parts: j.SharedParts}
+	go s.confirmCrash(time.Now(), e, run)
+}
+
+// confirmCrash records a crash at the time brokenAt if the endpoint refuses connections. A connection can break for
+// other reasons while the endpoint lives.
+func (s *Server) confirmCrash(brokenAt time.Time, e toucanplace.Endpoint, run toucanquarantine.Run) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	if !s.pool.Refuses(ctx, e.Address) {
+		return
+	}
+	s.log.Warn(toucanlog.MsgEndpointEnded,
+		toucanlog.Endpoint, e.ID,
+		toucanlog.Service, e.Service,
+		toucanlog.Workspace, run.Workspace,
+		toucanlog.PromptParts, formatParts(run.Parts),
+	)
+	s.quarantine.RecordCrash(brokenAt, e.Key(), e.Service, run)
+}
+
+// recordProven records that an engine has answered a request far enough to rule out its parts.
+func (s *Server) recordProven(j *job) {
+	if len(j.SharedParts) == 0 || j.proven {
+		return
+	}
+	j.proven = true
+	s.starting.remove(j)
+	s.quarantine.RecordSound(time.Now(), j.service.Name, j.SharedParts)
+}
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -7,15 +7,14 @@
 	"net/http"
 	"time"
 
+	"toucanport/toucanquarantine"
+
 	"github.com/pkg/errors"
 )
 
 // ErrMalformed is returned for a request whose headers are missing or invalid.
 var ErrMalformed = errors.New("malformed request")
 
-// Part identifies a part of a prompt that requests can have in common.
-type Part uint64
-
 // Request holds the values of a caller's headers.
 type Request struct {
 	// ID identifies the request. The caller chooses it, and it is unique.
@@ -31,7 +30,7 @@
 	LengthHint int
 	// SharedParts are the parts of the prompt that other requests can have too, in order; empty for requests that
 	// generate nothing.
-	SharedParts []Part
+	SharedParts []toucanquarantine.Part
 }
 
 // Resume identifies a stopped generation that an endpoint is to continue.
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -21,6 +21,7 @@
 	"toucanport/toucanlogtest"
 	"toucanport/toucanmoveorder"
 	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
@@ -52,6 +53,7 @@
 	headerLeft    = "X-Left"
 	headerBackup  = "X-Backup"
 	headerTokens  = "X-Tokens"
+	headerParts   = "X-Parts"
 	headerPrivate = "X-Private"
 	// secretMark is part of every key, header, query, body and answer, none of which may be logged.
 	secretMark = "hush"
@@ -67,7 +69,20 @@
 		return Request{}, ErrMalformed
 	}
 	tokens, _ := strconv.Atoi(h.Get(headerTokens))
-	return Request{ID: h.Get(headerID), Key: h.Get("X-Key"), Patience: testTimeout, Prompt: tokens, MaxOutput: tokens}, nil
+	r := Request{ID: h.Get(headerID), Key: h.Get("X-Key"), Patience: testTimeout, Prompt: tokens, MaxOutput: tokens}
+	r.SharedParts = parseParts(h.Get(headerParts))
+	return r, nil
+}
+
+// parseParts parses parts in the form a.b, each a hexadecimal number.
+func parseParts(text string) []toucanquarantine.Part {
+	var parts []toucanquarantine.Part
+	for _, id := range strings.Split(text, ".") {
+		if n, err := strconv.ParseUint(id, 16, 64); err == nil {
+			parts = append(parts, toucanquarantine.Part(n))
+		}
+	}
+	return parts
 }
 
 func (testCodec) Outgoing(h http.Header, a Attempt) http.Header {
@@ -132,9 +147,15 @@
 		server.RunMoves(ctx)
 		close(done)
 	}()
+	quarantineDone := make(chan struct{})
+	go func() {
+		server.RunQuarantine(ctx)
+		close(quarantineDone)
+	}()
 	sc.t.Cleanup(func() {
 		cancel()
 		<-done
+		<-quarantineDone
 		front.Close()
 	})
 }
@@ -165,12 +186,29 @@
 		sc.awaitEvents(events)
 		sc.abandon()
 		<-sc.pending
+	case "awaitEvents":
+		n := 0
+		d.ScanArgs(t, "n", &n)
+		sc.awaitEvents(n)
+	case "peerEnds":
+		sc.peerEnds(d)
+	case "awaitQuarantine":
+		n := 0
+		d.ScanArgs(t, "n", &n)
+		sc.awaitQuarantine(n)
 	case "drain":
 		sc.publishEndpoints(d.CmdArgs[0].Key)
 	case "lines":
 		n := 0
 		d.MaybeScanArgs(t, "n", &n)
-		return sc.normalize(sc.log.Next(t, n))
+		text := sc.normalize(sc.log.Next(t, n))
+		if d.HasArg("sorted") {
+			// The order of lines of different goroutines varies.
+			lines := strings.SplitAfter(text, "\n")
+			sort.Strings(lines)
+			text = strings.Join(lines, "")
+		}
+		return text
 	case "uses":
 		return sc.endpointsInUse()
 	case "kill":
@@ -195,6 +233,34 @@
 	return ""
 }
 
+// peerEnds adds a peer's evidence that n endpoints ended, a second apart, under requests with the given parts and one of
+// their own.
+func (sc *deployment) peerEnds(d *datadriven.TestData) {
+	n, parts := 0, ""
+	d.ScanArgs(sc.t, "n", &n)
+	d.ScanArgs(sc.t, "parts", &parts)
+	now := time.Now()
+	var e toucanquarantine.Evidence
+	for i := range n {
+		own := toucanquarantine.Part(1<<20 + sc.serial*100 + i)
+		run := toucanquarantine.Run{Parts: append(parseParts(parts), own)}
+		e.Crashes = append(e.Crashes, toucanquarantine.Crash{
+			Endpoint: uint64(own), Service: "s", At: now.Add(-time.Duration(i+1) * time.Second), Runs: []toucanquarantine.Run{run},
+		})
+	}
+	sc.server.quarantine.Apply(now, e)
+}
+
+// awaitQuarantine waits until there are n quarantines.
+func (sc *deployment) awaitQuarantine(n int) {
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if len(sc.server.quarantine.Verdicts(time.Now())) == n {
+			return
+		}
+	}
+	sc.t.Fatalf("timed out before there were %d quarantines", n)
+}
+
 // awaitEvents waits until the only running stream has passed on n events.
 func (sc *deployment) awaitEvents(n int) {
 	passed := func() bool { return sc.server.generations.Events() == n }
@@ -282,7 +348,8 @@
 
 // request sends a request and returns its answer, the requests that each endpoint received and the requested copies.
 func (sc *deployment) request(ctx context.Context, d *datadriven.TestData) string {
-	method, path, key, tokens := http.MethodPost, "/p/x", "", "0"
+	method, path, key, tokens, parts := http.MethodPost, "/p/x", "", "0", ""
+	d.MaybeScanArgs(sc.t, "parts", &parts)
 	d.MaybeScanArgs(sc.t, "path", &path)
 	d.MaybeScanArgs(sc.t, "key", &key)
 	d.MaybeScanArgs(sc.t, "tokens", &tokens)
@@ -298,6 +365,7 @@
 	}
 	r.Header.Set("X-Key", key)
 	r.Header.Set(headerTokens, tokens)
+	r.Header.Set(headerParts, parts)
 	r.Header.Set(headerPrivate, secretMark)
 	for _, e := range sc.endpoints {
 		e.reset()
@@ -520,8 +588,8 @@
 
 // kill closes the endpoint's listener and connections.
 func (e *endpoint) kill() {
-	e.stop()
 	_ = e.server.Listener.Close()
+	e.stop()
 	e.server.CloseClientConnections()
 }
 
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -12,6 +12,7 @@
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
@@ -42,6 +43,8 @@
 	generations *toucangeneration.Registry
 	estimates   lengthEstimates
 	queue       waitQueue
+	quarantine  *toucanquarantine.Table
+	starting    startingRequests
 	// closing is true once callers' connections are to be closed after their next answer.
 	closing atomic.Bool
 	started time.Time
@@ -50,7 +53,7 @@
 	lastBreak atomic.Int64
 }
 
-// Config holds the dependencies of a Server. All fields but Metrics are required.
+// Config holds the dependencies of a Server. All fields but Quarantine and Metrics are required.
 type Config struct {
 	Codec   Codec
 	Mover   toucangeneration.Mover
@@ -60,22 +63,28 @@
 	Pool    *toucanupstream.Pool
 	Budget  *toucanretry.Budget
 	Log     *slog.Logger
-	Metrics Metrics
+	// Quarantine holds the parts of prompts that end engines; nil for a table that no one else uses.
+	Quarantine *toucanquarantine.Table
+	Metrics    Metrics
 }
 
 // New returns a server. RunMoves must run for generations to be moved.
 func New(cfg Config) *Server {
 	m := newMetrics(cfg.Metrics)
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = toucanquarantine.New()
+	}
 	return &Server{
-		codec:   cfg.Codec,
-		mover:   cfg.Mover,
-		moves:   cfg.Moves,
-		traffic: cfg.Traffic,
-		placer:  cfg.Placer,
-		pool:    cfg.Pool,
-		budget:  cfg.Budget,
-		log:     cfg.Log,
-		metrics: m,
+		codec:      cfg.Codec,
+		mover:      cfg.Mover,
+		moves:      cfg.Moves,
+		traffic:    cfg.Traffic,
+		placer:     cfg.Placer,
+		pool:       cfg.Pool,
+		budget:     cfg.Budget,
+		log:        cfg.Log,
+		quarantine: cfg.Quarantine,
+		metrics:    m,
 		generations: toucangeneration.New(toucangeneration.Config{
 			Placer: cfg.Placer,
 			Moves:  cfg.Moves,
@@ -121,6 +130,10 @@
 	logged bool
 	// tried holds the ids of the endpoints at which an attempt failed.
 	tried map[string]bool
+	// brokenStarts counts the connections to endpoints that broke before the request was proven.
+	brokenStarts int
+	// proven is true once an engine has answered so far that the request can't be what ends engines.
+	proven bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -133,13 +146,19 @@
 		s.refuse(j, *refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	ctx, cancelCause := context.WithCancelCause(r.Context())
+	defer cancelCause(nil)
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if refusal := s.readBody(ctx, j); refusal != nil {
 		s.refuse(j, *refusal)
 		return
 	}
 	defer j.releaseBackup()
+	if len(j.SharedParts) > 0 {
+		s.starting.add(j, cancelCause)
+		defer s.starting.remove(j)
+	}
 	s.runAttempts(ctx, j)
 }
 
@@ -174,7 +193,7 @@
 	if !f.notRun {
 		j.maybeRun++
 	}
-	if ctx.Err() != nil || j.rest != nil || j.maybeRun >= j.route.MaxAttempts {
+	if ctx.Err() != nil || j.rest != nil || j.maybeRun >= j.route.MaxAttempts || !s.mayStartAgain(j) {
 		return false
 	}
 	if !s.placer.HasEndpoint(j.service.Name, j.untried) {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -39,6 +39,9 @@
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
+		if ctx.Err() == nil && !g.StopRequested() {
+			s.recordBreak(j, reservation.Endpoint, seen.count)
+		}
 		next, nextReservation, resumeErr := s.resume(ctx, j, g, &seen)
 		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 {
 			s.recordFinished(j, a, reservation, g)
@@ -71,6 +74,7 @@
 // recordFinished releases the reservation of a stream that completed, records its length and logs it.
 func (s *Server) recordFinished(j *job, a *answer, reservation *toucanplace.Reservation, g *toucangeneration.Generation) {
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
+	s.recordProven(j)
 	s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens())
 	s.logAnswered(j, &answer{status: a.status, reservation: reservation, generation: g}, nil)
 }
@@ -79,7 +83,8 @@
 // complete.
 func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *eventParser, cause, resumeErr error) {
 	msg := toucanlog.MsgStreamCut
-	if errors.Is(ctx.Err(), context.Canceled) && !s.closing.Load() {
+	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errQuarantined)
+	if callerLeft && !s.closing.Load() {
 		msg = toucanlog.MsgCallerLeft
 	}
 	s.metrics.streamsCut.Inc(1)
@@ -138,6 +143,9 @@
 	if len(whole) == 0 {
 		return nil
 	}
+	if seen.count >= provenEvents {
+		s.recordProven(j)
+	}
 	if first, gap := g.Progress(seen.count); first {
 		reservation.MarkPromptRead()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
@@ -168,6 +176,9 @@
 			return resp, reservation, err
 		}
 	}
+	if !s.mayStartAgain(j) {
+		return nil, nil, errQuarantined
+	}
 	if s.placer.IsAvailable(g.Endpoint().ID) {
 		s.lastBreak.Store(int64(brokenAt.Sub(s.started)))
 	}
--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -31,6 +31,8 @@
 	// StoreEra counts how often the store came back from an older copy, as the store says, and StoreRestores how often
 	// this process has noticed it. OmittedChanges is the number of changes that watches of the store left out.
 	StoreEra, StoreRestores, OmittedChanges uint64
+	// Quarantines is the number of quarantined parts of prompts.
+	Quarantines int
 	// Peers is the number of peers with a valid report, ReportAge the age of the oldest of these reports.
 	Peers     int
 	ReportAge time.Duration
@@ -64,6 +66,7 @@
 	budget, version, settingsAge, storeAge, reportAge             *prometheus.Desc
 	peers, dropped                                                *prometheus.Desc
 	newestSettings, storeEra, storeRestores, omittedChanges       *prometheus.Desc
+	quarantines                                                   *prometheus.Desc
 }
 
 // NewStateCollectors returns collectors of the state that read returns, of the Go runtime and of the process.
@@ -93,6 +96,7 @@
 			storeEra:       plain("store_era", "how often the store came back from an older copy, as it says"),
 			storeRestores:  plain("store_restores_total", "how often this entry noticed that the store came back from an older copy"),
 			omittedChanges: plain("store_changes_omitted_total", "changes that a watch of the store left out"),
+			quarantines:    plain("quarantines", "quarantines of parts of prompts that end engines"),
 			peers:          plain("peers_heard", "peers that are heard"),
 			dropped:        plain("log_lines_dropped_total", "log lines that were dropped"),
 		},
@@ -106,6 +110,7 @@
 	for _, d := range []*prometheus.Desc{
 		c.slots, c.requests, c.capacity, c.tokens, c.failures, c.leaving, c.suspect, c.budget, c.version, c.settingsAge,
 		c.storeAge, c.reportAge, c.peers, c.dropped, c.newestSettings, c.storeEra, c.storeRestores, c.omittedChanges,
+		c.quarantines,
 	} {
 		ch <- d
 	}
@@ -133,6 +138,7 @@
 	}
 	ch <- gauge(c.newestSettings, float64(state.NewestSettings))
 	ch <- gauge(c.storeEra, float64(state.StoreEra))
+	ch <- gauge(c.quarantines, float64(state.Quarantines))
 	ch <- counter(c.storeRestores, state.StoreRestores)
 	ch <- counter(c.omittedChanges, state.OmittedChanges)
 	ch <- counter(c.dropped, state.DroppedLines)
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -37,6 +37,10 @@
 	log              *slog.Logger
 	// serial is the number of the last report. Only the sending goroutine uses it.
 	serial uint64
+	// evidence is shared with all peers; nil for none.
+	evidence EvidenceTable
+	// startedPeers receives the addresses of peers whose process has started, which have no evidence yet.
+	startedPeers chan netip.AddrPort
 
 	mu    sync.Mutex
 	peers map[string]netip.AddrPort
@@ -45,12 +49,12 @@
 }
 
 // Listen returns the mesh of the entry name. It listens at address, with UDP for reports and with TCP for snapshots.
-func Listen(name, address string, state *SharedState, log *slog.Logger) (*Mesh, error) {
+func Listen(name, address string, state *SharedState, log *slog.Logger, opts ...MeshOption) (*Mesh, error) {
 	conn, listener, err := listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	return &Mesh{
+	m := &Mesh{
 		name:             name,
 		boot:             uint64(time.Now().UnixNano()),
 		state:            state,
@@ -59,7 +63,12 @@
 		log:              log,
 		peers:            make(map[string]netip.AddrPort),
 		unlistedSince:    make(map[string]time.Time),
-	}, nil
+		startedPeers:     make(chan netip.AddrPort, 1),
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m, nil
 }
 
 // maxPortTries is how many ports are tried to find one that is free for both UDP and TCP, if the address has port 0.
@@ -146,12 +155,16 @@
 	defer stop()
 	var wg sync.WaitGroup
 	wg.Go(m.receive)
+	if m.evidence != nil {
+		wg.Go(func() { m.shareEvidence(ctx) })
+	}
 	m.send(ctx)
 	wg.Wait()
 }
 
 func (m *Mesh) receive() {
 	buf := make([]byte, maxDatagram)
+	boots := make(map[string]uint64)
 	for {
 		n, from, err := m.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -165,7 +178,31 @@
 		if err := proto.Unmarshal(buf[:n], r); err != nil || !m.acceptSender(r.GetSender(), from) {
 			continue
 		}
-		m.state.Apply(time.Now(), r)
+		if boots[r.GetSender()] != r.GetBoot() {
+			boots[r.GetSender()] = r.GetBoot()
+			m.reportStarted(from)
+		}
+		m.apply(time.Now(), r)
+	}
+}
+
+// reportStarted makes shareEvidence send all evidence to a peer that has started. If several start at the same time,
+// some get it later.
+func (m *Mesh) reportStarted(from netip.AddrPort) {
+	select {
+	case m.startedPeers <- netip.AddrPortFrom(from.Addr().Unmap(), from.Port()):
+	default:
+	}
+}
+
+// apply applies a report of a peer, or the evidence in it.
+func (m *Mesh) apply(now time.Time, r *Report) {
+	if r.GetSerial() > 0 {
+		m.state.Apply(now, r)
+		return
+	}
+	if m.evidence != nil {
+		m.evidence.Apply(now, decodeEvidence(now, r))
 	}
 }
 
--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -139,6 +139,17 @@
 	}, nil
 }
 
+// Refuses reports whether the host at an address answers that nothing listens there. It is false if the host does not
+// answer before ctx ends.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close() // Nothing was sent.
+	return false
+}
+
 // takeIdle returns the most recently used idle connection that can be reused, or nil. It closes those that can't.
 func (p *Pool) takeIdle(address string) *conn {
 	for {
