Take a stream without length that ends before its first event as broken

What callers would see: an empty answer that looks complete, from an engine that ended as it began to answer.

Cause: relayFrom took the end of an answer without length as its end wherever it was not inside an event. Change: before the first event it is a break.

--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -525,6 +525,8 @@
 //	events A B hold  events A to B, then wait until released or stopped
 //	events A B cut   events A to B, then the connection breaks
 //	events A B end   events A to B, then the stream's end
+//	events A B unframed      events A to B without length or chunks, which end with the connection
+//	events A B unframedHalf  the same, with half an event at the end
 //	unframed BODY    an answer without length, which ends with its connection
 type endpoint struct {
 	t      *testing.T
@@ -666,7 +668,18 @@
 func (e *endpoint) stream(rw *bufio.ReadWriter, id string, step []string) {
 	from, _ := strconv.Atoi(step[1])
 	to, _ := strconv.Atoi(step[2])
-	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n", headerID, id, headerGenuine)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\nConnection: close\r\n", headerID, id, headerGenuine)
+	if step[3] == "unframed" || step[3] == "unframedHalf" {
+		_, _ = rw.WriteString(head + "\r\n")
+		for i := from; i <= to; i++ {
+			_, _ = fmt.Fprintf(rw, "id: %d\ndata: t%d\n\n", i, i)
+		}
+		if step[3] == "unframedHalf" {
+			_, _ = fmt.Fprintf(rw, "id: %d\nda", to+1)
+		}
+		return
+	}
+	_, _ = rw.WriteString(head + "Transfer-Encoding: chunked\r\n\r\n")
 	for i := from; i <= to; i++ {
 		event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
 		_, _ = fmt.Fprintf(rw, "%x\r\n%s\r\n", len(event), event)
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -21,6 +21,7 @@
 var (
 	errGap     = errors.New("events are missing")
 	errPartial = errors.New("stream ended inside an event")
+	errEmpty   = errors.New("stream without length ended before its first event")
 )
 
 // relay passes events on to the caller as they arrive. When the stream breaks because the generation was moved or its
@@ -134,6 +135,10 @@
 		if len(seen.pending) > 0 {
 			return errPartial
 		}
+		if !resp.Framed && seen.count == 0 {
+			// The end of the endpoint looks like this.
+			return errEmpty
+		}
 		return nil
 	}
 }
