--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -66,6 +66,8 @@
 	NotRun bool
 	// Named is true if the answer carries the request's ID.
 	Named bool
+	// RetryAfter is the time for which the endpoint asks this entry for no requests; zero for none.
+	RetryAfter time.Duration
 }
 
 // Codec translates between HTTP headers and the values that they carry.
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -103,7 +103,11 @@
 }
 
 func (testCodec) Answer(_ int, h http.Header, id string) Answer {
-	return Answer{Genuine: h.Get(headerGenuine) != "", NotRun: h.Get(headerNotRun) != "", Named: h.Get(headerID) == id}
+	seconds, _ := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	return Answer{
+		Genuine: h.Get(headerGenuine) != "", NotRun: h.Get(headerNotRun) != "", Named: h.Get(headerID) == id,
+		RetryAfter: time.Duration(seconds * float64(time.Second)),
+	}
 }
 
 // deployment is a server and its endpoints under the control of one script.
@@ -517,6 +521,7 @@
 //
 //	status N BODY    a complete answer
 //	notRun           a refusal that reports that the request did not run
+//	later SECONDS    a refusal that asks for no request for so long
 //	foreign BODY     an answer to another request, before that of the next line on the same connection
 //	garbage          bytes that are not HTTP
 //	cutBody          an answer that ends early
@@ -650,6 +655,8 @@
 		return true
 	case "notRun":
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 503 Busy\r\nConnection: close\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerNotRun)
+	case "later":
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 503 Busy\r\nConnection: close\r\nRetry-After: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", step[1], headerNotRun)
 	case "garbage":
 		_, _ = rw.WriteString("no " + secretMark + " answer\r\n\r\n")
 	case "cutBody":
