Send nothing to an endpoint that asks for no requests for a time

What callers and engines saw: an endpoint that answered 503 with Retry-After got further requests, repeats, backups and probes from the same entry at once.

Cause: the header was not read. A request waits for the first endpoint that wants requests again as long as it may wait at all, and is refused at once with the time as its Retry-After if that is too long.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
@@ -30,6 +31,7 @@
 		return nil, f
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
+	s.recordDeferral(reservation.Endpoint, headers)
 	if headers.NotRun {
 		resp.Close()
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
@@ -41,6 +43,19 @@
 	return s.readAnswer(ctx, j, reservation, resp, headers)
 }
 
+// recordDeferral keeps requests away from an endpoint for as long as its answer asks.
+func (s *Server) recordDeferral(e toucanplace.Endpoint, headers Answer) {
+	if headers.RetryAfter <= 0 {
+		return
+	}
+	s.placer.Defer(time.Now(), e.ID, headers.RetryAfter)
+	s.log.Info(toucanlog.MsgEndpointDeferred,
+		toucanlog.Endpoint, e.ID,
+		toucanlog.Service, e.Service,
+		toucanlog.LeftMs, headers.RetryAfter.Milliseconds(),
+	)
+}
+
 // isEventStream reports whether the content type is that of server-sent events.
 func isEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -29,6 +29,7 @@
 	reasonCallerLeft  reason = "callerLeft"
 	reasonNoEndpoint  reason = "noEndpoint"
 	reasonFull        reason = "full"
+	reasonDeferred    reason = "deferred"
 	reasonTimeout     reason = "timeout"
 	reasonNotRun      reason = "notRun"
 	reasonUnreachable reason = "unreachable"
@@ -94,8 +95,9 @@
 	return toucanplace.OutcomeFailed
 }
 
-// refusal returns the refusal for a request whose last attempt failed.
-func (f *failure) refusal(ctx context.Context, j *job) refusal {
+// refusal returns the refusal for a request whose last attempt failed. deferred is how long every endpoint has asked for
+// no requests; zero if one has not.
+func (f *failure) refusal(ctx context.Context, j *job, deferred time.Duration) refusal {
 	r := refusal{status: http.StatusBadGateway, reason: reasonUnknown, endpoint: f.endpoint, err: f.err}
 	switch {
 	case errors.Is(context.Cause(ctx), errQuarantined):
@@ -103,7 +105,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.reason = reasonCallerLeft
 	case f.notRun && j.maybeRun == 0 && ctx.Err() == nil:
-		r.status, r.retryAfter = http.StatusServiceUnavailable, retryAfterFull
+		r.status, r.retryAfter = http.StatusServiceUnavailable, max(retryAfterFull, deferred)
 		r.reason = reasonNotRun
 		if f.unsent {
 			r.reason = reasonUnreachable
@@ -115,7 +117,8 @@
 }
 
 // placeRefusal returns the refusal for a request for which no endpoint could be reserved.
-func placeRefusal(ctx context.Context, j *job, err error) refusal {
+// deferred is how long every endpoint has asked for no requests; zero if one has not.
+func placeRefusal(ctx context.Context, j *job, err error, deferred time.Duration) refusal {
 	switch {
 	case errors.Is(context.Cause(ctx), errQuarantined):
 		return refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
@@ -128,7 +131,11 @@
 	case errors.Is(err, toucanplace.ErrNoEndpoint):
 		return refusal{status: http.StatusServiceUnavailable, reason: reasonNoEndpoint, retryAfter: retryAfterFull, err: err}
 	}
-	return refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: retryAfterFull, err: err}
+	r := refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: max(retryAfterFull, deferred), err: err}
+	if errors.Is(err, toucanplace.ErrDeferred) {
+		r.reason = reasonDeferred
+	}
+	return r
 }
 
 // refuse writes a refusal to the caller, and counts and logs it.
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -24,7 +24,8 @@
 )
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
-// too large for every endpoint, or if an attempt has failed and no untried endpoint is left.
+// too large for every endpoint, if all endpoints have asked for no requests for longer than it may wait, or if an attempt
+// has failed and no untried endpoint is left.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
 	until := now.Add(j.maxWait(now))
@@ -43,7 +44,7 @@
 			return nil, err
 		}
 		left := time.Until(until)
-		if left <= 0 {
+		if left <= 0 || s.deferredFor(j) > left {
 			return nil, err
 		}
 		s.queue.add(j)
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -168,7 +168,7 @@
 	for {
 		reservation, err := s.place(ctx, j)
 		if err != nil {
-			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err))
+			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err, s.deferredFor(j)))
 			return
 		}
 		got, failure := s.attempt(ctx, j, reservation)
@@ -180,12 +180,17 @@
 			endpointAnswer = failure.answer
 		}
 		if !s.waitForRetry(ctx, j, failure) {
-			s.deliverFailure(ctx, j, endpointAnswer, failure.refusal(ctx, j))
+			s.deliverFailure(ctx, j, endpointAnswer, failure.refusal(ctx, j, s.deferredFor(j)))
 			return
 		}
 	}
 }
 
+// deferredFor returns how long every endpoint of the request's service has asked for no requests; zero if one has not.
+func (s *Server) deferredFor(j *job) time.Duration {
+	return s.placer.DeferredFor(time.Now(), j.service.Name)
+}
+
 // waitForRetry waits until the next attempt is due. It returns false without waiting if none is allowed, and false if
 // ctx ends first.
 func (s *Server) waitForRetry(ctx context.Context, j *job, f *failure) bool {
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -21,6 +21,7 @@
 	MsgAskingEndpoints    = "asking endpoints whether they leave"
 	MsgEndpointSilent     = "endpoint does not answer"
 	MsgEndpointSkipped    = "endpoint entry skipped"
+	MsgEndpointDeferred   = "endpoint asks for no requests for a time"
 	MsgEndpointEnded      = "endpoint ended under a starting request"
 	MsgEndpointGone       = "endpoint gone"
 	MsgEndpointListed     = "endpoint listed"
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -17,6 +17,9 @@
 	ErrNoEndpoint = errors.New("service has no endpoint")
 	// ErrFull means that every endpoint of a service is full.
 	ErrFull = errors.New("every endpoint of the service is full")
+	// ErrDeferred means that every endpoint of a service has asked this entry for no requests for a time. It wraps
+	// ErrFull.
+	ErrDeferred = errors.Wrap(ErrFull, "every endpoint has asked for no requests")
 	// ErrTooLarge means that a request needs more memory than any endpoint has.
 	ErrTooLarge = errors.New("request is larger than an endpoint's memory")
 )
@@ -122,6 +125,8 @@
 	// with each further failure in a row, up to suspectDoublings times.
 	suspectDuration  = time.Second
 	suspectDoublings = 3
+	// maxDeferral limits how long an endpoint can keep requests away with one answer.
+	maxDeferral = 10 * time.Minute
 	// peerUsesTTL is how long a peer's last report counts.
 	peerUsesTTL = 3 * time.Second
 )
@@ -142,6 +147,8 @@
 	suspectUntil time.Time
 	// peerSuspectUntil is the time until which the endpoint is avoided because a peer could not reach it.
 	peerSuspectUntil time.Time
+	// deferredUntil is the time until which the endpoint has asked this entry for no requests.
+	deferredUntil time.Time
 	// unreachableInARow counts the failures to reach the endpoint since its last success.
 	unreachableInARow int
 }
@@ -169,6 +176,9 @@
 	s.failuresAt = now
 }
 
+// isDeferred reports whether the endpoint has asked for no requests now.
+func (s *endpointState) isDeferred(now time.Time) bool { return now.Before(s.deferredUntil) }
+
 // isDraining reports whether the platform or a peer reports that the endpoint is draining.
 func (s *endpointState) isDraining() bool { return s.Leaving || s.reportedLeaving }
 
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -114,13 +114,14 @@
 	return ok && !s.isDraining()
 }
 
-// Endpoints returns this entry's endpoints that take new requests, in no order.
+// Endpoints returns this entry's endpoints that take new requests now, in no order.
 func (p *Placer) Endpoints() []Endpoint {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := make([]Endpoint, 0, len(p.endpoints))
 	for _, s := range p.endpoints {
-		if !s.isDraining() && !s.OtherCell {
+		if !s.isDraining() && !s.OtherCell && !s.isDeferred(now) {
 			list = append(list, s.Endpoint)
 		}
 	}
@@ -163,6 +164,36 @@
 	}
 }
 
+// Defer keeps this entry's requests away from an endpoint for a time, as the endpoint asked.
+func (p *Placer) Defer(now time.Time, id string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.endpoints[id]; ok {
+		s.deferredUntil = now.Add(min(d, maxDeferral))
+	}
+}
+
+// DeferredFor returns how long every endpoint of a service that takes new requests has asked this entry for none; zero if
+// one has not.
+func (p *Placer) DeferredFor(now time.Time, service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least := time.Duration(0)
+	for _, s := range p.services[service] {
+		if s.isDraining() {
+			continue
+		}
+		left := s.deferredUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // Reservation is the capacity of an endpoint that is reserved for one request or backup. The owner calls Done to
 // release it.
 type Reservation struct {
@@ -209,7 +240,7 @@
 	var bestCost float64
 	for _, s := range p.services[at.Service] {
 		u := p.total(now, s)
-		if s.isDraining() || s.OtherCell || s.ID == at.ID || now.Before(s.suspectUntil) || !s.fitsBackup(u, d) {
+		if s.isDraining() || s.isDeferred(now) || s.OtherCell || s.ID == at.ID || now.Before(s.suspectUntil) || !s.fitsBackup(u, d) {
 			continue
 		}
 		c := s.cost(now, u)
@@ -317,7 +348,7 @@
 func (p *Placer) chooseAmong(now time.Time, service string, d Demand, share float64, extra func(*endpointState) float64, allowed func(*endpointState) bool) (*endpointState, Choice, error) {
 	best, bestID := (*endpointState)(nil), ""
 	var why Choice
-	listed, large := false, true
+	listed, large, deferred := false, true, true
 	for _, s := range p.services[service] {
 		if s.isDraining() || !allowed(s) {
 			continue
@@ -327,6 +358,10 @@
 			continue
 		}
 		large = false
+		if s.isDeferred(now) {
+			continue
+		}
+		deferred = false
 		u := p.total(now, s)
 		if !s.fits(u, d, share) {
 			continue
@@ -342,6 +377,8 @@
 		return nil, why, errors.Wrap(ErrNoEndpoint, service)
 	case large:
 		return nil, why, errors.Wrap(ErrTooLarge, service)
+	case deferred:
+		return nil, why, errors.Wrap(ErrDeferred, service)
 	}
 	return nil, why, errors.Wrap(ErrFull, service)
 }
--- /dev/null
+++ b/toucanplace/placer_test.go
@@ -0,0 +1,40 @@
+package toucanplace
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDeferredEndpointGetsNothing checks that an endpoint that asked for no requests is not chosen for requests, copies and
+// backups until the time has passed, and that a new start at its id has not asked.
+func TestDeferredEndpointGetsNothing(t *testing.T) {
+	now := time.Now()
+	p := NewPlacer("z")
+	list := []Endpoint{{ID: "a", Service: "s", Slots: 4, MemoryTokens: 1000, StartMillis: 1}, {ID: "b", Service: "s", Slots: 4, MemoryTokens: 1000, StartMillis: 1}}
+	p.SetEndpoints(list)
+	p.Defer(now, "a", time.Second)
+	for range 3 {
+		r, err := p.Place(now, "s", Demand{Prompt: 10}, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, r.Endpoint.ID, "b")
+	}
+	_, err := p.Backup(now, list[1], Demand{Prompt: 10})
+	assert.ErrorIs(t, err, ErrFull)
+	_, err = p.PlaceCopy(now, list[1], Demand{Prompt: 10}, func(e Endpoint) bool { return e.ID != "b" })
+	assert.ErrorIs(t, err, ErrDeferred)
+	assert.Equal(t, p.DeferredFor(now, "s"), time.Duration(0))
+	p.Defer(now, "b", 3*time.Second)
+	assert.Equal(t, p.DeferredFor(now, "s"), time.Second)
+	_, err = p.Place(now, "s", Demand{}, nil)
+	assert.ErrorIs(t, err, ErrDeferred)
+	assert.ErrorIs(t, err, ErrFull)
+	later := now.Add(1100 * time.Millisecond)
+	r, err := p.Place(later, "s", Demand{}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Endpoint.ID, "a")
+	list[1].StartMillis = 2
+	p.SetEndpoints(list)
+	assert.Equal(t, p.DeferredFor(now, "s"), time.Duration(0))
+}
