--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -31,7 +31,7 @@
 		return nil, f
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
-	s.recordDeferral(reservation.Endpoint, headers)
+	s.recordHints(reservation.Endpoint, headers)
 	if headers.NotRun {
 		resp.Close()
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
@@ -43,17 +43,16 @@
 	return s.readAnswer(ctx, j, reservation, resp, headers)
 }
 
-// recordDeferral keeps requests away from an endpoint for as long as its answer asks.
-func (s *Server) recordDeferral(e toucanplace.Endpoint, headers Answer) {
-	if headers.RetryAfter <= 0 {
-		return
+// recordHints applies what an endpoint's answer says about further requests: how long it wants none, and that it drains.
+func (s *Server) recordHints(e toucanplace.Endpoint, headers Answer) {
+	if headers.RetryAfter > 0 {
+		s.placer.Defer(time.Now(), e.ID, headers.RetryAfter)
+		s.log.Info(toucanlog.MsgEndpointDeferred,
+			toucanlog.Endpoint, e.ID,
+			toucanlog.Service, e.Service,
+			toucanlog.LeftMs, headers.RetryAfter.Milliseconds(),
+		)
 	}
-	s.placer.Defer(time.Now(), e.ID, headers.RetryAfter)
-	s.log.Info(toucanlog.MsgEndpointDeferred,
-		toucanlog.Endpoint, e.ID,
-		toucanlog.Service, e.Service,
-		toucanlog.LeftMs, headers.RetryAfter.Milliseconds(),
-	)
 }
 
 // isEventStream reports whether the content type is that of server-sent events.
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -68,6 +68,8 @@
 	Named bool
 	// RetryAfter is the time for which the endpoint asks this entry for no requests; zero for none.
 	RetryAfter time.Duration
+	// Leaving is true if the endpoint says that it drains.
+	Leaving bool
 }
 
 // Codec translates between HTTP headers and the values that they carry.
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -54,6 +54,7 @@
 	headerBackup  = "X-Backup"
 	headerTokens  = "X-Tokens"
 	headerParts   = "X-Parts"
+	headerLeaving = "X-Leaving"
 	headerPrivate = "X-Private"
 	// secretMark is part of every key, header, query, body and answer, none of which may be logged.
 	secretMark = "hush"
@@ -107,6 +108,7 @@
 	return Answer{
 		Genuine: h.Get(headerGenuine) != "", NotRun: h.Get(headerNotRun) != "", Named: h.Get(headerID) == id,
 		RetryAfter: time.Duration(seconds * float64(time.Second)),
+		Leaving:    h.Get(headerLeaving) != "",
 	}
 }
 
@@ -200,6 +202,8 @@
 		n := 0
 		d.ScanArgs(t, "n", &n)
 		sc.awaitQuarantine(n)
+	case "hint":
+		sc.server.recordHints(toucanplace.Endpoint{ID: d.CmdArgs[0].Key}, Answer{Leaving: true})
 	case "drain":
 		sc.publishEndpoints(d.CmdArgs[0].Key)
 	case "lines":
@@ -519,7 +523,7 @@
 
 // endpoint is a fake endpoint that answers by a script with one step a line:
 //
-//	status N BODY    a complete answer
+//	status N BODY    a complete answer; "leaving N BODY" says that the endpoint leaves
 //	notRun           a refusal that reports that the request did not run
 //	later SECONDS    a refusal that asks for no request for so long
 //	foreign BODY     an answer to another request, before that of the next line on the same connection
@@ -645,6 +649,9 @@
 	step := strings.Fields(e.next())
 	id := r.Header.Get(headerID)
 	switch step[0] {
+	case "leaving":
+		body := strings.Join(step[2:], " ")
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 %s Any\r\nConnection: close\r\n%s: %s\r\n%s: yes\r\n%s: 1\r\nContent-Length: %d\r\n\r\n%s", step[1], headerID, id, headerGenuine, headerLeaving, len(body), body)
 	case "status":
 		body := strings.Join(step[2:], " ")
 		// The connection is closed after every answer; the header keeps the pool from reusing it.
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -208,7 +208,7 @@
 		return nil, nil, err
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
-	s.recordDeferral(h.Reservation.Endpoint, headers)
+	s.recordHints(h.Reservation.Endpoint, headers)
 	if resp.Status != http.StatusOK || !headers.Genuine || !headers.Named || !isEventStream(resp.Header) {
 		resp.Close()
 		h.Reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
