Take an endpoint's own word that it leaves

What callers and engines saw: an endpoint that said in its answers that it leaves got requests until the store or a peer said so too; its generations were moved later than they could have been.

Cause: the header was not read. Change: the adapter decodes Server-Leaving of answers to requests and of reports; the placer keeps it for the endpoint's incarnation, also when the platform drops it and lists it again, takes no more requests for it, wakes the moves, and tells the peers.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -53,6 +53,12 @@
 			toucanlog.LeftMs, headers.RetryAfter.Milliseconds(),
 		)
 	}
+	if headers.Leaving && s.placer.MarkLeaving(time.Now(), e.ID) {
+		s.log.Info(toucanlog.MsgEndpointLeaves,
+			toucanlog.Endpoint, e.ID,
+			toucanlog.Address, e.Address,
+		)
+	}
 }
 
 // isEventStream reports whether the content type is that of server-sent events.
--- a/toucanforward/normalize_test.go
+++ b/toucanforward/normalize_test.go
@@ -25,5 +25,5 @@
 	toucanlog.MsgRequestAnswered, toucanlog.MsgRequestFailed, toucanlog.MsgRequestRetried,
 	toucanlog.MsgStreamCut, toucanlog.MsgCallerLeft, toucanlog.MsgGenerationMoved,
 	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed, toucanlog.MsgEndpointEnded, toucanlog.MsgPartQuarantined,
-	toucanlog.MsgEndpointDeferred,
+	toucanlog.MsgEndpointDeferred, toucanlog.MsgEndpointLeaves,
 }
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -475,7 +475,7 @@
 
 // Report returns a report of this entry's current state, without sender, boot and serial.
 func (s *SharedState) Report() *Report {
-	r := &Report{Unreachable: s.placer.Unreachable(time.Now())}
+	r := &Report{Unreachable: s.placer.Unreachable(time.Now()), Leaving: s.placer.SaidLeaving()}
 	for key, u := range s.placer.OwnUse() {
 		r.Uses = append(r.Uses, &EndpointUse{
 			Endpoint: key,
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -125,6 +125,8 @@
 	// with each further failure in a row, up to suspectDoublings times.
 	suspectDuration  = time.Second
 	suspectDoublings = 3
+	// leavingMemory is how long an endpoint's word that it drains is kept while the platform does not list it.
+	leavingMemory = 10 * time.Minute
 	// maxDeferral limits how long an endpoint can keep requests away with one answer.
 	maxDeferral = 10 * time.Minute
 	// peerUsesTTL is how long a peer's last report counts.
@@ -138,6 +140,8 @@
 	key uint64
 	// reportedLeaving is true while a peer reports that the endpoint is draining.
 	reportedLeaving bool
+	// saidLeaving is true once the endpoint said in an answer that it drains.
+	saidLeaving bool
 	// own is the load that this entry has placed.
 	own Use
 	// failures is the moving average of failed requests at failuresAt, between 0 and 1.
@@ -179,8 +183,8 @@
 // isDeferred reports whether the endpoint has asked for no requests now.
 func (s *endpointState) isDeferred(now time.Time) bool { return now.Before(s.deferredUntil) }
 
-// isDraining reports whether the platform or a peer reports that the endpoint is draining.
-func (s *endpointState) isDraining() bool { return s.Leaving || s.reportedLeaving }
+// isDraining reports whether the platform, a peer or the endpoint itself says that it is draining.
+func (s *endpointState) isDraining() bool { return s.Leaving || s.reportedLeaving || s.saidLeaving }
 
 // fits reports whether the endpoint has a free slot and memory for d in addition to the load u. share limits the total
 // as a share of the memory. An endpoint without a model engine only has a limit on requests.
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -19,6 +19,8 @@
 	// services holds the endpoints of each service, sorted by ID.
 	services map[string][]*endpointState
 	peers    map[string]peerUses
+	// saidLeaving holds when endpoints said in an answer that they drain, by Key.
+	saidLeaving map[uint64]time.Time
 	// departed is closed and replaced when an endpoint starts to drain or is removed.
 	departed chan struct{}
 	// freed is closed and replaced when capacity may have become available.
@@ -36,13 +38,14 @@
 // NewPlacer returns a Placer without endpoints for an entry in a failure domain.
 func NewPlacer(domain string) *Placer {
 	return &Placer{
-		domain:    domain,
-		endpoints: make(map[string]*endpointState),
-		services:  make(map[string][]*endpointState),
-		peers:     make(map[string]peerUses),
-		departed:  make(chan struct{}),
-		freed:     make(chan struct{}),
-		changed:   make(chan struct{}),
+		domain:      domain,
+		endpoints:   make(map[string]*endpointState),
+		services:    make(map[string][]*endpointState),
+		peers:       make(map[string]peerUses),
+		saidLeaving: make(map[uint64]time.Time),
+		departed:    make(chan struct{}),
+		freed:       make(chan struct{}),
+		changed:     make(chan struct{}),
 	}
 }
 
@@ -57,7 +60,8 @@
 	for _, e := range list {
 		s, known := p.endpoints[e.ID]
 		if !known || s.StartMillis != e.StartMillis {
-			s = &endpointState{}
+			_, saidLeaving := p.saidLeaving[e.Key()]
+			s = &endpointState{saidLeaving: saidLeaving}
 		}
 		anyDeparted = anyDeparted || e.Leaving && !s.Leaving
 		s.Endpoint, s.key = e, e.Key()
@@ -73,12 +77,56 @@
 		sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
 	}
 	p.endpoints, p.services = next, services
+	p.forgetLeaving(time.Now())
 	if anyDeparted {
 		broadcast(&p.departed)
 	}
 	broadcast(&p.freed)
 }
 
+// forgetLeaving drops what endpoints said that have been gone for leavingMemory. The caller holds p.mu.
+func (p *Placer) forgetLeaving(now time.Time) {
+	for _, s := range p.endpoints {
+		if s.saidLeaving {
+			p.saidLeaving[s.key] = now
+		}
+	}
+	for key, at := range p.saidLeaving {
+		if now.Sub(at) > leavingMemory {
+			delete(p.saidLeaving, key)
+		}
+	}
+}
+
+// MarkLeaving records that an endpoint said in an answer that it drains, which holds for its incarnation. It returns true
+// if this is new.
+func (p *Placer) MarkLeaving(now time.Time, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.endpoints[id]
+	if !ok || s.saidLeaving {
+		return false
+	}
+	s.saidLeaving = true
+	p.saidLeaving[s.key] = now
+	broadcast(&p.departed)
+	broadcast(&p.changed)
+	return true
+}
+
+// SaidLeaving returns the Keys of the listed endpoints that said in an answer that they drain.
+func (p *Placer) SaidLeaving() []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var keys []uint64
+	for _, s := range p.endpoints {
+		if s.saidLeaving {
+			keys = append(keys, s.key)
+		}
+	}
+	return keys
+}
+
 // broadcast wakes all goroutines that wait on *ch, and replaces the channel. The caller holds p.mu.
 func broadcast(ch *chan struct{}) {
 	close(*ch)
--- a/toucanplace/placer_test.go
+++ b/toucanplace/placer_test.go
@@ -38,3 +38,25 @@
 	p.SetEndpoints(list)
 	assert.Equal(t, p.DeferredFor(now, "s"), time.Duration(0))
 }
+
+// TestLeavingWordHoldsForIncarnation checks that an endpoint that said that it drains is not used again when it is listed
+// anew, until it starts again.
+func TestLeavingWordHoldsForIncarnation(t *testing.T) {
+	now := time.Now()
+	p := NewPlacer("z")
+	list := []Endpoint{{ID: "a", Service: "s", Slots: 4, StartMillis: 1}}
+	p.SetEndpoints(list)
+	departed := p.Departed()
+	assert.Assert(t, p.MarkLeaving(now, "a"))
+	assert.Assert(t, !p.MarkLeaving(now, "a"))
+	<-departed
+	assert.DeepEqual(t, p.SaidLeaving(), []uint64{list[0].Key()})
+	p.SetEndpoints(nil)
+	p.SetEndpoints(list)
+	assert.Assert(t, !p.IsAvailable("a"))
+	list[0].StartMillis = 2
+	p.SetEndpoints(list)
+	assert.Assert(t, p.IsAvailable("a"))
+	p.forgetLeaving(now.Add(2 * leavingMemory))
+	assert.Equal(t, len(p.saidLeaving), 0)
+}
