Bound the bytes of an answer's head and of one event

What entries saw: bytes that are no answer may come without end, in a head or a body, until the caller closes. The head of an answer and an event without its end were collected in memory without limit until the request's deadline, at the speed of the link.

Cause: net/http's ReadResponse has no limit of its own, and eventParser kept what it could not complete. Ruled out: bodies that are not passed on (bounded already) and bodies that are passed on (streamed).

Other requests keep their connections.

--- a/toucanforward/events.go
+++ b/toucanforward/events.go
@@ -16,14 +16,21 @@
 	count int
 }
 
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
 var (
 	blankLine = []byte("\n\n")
 	idField   = []byte("id:")
 )
 
 // parse returns the events that p completes, without those that were returned before. gap is true if the id of the next
-// event skips numbers, so that events are missing; that event and those after it are not returned.
+// event skips numbers, so that events are missing; that event and those after it are not returned. Once tooLong reports
+// true, parse keeps and returns nothing more.
 func (e *eventParser) parse(p []byte) (whole []byte, gap bool) {
+	if e.tooLong() {
+		return nil, false
+	}
 	e.pending = append(e.pending, p...)
 	for {
 		end := bytes.Index(e.pending, blankLine)
@@ -42,6 +49,9 @@
 	}
 }
 
+// tooLong reports whether the event that is not complete yet is longer than maxEventBytes.
+func (e *eventParser) tooLong() bool { return len(e.pending) > maxEventBytes }
+
 // checkSequence compares the id of the next event with the last one. isNew is false if the event was returned before;
 // gap is true if ids between the two are missing. Events without an id are always new.
 func (e *eventParser) checkSequence(id string) (isNew, gap bool) {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -21,6 +21,7 @@
 var (
 	errGap     = errors.New("events are missing")
 	errPartial = errors.New("stream ended inside an event")
+	errLong    = errors.New("event is too long")
 	errEmpty   = errors.New("stream without length ended before its first event")
 )
 
@@ -122,6 +123,9 @@
 			if gap {
 				return errGap
 			}
+			if seen.tooLong() {
+				return errLong
+			}
 		}
 		if readErr == nil {
 			continue
--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -71,6 +71,8 @@
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// head bounds the bytes that are read while the head of an answer is awaited.
+	head    *headLimit
 	pool    *Pool
 	address string
 	r       *bufio.Reader
@@ -129,11 +131,13 @@
 		p.release(address)
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", address, err)
 	}
+	head := &headLimit{r: raw, left: noHeadLimit}
 	return &conn{
 		Conn:        raw,
+		head:        head,
 		pool:        p,
 		address:     address,
-		r:           bufio.NewReaderSize(raw, readBuffer),
+		r:           bufio.NewReaderSize(head, readBuffer),
 		w:           bufio.NewWriterSize(raw, readBuffer),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
--- a/toucanupstream/pool_test.go
+++ b/toucanupstream/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -277,3 +278,64 @@
 	p.reducedUntil = time.Now().Add(-time.Second)
 	assert.Equal(t, p.idleLimit(), defaultIdleLimit)
 }
+
+// endlessServer answers each request with a head and then a piece without end, until the connection closes or limit bytes
+// are written.
+type endlessServer struct {
+	net.Listener
+	head, piece string
+	limit       int64
+	written     atomic.Int64
+}
+
+func (s *endlessServer) accept() {
+	for {
+		c, err := s.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(c)
+	}
+}
+
+func (s *endlessServer) serveConn(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	text := s.head
+	for s.written.Load() < s.limit {
+		n, err := io.WriteString(c, text)
+		s.written.Add(int64(n))
+		if err != nil {
+			return
+		}
+		text = strings.Repeat(s.piece, 1024)
+	}
+}
+
+// TestEndlessHeadIsCut checks that an answer whose head does not end is given up after a bounded number of bytes, and that
+// other requests to the endpoint are not affected.
+func TestEndlessHeadIsCut(t *testing.T) {
+	for _, tc := range []struct{ name, head, piece string }{
+		{"fields", "HTTP/1.1 200 OK\r\n", "X-A: " + strings.Repeat("a", 100) + "\r\n"},
+		{"one line", "HTTP/1.1 200 OK\r\nX-A: ", "a"},
+		{"no answer", "", "x"},
+		{"early answers", "", "HTTP/1.1 103 Early\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = l.Close() }()
+			const limit = 256 << 20
+			s := &endlessServer{Listener: l, head: tc.head, piece: tc.piece, limit: limit}
+			go s.accept()
+			p := NewPool()
+			_, err = p.Send(t.Context(), l.Addr().String(), 2, message())
+			assert.ErrorIs(t, err, ErrLost)
+			// The kernel's buffers take some megabytes.
+			assert.Assert(t, s.written.Load() < limit/8, "%d bytes were read", s.written.Load())
+			assert.Equal(t, len(p.peers), 0)
+		})
+	}
+}
