Split the placer, the peers' state and the mirror by concern

Declarations moved whole: choosing, reserving and avoiding endpoints out of placer.go; what concerns the store and the moves out of state.go; what the mirror records out of mirror.go. No line is lost or new but the package clauses (compared line by line); go test of the packages passes.

--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -4,7 +4,6 @@
 package toucanpeer
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -60,62 +59,6 @@
 	report     *Report
 }
 
-// OnNewerSettings sets the function to call when a peer reports settings newer than this entry's and than those of
-// earlier reports. It is called with the peer's name and the version.
-func (s *SharedState) OnNewerSettings(f func(peer string, version uint64)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.onNewerSettings = f
-}
-
-// SetSettings records the version of the settings in force and reports it to the peers.
-func (s *SharedState) SetSettings(version uint64) {
-	s.mu.Lock()
-	s.settings = version
-	s.mu.Unlock()
-	s.requestReport()
-}
-
-// reportedAge returns the time since t in milliseconds, at least 1, or zero if t is zero.
-func reportedAge(t time.Time) uint32 {
-	if t.IsZero() {
-		return 0
-	}
-	return uint32(max(time.Since(t).Milliseconds(), 1))
-}
-
-// MissingSettings returns the highest version of the settings that a peer reported and this entry lacks; zero if there
-// is none.
-func (s *SharedState) MissingSettings() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.newestSettings <= s.settings {
-		return 0
-	}
-	return s.newestSettings
-}
-
-// NewestSettings returns the highest version of the settings that this entry has or a peer reported.
-func (s *SharedState) NewestSettings() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(s.settings, s.newestSettings)
-}
-
-// PeersWithStore returns the number of peers with a valid report that can reach the store.
-func (s *SharedState) PeersWithStore() int {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) <= reportTimeout && !p.report.GetStoreAway() {
-			n++
-		}
-	}
-	return n
-}
-
 // ReportAge returns the age of the oldest valid peer report, and the number of peers with a valid report.
 func (s *SharedState) ReportAge(now time.Time) (oldest time.Duration, peers int) {
 	s.mu.Lock()
@@ -129,19 +72,6 @@
 	return oldest, peers
 }
 
-// SnapshotPeers returns the names of the peers with a valid report that have a complete copy of the store.
-func (s *SharedState) SnapshotPeers(now time.Time) []string {
-	return s.filterPeers(now, (*Report).GetLends)
-}
-
-// NewerSettingsPeers returns the names of the peers with a valid report that have newer settings than this entry.
-func (s *SharedState) NewerSettingsPeers(now time.Time) []string {
-	s.mu.Lock()
-	own := s.settings
-	s.mu.Unlock()
-	return s.filterPeers(now, func(r *Report) bool { return r.GetSettingsVersion() > own })
-}
-
 // ActivePeers returns the names of the peers with a valid report that are not shutting down.
 func (s *SharedState) ActivePeers(now time.Time) []string {
 	return s.filterPeers(now, func(r *Report) bool { return !r.GetStopping() })
@@ -213,72 +143,6 @@
 	}
 }
 
-// SetStoreDown records whether this entry sees a store outage.
-func (s *SharedState) SetStoreDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.storeDown = down
-	if !down {
-		s.storeUpSince = time.Now()
-	}
-}
-
-// snapshotDelay is how long the store must have been available to an entry before the entry serves snapshots to peers.
-// Endpoints whose leases expired during an outage are registered again within two seconds of its end.
-const snapshotDelay = 2500 * time.Millisecond
-
-// canServeSnapshot reports whether this entry's copy of the store is complete. The caller must hold s.mu.
-func (s *SharedState) canServeSnapshot(now time.Time) bool {
-	return !s.storeDown && s.settings > 0 && now.Sub(s.storeUpSince) > snapshotDelay
-}
-
-// StoreUnreachable reports whether neither this entry nor any peer with a valid report can reach the store. No entry
-// then receives from the store which endpoints are draining.
-func (s *SharedState) StoreUnreachable(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) <= reportTimeout && !p.report.GetStoreAway() {
-			return false
-		}
-	}
-	return s.storeDown
-}
-
-// RecordStoreAnswer records that the store answered this entry now.
-func (s *SharedState) RecordStoreAnswer() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastStoreAnswer = time.Now()
-}
-
-// RecordSnapshot records that this entry has read the whole store now.
-func (s *SharedState) RecordSnapshot() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastSnapshot = time.Now()
-}
-
-// PeerSnapshotAge returns the time since a peer with a valid report last read the whole store, or false if none did.
-func (s *SharedState) PeerSnapshotAge() (time.Duration, bool) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	newest, ok := time.Duration(0), false
-	for _, p := range s.peers {
-		since := now.Sub(p.receivedAt)
-		ms := p.report.GetSnapshotAgeMillis()
-		if since > reportTimeout || ms == 0 {
-			continue
-		}
-		age := since + time.Duration(ms)*time.Millisecond
-		if !ok || age < newest {
-			newest, ok = age, true
-		}
-	}
-	return newest, ok
-}
-
 // SetStopping reports to the peers that this entry is shutting down.
 func (s *SharedState) SetStopping() {
 	s.mu.Lock()
@@ -287,28 +151,6 @@
 	s.requestReport()
 }
 
-// storeSilentAfter exceeds the longest time between two answers of the store to one entry. All entries can call the
-// store at the same moment, so their calls do not shorten this time.
-const storeSilentAfter = 850 * time.Millisecond
-
-// StoreSilent reports whether the store has answered neither this entry nor any peer with a valid report within
-// storeSilentAfter. It detects an outage sooner than SetStoreDown and StoreUnreachable do, but with more false
-// positives.
-func (s *SharedState) StoreSilent(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	age := now.Sub(s.lastStoreAnswer)
-	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) > reportTimeout {
-			continue
-		}
-		if ms := p.report.GetStoreSilentMillis(); ms > 0 {
-			age = min(age, now.Sub(p.receivedAt)+time.Duration(ms)*time.Millisecond)
-		}
-	}
-	return age > storeSilentAfter
-}
-
 // probeValidity is how long an endpoint counts as draining after a probe found it so.
 const probeValidity = 6 * time.Second
 
@@ -326,85 +168,6 @@
 	s.requestReport()
 }
 
-// Announce replaces this entry's generations at a draining endpoint. Without generations, the endpoint is removed from
-// the reports.
-func (s *SharedState) Announce(endpoint uint64, generations []toucanmoveorder.Generation) {
-	s.mu.Lock()
-	same := sameGenerations(s.generations[endpoint], generations)
-	if len(generations) == 0 {
-		delete(s.generations, endpoint)
-	} else {
-		s.generations[endpoint] = generations
-	}
-	s.mu.Unlock()
-	if !same {
-		s.requestReport()
-	}
-}
-
-// sameGenerations reports whether two lists hold the same generations in the same order. It ignores their progress,
-// which needs no immediate report.
-func sameGenerations(x, y []toucanmoveorder.Generation) bool {
-	return slices.EqualFunc(x, y, func(a, b toucanmoveorder.Generation) bool { return a.ID == b.ID })
-}
-
-// Ahead reports whether a peer has a generation at the endpoint that must be moved before g.
-func (s *SharedState) Ahead(now time.Time, endpoint uint64, g toucanmoveorder.Generation) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) > reportTimeout {
-			continue
-		}
-		for _, other := range p.report.GetRuns() {
-			if other.GetEndpoint() == endpoint && toucanmoveorder.Before(other.generation(), g) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (r *Run) generation() toucanmoveorder.Generation {
-	return toucanmoveorder.Generation{ID: r.GetId(), Tokens: int(r.GetTokens()), Remaining: time.Duration(r.GetLeftMillis()) * time.Millisecond}
-}
-
-// BeginCopy records that memory is being copied to an endpoint, until the caller calls the returned function.
-func (s *SharedState) BeginCopy(endpoint uint64) (end func()) {
-	s.mu.Lock()
-	s.copying[endpoint]++
-	s.mu.Unlock()
-	s.requestReport()
-	return func() {
-		s.mu.Lock()
-		if s.copying[endpoint]--; s.copying[endpoint] == 0 {
-			delete(s.copying, endpoint)
-		}
-		s.mu.Unlock()
-		s.requestReport()
-	}
-}
-
-// Copying reports whether this entry or a peer is copying memory to an endpoint.
-func (s *SharedState) Copying(now time.Time, endpoint uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.copying[endpoint] > 0 {
-		return true
-	}
-	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) > reportTimeout {
-			continue
-		}
-		for _, k := range p.report.GetCopyingTo() {
-			if k == endpoint {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Apply replaces the sender's previous report with r. It returns false and ignores r if r is older than the previous
 // report, or was sent by an earlier process of the same name.
 func (s *SharedState) Apply(now time.Time, r *Report) bool {
