Log a report that is too long instead of ending the entry

Change: the length is an error of its own, and reports and evidence are encoded, checked and sent by one function. TestLongReportIsNotSent panicked before and passes; go test -race ./toucanpeer passes.

--- a/toucanpeer/evidence.go
+++ b/toucanpeer/evidence.go
@@ -6,9 +6,6 @@
 	"net/netip"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"toucanport/toucanlog"
 	"toucanport/toucanquarantine"
 )
 
@@ -86,17 +83,7 @@
 	now := time.Now()
 	for _, r := range evidenceReports(now, m.evidence.Evidence(), newest) {
 		r.Sender, r.Boot = m.name, m.boot
-		encoded, err := proto.Marshal(r)
-		if err != nil || len(encoded) > maxDatagram {
-			m.log.Error(toucanlog.MsgReportNotSent, toucanlog.Bytes, len(encoded))
-			continue
-		}
-		for _, address := range peers {
-			if _, err := m.conn.WriteToUDPAddrPort(encoded, address); err != nil {
-				// Lost evidence is sent again.
-				continue
-			}
-		}
+		m.sendReport(peers, r)
 	}
 }
 
--- a/toucanpeer/evidence_test.go
+++ b/toucanpeer/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanlogtest"
+	"toucanport/toucanmoveorder"
 	"toucanport/toucanquarantine"
 )
 
@@ -74,3 +76,17 @@
 	assert.DeepEqual(t, encoded.Crashes, table.Evidence().Crashes)
 	assert.Assert(t, proto.Size(reports[0]) <= maxDatagram, "%d bytes", proto.Size(reports[0]))
 }
+
+// TestLongReportIsNotSent checks that a report that does not fit into a datagram is logged and not sent.
+func TestLongReportIsNotSent(t *testing.T) {
+	state, _ := newState()
+	log := &toucanlogtest.Log{}
+	m, err := Listen("a", "127.0.0.1:0", state, log.Logger())
+	assert.NilError(t, err)
+	state.Announce(1, make([]toucanmoveorder.Generation, maxDatagram))
+	m.sendTo([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:9")})
+	assert.Assert(t, strings.HasPrefix(log.Next(t, 1), "ERROR report to peers not sent: bytes="))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	m.Run(ctx)
+}
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -265,11 +265,22 @@
 	m.serial++
 	r := m.state.Report()
 	r.Sender, r.Boot, r.Serial = m.name, m.boot, m.serial
+	m.sendReport(peers, r)
+}
+
+// errReportTooLong means that a report does not fit into a datagram.
+var errReportTooLong = errors.New("report does not fit into a datagram")
+
+// sendReport sends a report to peers, or logs why it can't be sent.
+func (m *Mesh) sendReport(peers []netip.AddrPort, r *Report) {
 	encoded, err := proto.Marshal(r)
-	if err != nil || len(encoded) > maxDatagram {
+	if err == nil && len(encoded) > maxDatagram {
+		err = errReportTooLong
+	}
+	if err != nil {
 		m.log.Error(toucanlog.MsgReportNotSent,
 			toucanlog.Bytes, len(encoded),
-			toucanlog.Cause, errors.Wrap(err, "too long").Error(),
+			toucanlog.Cause, err.Error(),
 		)
 		return
 	}
