Judge a request under quarantine the same way wherever it is

Traced: both were possible, by whether the head of the stream had been passed on when the verdict came; and under eight busy processes a request whose own endpoint's end brought the verdict got 422 or 502.

Cause: cancelling applied from a request's arrival to its end, also after its endpoint had ended, and requests in the entry's own queue relied on it. Change: a request is subject to cancelling from just before it is sent to the break of its connection, and checked again after it has become so; in the queue, the verdict is checked at each turn. The script now uses an endpoint that holds back even the head, so that each outcome is determined: 502 for the request whose endpoint ended, 422 for the one that waited.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -21,6 +21,10 @@
 // attempt sends the request to a reserved endpoint. It returns an answer to deliver or a failure. It has released the
 // reservation unless the answer is a stream or is not read to its end yet.
 func (s *Server) attempt(ctx context.Context, j *job, reservation *toucanplace.Reservation) (*answer, *failure) {
+	if !s.beginStart(j) {
+		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
+		return nil, &failure{endpoint: reservation.Endpoint.ID, notRun: true, unsent: true, err: errQuarantined}
+	}
 	resp, err := s.send(ctx, j, reservation, nil)
 	if err != nil {
 		f := newFailure(reservation, err)
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -100,7 +100,7 @@
 func (f *failure) refusal(ctx context.Context, j *job, deferred time.Duration) refusal {
 	r := refusal{status: http.StatusBadGateway, reason: reasonUnknown, endpoint: f.endpoint, err: f.err}
 	switch {
-	case errors.Is(context.Cause(ctx), errQuarantined):
+	case errors.Is(f.err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
 		r.status, r.reason, r.err = http.StatusUnprocessableEntity, reasonQuarantined, errQuarantined
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.reason = reasonCallerLeft
@@ -120,7 +120,7 @@
 // deferred is how long every endpoint has asked for no requests; zero if one has not.
 func placeRefusal(ctx context.Context, j *job, err error, deferred time.Duration) refusal {
 	switch {
-	case errors.Is(context.Cause(ctx), errQuarantined):
+	case errors.Is(err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
 		return refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
 	case errors.Is(ctx.Err(), context.Canceled):
 		return refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: err}
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -31,6 +31,9 @@
 	until := now.Add(j.maxWait(now))
 	defer s.queue.remove(j)
 	for held := false; ; held = true {
+		if s.isQuarantined(j) {
+			return nil, errQuarantined
+		}
 		freed := s.placer.Freed()
 		reservation, err := s.tryPlace(j)
 		if err == nil {
--- a/toucanforward/quarantine.go
+++ b/toucanforward/quarantine.go
@@ -24,36 +24,36 @@
 // errQuarantined means that a request has a part of a prompt that ends engines.
 var errQuarantined = errors.New("engines end when they answer on a part of the prompt")
 
-// startingRequests holds the requests whose engine has not answered far enough to rule them out, with the functions that
-// cancel them. It is safe for concurrent use.
+// startingRequests holds the requests that an endpoint has and has not answered far enough to rule them out. It is safe
+// for concurrent use.
 type startingRequests struct {
-	mu     sync.Mutex
-	cancel map[*job]context.CancelCauseFunc
+	mu   sync.Mutex
+	jobs map[*job]struct{}
 }
 
-func (s *startingRequests) add(j *job, cancel context.CancelCauseFunc) {
+func (s *startingRequests) add(j *job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cancel == nil {
-		s.cancel = make(map[*job]context.CancelCauseFunc)
+	if s.jobs == nil {
+		s.jobs = make(map[*job]struct{})
 	}
-	s.cancel[j] = cancel
+	s.jobs[j] = struct{}{}
 }
 
 func (s *startingRequests) remove(j *job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.cancel, j)
+	delete(s.jobs, j)
 }
 
 // cancelIf cancels the requests for which f returns true.
 func (s *startingRequests) cancelIf(f func(*job) bool, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for j, cancel := range s.cancel {
+	for j := range s.jobs {
 		if f(j) {
-			cancel(cause)
-			delete(s.cancel, j)
+			j.cancel(cause)
+			delete(s.jobs, j)
 		}
 	}
 }
@@ -99,6 +99,16 @@
 	return j.brokenStarts < maxBrokenStarts && !s.isQuarantined(j)
 }
 
+// beginStart makes a request that is about to be sent subject to RunQuarantine. It returns false if the request must not be
+// sent.
+func (s *Server) beginStart(j *job) bool {
+	if len(j.SharedParts) == 0 {
+		return true
+	}
+	s.starting.add(j)
+	return !s.isQuarantined(j)
+}
+
 // recordBreak records that the connection to an endpoint broke after a number of events. If the request was starting and
 // the endpoint has ended, that is evidence against the request's parts.
 func (s *Server) recordBreak(j *job, e toucanplace.Endpoint, events int) {
@@ -106,6 +116,7 @@
 		return
 	}
 	j.brokenStarts++
+	s.starting.remove(j)
 	run := toucanquarantine.Run{Workspace: j.workspace, Parts: j.SharedParts}
 	go s.confirmCrash(time.Now(), e, run)
 }
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -531,6 +531,7 @@
 //	cutBody          an answer that ends early
 //	longBody         an answer longer than maxBufferedAnswer that ends early
 //	reset            no answer; the connection is closed
+//	silent           nothing until released or stopped, then no answer
 //	events A B hold  events A to B, then wait until released or stopped
 //	events A B cut   events A to B, then the connection breaks
 //	events A B end   events A to B, then the stream's end
@@ -581,6 +582,14 @@
 	return e.began
 }
 
+// beginHold reports that the endpoint holds its answer back, and returns the channel that ends this.
+func (e *endpoint) beginHold() <-chan bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.began)
+	return e.held
+}
+
 func (e *endpoint) stop()    { e.endHeldStream(false) }
 func (e *endpoint) release() { e.endHeldStream(true) }
 
@@ -673,6 +682,8 @@
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerGenuine, len(body)+1, body)
 	case "unframed":
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nConnection: close\r\n\r\n%s", headerID, id, headerGenuine, step[1])
+	case "silent":
+		<-e.beginHold()
 	case "events":
 		e.stream(rw, id, step)
 	}
@@ -703,11 +714,7 @@
 	case "end":
 		_, _ = rw.WriteString("0\r\n\r\n")
 	case "hold":
-		e.mu.Lock()
-		close(e.began)
-		held := e.held
-		e.mu.Unlock()
-		if <-held {
+		if <-e.beginHold() {
 			_, _ = rw.WriteString("0\r\n\r\n")
 		}
 	}
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -130,6 +130,8 @@
 	logged bool
 	// tried holds the ids of the endpoints at which an attempt failed.
 	tried map[string]bool
+	// cancel ends the request with a cause.
+	cancel context.CancelCauseFunc
 	// brokenStarts counts the connections to endpoints that broke before the request was proven.
 	brokenStarts int
 	// proven is true once an engine has answered so far that the request can't be what ends engines.
@@ -155,10 +157,8 @@
 		return
 	}
 	defer j.releaseBackup()
-	if len(j.SharedParts) > 0 {
-		s.starting.add(j, cancelCause)
-		defer s.starting.remove(j)
-	}
+	j.cancel = cancelCause
+	defer s.starting.remove(j)
 	s.runAttempts(ctx, j)
 }
 
