Log the limits that endpoints name, and what is sent to them

The scraped pages end at 4,033 bytes, before the first series of ours.

Change: the codec reads the limit (a decimal number; anything else says nothing), each entry remembers the last word of an endpoint (toucanrate.Table), and three lines tell of it: a limit is named or changed, it has ended, a request goes to such an endpoint, with its kind. A counter has the kinds. The Go runtime's memory statistics leave the metrics page, which makes room for ours. Nothing is decided by the limit: no request goes elsewhere.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -25,6 +25,7 @@
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
 		return nil, &failure{endpoint: reservation.Endpoint.ID, notRun: true, unsent: true, err: errQuarantined}
 	}
+	sentAt := time.Now()
 	resp, err := s.send(ctx, j, reservation, nil)
 	if err != nil {
 		f := newFailure(reservation, err)
@@ -35,7 +36,7 @@
 		return nil, f
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
-	s.recordHints(reservation.Endpoint, headers)
+	s.recordHints(reservation.Endpoint, sentAt, headers)
 	if headers.NotRun {
 		resp.Close()
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
@@ -47,8 +48,10 @@
 	return s.readAnswer(ctx, j, reservation, resp, headers)
 }
 
-// recordHints applies what an endpoint's answer says about further requests: how long it wants none, and that it drains.
-func (s *Server) recordHints(e toucanplace.Endpoint, headers Answer) {
+// recordHints applies what an endpoint's answer to a request that was sent at sentAt says about further requests: how long
+// it wants none, that it drains, and how many a second it takes.
+func (s *Server) recordHints(e toucanplace.Endpoint, sentAt time.Time, headers Answer) {
+	s.recordLimit(e, sentAt, headers)
 	if headers.RetryAfter > 0 {
 		s.placer.Defer(time.Now(), e.ID, headers.RetryAfter)
 		s.log.Info(toucanlog.MsgEndpointDeferred,
@@ -73,6 +76,7 @@
 // send sends the request to the reserved endpoint. If resume is not nil, the endpoint continues that generation instead
 // of beginning a new one.
 func (s *Server) send(ctx context.Context, j *job, reservation *toucanplace.Reservation, resume *Resume) (*toucanupstream.Response, error) {
+	s.recordSend(j, reservation.Endpoint, resume != nil)
 	header := s.codec.Outgoing(endToEndHeaders(j.in.Header), Attempt{
 		Request:   j.Request,
 		Workspace: j.workspace,
--- /dev/null
+++ b/toucanforward/limit.go
@@ -0,0 +1,72 @@
+package toucanforward
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"toucanport/toucanlog"
+	"toucanport/toucanplace"
+	"toucanport/toucanrate"
+)
+
+// sendKind is the occasion on which a request is sent to an endpoint, as it appears in metrics.
+type sendKind string
+
+const (
+	sendFirst  sendKind = "first"
+	sendRetry  sendKind = "retry"
+	sendResume sendKind = "resume"
+)
+
+func limitedSendCounters(scope tally.Scope) map[sendKind]tally.Counter {
+	counters := make(map[sendKind]tally.Counter)
+	for _, kind := range []sendKind{sendFirst, sendRetry, sendResume} {
+		counters[kind] = scope.Tagged(map[string]string{"kind": string(kind)}).Counter("limited_sends")
+	}
+	return counters
+}
+
+// recordSend counts and logs a request that is sent to an endpoint that has named a limit.
+func (s *Server) recordSend(j *job, e toucanplace.Endpoint, resumes bool) {
+	perSecond, limited := s.limits.Limit(e.Key())
+	if !limited {
+		return
+	}
+	kind := sendFirst
+	switch {
+	case resumes:
+		kind = sendResume
+	case j.plan.Attempts() > 1:
+		kind = sendRetry
+	}
+	s.metrics.limitedSends[kind].Inc(1)
+	s.log.Info(toucanlog.MsgSentToLimited,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Endpoint, e.ID,
+		toucanlog.Service, e.Service,
+		toucanlog.PerSecond, perSecond,
+		toucanlog.Kind, string(kind),
+	)
+}
+
+// recordLimit records what an answer to a request that was sent at sentAt says about the endpoint's limit. An answer that is not
+// the endpoint's own can't end a limit.
+func (s *Server) recordLimit(e toucanplace.Endpoint, sentAt time.Time, headers Answer) {
+	n := headers.Limit
+	if n.Kind == toucanrate.NoticeNone && (!headers.Genuine || !headers.Named) {
+		return
+	}
+	if !s.limits.Observe(time.Now(), sentAt, e.Key(), n) {
+		return
+	}
+	if n.Kind != toucanrate.NoticeNamed {
+		s.log.Info(toucanlog.MsgEndpointUnlimited, toucanlog.Endpoint, e.ID, toucanlog.Service, e.Service)
+		return
+	}
+	s.log.Info(toucanlog.MsgEndpointLimited,
+		toucanlog.Endpoint, e.ID,
+		toucanlog.Service, e.Service,
+		toucanlog.PerSecond, n.PerSecond,
+	)
+}
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -40,6 +40,9 @@
 	betweenEvents     tally.Histogram
 	held              tally.Histogram
 
+	// limitedSends counts, by kind, what was sent to endpoints that named a limit.
+	limitedSends map[sendKind]tally.Counter
+
 	mu       sync.Mutex
 	refusals map[reason]tally.Counter
 	answers  map[answerKey]tally.Counter
@@ -85,6 +88,7 @@
 		firstEvent:        scope.Histogram("first_event", answerBuckets),
 		betweenEvents:     scope.Histogram("between_events", answerBuckets),
 		held:              scope.Histogram("request_held", answerBuckets),
+		limitedSends:      limitedSendCounters(scope),
 		refusals:          make(map[reason]tally.Counter),
 		answers:           make(map[answerKey]tally.Counter),
 		took:              make(map[toucantraffic.Kind]tally.Histogram),
--- a/toucanforward/normalize_test.go
+++ b/toucanforward/normalize_test.go
@@ -26,4 +26,5 @@
 	toucanlog.MsgStreamCut, toucanlog.MsgCallerLeft, toucanlog.MsgGenerationMoved,
 	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed, toucanlog.MsgEndpointEnded, toucanlog.MsgPartQuarantined,
 	toucanlog.MsgEndpointDeferred, toucanlog.MsgEndpointLeaves,
+	toucanlog.MsgEndpointLimited, toucanlog.MsgEndpointUnlimited, toucanlog.MsgSentToLimited,
 }
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -7,9 +7,10 @@
 	"net/http"
 	"time"
 
-	"toucanport/toucanquarantine"
-
 	"github.com/pkg/errors"
+
+	"toucanport/toucanquarantine"
+	"toucanport/toucanrate"
 )
 
 // ErrMalformed is returned for a request whose headers are missing or invalid.
@@ -70,6 +71,8 @@
 	RetryAfter time.Duration
 	// Leaving is true if the endpoint says that it drains.
 	Leaving bool
+	// Limit is what the answer says about the requests a second that the endpoint takes from all entries together.
+	Limit toucanrate.Notice
 }
 
 // Codec translates between HTTP headers and the values that they carry.
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -22,6 +22,7 @@
 	"toucanport/toucanmoveorder"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
+	"toucanport/toucanrate"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
@@ -55,6 +56,7 @@
 	headerTokens  = "X-Tokens"
 	headerParts   = "X-Parts"
 	headerLeaving = "X-Leaving"
+	headerLimit   = "X-Limit"
 	headerPrivate = "X-Private"
 	// secretMark is part of every key, header, query, body and answer, none of which may be logged.
 	secretMark = "hush"
@@ -109,6 +111,7 @@
 		Genuine: h.Get(headerGenuine) != "", NotRun: h.Get(headerNotRun) != "", Named: h.Get(headerID) == id,
 		RetryAfter: time.Duration(seconds * float64(time.Second)),
 		Leaving:    h.Get(headerLeaving) != "",
+		Limit:      toucanrate.ParseNotice(h.Get(headerLimit)),
 	}
 }
 
@@ -203,7 +206,7 @@
 		d.ScanArgs(t, "n", &n)
 		sc.awaitQuarantine(n)
 	case "hint":
-		sc.server.recordHints(toucanplace.Endpoint{ID: d.CmdArgs[0].Key}, Answer{Leaving: true})
+		sc.server.recordHints(toucanplace.Endpoint{ID: d.CmdArgs[0].Key}, time.Now(), Answer{Leaving: true})
 	case "drain":
 		sc.publishEndpoints(d.CmdArgs[0].Key)
 	case "lines":
@@ -526,6 +529,7 @@
 //	status N BODY    a complete answer; "leaving N BODY" says that the endpoint leaves
 //	notRun           a refusal that reports that the request did not run
 //	later SECONDS    a refusal that asks for no request for so long
+//	limited N        a complete answer that names a limit of N requests a second
 //	foreign BODY     an answer to another request, before that of the next line on the same connection
 //	garbage          bytes that are not HTTP
 //	cutBody          an answer that ends early
@@ -665,6 +669,8 @@
 		body := strings.Join(step[2:], " ")
 		// The connection is closed after every answer; the header keeps the pool from reusing it.
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 %s Any\r\nConnection: close\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: %d\r\n\r\n%s", step[1], headerID, id, headerGenuine, len(body), body)
+	case "limited":
+		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 Any\r\nConnection: close\r\n%s: %s\r\n%s: yes\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerID, id, headerGenuine, headerLimit, step[1])
 	case "foreign":
 		body := strings.Join(step[1:], " ")
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: yes\r\nX-Private: hush\r\nContent-Length: %d\r\n\r\n%s", headerID, headerGenuine, len(body), body)
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -13,6 +13,7 @@
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
+	"toucanport/toucanrate"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
@@ -45,6 +46,7 @@
 	queue       waitQueue
 	quarantine  *toucanquarantine.Table
 	starting    startingRequests
+	limits      *toucanrate.Table
 	// closing is true once callers' connections are to be closed after their next answer.
 	closing atomic.Bool
 	started time.Time
@@ -53,7 +55,7 @@
 	lastBreak atomic.Int64
 }
 
-// Config holds the dependencies of a Server. All fields but Quarantine and Metrics are required.
+// Config holds the dependencies of a Server. All fields but Quarantine, Limits and Metrics are required.
 type Config struct {
 	Codec   Codec
 	Mover   toucangeneration.Mover
@@ -65,7 +67,9 @@
 	Log     *slog.Logger
 	// Quarantine holds the parts of prompts that end engines; nil for a table that no one else uses.
 	Quarantine *toucanquarantine.Table
-	Metrics    Metrics
+	// Limits holds the limits that endpoints name; nil for a table that no one else uses.
+	Limits  *toucanrate.Table
+	Metrics Metrics
 }
 
 // New returns a server. RunMoves must run for generations to be moved.
@@ -74,6 +78,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = toucanquarantine.New()
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = toucanrate.NewTable()
+	}
 	return &Server{
 		codec:      cfg.Codec,
 		mover:      cfg.Mover,
@@ -84,6 +91,7 @@
 		budget:     cfg.Budget,
 		log:        cfg.Log,
 		quarantine: cfg.Quarantine,
+		limits:     cfg.Limits,
 		metrics:    m,
 		generations: toucangeneration.New(toucangeneration.Config{
 			Placer: cfg.Placer,
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -202,6 +202,7 @@
 // endpoint provably did not begin, so that the generation can be resumed at another one.
 func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *eventParser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
 	seen.discardPartial()
+	sentAt := time.Now()
 	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.last})
 	if err != nil {
 		f := newFailure(h.Reservation, err)
@@ -212,7 +213,7 @@
 		return nil, nil, err
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
-	s.recordHints(h.Reservation.Endpoint, headers)
+	s.recordHints(h.Reservation.Endpoint, sentAt, headers)
 	if resp.Status != http.StatusOK || !headers.Genuine || !headers.Named || !isEventStream(resp.Header) {
 		resp.Close()
 		h.Reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -100,7 +100,8 @@
 			peers:          plain("peers_heard", "peers that are heard"),
 			dropped:        plain("log_lines_dropped_total", "log lines that were dropped"),
 		},
-		collectors.NewGoCollector(),
+		// Scrapes can be cut off at some kilobytes, and memory statistics precede all series of ours.
+		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	}
 }
--- /dev/null
+++ b/toucanrate/table_test.go
@@ -0,0 +1,43 @@
+package toucanrate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestNoticesAreParsed checks which texts name a limit, and that others say nothing.
+func TestNoticesAreParsed(t *testing.T) {
+	for text, want := range map[string]Notice{
+		"":      {},
+		"2.5":   {Kind: NoticeNamed, PerSecond: 2.5},
+		" 40 ":  {Kind: NoticeNamed, PerSecond: 40},
+		"0":     {Kind: NoticeNamed},
+		"-1":    {Kind: NoticeUnreadable},
+		"NaN":   {Kind: NoticeUnreadable},
+		"Inf":   {Kind: NoticeUnreadable},
+		"1e999": {Kind: NoticeUnreadable},
+		"few":   {Kind: NoticeUnreadable},
+	} {
+		assert.Check(t, ParseNotice(text) == want, "%q: %v", text, ParseNotice(text))
+	}
+}
+
+// TestAnswersFromBeforeTheLimitDoNotEndIt checks that only an answer to a request that was sent after a limit was named
+// ends it.
+func TestAnswersFromBeforeTheLimitDoNotEndIt(t *testing.T) {
+	const endpoint = 7
+	start := time.Unix(100, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	limits := NewTable()
+	assert.Assert(t, !limits.Observe(at(0), at(-10), endpoint, Notice{}))
+	assert.Assert(t, limits.Observe(at(20), at(10), endpoint, Notice{Kind: NoticeNamed, PerSecond: 2}))
+	assert.Assert(t, !limits.Observe(at(30), at(15), endpoint, Notice{}), "an answer to an earlier request")
+	assert.Assert(t, !limits.Observe(at(40), at(35), endpoint, Notice{Kind: NoticeUnreadable}))
+	perSecond, limited := limits.Limit(endpoint)
+	assert.Assert(t, limited && perSecond == 2)
+	assert.Assert(t, limits.Observe(at(60), at(50), endpoint, Notice{}))
+	_, limited = limits.Limit(endpoint)
+	assert.Assert(t, !limited)
+}
