Keep the limits that endpoints name for all entries together

What callers saw: nothing at once; an engine in need got 34 requests in 4 s where it had asked for 2.3 a second (19 allowed), and could only get worse.

Class: a bound on the sum over all entries that each entry keeps alone, or not at all.

Ruled out: repeats, limits kept by each entry alone (same).

Change: toucanrate. Entries tell each other what engines said to them; one of those that hear each other gives out an engine's slots at equal intervals, the others ask it with a datagram for each request. Placing leaves out engines without a slot; where all engines of a service have a limit, requests wait for a slot that comes in time, or get 503 at once with a Retry-After that spreads them. Resumes and moves take their slots afterwards, probes are left out without one.

--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -30,6 +30,7 @@
 	reasonNoEndpoint  reason = "noEndpoint"
 	reasonFull        reason = "full"
 	reasonDeferred    reason = "deferred"
+	reasonLimited     reason = "limited"
 	reasonTimeout     reason = "timeout"
 	reasonNotRun      reason = "notRun"
 	reasonUnreachable reason = "unreachable"
@@ -117,8 +118,8 @@
 }
 
 // placeRefusal returns the refusal for a request for which no endpoint could be reserved.
-// deferred is how long every endpoint has asked for no requests; zero if one has not.
-func placeRefusal(ctx context.Context, j *job, err error, deferred time.Duration) refusal {
+// delay is the time after which the caller is to come back; zero if nothing is known of it.
+func placeRefusal(ctx context.Context, j *job, err error, delay time.Duration) refusal {
 	switch {
 	case errors.Is(err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
 		return refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
@@ -131,9 +132,12 @@
 	case errors.Is(err, toucanplace.ErrNoEndpoint):
 		return refusal{status: http.StatusServiceUnavailable, reason: reasonNoEndpoint, retryAfter: retryAfterFull, err: err}
 	}
-	r := refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: max(retryAfterFull, deferred), err: err}
-	if errors.Is(err, toucanplace.ErrDeferred) {
+	r := refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: max(retryAfterFull, delay), err: err}
+	switch {
+	case errors.Is(err, toucanplace.ErrDeferred):
 		r.reason = reasonDeferred
+	case errors.Is(err, toucanplace.ErrLimited):
+		r.reason = reasonLimited
 	}
 	return r
 }
--- a/toucanforward/limit.go
+++ b/toucanforward/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanlog"
@@ -27,6 +28,17 @@
 	return counters
 }
 
+// delayFor returns the time after which the caller of a request that could not be placed is to come back; zero if nothing is
+// known of it.
+func (s *Server) delayFor(j *job, err error) time.Duration {
+	perSecond, limited := s.placer.RateLimit(j.service.Name)
+	if !limited || !errors.Is(err, toucanplace.ErrLimited) {
+		return s.deferredFor(j)
+	}
+	now := time.Now()
+	return s.returns.After(now, j.service.Name, s.limits.Share(now, perSecond))
+}
+
 // recordSend counts and logs a request that is sent to an endpoint that has named a limit.
 func (s *Server) recordSend(j *job, e toucanplace.Endpoint, resumes bool) {
 	perSecond, limited := s.limits.Limit(e.Key())
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -21,11 +21,13 @@
 	maxWaitGoals = 2
 	// recheckInterval is the longest time between two attempts to reserve an endpoint while a request waits.
 	recheckInterval = 100 * time.Millisecond
+	// maxSlotAsks is how many slots are asked for before a request counts as one without.
+	maxSlotAsks = 4
 )
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
-// too large for every endpoint, if all endpoints have asked for no requests for longer than it may wait, or if an attempt
-// has failed and no untried endpoint is left.
+// too large for every endpoint, if all endpoints have asked for no requests for longer than it may wait or have no slot in that
+// time, or if an attempt has failed and no untried endpoint is left.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
 	until := now.Add(j.maxWait(now))
@@ -35,12 +37,12 @@
 			return nil, errQuarantined
 		}
 		freed := s.placer.Freed()
-		reservation, err := s.tryPlace(j)
+		reservation, err := s.tryPlace(ctx, j, until)
 		if err == nil {
 			s.recordPlaced(j, reservation, now)
 			return reservation, nil
 		}
-		if errors.Is(err, toucanplace.ErrTooLarge) {
+		if errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrLimited) {
 			return nil, err
 		}
 		if errors.Is(err, toucanplace.ErrNoEndpoint) && len(j.tried) > 0 {
@@ -112,13 +114,47 @@
 	return wait
 }
 
-// tryPlace reserves an endpoint. It returns ErrFull if too many queued requests precede this one.
-func (s *Server) tryPlace(j *job) (*toucanplace.Reservation, error) {
+// tryPlace reserves an endpoint. Only if every endpoint has a limit on requests a second, it waits for a slot at one of them,
+// at most until a time. It returns ErrFull if too many queued requests precede this one.
+func (s *Server) tryPlace(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	now := time.Now()
 	if !s.queue.mayReserve(now, j) {
 		return nil, toucanplace.ErrFull
 	}
-	return s.placer.Place(now, j.service.Name, j.demand, j.untried)
+	reservation, err := s.reserve(ctx, j, now)
+	if errors.Is(err, toucanplace.ErrLimited) {
+		return s.reserve(ctx, j, until)
+	}
+	return reservation, err
+}
+
+// reserve reserves an endpoint and, if it has a limit, a slot there that begins until a time.
+func (s *Server) reserve(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
+	for range maxSlotAsks {
+		now := time.Now()
+		patience := max(until.Sub(now), 0)
+		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience))
+		if err != nil {
+			return nil, err
+		}
+		wait, ok := s.limits.Take(ctx, reservation.Endpoint.Key(), patience)
+		if ok && s.awaitSlot(ctx, reservation.Endpoint, wait) {
+			return reservation, nil
+		}
+		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	return nil, toucanplace.ErrLimited
+}
+
+// awaitSlot waits until a slot of an endpoint begins. It returns false if the endpoint takes no requests then.
+func (s *Server) awaitSlot(ctx context.Context, e toucanplace.Endpoint, wait time.Duration) bool {
+	if wait == 0 {
+		return true
+	}
+	return toucanwait.Sleep(ctx, wait) && s.placer.IsAvailable(e.ID)
 }
 
 // untried reports whether no attempt of the request has failed at the endpoint.
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -134,7 +134,8 @@
 
 // start replaces the server by a new one without endpoints. The settings stay.
 func (sc *deployment) start() {
-	sc.placer = toucanplace.NewPlacer("d1")
+	limits := toucanrate.New("entry")
+	sc.placer = toucanplace.NewPlacer("d1", toucanplace.WithRateLimits(limits))
 	sc.mover = &scriptedMover{deployment: sc}
 	sc.endpoints = nil
 	sc.server = New(Config{
@@ -146,6 +147,7 @@
 		Pool:    toucanupstream.NewPool(),
 		Budget:  toucanretry.NewBudget(toucanretry.WithReserve(100)),
 		Log:     sc.log.Logger(),
+		Limits:  limits,
 	})
 	front := httptest.NewServer(sc.server)
 	sc.front = front
@@ -207,6 +209,9 @@
 		sc.awaitQuarantine(n)
 	case "hint":
 		sc.server.recordHints(toucanplace.Endpoint{ID: d.CmdArgs[0].Key}, time.Now(), Answer{Leaving: true})
+	case "limit":
+		notice := toucanrate.ParseNotice(d.CmdArgs[1].Key)
+		sc.server.recordHints(toucanplace.Endpoint{ID: d.CmdArgs[0].Key}, time.Now(), Answer{Limit: notice})
 	case "drain":
 		sc.publishEndpoints(d.CmdArgs[0].Key)
 	case "lines":
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -46,7 +46,8 @@
 	queue       waitQueue
 	quarantine  *toucanquarantine.Table
 	starting    startingRequests
-	limits      *toucanrate.Table
+	limits      *toucanrate.Limits
+	returns     *toucanrate.Returns
 	// closing is true once callers' connections are to be closed after their next answer.
 	closing atomic.Bool
 	started time.Time
@@ -67,8 +68,8 @@
 	Log     *slog.Logger
 	// Quarantine holds the parts of prompts that end engines; nil for a table that no one else uses.
 	Quarantine *toucanquarantine.Table
-	// Limits holds the limits that endpoints name; nil for a table that no one else uses.
-	Limits  *toucanrate.Table
+	// Limits keeps the limits that endpoints name. The Placer must use the same; nil for limits that no one else uses.
+	Limits  *toucanrate.Limits
 	Metrics Metrics
 }
 
@@ -79,7 +80,7 @@
 		cfg.Quarantine = toucanquarantine.New()
 	}
 	if cfg.Limits == nil {
-		cfg.Limits = toucanrate.NewTable()
+		cfg.Limits = toucanrate.New("")
 	}
 	return &Server{
 		codec:      cfg.Codec,
@@ -92,6 +93,7 @@
 		log:        cfg.Log,
 		quarantine: cfg.Quarantine,
 		limits:     cfg.Limits,
+		returns:    toucanrate.NewReturns(),
 		metrics:    m,
 		generations: toucangeneration.New(toucangeneration.Config{
 			Placer: cfg.Placer,
@@ -176,7 +178,7 @@
 	for {
 		reservation, err := s.place(ctx, j)
 		if err != nil {
-			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err, s.deferredFor(j)))
+			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err, s.delayFor(j, err)))
 			return
 		}
 		got, failure := s.attempt(ctx, j, reservation)
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -203,6 +203,7 @@
 func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *eventParser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
 	seen.discardPartial()
 	sentAt := time.Now()
+	s.limits.Spend(h.Reservation.Endpoint.Key())
 	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.last})
 	if err != nil {
 		f := newFailure(h.Reservation, err)
--- a/toucanmember/subset.go
+++ b/toucanmember/subset.go
@@ -137,6 +137,19 @@
 	return x ^ x>>31
 }
 
+// Responsible returns the entry that is responsible for item; empty if there are no entries. Entries with the same list agree
+// on it without communication, and an entry that is added or removed changes it for few items.
+func Responsible(item string, entries []string) string {
+	h := xxhash.Sum64String(item)
+	best, most := "", uint64(0)
+	for _, e := range entries {
+		if score := mix(h ^ xxhash.Sum64String(e)); best == "" || score > most {
+			best, most = e, score
+		}
+	}
+	return best
+}
+
 // IsResponsible reports whether self is one of the n entries that are responsible for item, such as for the watch of a
 // document. Entries with the same list agree on the n entries without communication.
 func IsResponsible(self, item string, entries []string, n int) bool {
--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -50,6 +50,8 @@
 	// FailureShare is the share of requests that failed recently, from 0 to 1.
 	FailureShare      float64
 	Draining, Suspect bool
+	// Limit is the number of requests a second that the endpoint takes from all entries; nil for one without a limit.
+	Limit *float64
 }
 
 // RetryBudget is the number of retries that a service can still make.
@@ -62,11 +64,11 @@
 type stateCollector struct {
 	read func() ProcessState
 
-	slots, requests, capacity, tokens, failures, leaving, suspect *prometheus.Desc
-	budget, version, settingsAge, storeAge, reportAge             *prometheus.Desc
-	peers, dropped                                                *prometheus.Desc
-	newestSettings, storeEra, storeRestores, omittedChanges       *prometheus.Desc
-	quarantines                                                   *prometheus.Desc
+	slots, requests, capacity, tokens, failures, leaving, suspect, limit *prometheus.Desc
+	budget, version, settingsAge, storeAge, reportAge                    *prometheus.Desc
+	peers, dropped                                                       *prometheus.Desc
+	newestSettings, storeEra, storeRestores, omittedChanges              *prometheus.Desc
+	quarantines                                                          *prometheus.Desc
 }
 
 // NewStateCollectors returns collectors of the state that read returns, of the Go runtime and of the process.
@@ -87,6 +89,7 @@
 			failures:       endpoint("failure_share", "share of this entry's requests that failed lately"),
 			leaving:        endpoint("leaving", "1 for an endpoint that takes no new requests"),
 			suspect:        endpoint("suspect", "1 for an endpoint that could not be reached lately"),
+			limit:          endpoint("limit_per_second", "requests a second that the endpoint takes from all entries, if it says so"),
 			budget:         plain("retry_budget", "retries that may still be made", "service"),
 			version:        plain("settings_version", "version of the settings in force"),
 			settingsAge:    plain("settings_age_seconds", "time since the settings came into force"),
@@ -111,7 +114,7 @@
 	for _, d := range []*prometheus.Desc{
 		c.slots, c.requests, c.capacity, c.tokens, c.failures, c.leaving, c.suspect, c.budget, c.version, c.settingsAge,
 		c.storeAge, c.reportAge, c.peers, c.dropped, c.newestSettings, c.storeEra, c.storeRestores, c.omittedChanges,
-		c.quarantines,
+		c.quarantines, c.limit,
 	} {
 		ch <- d
 	}
@@ -155,6 +158,9 @@
 	ch <- gauge(c.failures, e.FailureShare, e.Name, e.Service)
 	ch <- gauge(c.leaving, boolValue(e.Draining), e.Name, e.Service)
 	ch <- gauge(c.suspect, boolValue(e.Suspect), e.Name, e.Service)
+	if e.Limit != nil {
+		ch <- gauge(c.limit, *e.Limit, e.Name, e.Service)
+	}
 }
 
 // mergeExcessEndpoints adds up the endpoints beyond maxEndpoints in one. Its failure share is the highest of theirs,
--- a/toucanmetric/state_test.go
+++ b/toucanmetric/state_test.go
@@ -42,10 +42,11 @@
 }
 
 func TestCollectorExportsState(t *testing.T) {
+	limit := 2.5
 	lines := scrape(t, func() ProcessState {
 		return ProcessState{
 			Endpoints: []EndpointLoad{{
-				Name: "e1", Service: "s", Slots: 4, Requests: 3, MemoryTokens: 1000, Tokens: 700, FailureShare: 0.25, Suspect: true,
+				Name: "e1", Service: "s", Slots: 4, Requests: 3, MemoryTokens: 1000, Tokens: 700, FailureShare: 0.25, Suspect: true, Limit: &limit,
 			}},
 			Budgets:         []RetryBudget{{Service: "s", Retries: 1.5}},
 			SettingsVersion: 7,
@@ -58,6 +59,7 @@
 	})
 	for _, want := range []string{
 		`toucan_endpoint_slots{endpoint="e1",service="s"} 4`,
+		`toucan_endpoint_limit_per_second{endpoint="e1",service="s"} 2.5`,
 		`toucan_endpoint_requests{endpoint="e1",service="s"} 3`,
 		`toucan_endpoint_memory_tokens{endpoint="e1",service="s"} 1000`,
 		`toucan_endpoint_tokens{endpoint="e1",service="s"} 700`,
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -39,6 +39,8 @@
 	serial uint64
 	// evidence is shared with all peers; nil for none.
 	evidence EvidenceTable
+	// limits are shared with the peers of the cell; nil for none.
+	limits RateLimits
 	// startedPeers receives the addresses of peers whose process has started, which have no evidence yet.
 	startedPeers chan netip.AddrPort
 
@@ -195,10 +197,15 @@
 	}
 }
 
-// apply applies a report of a peer, or the evidence in it.
+// apply applies a report of a peer, or the evidence, the ask or the grant in it.
 func (m *Mesh) apply(now time.Time, r *Report) {
 	if r.GetSerial() > 0 {
-		m.state.Apply(now, r)
+		if m.state.Apply(now, r) && m.limits != nil {
+			m.limits.Apply(now, decodeWords(now, r.GetLimits()))
+		}
+		return
+	}
+	if m.applySlots(now, r) {
 		return
 	}
 	if m.evidence != nil {
@@ -264,6 +271,10 @@
 	}
 	m.serial++
 	r := m.state.Report()
+	if m.limits != nil {
+		now := time.Now()
+		r.Limits = encodeWords(now, m.limits.Words(now))
+	}
 	r.Sender, r.Boot, r.Serial = m.name, m.boot, m.serial
 	m.sendReport(peers, r)
 }
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -77,13 +77,30 @@
 	return s.filterPeers(now, func(r *Report) bool { return !r.GetStopping() })
 }
 
+// activeWithin returns the names of the peers whose last report is no older than an age and that are not shutting down.
+func (s *SharedState) activeWithin(now time.Time, age time.Duration) []string {
+	return s.filterPeersWithin(now, age, func(r *Report) bool { return !r.GetStopping() })
+}
+
+// isStopping reports whether this entry is shutting down.
+func (s *SharedState) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
 // filterPeers returns the names of the peers with a valid report that accept returns true for.
 func (s *SharedState) filterPeers(now time.Time, accept func(*Report) bool) []string {
+	return s.filterPeersWithin(now, reportTimeout, accept)
+}
+
+// filterPeersWithin is filterPeers for reports that are no older than an age.
+func (s *SharedState) filterPeersWithin(now time.Time, age time.Duration, accept func(*Report) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
 	for name, p := range s.peers {
-		if now.Sub(p.receivedAt) <= reportTimeout && accept(p.report) {
+		if now.Sub(p.receivedAt) <= age && accept(p.report) {
 			names = append(names, name)
 		}
 	}
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -1,6 +1,7 @@
 package toucanplace
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,7 @@
 		if s.FailureDomain != at.FailureDomain {
 			c += copyDomainCost
 		}
+		c += p.limitedCost(s)
 		if best == nil || c < bestCost {
 			best, bestCost = s, c
 		}
@@ -39,12 +41,38 @@
 // Filter reports whether an endpoint is eligible for a placement.
 type Filter func(Endpoint) bool
 
+// search describes which endpoint a request needs.
+type search struct {
+	now     time.Time
+	service string
+	demand  Demand
+	// allowed accepts the eligible endpoints.
+	allowed Filter
+	// share limits the memory as in fits.
+	share float64
+	// patience is how long the request can wait for its slot at an endpoint with a limit.
+	patience time.Duration
+	// extra is added to the cost of an endpoint.
+	extra func(*endpointState) float64
+}
+
+// PlaceOption sets an optional parameter of Place.
+type PlaceOption func(*search)
+
+// WithPatience lets a request wait for its slot at an endpoint that takes only so many requests a second. Without it, such an
+// endpoint is chosen only if it may have a slot now.
+func WithPatience(d time.Duration) PlaceOption { return func(q *search) { q.patience = d } }
+
 // Place reserves capacity for d on the endpoint of a service with the lowest cost. It considers only endpoints that
-// allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrFull or ErrTooLarge.
-func (p *Placer) Place(now time.Time, service string, d Demand, allowed Filter) (*Reservation, error) {
+// allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrFull, ErrDeferred, ErrLimited or ErrTooLarge.
+func (p *Placer) Place(now time.Time, service string, d Demand, allowed Filter, opts ...PlaceOption) (*Reservation, error) {
+	q := search{now: now, service: service, demand: d, allowed: allowed, share: memoryShare, extra: p.domainCost(otherDomainCost)}
+	for _, opt := range opts {
+		opt(&q)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, why, err := p.choose(now, service, d, allowed, memoryShare, p.domainCost(otherDomainCost))
+	best, why, err := p.choose(q)
 	if err != nil {
 		return nil, err
 	}
@@ -72,20 +100,23 @@
 }
 
 // PlaceCopy is Place for a generation whose memory is copied from another endpoint. It prefers the source's failure
-// domain, where copies take half the time. It varies the cost by source and target, so that two endpoints that drain
-// together don't copy to the same target. It can fill memory beyond the limit of Place.
+// domain, where copies take half the time, and endpoints without a limit on requests a second. It varies the cost by source
+// and target, so that two endpoints that drain together don't copy to the same target. It can fill memory beyond the limit of
+// Place.
 func (p *Placer) PlaceCopy(now time.Time, from Endpoint, d Demand, allowed Filter) (*Reservation, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	source := from.Key()
 	extra := func(s *endpointState) float64 {
-		c := copySpreadCost * float64((source^s.key)%copySpreadSteps) / copySpreadSteps
+		c := copySpreadCost*float64((source^s.key)%copySpreadSteps)/copySpreadSteps + p.limitedCost(s)
 		if s.FailureDomain != from.FailureDomain {
 			c += copyDomainCost
 		}
 		return c
 	}
-	best, why, err := p.choose(now, from.Service, d, allowed, copyShare, extra)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, why, err := p.choose(search{
+		now: now, service: from.Service, demand: d, allowed: allowed, share: copyShare, patience: math.MaxInt64, extra: extra,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -95,18 +126,44 @@
 	return r, nil
 }
 
+// limitedCost returns the additional cost of an endpoint with a limit as the target of a copy.
+func (p *Placer) limitedCost(s *endpointState) float64 {
+	if _, limited := p.limits.Limit(s.key); limited {
+		return limitedCopyCost
+	}
+	return 0
+}
+
+// RateLimit returns how many requests a second the endpoints of a service take together, and false if one that takes new
+// requests has no limit.
+func (p *Placer) RateLimit(service string) (perSecond float64, limited bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services[service] {
+		if s.isDraining() || s.OtherCell {
+			continue
+		}
+		limit, ok := p.limits.Limit(s.key)
+		if !ok {
+			return 0, false
+		}
+		perSecond += limit
+		limited = true
+	}
+	return perSecond, limited
+}
+
 // choose selects the endpoint with the lowest cost. It considers endpoints of other entries only if this entry's own
 // endpoints are full, draining or not allowed, and not if the request is too large for them.
-func (p *Placer) choose(now time.Time, service string, d Demand, allowed Filter, share float64, extra func(*endpointState) float64) (*endpointState, Choice, error) {
-	best, why, err := p.chooseAmong(now, service, d, share, extra, func(s *endpointState) bool {
-		return !s.OtherCell && (allowed == nil || allowed(s.Endpoint))
-	})
-	if err == nil || errors.Is(err, ErrTooLarge) || !p.hasOtherCell(service) {
+func (p *Placer) choose(q search) (*endpointState, Choice, error) {
+	if q.allowed == nil {
+		q.allowed = func(Endpoint) bool { return true }
+	}
+	best, why, err := p.chooseAmong(q, false)
+	if err == nil || errors.Is(err, ErrTooLarge) || !p.hasOtherCell(q.service) {
 		return best, why, err
 	}
-	return p.chooseAmong(now, service, d, share, extra, func(s *endpointState) bool {
-		return allowed == nil || allowed(s.Endpoint)
-	})
+	return p.chooseAmong(q, true)
 }
 
 // hasOtherCell reports whether some endpoints of a service are assigned to other entries.
@@ -119,30 +176,35 @@
 	return false
 }
 
-// chooseAmong selects the endpoint with the lowest cost, including extra, among the allowed ones. share limits the
-// memory as in fits.
-func (p *Placer) chooseAmong(now time.Time, service string, d Demand, share float64, extra func(*endpointState) float64, allowed func(*endpointState) bool) (*endpointState, Choice, error) {
+// chooseAmong selects the endpoint with the lowest cost, with or without those of other cells.
+func (p *Placer) chooseAmong(q search, otherCells bool) (*endpointState, Choice, error) {
 	best, bestID := (*endpointState)(nil), ""
 	var why Choice
-	listed, large, deferred := false, true, true
-	for _, s := range p.services[service] {
-		if s.isDraining() || !allowed(s) {
+	listed, large, deferred, limited := false, true, true, true
+	for _, s := range p.services[q.service] {
+		if s.isDraining() || s.OtherCell && !otherCells || !q.allowed(s.Endpoint) {
 			continue
 		}
 		listed = true
-		if s.MemoryTokens > 0 && d.Tokens() > s.MemoryTokens {
+		if s.MemoryTokens > 0 && q.demand.Tokens() > s.MemoryTokens {
 			continue
 		}
 		large = false
-		if s.isDeferred(now) {
+		if s.isDeferred(q.now) {
 			continue
 		}
 		deferred = false
-		u := p.total(now, s)
-		if !s.fits(u, d, share) {
+		wait, hasLimit := p.limits.Wait(q.now, s.key)
+		if hasLimit && (s.OtherCell || wait > q.patience) {
+			continue
+		}
+		limited = limited && hasLimit
+		u := p.total(q.now, s)
+		if !s.fits(u, q.demand, q.share) {
+			limited = false
 			continue
 		}
-		if why.add(s.ID, bestID, s.cost(now, u)+extra(s)) {
+		if why.add(s.ID, bestID, s.cost(q.now, u)+q.extra(s)+slotWaitCost*wait.Seconds()) {
 			best, bestID = s, s.ID
 		}
 	}
@@ -150,13 +212,15 @@
 	case best != nil:
 		return best, why, nil
 	case !listed:
-		return nil, why, errors.Wrap(ErrNoEndpoint, service)
+		return nil, why, errors.Wrap(ErrNoEndpoint, q.service)
 	case large:
-		return nil, why, errors.Wrap(ErrTooLarge, service)
+		return nil, why, errors.Wrap(ErrTooLarge, q.service)
 	case deferred:
-		return nil, why, errors.Wrap(ErrDeferred, service)
+		return nil, why, errors.Wrap(ErrDeferred, q.service)
+	case limited:
+		return nil, why, errors.Wrap(ErrLimited, q.service)
 	}
-	return nil, why, errors.Wrap(ErrFull, service)
+	return nil, why, errors.Wrap(ErrFull, q.service)
 }
 
 // total returns the load of an endpoint: this entry's own and what its peers reported within peerUsesTTL.
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -20,6 +20,9 @@
 	// ErrDeferred means that every endpoint of a service has asked this entry for no requests for a time. It wraps
 	// ErrFull.
 	ErrDeferred = errors.Wrap(ErrFull, "every endpoint has asked for no requests")
+	// ErrLimited means that every endpoint of a service takes no more requests a second, or has asked for none for a time. It
+	// wraps ErrFull.
+	ErrLimited = errors.Wrap(ErrFull, "every endpoint takes no more requests a second")
 	// ErrTooLarge means that a request needs more memory than any endpoint has.
 	ErrTooLarge = errors.New("request is larger than an endpoint's memory")
 )
@@ -117,6 +120,11 @@
 	peerSuspectCost = 1
 	// peerSuspectDuration is how long peerSuspectCost applies after a peer's report.
 	peerSuspectDuration = 500 * time.Millisecond
+	// limitedCopyCost is the cost of an endpoint with a limit on requests a second as the target of a copy. The request that
+	// resumes the generation there exceeds the limit for a while.
+	limitedCopyCost = 3
+	// slotWaitCost is the cost of each second that a request waits for its slot at an endpoint with a limit.
+	slotWaitCost = 5
 	// failureGain is the weight of one outcome in the moving average of an endpoint's failures.
 	failureGain = 0.15
 	// failureDecay is the time in which the share of failures decays by a factor of e without requests.
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -25,8 +25,30 @@
 	freed chan struct{}
 	// changed is closed and replaced when this entry's own load of requests with tokens changes.
 	changed chan struct{}
+	// limits tells which endpoints take only so many requests a second.
+	limits RateLimits
 }
 
+// RateLimits tells which endpoints take only so many requests a second from all entries together.
+type RateLimits interface {
+	// Wait returns how long a request to an endpoint has to wait at least, and false if the endpoint has no limit.
+	Wait(now time.Time, endpoint uint64) (time.Duration, bool)
+	// Limit returns the limit of an endpoint in requests a second, and false if it has none.
+	Limit(endpoint uint64) (float64, bool)
+}
+
+// unlimited is the RateLimits without a limit.
+type unlimited struct{}
+
+func (unlimited) Wait(time.Time, uint64) (time.Duration, bool) { return 0, false }
+func (unlimited) Limit(uint64) (float64, bool)                 { return 0, false }
+
+// Option configures a Placer.
+type Option func(*Placer)
+
+// WithRateLimits sets the limits of endpoints on requests a second.
+func WithRateLimits(l RateLimits) Option { return func(p *Placer) { p.limits = l } }
+
 // peerUses is the load that a peer last reported, by the endpoint's Key.
 type peerUses struct {
 	at   time.Time
@@ -34,8 +56,8 @@
 }
 
 // NewPlacer returns a Placer without endpoints for an entry in a failure domain.
-func NewPlacer(domain string) *Placer {
-	return &Placer{
+func NewPlacer(domain string, opts ...Option) *Placer {
+	p := &Placer{
 		domain:      domain,
 		endpoints:   make(map[string]*endpointState),
 		services:    make(map[string][]*endpointState),
@@ -44,7 +66,12 @@
 		departed:    make(chan struct{}),
 		freed:       make(chan struct{}),
 		changed:     make(chan struct{}),
+		limits:      unlimited{},
+	}
+	for _, opt := range opts {
+		opt(p)
 	}
+	return p
 }
 
 // SetEndpoints replaces the list of endpoints. An endpoint with the same ID and StartMillis keeps its load and
@@ -109,6 +136,20 @@
 	return p.changed
 }
 
+// ByAddress returns the listed endpoint at an address that started last, and false if there is none.
+func (p *Placer) ByAddress(address string) (Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last Endpoint
+	found := false
+	for _, s := range p.endpoints {
+		if s.Address == address && (!found || s.StartMillis > last.StartMillis) {
+			last, found = s.Endpoint, true
+		}
+	}
+	return last, found
+}
+
 // IsAvailable reports whether an endpoint is listed and not draining.
 func (p *Placer) IsAvailable(id string) bool {
 	p.mu.Lock()
--- a/toucanprobe/probe.go
+++ b/toucanprobe/probe.go
@@ -42,12 +42,20 @@
 	SetProbedLeaving(now time.Time, endpoint uint64)
 }
 
+// RateLimits keeps the limits of endpoints on requests a second.
+type RateLimits interface {
+	// Take takes a slot for a request to an endpoint that begins within patience, and returns the time until then and whether
+	// there was one.
+	Take(ctx context.Context, endpoint uint64, patience time.Duration) (time.Duration, bool)
+}
+
 // Poller probes this entry's share of the endpoints while the store is silent.
 type Poller struct {
 	name   string
 	prober Prober
 	placer *toucanplace.Placer
 	peers  PeerState
+	limits RateLimits
 	log    *slog.Logger
 	// active is true while the store is silent.
 	active bool
@@ -58,12 +66,13 @@
 }
 
 // New returns the poller of the entry name.
-func New(name string, prober Prober, placer *toucanplace.Placer, peers PeerState, log *slog.Logger) *Poller {
+func New(name string, prober Prober, placer *toucanplace.Placer, peers PeerState, limits RateLimits, log *slog.Logger) *Poller {
 	return &Poller{
 		name:       name,
 		prober:     prober,
 		placer:     placer,
 		peers:      peers,
+		limits:     limits,
 		log:        log,
 		unanswered: make(map[string]int),
 	}
@@ -116,6 +125,10 @@
 func (p *Poller) probe(ctx context.Context, e toucanplace.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if _, ok := p.limits.Take(ctx, e.Key(), 0); !ok {
+		// The endpoint takes no more requests now; the next round may find a slot.
+		return
+	}
 	leaving, err := p.prober.Leaving(ctx, e.Address)
 	if err != nil {
 		p.recordFailure(e, err)
--- a/toucanprobe/probe_test.go
+++ b/toucanprobe/probe_test.go
@@ -14,6 +14,7 @@
 
 	"toucanport/toucanlogtest"
 	"toucanport/toucanplace"
+	"toucanport/toucanrate"
 )
 
 // fakePeerState has fixed peers, reports the store as silent or not, and records draining endpoints.
@@ -81,7 +82,7 @@
 		prober := &fakeProber{calls: make(map[string]int)}
 		ctx, cancel := context.WithCancel(t.Context())
 		log := &toucanlogtest.Log{}
-		go New("self", prober, placer, state, log.Logger()).Run(ctx)
+		go New("self", prober, placer, state, toucanrate.New("e"), log.Logger()).Run(ctx)
 		time.Sleep(3 * probeInterval)
 		assert.Equal(t, len(prober.calls), 0)
 		state.mu.Lock()
@@ -113,7 +114,7 @@
 	for self, peer := range map[string]string{"a": "b", "b": "a"} {
 		prober := &fakeProber{calls: make(map[string]int)}
 		state := &fakePeerState{silent: true, peers: []string{peer}, leaving: make(map[uint64]bool)}
-		New(self, prober, placer, state, slog.New(slog.DiscardHandler)).probeEndpoints(t.Context(), time.Now())
+		New(self, prober, placer, state, toucanrate.New("e"), slog.New(slog.DiscardHandler)).probeEndpoints(t.Context(), time.Now())
 		for address, n := range prober.calls {
 			probes[address] += n
 		}
--- a/toucanrate/table_test.go
+++ b/toucanrate/limits_test.go
@@ -30,7 +30,7 @@
 	const endpoint = 7
 	start := time.Unix(100, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	limits := NewTable()
+	limits := New("e")
 	assert.Assert(t, !limits.Observe(at(0), at(-10), endpoint, Notice{}))
 	assert.Assert(t, limits.Observe(at(20), at(10), endpoint, Notice{Kind: NoticeNamed, PerSecond: 2}))
 	assert.Assert(t, !limits.Observe(at(30), at(15), endpoint, Notice{}), "an answer to an earlier request")
