Divide the reserve of retries by the number of entries

The reserve of retries was divided by 28, however many entries there were.

Evidence: TestRetryReserveIsSharedByAllEntries failed before: 30 entries made 60 retries of 56, 420 made 840; 5 and 27 stay below.

Change: the share follows the number of entries that the store lists, and 28 is its least divisor.

Conclusion: the reserve holds at any size.

--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -23,9 +23,10 @@
 // concurrent use.
 type Budget struct {
 	fraction float64
-	reserve  float64
 
 	mu sync.Mutex
+	// reserve bounds the reserve of each account.
+	reserve float64
 	// accounts has an entry for each service that has received a request, by name.
 	accounts map[string]*account
 }
@@ -57,6 +58,20 @@
 	return b
 }
 
+// SetReserve sets the number of retries, including fractions, that each service can make without having earned them.
+func (b *Budget) SetReserve(now time.Time, n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n == b.reserve {
+		return
+	}
+	for service := range b.accounts {
+		a := b.account(now, service)
+		a.reserve = min(a.reserve, n)
+	}
+	b.reserve = n
+}
+
 // Request records a new request to the service, which earns it a fraction of a retry.
 func (b *Budget) Request(now time.Time, service string) {
 	b.mu.Lock()
