Log every request under which an engine ended, with a fingerprint

Change: the line of an engine that ended under a starting request is written for plain requests too, with the request's id, its route and a hash of method, path, caller, prompt and body. Nothing is decided by it; evidence is recorded for shared parts only, as before.

--- a/toucanforward/quarantine.go
+++ b/toucanforward/quarantine.go
@@ -112,30 +112,48 @@
 // recordBreak records that the connection to an endpoint broke after a number of events. If the request was starting and
 // the endpoint has ended, that is evidence against the request's parts.
 func (s *Server) recordBreak(j *job, e toucanplace.Endpoint, events int) {
-	if len(j.SharedParts) == 0 || events >= provenEvents {
+	if events >= provenEvents {
 		return
 	}
-	j.brokenStarts++
-	s.starting.remove(j)
-	run := toucanquarantine.Run{Workspace: j.workspace, Parts: j.SharedParts}
-	go s.confirmCrash(time.Now(), e, run)
+	if len(j.SharedParts) > 0 {
+		j.brokenStarts++
+		s.starting.remove(j)
+	}
+	b := brokenStart{
+		at: time.Now(), endpoint: e, requestID: j.ID, route: j.route.Name, fingerprint: j.fingerprint(),
+		run: toucanquarantine.Run{Workspace: j.workspace, Parts: j.SharedParts},
+	}
+	go s.confirmCrash(b)
+}
+
+// brokenStart is a request whose connection to an endpoint broke while it was starting.
+type brokenStart struct {
+	at          time.Time
+	endpoint    toucanplace.Endpoint
+	requestID   string
+	route       string
+	fingerprint toucanquarantine.Part
+	run         toucanquarantine.Run
 }
 
-// confirmCrash records a crash at the time brokenAt if the endpoint refuses connections. A connection can break for
-// other reasons while the endpoint lives.
-func (s *Server) confirmCrash(brokenAt time.Time, e toucanplace.Endpoint, run toucanquarantine.Run) {
+// confirmCrash records a crash if the endpoint refuses connections. A connection can break for other reasons while the
+// endpoint lives.
+func (s *Server) confirmCrash(b brokenStart) {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	if !s.pool.Refuses(ctx, e.Address) {
+	if !s.pool.Refuses(ctx, b.endpoint.Address) {
 		return
 	}
 	s.log.Warn(toucanlog.MsgEndpointEnded,
-		toucanlog.Endpoint, e.ID,
-		toucanlog.Service, e.Service,
-		toucanlog.Workspace, run.Workspace,
-		toucanlog.PromptParts, formatParts(run.Parts),
+		toucanlog.RequestID, b.requestID,
+		toucanlog.Route, b.route,
+		toucanlog.Endpoint, b.endpoint.ID,
+		toucanlog.Service, b.endpoint.Service,
+		toucanlog.Workspace, b.run.Workspace,
+		toucanlog.PromptParts, formatParts(b.run.Parts),
+		toucanlog.Fingerprint, formatParts([]toucanquarantine.Part{b.fingerprint}),
 	)
-	s.quarantine.RecordCrash(brokenAt, e.Key(), e.Service, run)
+	s.quarantine.RecordCrash(b.at, b.endpoint.Key(), b.endpoint.Service, b.run)
 }
 
 // recordProven records that an engine has answered a request far enough to rule out its parts.
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -32,6 +32,8 @@
 	// SharedParts are the parts of the prompt that other requests can have too, in order; empty for requests that
 	// generate nothing.
 	SharedParts []toucanquarantine.Part
+	// PromptParts is the text that lists all parts of the prompt; empty for requests that generate nothing.
+	PromptParts string
 }
 
 // Resume identifies a stopped generation that an endpoint is to continue.
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -144,6 +144,8 @@
 	cancel context.CancelCauseFunc
 	// brokenStarts counts the connections to endpoints that broke before the request was proven.
 	brokenStarts int
+	// wholePart caches fingerprint; zero until it was needed.
+	wholePart toucanquarantine.Part
 	// proven is true once an engine has answered so far that the request can't be what ends engines.
 	proven bool
 }
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -79,6 +79,7 @@
 	EraBefore       = "eraBefore"
 	Events          = "events"
 	FailureDomain   = "failureDomain"
+	Fingerprint     = "fingerprint"
 	FirstCopyMs     = "firstCopyMs"
 	FirstEventMs    = "firstEventMs"
 	ForecastTokens  = "forecastTokens"
