Quarantine whole requests under which engines end, however soon they end

What callers saw: while one poll was sent again and again, all engines of its service ended every 1.5 to 2 s; 30 of 30 orders in one second were refused, and others got 502 with the engines.

Only parts of prompts that requests share were attributed, and a plain request has none.

Change: a whole request (method, path, caller, prompt, body) is one more part, in the same mechanism. An end counts separately from the one before if its run began after that one, which a common cause can't explain, or half a second later. Any whole answer of an engine, also its own failure, rules a whole request out. A plain request whose engine ended waits up to 20 ms for the proof, and is not sent on after two.

Ruled out for the innocent: polls that ran beside the fatal request at all three ends are not rejected, since nothing tells the two apart until one is answered (case beside, TestRequestThatRunsBesideFatalOnesIsServed); ends of one moment under runs from before count once (commonCause, inSuccession).

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -51,9 +51,6 @@
 	if limit := table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
 		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
-	if s.isQuarantined(j) {
-		return j, &refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
-	}
 	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.estimates.estimate(route.Name, req, 0)}
 	j.deadline = deadline(j.arrived, req.Patience, route.Timeout)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -145,8 +145,8 @@
 	if f != nil && a.rest != nil {
 		resp.Close()
 	}
-	if f == nil && a.status < http.StatusMultipleChoices {
-		s.recordProven(j)
+	if headers.Genuine && headers.Named {
+		s.recordWholeAnswer(j, a.status)
 	}
 	if f == nil && a.rest == nil {
 		reservation.Done(time.Now(), toucanplace.OutcomeGood)
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -61,6 +61,11 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: why, retryAfter: after}
 }
 
+// quarantineRefusal returns the refusal of a request that must not be sent to an engine.
+func quarantineRefusal() refusal {
+	return refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
+}
+
 // failure is the result of an attempt that gave no answer to deliver. It implements error.
 type failure struct {
 	endpoint string
@@ -102,7 +107,7 @@
 	r := refusal{status: http.StatusBadGateway, reason: reasonUnknown, endpoint: f.endpoint, err: f.err}
 	switch {
 	case errors.Is(f.err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
-		r.status, r.reason, r.err = http.StatusUnprocessableEntity, reasonQuarantined, errQuarantined
+		return quarantineRefusal()
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.reason = reasonCallerLeft
 	case f.notRun && j.maybeRun == 0 && ctx.Err() == nil:
@@ -122,7 +127,7 @@
 func placeRefusal(ctx context.Context, j *job, err error, delay time.Duration) refusal {
 	switch {
 	case errors.Is(err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
-		return refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
+		return quarantineRefusal()
 	case errors.Is(ctx.Err(), context.Canceled):
 		return refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: err}
 	case j.maybeRun > 0 || ctx.Err() != nil:
--- a/toucanforward/quarantine.go
+++ b/toucanforward/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,10 +21,12 @@
 	maxBrokenStarts = 2
 	// confirmTimeout bounds the check whether an endpoint whose connection broke has ended.
 	confirmTimeout = 300 * time.Millisecond
+	// promptConfirmation is how long a request without shared parts waits for that check, before it is sent again or given up.
+	promptConfirmation = 20 * time.Millisecond
 )
 
-// errQuarantined means that a request has a part of a prompt that ends engines.
-var errQuarantined = errors.New("engines end when they answer on a part of the prompt")
+// errQuarantined means that a request, or a part of its prompt, ends engines.
+var errQuarantined = errors.New("engines end when they answer the request or on a part of its prompt")
 
 // startingRequests holds the requests that an endpoint has and has not answered far enough to rule them out. It is safe
 // for concurrent use.
@@ -89,9 +93,18 @@
 	}
 }
 
+// parts returns the parts by which a request can be quarantined: the shared parts of its prompt and, as the last, the request as a
+// whole.
+func (j *job) parts() []toucanquarantine.Part {
+	if j.allParts == nil {
+		j.allParts = append(slices.Clip(j.SharedParts), j.fingerprint())
+	}
+	return j.allParts
+}
+
 // isQuarantined reports whether a request must not be sent to an engine.
 func (s *Server) isQuarantined(j *job) bool {
-	return len(j.SharedParts) > 0 && s.quarantine.Quarantined(time.Now(), j.service.Name, j.workspace, j.SharedParts)
+	return s.quarantine.HasEvidence() && s.quarantine.Quarantined(time.Now(), j.service.Name, j.workspace, j.parts())
 }
 
 // mayStartAgain reports whether a request whose connection broke may be sent to an engine again.
@@ -102,66 +115,95 @@
 // beginStart makes a request that is about to be sent subject to RunQuarantine. It returns false if the request must not be
 // sent.
 func (s *Server) beginStart(j *job) bool {
-	if len(j.SharedParts) == 0 {
-		return true
-	}
+	j.startedAt = time.Now()
+	_ = j.parts() // From here on, RunQuarantine reads them too.
 	s.starting.add(j)
 	return !s.isQuarantined(j)
 }
 
 // recordBreak records that the connection to an endpoint broke after a number of events. If the request was starting and
-// the endpoint has ended, that is evidence against the request's parts.
+// the endpoint has ended, that is evidence against the request and its parts.
 func (s *Server) recordBreak(j *job, e toucanplace.Endpoint, events int) {
 	if events >= provenEvents {
 		return
 	}
-	if len(j.SharedParts) > 0 {
+	s.starting.remove(j)
+	now := time.Now()
+	b := brokenStart{
+		at: now, endpoint: e, requestID: j.ID, route: j.route.Name,
+		run: toucanquarantine.Run{Workspace: j.workspace, Parts: j.parts(), Lasted: max(now.Sub(j.startedAt).Truncate(time.Millisecond), time.Millisecond)},
+	}
+	confirmed := make(chan bool, 1)
+	go func() { confirmed <- s.confirmCrash(b) }()
+	if len(j.SharedParts) > 0 || endsWithin(confirmed, promptConfirmation) {
 		j.brokenStarts++
-		s.starting.remove(j)
 	}
-	b := brokenStart{
-		at: time.Now(), endpoint: e, requestID: j.ID, route: j.route.Name, fingerprint: j.fingerprint(),
-		run: toucanquarantine.Run{Workspace: j.workspace, Parts: j.SharedParts},
+}
+
+// endsWithin reports whether confirmed delivers true within a time.
+func endsWithin(confirmed <-chan bool, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case ended := <-confirmed:
+		return ended
+	case <-timer.C:
+		return false
 	}
-	go s.confirmCrash(b)
 }
 
 // brokenStart is a request whose connection to an endpoint broke while it was starting.
 type brokenStart struct {
-	at          time.Time
-	endpoint    toucanplace.Endpoint
-	requestID   string
-	route       string
-	fingerprint toucanquarantine.Part
-	run         toucanquarantine.Run
+	at        time.Time
+	endpoint  toucanplace.Endpoint
+	requestID string
+	route     string
+	run       toucanquarantine.Run
 }
 
-// confirmCrash records a crash if the endpoint refuses connections. A connection can break for other reasons while the
-// endpoint lives.
-func (s *Server) confirmCrash(b brokenStart) {
+// confirmCrash records a crash, and returns true, if the endpoint refuses connections. A connection can break for other
+// reasons while the endpoint lives.
+func (s *Server) confirmCrash(b brokenStart) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	if !s.pool.Refuses(ctx, b.endpoint.Address) {
-		return
+		return false
 	}
+	whole := len(b.run.Parts) - 1
 	s.log.Warn(toucanlog.MsgEndpointEnded,
 		toucanlog.RequestID, b.requestID,
 		toucanlog.Route, b.route,
 		toucanlog.Endpoint, b.endpoint.ID,
 		toucanlog.Service, b.endpoint.Service,
 		toucanlog.Workspace, b.run.Workspace,
-		toucanlog.PromptParts, formatParts(b.run.Parts),
-		toucanlog.Fingerprint, formatParts([]toucanquarantine.Part{b.fingerprint}),
+		toucanlog.PromptParts, formatParts(b.run.Parts[:whole]),
+		toucanlog.Fingerprint, formatParts(b.run.Parts[whole:]),
 	)
 	s.quarantine.RecordCrash(b.at, b.endpoint.Key(), b.endpoint.Service, b.run)
+	return true
 }
 
 // recordProven records that an engine has answered a request far enough to rule out its parts.
 func (s *Server) recordProven(j *job) {
-	if len(j.SharedParts) == 0 || j.proven {
+	if j.proven {
 		return
 	}
 	j.proven = true
 	s.starting.remove(j)
-	s.quarantine.RecordSound(time.Now(), j.service.Name, j.SharedParts)
+	if s.quarantine.HasEvidence() {
+		s.quarantine.RecordSound(time.Now(), j.service.Name, j.parts())
+	}
+}
+
+// recordWholeAnswer records that an engine has answered a request completely, with a success or with a failure of its own. The
+// engine has then not ended under the request; a failure proves nothing about parts that other requests share.
+func (s *Server) recordWholeAnswer(j *job, status int) {
+	if status < http.StatusMultipleChoices {
+		s.recordProven(j)
+		return
+	}
+	s.starting.remove(j)
+	if s.quarantine.HasEvidence() {
+		s.quarantine.RecordSound(time.Now(), j.service.Name, []toucanquarantine.Part{j.fingerprint()})
+	}
 }
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -142,10 +142,15 @@
 	tried map[string]bool
 	// cancel ends the request with a cause.
 	cancel context.CancelCauseFunc
-	// brokenStarts counts the connections to endpoints that broke before the request was proven.
+	// brokenStarts counts the connections to endpoints that broke before the request was proven. Without shared parts, only
+	// those to endpoints that have ended count.
 	brokenStarts int
 	// wholePart caches fingerprint; zero until it was needed.
 	wholePart toucanquarantine.Part
+	// allParts caches parts; nil until it was needed.
+	allParts []toucanquarantine.Part
+	// startedAt is when the last attempt began.
+	startedAt time.Time
 	// proven is true once an engine has answered so far that the request can't be what ends engines.
 	proven bool
 }
@@ -168,6 +173,10 @@
 		s.refuse(j, *refusal)
 		return
 	}
+	if s.isQuarantined(j) {
+		s.refuse(j, quarantineRefusal())
+		return
+	}
 	defer j.releaseBackup()
 	j.cancel = cancelCause
 	defer s.starting.remove(j)
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -204,6 +204,7 @@
 	seen.discardPartial()
 	sentAt := time.Now()
 	s.limits.Spend(h.Reservation.Endpoint.Key())
+	j.startedAt = sentAt
 	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.last})
 	if err != nil {
 		f := newFailure(h.Reservation, err)
--- a/toucanpeer/evidence.go
+++ b/toucanpeer/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -125,7 +126,7 @@
 func encodeCrash(now time.Time, c toucanquarantine.Crash) *Crash {
 	out := &Crash{Endpoint: c.Endpoint, Service: c.Service, AgeMillis: ageMillis(now, c.At)}
 	for _, run := range c.Runs {
-		encoded := &CrashRun{Workspace: run.Workspace}
+		encoded := &CrashRun{Workspace: run.Workspace, LastedMillis: uint32(min(run.Lasted.Milliseconds(), math.MaxUint32))}
 		for _, p := range run.Parts {
 			encoded.Parts = append(encoded.Parts, uint64(p))
 		}
@@ -141,7 +142,9 @@
 	for _, c := range r.GetCrashes() {
 		crash := toucanquarantine.Crash{Endpoint: c.GetEndpoint(), Service: c.GetService(), At: at(c.GetAgeMillis())}
 		for _, run := range c.GetRuns() {
-			decoded := toucanquarantine.Run{Workspace: run.GetWorkspace()}
+			decoded := toucanquarantine.Run{
+				Workspace: run.GetWorkspace(), Lasted: time.Duration(run.GetLastedMillis()) * time.Millisecond,
+			}
 			for _, p := range run.GetParts() {
 				decoded.Parts = append(decoded.Parts, toucanquarantine.Part(p))
 			}
--- a/toucanquarantine/table.go
+++ b/toucanquarantine/table.go
@@ -47,6 +47,9 @@
 	return slices.DeleteFunc(slices.Clone(*t.verdicts.Load()), func(v Verdict) bool { return now.After(v.Until) })
 }
 
+// HasEvidence reports whether engines have ended under requests, so that a request can be quarantined.
+func (t *Table) HasEvidence() bool { return t.hasEvidence.Load() }
+
 // Quarantined reports whether a request must not be sent to an engine.
 func (t *Table) Quarantined(now time.Time, service, workspace string, parts []Part) bool {
 	for _, v := range *t.verdicts.Load() {
--- a/toucanquarantine/table_test.go
+++ b/toucanquarantine/table_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestCases records ends of engines and answers, and prints which requests are quarantined. Each line of input is a run: its
-// workspace, then its parts.
+// workspace, then its parts. lastedMs is how long the runs had lasted at the end.
 func TestCases(t *testing.T) {
 	datadriven.Walk(t, "testdata/cases", func(t *testing.T, path string) {
 		table := New()
@@ -51,8 +51,12 @@
 			switch d.Cmd {
 			case "end":
 				endpoint++
-				for _, r := range runs {
-					table.RecordCrash(at(t, d), endpoint, service, parseRun(t, r))
+				lasted := 0
+				d.MaybeScanArgs(t, "lastedMs", &lasted)
+				for _, text := range runs {
+					r := parseRun(t, text)
+					r.Lasted = time.Duration(lasted) * time.Millisecond
+					table.RecordCrash(at(t, d), endpoint, service, r)
 				}
 			case "answered":
 				for _, r := range runs {
@@ -81,7 +85,7 @@
 	for i := range 12 {
 		c := Crash{Endpoint: uint64(i + 1), Service: service, At: start.Add(time.Duration(rng.IntN(20000)) * time.Millisecond)}
 		for range 1 + rng.IntN(3) {
-			c.Runs = append(c.Runs, Run{Workspace: string(rune('a' + rng.IntN(2))), Parts: []Part{Part(rng.IntN(4)), Part(4 + rng.IntN(8))}})
+			c.Runs = append(c.Runs, Run{Workspace: string(rune('a' + rng.IntN(2))), Parts: []Part{Part(rng.IntN(4)), Part(4 + rng.IntN(8))}, Lasted: time.Duration(rng.IntN(900)) * time.Millisecond})
 		}
 		e.Crashes = append(e.Crashes, c)
 	}
--- a/toucanquarantine/verdict.go
+++ b/toucanquarantine/verdict.go
@@ -9,8 +9,8 @@
 const (
 	// minCrashes is how many engines must have ended under a part before it is quarantined.
 	minCrashes = 3
-	// minSeparation is the least time between two ends that count separately. Ends with a common cause, such as a power
-	// failure, come together.
+	// minSeparation is the least time between two ends that count separately whenever their runs began. Ends with a common cause,
+	// such as a power failure, come together. An end under a run that began after the one before has no cause in common with it.
 	minSeparation = 500 * time.Millisecond
 	// firstQuarantine is how long a part is quarantined after the last end. Each end after that doubles it, up to
 	// maxDoublings times, so that a part that became sound is used again and one that did not costs few engines.
@@ -54,18 +54,27 @@
 	workspaces []string
 }
 
-func (s *suspect) add(index int, at time.Time, workspaces []string) {
+func (s *suspect) add(index int, at time.Time, in involvement) {
 	s.crashes = append(s.crashes, index)
-	if len(s.times) == 0 || at.Sub(s.times[len(s.times)-1]) >= minSeparation {
+	if s.countsSeparately(at, in.began) {
 		s.times = append(s.times, at)
 	}
-	for _, w := range workspaces {
+	for _, w := range in.workspaces {
 		if !slices.Contains(s.workspaces, w) {
 			s.workspaces = append(s.workspaces, w)
 		}
 	}
 }
 
+// countsSeparately reports whether an end under a run that began at a time counts beside the last one that did.
+func (s *suspect) countsSeparately(at, began time.Time) bool {
+	if len(s.times) == 0 {
+		return true
+	}
+	last := s.times[len(s.times)-1]
+	return at.Sub(last) >= minSeparation || began.After(last)
+}
+
 // until returns the end of the quarantine. Each end of an engine after a quarantine has ended doubles the next one.
 func (s *suspect) until() time.Time {
 	var until time.Time
@@ -114,11 +123,11 @@
 		if explained[i] {
 			continue
 		}
-		for p, workspaces := range c.workspacesOf(soundAt) {
+		for p, in := range c.involved(soundAt) {
 			if suspects[p] == nil {
 				suspects[p] = &suspect{}
 			}
-			suspects[p].add(i, c.At, workspaces)
+			suspects[p].add(i, c.At, in)
 		}
 	}
 	return suspects
