Look for an endpoint without a limit after two asks without a slot

A request asked up to four limited endpoints for a slot, and then four more, and was rejected as limited although an endpoint without a limit had capacity: nothing may wait behind limited ones then.

Evidence: script limits with ten endpoints that take no requests and one without a limit got 503 before.

Change: after two asks without a slot, only endpoints without a limit are considered. It also bounds the time that asks can take.

Conclusion: fixed.

--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -21,8 +21,8 @@
 	maxWaitGoals = 2
 	// recheckInterval is the longest time between two attempts to reserve an endpoint while a request waits.
 	recheckInterval = 100 * time.Millisecond
-	// maxSlotAsks is how many slots are asked for before a request counts as one without.
-	maxSlotAsks = 4
+	// maxSlotAsks is how many endpoints a request asks for a slot before it looks for one without a limit.
+	maxSlotAsks = 2
 )
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
@@ -128,7 +128,8 @@
 	return reservation, err
 }
 
-// reserve reserves an endpoint and, if it has a limit, a slot there that begins until a time.
+// reserve reserves an endpoint and, if it has a limit, a slot there that begins until a time. After maxSlotAsks asks without a
+// slot, it considers only endpoints without a limit.
 func (s *Server) reserve(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
@@ -146,7 +147,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return nil, toucanplace.ErrLimited
+	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited())
 }
 
 // awaitSlot waits until a slot of an endpoint begins. It returns false if the endpoint takes no requests then.
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -50,7 +50,7 @@
 	allowed Filter
 	// share limits the memory as in fits.
 	share float64
-	// patience is how long the request can wait for its slot at an endpoint with a limit.
+	// patience is how long the request can wait for its slot at an endpoint with a limit; negative if it must not go to one.
 	patience time.Duration
 	// extra is added to the cost of an endpoint.
 	extra func(*endpointState) float64
@@ -63,6 +63,9 @@
 // endpoint is chosen only if it may have a slot now.
 func WithPatience(d time.Duration) PlaceOption { return func(q *search) { q.patience = d } }
 
+// WithoutLimited leaves out all endpoints that take only so many requests a second.
+func WithoutLimited() PlaceOption { return func(q *search) { q.patience = -1 } }
+
 // Place reserves capacity for d on the endpoint of a service with the lowest cost. It considers only endpoints that
 // allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrFull, ErrDeferred, ErrLimited or ErrTooLarge.
 func (p *Placer) Place(now time.Time, service string, d Demand, allowed Filter, opts ...PlaceOption) (*Reservation, error) {
