Answer quarantined requests with 400, which callers do not repeat

Cause: callers repeat after 422 within their deadline, each time in vain: a request or part stays under quarantine for minutes. After 400 they don't.

Change: the status. Script quarantine shows 400 where it showed 422, with the same reasons; nothing else is checked less.

Conclusion: one answer for each request that can't be served.

--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -63,7 +63,7 @@
 
 // quarantineRefusal returns the refusal of a request that must not be sent to an engine.
 func quarantineRefusal() refusal {
-	return refusal{status: http.StatusUnprocessableEntity, reason: reasonQuarantined, err: errQuarantined}
+	return refusal{status: http.StatusBadRequest, reason: reasonQuarantined, err: errQuarantined}
 }
 
 // failure is the result of an attempt that gave no answer to deliver. It implements error.
