Take an endpoint's own word on its limit as the newest at once

Cause: found in reading. A word with the content of the known one replaced it only if it was over 50 ms later, a slack for words that entries pass on. So an answer to a request sent before the last word could end a limit that the endpoint had just repeated.

Evidence: TestRepeatedLimitIsNotEndedByEarlierRequests failed before.

Change: the slack holds for words of peers only. Conclusion: only an answer to a later request ends a limit.

--- a/toucanrate/limits.go
+++ b/toucanrate/limits.go
@@ -97,7 +97,7 @@
 		w.At = sentAt
 	}
 	l.heard[endpoint] = w
-	l.learn(w)
+	l.accept(w)
 	peers := l.peers
 	l.mu.Unlock()
 	changed := w.Limited != known.Limited || w.PerSecond != known.PerSecond
@@ -107,12 +107,16 @@
 	return changed
 }
 
-// learn records a word if it is newer than the known one. The caller holds l.mu.
+// learn records a word of a peer if it is newer than the known one. The caller holds l.mu.
 func (l *Limits) learn(w Word) {
-	known, ok := l.known[w.Endpoint]
-	if ok && !w.replaces(known) {
+	if known, ok := l.known[w.Endpoint]; ok && !w.replaces(known) {
 		return
 	}
+	l.accept(w)
+}
+
+// accept makes a word the known one of its endpoint. The caller holds l.mu.
+func (l *Limits) accept(w Word) {
 	l.known[w.Endpoint] = w
 	if !w.Limited {
 		delete(l.schedules, w.Endpoint)
--- a/toucanrate/limits_test.go
+++ b/toucanrate/limits_test.go
@@ -41,3 +41,15 @@
 	_, limited = limits.Limit(endpoint)
 	assert.Assert(t, !limited)
 }
+
+// TestRepeatedLimitIsNotEndedByEarlierRequests checks that a limit that was just named again is not ended by the answer to a
+// request that was sent before.
+func TestRepeatedLimitIsNotEndedByEarlierRequests(t *testing.T) {
+	const endpoint = 7
+	start := time.Unix(100, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	limits := New("a")
+	limits.Observe(at(0), at(-10), endpoint, Notice{Kind: NoticeNamed, PerSecond: 2})
+	limits.Observe(at(40), at(10), endpoint, Notice{Kind: NoticeNamed, PerSecond: 2})
+	assert.Assert(t, !limits.Observe(at(50), at(20), endpoint, Notice{}))
+}
