Keep a limit ended that a peer has seen end

Cause: found in reading. Entries tell what endpoints said to them for ten minutes, but that a limit has ended for five seconds. An entry that had been told of the limit itself and heard of its end from a peer brought it back to all after that time, for the moments until the next answer, every five seconds.

Evidence: TestEndedLimitStaysEnded failed before.

Change: the end of a limit, heard from a peer, removes the entry's own older word. Conclusion: an ended limit stays ended; an entry that was cut off while it ended can bring it back once, until the next answer.

--- a/toucanrate/limits.go
+++ b/toucanrate/limits.go
@@ -112,6 +112,10 @@
 	if known, ok := l.known[w.Endpoint]; ok && !w.replaces(known) {
 		return
 	}
+	if !w.Limited {
+		// What the endpoint said to this entry before is over, and is not told any more.
+		delete(l.heard, w.Endpoint)
+	}
 	l.accept(w)
 }
 
--- a/toucanrate/limits_test.go
+++ b/toucanrate/limits_test.go
@@ -42,6 +42,24 @@
 	assert.Assert(t, !limited)
 }
 
+// TestEndedLimitStaysEnded checks that an entry to which the endpoint named its limit, and which heard of the end from a peer, does not
+// bring the limit back to the others later.
+func TestEndedLimitStaysEnded(t *testing.T) {
+	const endpoint = 7
+	start := time.Unix(100, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	a, b := New("a"), New("b")
+	b.Observe(at(0), at(-10), endpoint, Notice{Kind: NoticeNamed, PerSecond: 2})
+	a.Apply(at(5), b.Words(at(5)))
+	assert.Assert(t, a.Observe(at(1000), at(900), endpoint, Notice{}))
+	b.Apply(at(1005), a.Words(at(1005)))
+	later := at(2000 + int(endLife.Milliseconds()))
+	a.Words(later)
+	a.Apply(later, b.Words(later))
+	_, limited := a.Limit(endpoint)
+	assert.Assert(t, !limited)
+}
+
 // TestRepeatedLimitIsNotEndedByEarlierRequests checks that a limit that was just named again is not ended by the answer to a
 // request that was sent before.
 func TestRepeatedLimitIsNotEndedByEarlierRequests(t *testing.T) {
