--- a/toucanpeer/limit.go
+++ b/toucanpeer/limit.go
@@ -59,7 +59,7 @@
 
 // Ask implements toucanrate.Peers.
 func (m *Mesh) Ask(peer string, a toucanrate.Ask) {
-	m.sendTogether(peer, &Report{Ask: &SlotAsk{
+	m.sendSlotMessage(peer, &Report{Ask: &SlotAsk{
 		Serial:         a.Serial,
 		PatienceMicros: micros(a.Patience),
 		Limit:          encodeWord(time.Now(), a.Word),
@@ -67,8 +67,8 @@
 	}})
 }
 
-// sendTogether sends a report with an ask or a grant to a peer, if it is known.
-func (m *Mesh) sendTogether(peer string, r *Report) {
+// sendSlotMessage sends a report with an ask or a grant to a peer, if it is known.
+func (m *Mesh) sendSlotMessage(peer string, r *Report) {
 	m.mu.Lock()
 	address, ok := m.peers[peer]
 	m.mu.Unlock()
@@ -79,8 +79,8 @@
 	m.sendReport([]netip.AddrPort{address}, r)
 }
 
-// applySlots handles the ask or the grant in a report, and reports whether there was one.
-func (m *Mesh) applySlots(now time.Time, r *Report) bool {
+// applySlotMessage handles the ask or the grant in a report, and reports whether there was one.
+func (m *Mesh) applySlotMessage(now time.Time, r *Report) bool {
 	if m.limits == nil || r.GetAsk() == nil && r.GetGrant() == nil {
 		return false
 	}
@@ -95,7 +95,7 @@
 		Serial: a.GetSerial(), Patience: fromMicros(a.GetPatienceMicros()), Word: decodeWord(now, a.GetLimit()), Spent: a.GetSpent(),
 	})
 	if ok {
-		m.sendTogether(r.GetSender(), &Report{Grant: &SlotGrant{
+		m.sendSlotMessage(r.GetSender(), &Report{Grant: &SlotGrant{
 			Serial: g.Serial, Granted: g.Granted, WaitMicros: micros(g.Wait), NextMicros: micros(g.Next),
 		}})
 	}
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -205,7 +205,7 @@
 		}
 		return
 	}
-	if m.applySlots(now, r) {
+	if m.applySlotMessage(now, r) {
 		return
 	}
 	if m.evidence != nil {
