--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -243,6 +243,10 @@
 	}
 	changes, position, err := m.watch(ctx)
 	if errors.Is(err, errWatchReplaced) {
+		m.log.Info(toucanlog.MsgWatchReplaced,
+			toucanlog.Revision, m.position.Revision,
+			toucanlog.SettingsVersion, m.missingVersion(),
+		)
 		m.verifyNext = true
 		return nil
 	}
@@ -330,8 +334,8 @@
 	defer cancel()
 	values, era, err := m.readPeer(ctx)
 	if err != nil {
-		// The mirror keeps its values. The start of the outage was logged.
-		m.log.Debug(toucanlog.MsgNoPeerSnapshot, toucanlog.Cause, err.Error())
+		// The mirror keeps its values.
+		m.log.Info(toucanlog.MsgNoPeerSnapshot, toucanlog.Cause, err.Error())
 		return
 	}
 	if len(values) == 0 || era < m.lastPosition.Era {
--- a/toucanpeer/snapshot.go
+++ b/toucanpeer/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -101,8 +102,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	s := &Snapshot{}
-	if err := (protodelim.UnmarshalOptions{MaxSize: maxSnapshotBytes}).UnmarshalFrom(bufio.NewReader(conn), s); err != nil {
-		return StoreCopy{}, errors.Wrapf(err, "fetch snapshot from %s", name)
+	received := &countingReader{r: conn}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxSnapshotBytes}).UnmarshalFrom(bufio.NewReader(received), s); err != nil {
+		return StoreCopy{}, errors.Wrapf(err, "fetch snapshot from %s: %d bytes received", name, received.n)
 	}
 	values := make([]toucanstore.Value, len(s.GetItems()))
 	for i, it := range s.GetItems() {
@@ -110,3 +112,16 @@
 	}
 	return StoreCopy{Values: values, Era: s.GetEra()}, nil
 }
+
+// countingReader counts the bytes read from r.
+type countingReader struct {
+	r io.Reader
+	n int
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += n
+	return n, err
+}
