Limit calls to the store by their progress, not by their size

Cause: one duration had to tell a silent store from a reply that was still arriving. What was cut was thrown away, taken for an outage of the store, and begun again as a complete read, beside a read of a peer's whole copy: the links stayed full and no read ended. Ruled out: a slow store (first bytes came after 0 to 10 ms), settings that were read and not taken (no call was whole).

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -35,13 +35,14 @@
 	Revision uint64
 }
 
-// Source is the part of the store that is copied.
+// Source is the part of the store that is copied. Its calls end when the store is silent or a reply stalls. They call
+// arriving each time that a part of a reply has arrived.
 type Source interface {
 	// Snapshot returns all values, and a position from which Changes continues without missing a change.
-	Snapshot(ctx context.Context) ([]toucanstore.Value, Position, error)
+	Snapshot(ctx context.Context, arriving func()) ([]toucanstore.Value, Position, error)
 	// Changes waits for a limited time for changes after a position, and returns the position to continue from. The
 	// error is ErrHistoryLost if changes can be missing.
-	Changes(ctx context.Context, after Position) ([]Change, Position, error)
+	Changes(ctx context.Context, after Position, arriving func()) ([]Change, Position, error)
 }
 
 // Origin is where a state was read from.
@@ -65,8 +66,6 @@
 	// minRetry and maxRetry limit the backoff between calls during an outage of the store, before jitter.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 700 * time.Millisecond
-	// snapshotTimeout limits a call for all values.
-	snapshotTimeout = 1500 * time.Millisecond
 	// peerTimeout limits the call that reads a peer's copy.
 	peerTimeout = 500 * time.Millisecond
 )
@@ -118,7 +117,7 @@
 	retry            time.Duration
 	// onOutage is called with true when an outage begins and with false when it ends.
 	onOutage func(down bool)
-	// onAnswer is called at each answer of the store.
+	// onAnswer is called at each answer of the store, and at each part of a long one.
 	onAnswer func()
 	// peerCount returns the number of peers that can reach the store and report newer settings to this process.
 	peerCount func() int
@@ -148,7 +147,7 @@
 // WithOutageCallback calls f when an outage of the store begins, with true, and when it ends, with false.
 func WithOutageCallback(f func(down bool)) Option { return func(m *Mirror) { m.onOutage = f } }
 
-// WithAnswerCallback calls f at each answer of the store.
+// WithAnswerCallback calls f at each answer of the store, and at each part of a long one.
 func WithAnswerCallback(f func()) Option { return func(m *Mirror) { m.onAnswer = f } }
 
 // WithPeerCount makes the calls to the store less frequent the more peers share what they read. f returns the number
@@ -199,7 +198,7 @@
 }
 
 // Wake makes the next call for changes happen at once because a peer has newer settings. A call that is waiting is
-// replaced by a snapshot unless it returns within wakeGrace.
+// replaced by a snapshot unless its reply begins to arrive within wakeGrace.
 func (m *Mirror) Wake() {
 	select {
 	case m.wake <- struct{}{}:
@@ -288,9 +287,7 @@
 }
 
 func (m *Mirror) snapshot(ctx context.Context, apply func(State)) error {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	values, position, err := m.source.Snapshot(ctx)
+	values, position, err := m.source.Snapshot(ctx, m.onAnswer)
 	if err != nil {
 		return err
 	}
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -62,7 +62,7 @@
 	change(f)
 }
 
-func (f *fakeSource) Snapshot(context.Context) ([]toucanstore.Value, Position, error) {
+func (f *fakeSource) Snapshot(context.Context, func()) ([]toucanstore.Value, Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snapshots++
@@ -74,7 +74,7 @@
 
 const watchTimeout = 500 * time.Millisecond
 
-func (f *fakeSource) Changes(ctx context.Context, after Position) ([]Change, Position, error) {
+func (f *fakeSource) Changes(ctx context.Context, after Position, _ func()) ([]Change, Position, error) {
 	f.update(func(f *fakeSource) { f.watches++ })
 	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		f.mu.Lock()
--- a/toucanmirror/verify.go
+++ b/toucanmirror/verify.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"toucanport/toucanstore"
-	"toucanport/toucanwait"
 )
 
 const (
@@ -26,7 +26,8 @@
 	// the ratio of an encoded body to its bytes.
 	valueOverhead = 64
 	encodedBody   = 4.0 / 3
-	// wakeGrace is how long a watch may take to return a change that a peer already has, before a snapshot replaces it.
+	// wakeGrace is how long a watch may take to begin its reply with a change that a peer already has, before a snapshot
+	// replaces it.
 	wakeGrace = 300 * time.Millisecond
 )
 
@@ -89,27 +90,43 @@
 	return true
 }
 
-// watch waits for changes after the copy's position. Once it was woken, it returns errWatchReplaced if the change that
-// a peer has does not arrive within wakeGrace.
+// watch waits for changes after the copy's position. Once it was woken, it returns errWatchReplaced if no reply begins to
+// arrive within wakeGrace.
 func (m *Mirror) watch(ctx context.Context) ([]Change, Position, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go m.replaceWatch(ctx, cancel)
-	changes, position, err := m.source.Changes(ctx, m.position)
+	began := make(chan struct{})
+	markBegun := sync.OnceFunc(func() { close(began) })
+	go m.replaceWatch(ctx, began, cancel)
+	changes, position, err := m.source.Changes(ctx, m.position, func() {
+		markBegun()
+		m.onAnswer()
+	})
 	if err != nil && errors.Is(context.Cause(ctx), errWatchReplaced) {
 		return nil, m.position, errWatchReplaced
 	}
 	return changes, position, err
 }
 
-// replaceWatch cancels a watch that has not ended within wakeGrace of Wake.
-func (m *Mirror) replaceWatch(ctx context.Context, cancel context.CancelCauseFunc) {
+// replaceWatch cancels a watch that has not begun to reply within wakeGrace of Wake. A reply that is arriving is left alone,
+// because a snapshot would have to bring the same again.
+func (m *Mirror) replaceWatch(ctx context.Context, began <-chan struct{}, cancel context.CancelCauseFunc) {
 	select {
 	case <-m.wake:
+	case <-began:
+		return
 	case <-ctx.Done():
 		return
 	}
-	if toucanwait.Sleep(ctx, wakeGrace) {
-		cancel(errWatchReplaced)
+	grace := time.NewTimer(wakeGrace)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+		// The last step may have read the version since Wake.
+		if m.missingVersion() > 0 {
+			cancel(errWatchReplaced)
+		}
+	case <-began:
+	case <-ctx.Done():
 	}
 }
