Limit the reading and sending of a peer's copy by its progress

Callers of an entry that the store turned away were answered by settings that its peers had long replaced, once a copy took over 0.5 s to receive or 1 s to send.

Change: both ends limit the time to the first part and between two parts (500 ms), and the whole by 20 s; the sender writes parts of 16 KiB, so that its deadline moves on with each.

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -66,8 +66,6 @@
 	// minRetry and maxRetry limit the backoff between calls during an outage of the store, before jitter.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 700 * time.Millisecond
-	// peerTimeout limits the call that reads a peer's copy.
-	peerTimeout = 500 * time.Millisecond
 )
 
 // State is the copy at one moment, with the difference to the previous state.
@@ -129,7 +127,8 @@
 	onLostVersion func(ctx context.Context)
 	// onSnapshot is called after each snapshot from the store.
 	onSnapshot func()
-	// readPeer returns a peer's copy during an outage, and its era; nil if there is no such source.
+	// readPeer returns a peer's copy during an outage, and its era; nil if there is no such source. It ends when the peer is
+	// silent.
 	readPeer func(ctx context.Context) ([]toucanstore.Value, uint64, error)
 	wake     chan struct{}
 	// startedAt is when the mirror was created, and lastAnswer the time from then to the last answer of the source, in
@@ -327,8 +326,6 @@
 	if m.readPeer == nil || m.outageSince.IsZero() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	values, era, err := m.readPeer(ctx)
 	if err != nil {
 		// The mirror keeps its values.
--- a/toucanpeer/snapshot.go
+++ b/toucanpeer/snapshot.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,11 +14,17 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanstore"
+	"toucanport/toucanwait"
 )
 
 const (
-	// snapshotSendTimeout limits the time to send a snapshot.
-	snapshotSendTimeout = time.Second
+	// snapshotStallTimeout limits the time until a snapshot begins to arrive, and the time between two of its parts, at both
+	// ends.
+	snapshotStallTimeout = 500 * time.Millisecond
+	// maxSnapshotTime limits the time of a whole snapshot, whatever its size.
+	maxSnapshotTime = 20 * time.Second
+	// snapshotPart is the number of bytes that are sent at a time.
+	snapshotPart = 16 << 10
 	// maxSnapshotBytes is the maximum size of a received snapshot.
 	maxSnapshotBytes = 64 << 20
 )
@@ -55,16 +62,7 @@
 	for i, v := range c.Values {
 		s.Items[i] = &Item{Key: v.Key, Body: v.Body, Revision: v.Revision}
 	}
-	if err := conn.SetWriteDeadline(time.Now().Add(snapshotSendTimeout)); err != nil {
-		m.log.Warn(toucanlog.MsgPeerNotAnswered, toucanlog.Cause, err.Error())
-		return
-	}
-	w := bufio.NewWriter(conn)
-	_, err := protodelim.MarshalTo(w, s)
-	if err == nil {
-		err = w.Flush()
-	}
-	if err != nil {
+	if _, err := protodelim.MarshalTo(&partWriter{conn: conn, until: time.Now().Add(maxSnapshotTime)}, s); err != nil {
 		m.log.Warn(toucanlog.MsgPeerNotAnswered, toucanlog.Cause, err.Error())
 	}
 }
@@ -81,7 +79,7 @@
 	return m.fetchFrom(ctx, m.state.NewerSettingsPeers(time.Now()))
 }
 
-// fetchFrom fetches the copy of a random one of the peers.
+// fetchFrom fetches the copy of a random one of the peers. It ends when the peer is silent.
 func (m *Mesh) fetchFrom(ctx context.Context, peers []string) (StoreCopy, error) {
 	if len(peers) == 0 {
 		return StoreCopy{}, ErrNoSnapshotPeer
@@ -93,6 +91,9 @@
 	if !ok {
 		return StoreCopy{}, errors.Wrap(ErrNoSnapshotPeer, name)
 	}
+	limits := toucanwait.TransferLimits{Begin: snapshotStallTimeout, Stall: snapshotStallTimeout, Total: maxSnapshotTime}
+	ctx, progress, cancel := toucanwait.WithProgress(ctx, limits)
+	defer cancel()
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
@@ -102,7 +103,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	s := &Snapshot{}
-	received := &countingReader{r: conn}
+	received := &progressReader{r: conn, progress: progress}
 	if err := (protodelim.UnmarshalOptions{MaxSize: maxSnapshotBytes}).UnmarshalFrom(bufio.NewReader(received), s); err != nil {
 		return StoreCopy{}, errors.Wrapf(err, "fetch snapshot from %s: %d bytes received", name, received.n)
 	}
@@ -113,15 +114,50 @@
 	return StoreCopy{Values: values, Era: s.GetEra()}, nil
 }
 
-// countingReader counts the bytes read from r.
-type countingReader struct {
-	r io.Reader
-	n int
+// progressReader reads from r, counts the bytes and calls progress at each part.
+type progressReader struct {
+	r        io.Reader
+	n        int
+	progress func()
 }
 
 // Read implements io.Reader.
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n += n
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 {
+		p.n += n
+		p.progress()
+	}
 	return n, err
 }
+
+// partWriter writes to conn in parts, each within snapshotStallTimeout.
+type partWriter struct {
+	conn net.Conn
+	// until is when the last part must have been written.
+	until time.Time
+}
+
+// Write implements io.Writer.
+func (p *partWriter) Write(b []byte) (int, error) {
+	written := 0
+	for part := range slices.Chunk(b, snapshotPart) {
+		if err := p.conn.SetWriteDeadline(p.nextDeadline()); err != nil {
+			return written, err
+		}
+		n, err := p.conn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+func (p *partWriter) nextDeadline() time.Time {
+	stall := time.Now().Add(snapshotStallTimeout)
+	if p.until.Before(stall) {
+		return p.until
+	}
+	return stall
+}
