Do not read unchanged large settings again to verify the copy

Callers at entries on slow links wait behind control traffic: verifying a copy with settings of 1 MB fills a link of 10 Mbit/s for 1.1 s, and since the read takes longer than the entries' due times differ, several entries begin one together.

Cause: the settings were transferred to learn that they had not changed.

Held values are trusted only in their own era and if this entry read them from the store itself, not from a peer, whose settings can carry a revision of an earlier era. Settings below 16 KiB are read as before, in one call.

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -38,13 +38,31 @@
 // Source is the part of the store that is copied. Its calls end when the store is silent or a reply stalls. They call
 // arriving each time that a part of a reply has arrived.
 type Source interface {
-	// Snapshot returns all values, and a position from which Changes continues without missing a change.
-	Snapshot(ctx context.Context, arriving func()) ([]toucanstore.Value, Position, error)
+	// Snapshot returns all values, and a position from which Changes continues without missing a change. It need not read a
+	// large value that held has and that has not changed.
+	Snapshot(ctx context.Context, held Held, arriving func()) ([]toucanstore.Value, Position, error)
 	// Changes waits for a limited time for changes after a position, and returns the position to continue from. The
 	// error is ErrHistoryLost if changes can be missing.
 	Changes(ctx context.Context, after Position, arriving func()) ([]Change, Position, error)
 }
 
+// LargeBody is the size in bytes from which a value is large. Snapshots that find it unchanged should not read it again.
+const LargeBody = 16 << 10
+
+// Held is the copy that a mirror has already read from the store.
+type Held struct {
+	// Values holds the values by key; it must not be modified. It is nil if the mirror has nothing that it read itself.
+	Values map[string]toucanstore.Value
+	// Era is the era of their revisions.
+	Era uint64
+}
+
+// Large returns the held value of a key if it is large and of an era.
+func (h Held) Large(key string, era uint64) (toucanstore.Value, bool) {
+	v, ok := h.Values[key]
+	return v, ok && h.Era == era && len(v.Body) >= LargeBody
+}
+
 // Origin is where a state was read from.
 type Origin string
 
@@ -96,6 +114,8 @@
 	// holds mu.
 	values    map[string]toucanstore.Value
 	valuesEra uint64
+	// borrowed is true while the values are those of a peer, whose revisions can be of an earlier era.
+	borrowed bool
 
 	// position is the position of the copy; zero if the next call must be for a snapshot.
 	position Position
@@ -103,7 +123,8 @@
 	lastPosition Position
 	// outageSince is when the store stopped answering; zero while it answers.
 	outageSince time.Time
-	// lastSnapshot is when the last snapshot was read from the store, and copyBytes its approximate size.
+	// lastSnapshot is when the last snapshot was read from the store, and copyBytes the approximate size of one while large
+	// values don't change.
 	lastSnapshot time.Time
 	copyBytes    int
 	// verifyAfter is how old the last snapshot of this process and its peers may become before the next one.
@@ -286,7 +307,7 @@
 }
 
 func (m *Mirror) snapshot(ctx context.Context, apply func(State)) error {
-	values, position, err := m.source.Snapshot(ctx, m.onAnswer)
+	values, position, err := m.source.Snapshot(ctx, m.held(), m.onAnswer)
 	if err != nil {
 		return err
 	}
@@ -295,6 +316,7 @@
 		m.recordOmitted(values)
 	}
 	removed := m.replace(values, position.Era)
+	m.borrowed = false
 	m.position, m.lastPosition, m.lastSnapshot = position, position, time.Now()
 	m.verifyNext, m.copyBytes = false, snapshotBytes(values)
 	m.scheduleVerify()
@@ -303,6 +325,14 @@
 	return nil
 }
 
+// held returns what the mirror has read from the store.
+func (m *Mirror) held() Held {
+	if m.borrowed {
+		return Held{}
+	}
+	return Held{Values: m.values, Era: m.valuesEra}
+}
+
 // replace replaces the copy by values of an era and returns the keys that were removed.
 func (m *Mirror) replace(values []toucanstore.Value, era uint64) []string {
 	next := make(map[string]toucanstore.Value, len(values))
@@ -340,5 +370,6 @@
 		m.lastPosition = Position{Era: era}
 	}
 	removed := m.replace(values, era)
+	m.borrowed = true
 	apply(State{Values: m.values, Removed: removed, Restored: restored, Origin: OriginPeer})
 }
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -62,7 +62,7 @@
 	change(f)
 }
 
-func (f *fakeSource) Snapshot(context.Context, func()) ([]toucanstore.Value, Position, error) {
+func (f *fakeSource) Snapshot(context.Context, Held, func()) ([]toucanstore.Value, Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snapshots++
--- a/toucanmirror/verify.go
+++ b/toucanmirror/verify.go
@@ -70,11 +70,14 @@
 	m.verifyAfter = interval + rand.N(time.Duration(verifyJitter*float64(interval)))
 }
 
-// snapshotBytes returns the approximate size of a reply with these values.
+// snapshotBytes returns the approximate size of a snapshot that has these values, of which large ones are not read.
 func snapshotBytes(values []toucanstore.Value) int {
 	n := 0
 	for _, v := range values {
-		n += len(v.Key) + int(encodedBody*float64(len(v.Body))) + valueOverhead
+		n += len(v.Key) + valueOverhead
+		if len(v.Body) < LargeBody {
+			n += int(encodedBody * float64(len(v.Body)))
+		}
 	}
 	return n
 }
