Leave out of a peer's copy what the reader already has

Callers of an entry that the store turns away, and of the peers that it asks, waited behind copies with unchanged large settings on links of 10 Mbit/s.

Cause: the copy of a peer was read whole after each failed call to the store. Contents are compared, not revisions, because the settings in force can carry a revision of an earlier era. A reader that sends nothing within 0.2 s (of an earlier version) gets everything; an entry of an earlier version that is asked closes with the request unread, so that a copy can be lost while a roll and a partial outage coincide, and the next read asks another peer.

--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -44,6 +44,7 @@
 	MsgStoreRegained      = "store regained"
 	MsgStoreReplySlow     = "reply of the store arrived slowly"
 	MsgWatchReplaced      = "watch replaced by a complete read"
+	MsgWholeCopySent      = "peer did not say what it has, sending the whole copy"
 	MsgWatchOmitted       = "watch left out changes of the store"
 
 	// Events of the process itself.
--- a/toucanpeer/snapshot_test.go
+++ b/toucanpeer/snapshot_test.go
@@ -1,6 +1,7 @@
 package toucanpeer
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -8,9 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protodelim"
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanlogtest"
+	"toucanport/toucanmirror"
 	"toucanport/toucanstore"
 )
 
@@ -20,7 +23,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := &Mesh{log: (&toucanlogtest.Log{}).Logger()}
 		near, far := net.Pipe()
-		go m.sendSnapshot(near, StoreCopy{Values: []toucanstore.Value{{Key: "k", Body: bytes.Repeat([]byte("x"), size)}}})
+		go m.answerSnapshot(near, StoreCopy{Values: []toucanstore.Value{{Key: "k", Body: bytes.Repeat([]byte("x"), size)}}})
+		assert.NilError(t, sendRequest(far, &SnapshotRequest{}))
 		buf := make([]byte, readSize)
 		received := 0
 		for {
@@ -35,3 +39,41 @@
 		assert.Assert(t, received > size, "%d bytes", received)
 	})
 }
+
+// TestSnapshotLeavesOutWhatPeerHolds checks that a large value is sent only to a peer that has another one or none, also to a
+// peer that does not say what it has.
+func TestSnapshotLeavesOutWhatPeerHolds(t *testing.T) {
+	large := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("x"), toucanmirror.LargeBody), Revision: 9}
+	older := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("y"), toucanmirror.LargeBody), Revision: 9}
+	offered := StoreCopy{Values: []toucanstore.Value{large, {Key: "s", Body: []byte("small"), Revision: 8}}, Era: 2}
+	for _, tc := range []struct {
+		name  string
+		held  []toucanstore.Value
+		whole bool
+	}{
+		{"none", nil, true},
+		{"other body at the same revision", []toucanstore.Value{older}, true},
+		{"same body at another revision", []toucanstore.Value{{Key: "k", Body: large.Body, Revision: 3}}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			near, far := net.Pipe()
+			go (&Mesh{log: (&toucanlogtest.Log{}).Logger()}).answerSnapshot(near, offered)
+			received := &progressReader{r: far, progress: func() {}}
+			got, err := receiveSnapshot(far, received, tc.held)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, offered)
+			assert.Equal(t, received.n > toucanmirror.LargeBody, tc.whole)
+		})
+	}
+	t.Run("silent peer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			go (&Mesh{log: (&toucanlogtest.Log{}).Logger()}).answerSnapshot(near, offered)
+			s := &Snapshot{}
+			assert.NilError(t, protodelim.UnmarshalFrom(bufio.NewReader(far), s))
+			got, err := copyOf(s, nil)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, offered)
+		})
+	})
+}
--- a/toucanpeer/state_test.go
+++ b/toucanpeer/state_test.go
@@ -233,7 +233,7 @@
 	go bm.ServeSnapshots(func() StoreCopy { return StoreCopy{Values: values, Era: 2} })
 	b.SetSettings(3)
 	eventually(t, func() bool {
-		got, err := am.FetchSnapshot(t.Context())
+		got, err := am.FetchSnapshot(t.Context(), nil)
 		if err != nil || got.Era != 2 || len(got.Values) != 1 {
 			return false
 		}
@@ -252,7 +252,7 @@
 	b.SetStoreDown(true)
 	b.SetStoreDown(false)
 	eventually(t, func() bool {
-		_, err := am.FetchSnapshot(t.Context())
+		_, err := am.FetchSnapshot(t.Context(), nil)
 		return errors.Is(err, ErrNoSnapshotPeer)
 	})
 	assert.Equal(t, strings.ReplaceAll(aLog.Next(t, 1), peers["b"].String(), "b's"), "INFO peer joined: address=b's peer=b\n")
