--- a/toucanlisting/client_test.go
+++ b/toucanlisting/client_test.go
@@ -1,7 +1,9 @@
 package toucanlisting_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanfakemember"
+	"toucanport/toucanfakenet"
 	"toucanport/toucanlisting"
 	"toucanport/toucanmember"
 )
@@ -62,3 +65,23 @@
 		synctest.Wait()
 	})
 }
+
+// TestLongListArrivesOverSlowLink checks that a list of many instances is read whole although it takes seconds to arrive.
+func TestLongListArrivesOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bytesPerSecond = 64 << 10
+		link := toucanfakenet.NewRateLimit(bytesPerSecond)
+		body := append(bytes.Repeat([]byte(" "), 4*bytesPerSecond), `{"instances":[]}`...)
+		client := toucanlisting.New("http://10.0.0.3:80", toucanlisting.WithTransport(roundTripFunc(func(r *http.Request) (*http.Response, error) {
+			return link.Throttle(r, &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body))}), nil
+		})))
+		_, changed, err := client.Poll(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, changed)
+	})
+}
+
+// roundTripFunc adapts a function to http.RoundTripper.
+type roundTripFunc func(*http.Request) (*http.Response, error)
+
+func (f roundTripFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- /dev/null
+++ b/toucanstore/client_test.go
@@ -0,0 +1,37 @@
+package toucanstore
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanfakenet"
+)
+
+// slowTransport answers each call with a body that arrives over a slow link.
+type slowTransport struct {
+	link *toucanfakenet.RateLimit
+	body []byte
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *slowTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(s.body))}
+	return s.link.Throttle(r, resp), nil
+}
+
+// TestLongListArrivesOverSlowLink checks that a list that takes ten times the timeout of a call is read whole.
+func TestLongListArrivesOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bytesPerSecond = 1 << 20
+		body := append(bytes.Repeat([]byte(" "), 10*bytesPerSecond), "[]"...)
+		c := NewClient("http://store.example", WithTimeout(time.Second), WithTransport(&slowTransport{link: toucanfakenet.NewRateLimit(bytesPerSecond), body: body}))
+		_, err := c.List(t.Context(), "documents/")
+		assert.NilError(t, err)
+	})
+}
