Limit replies of the store's and the list's clients by their progress

Entries and sidecars of the product's own path could not read a long list over a slow link, and asked for it again from the first byte: the shard of a ledger at the start, all settings documents, the instance list of thousands.

Change: the timeout bounds the first byte and the time between two parts, and 30 s the whole. toucanwait.Reader reports the progress for both clients and for copies of peers.

--- a/toucanlisting/client.go
+++ b/toucanlisting/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanmember"
+	"toucanport/toucanwait"
 )
 
 // Path is the URL path of the list.
@@ -30,9 +31,12 @@
 	defaultInterval = 1600 * time.Millisecond
 	// jitterPercent is the maximum deviation from the mean interval. It spreads the polls of instances that started
 	// at the same time.
-	jitterPercent  = 25
+	jitterPercent = 25
+	// requestTimeout limits the time until a list begins to arrive, and the time between two of its parts.
 	requestTimeout = 2 * time.Second
-	maxListBytes   = 4 << 20
+	// maxTransferTime limits the time in which a list arrives, whatever its size.
+	maxTransferTime = 30 * time.Second
+	maxListBytes    = 4 << 20
 )
 
 // Client polls the list. It must be used by one goroutine at a time.
@@ -55,7 +59,7 @@
 
 // New returns a client of the list at the URL base, such as http://127.0.0.1:8600.
 func New(base string, opts ...Option) *Client {
-	c := &Client{url: base + Path, http: &http.Client{Timeout: requestTimeout}, interval: defaultInterval}
+	c := &Client{url: base + Path, http: &http.Client{}, interval: defaultInterval}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -65,6 +69,9 @@
 // Poll requests the list once. It returns false when the list has not changed since the last successful poll. All errors
 // wrap ErrUnavailable.
 func (c *Client) Poll(ctx context.Context) ([]toucanmember.Listed, bool, error) {
+	limits := toucanwait.TransferLimits{Begin: requestTimeout, Stall: requestTimeout, Total: maxTransferTime}
+	ctx, progress, cancel := toucanwait.WithProgress(ctx, limits)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return nil, false, errors.Wrap(ErrUnavailable, err.Error())
@@ -84,7 +91,8 @@
 		return nil, false, errors.Wrap(ErrUnavailable, resp.Status)
 	}
 	var list List
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxListBytes)).Decode(&list); err != nil {
+	body := toucanwait.NewReader(http.MaxBytesReader(nil, resp.Body, maxListBytes), progress)
+	if err := json.NewDecoder(body).Decode(&list); err != nil {
 		return nil, false, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	c.etag = resp.Header.Get("Etag")
--- a/toucanpeer/snapshot.go
+++ b/toucanpeer/snapshot.go
@@ -179,9 +179,9 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	received := &progressReader{r: conn, progress: progress}
+	received := toucanwait.NewReader(conn, progress)
 	c, err := receiveSnapshot(conn, received, held)
-	return c, errors.Wrapf(err, "fetch snapshot from %s: %d bytes received", name, received.n)
+	return c, errors.Wrapf(err, "fetch snapshot from %s: %d bytes received", name, received.Bytes())
 }
 
 // sendRequest sends a request in one packet.
@@ -205,23 +205,6 @@
 	return copyOf(s, held)
 }
 
-// progressReader reads from r, counts the bytes and calls progress at each part.
-type progressReader struct {
-	r        io.Reader
-	n        int
-	progress func()
-}
-
-// Read implements io.Reader.
-func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.r.Read(b)
-	if n > 0 {
-		p.n += n
-		p.progress()
-	}
-	return n, err
-}
-
 // partWriter writes to conn in parts, each within snapshotStallTimeout.
 type partWriter struct {
 	conn net.Conn
--- a/toucanpeer/snapshot_test.go
+++ b/toucanpeer/snapshot_test.go
@@ -15,6 +15,7 @@
 	"toucanport/toucanlogtest"
 	"toucanport/toucanmirror"
 	"toucanport/toucanstore"
+	"toucanport/toucanwait"
 )
 
 // TestSnapshotReachesPeerOverSlowLink checks that a copy is sent whole to a peer that reads 500 kB a second.
@@ -58,11 +59,11 @@
 		t.Run(tc.name, func(t *testing.T) {
 			near, far := net.Pipe()
 			go (&Mesh{log: (&toucanlogtest.Log{}).Logger()}).answerSnapshot(near, offered)
-			received := &progressReader{r: far, progress: func() {}}
+			received := toucanwait.NewReader(far, func() {})
 			got, err := receiveSnapshot(far, received, tc.held)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, got, offered)
-			assert.Equal(t, received.n > toucanmirror.LargeBody, tc.whole)
+			assert.Equal(t, received.Bytes() > toucanmirror.LargeBody, tc.whole)
 		})
 	}
 	t.Run("silent peer", func(t *testing.T) {
--- a/toucanstore/client.go
+++ b/toucanstore/client.go
@@ -19,6 +19,8 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
+
+	"toucanport/toucanwait"
 )
 
 // Default limits of a client.
@@ -29,6 +31,8 @@
 	defaultTimeout         = 2 * time.Second
 	firstBackoff           = 20 * time.Millisecond
 	maxBackoff             = time.Second
+	// maxTransferTime limits the time in which a reply arrives after its first byte, whatever its size.
+	maxTransferTime = 30 * time.Second
 )
 
 // Counts are the numbers of calls that a client has sent, each attempt counted. A watch counts once, however long
@@ -78,7 +82,8 @@
 	return func(c *Client) { c.tries = n }
 }
 
-// WithTimeout bounds the duration of one attempt. For a watch, the waiting time is added.
+// WithTimeout bounds the time until the reply to an attempt begins to arrive, and the time between two of its parts. For a
+// watch, the waiting time is added to the first.
 func WithTimeout(d time.Duration) Option {
 	return func(c *Client) { c.timeout = d }
 }
@@ -142,7 +147,7 @@
 func (c *Client) sharedRead(ctx context.Context, verb, key, query string) ([]Value, error) {
 	flight := fmt.Sprintf("%s %s %d", verb, key, c.writeEpoch.Load())
 	ch := c.flights.DoChan(flight, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout*time.Duration(c.tries))
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), (c.timeout+maxTransferTime)*time.Duration(c.tries))
 		defer cancel()
 		return c.read(ctx, verb, key, query)
 	})
@@ -327,7 +332,8 @@
 	if err := c.limiter(cl).Wait(ctx); err != nil {
 		return reply{}, errors.Wrapf(ErrUnavailable, "%s: budget of calls: %v", cl.verb, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
+	limits := toucanwait.TransferLimits{Begin: cl.timeout, Stall: c.timeout, Total: cl.timeout + maxTransferTime}
+	ctx, progress, cancel := toucanwait.WithProgress(ctx, limits)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, cl.method, c.base+cl.path, bytes.NewReader(cl.body))
 	if err != nil {
@@ -343,7 +349,7 @@
 		return reply{}, noReplyError(cl, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(toucanwait.NewReader(resp.Body, progress))
 	if err != nil {
 		return reply{}, noReplyError(cl, err)
 	}
--- a/toucanwait/progress.go
+++ b/toucanwait/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,3 +35,27 @@
 	}
 	return ctx, progress, cancel
 }
+
+// Reader reads from another reader, counts the bytes and reports progress at each part. It must be used by one goroutine at a
+// time.
+type Reader struct {
+	r        io.Reader
+	progress func()
+	n        int
+}
+
+// NewReader returns a reader of r that calls progress at each part.
+func NewReader(r io.Reader, progress func()) *Reader { return &Reader{r: r, progress: progress} }
+
+// Read implements io.Reader.
+func (p *Reader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 {
+		p.n += n
+		p.progress()
+	}
+	return n, err
+}
+
+// Bytes returns the number of bytes that were read.
+func (p *Reader) Bytes() int { return p.n }
