--- a/toucanpeer/snapshot_test.go
+++ b/toucancopy/copy_test.go
@@ -1,4 +1,4 @@
-package toucanpeer
+package toucancopy
 
 import (
 	"bufio"
@@ -18,14 +18,13 @@
 	"toucanport/toucanwait"
 )
 
-// TestSnapshotReachesPeerOverSlowLink checks that a copy is sent whole to a peer that reads 500 kB a second.
-func TestSnapshotReachesPeerOverSlowLink(t *testing.T) {
+// TestCopyReachesReaderOverSlowLink checks that a copy is sent whole to a reader that reads 500 kB a second.
+func TestCopyReachesReaderOverSlowLink(t *testing.T) {
 	const size, readSize, readPause = 2 << 20, 50_000, 100 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		m := &Mesh{log: (&toucanlogtest.Log{}).Logger()}
 		near, far := net.Pipe()
-		go m.answerSnapshot(near, StoreCopy{Values: []toucanstore.Value{{Key: "k", Body: bytes.Repeat([]byte("x"), size)}}})
-		assert.NilError(t, sendRequest(far, &SnapshotRequest{}))
+		go answer(near, (&toucanlogtest.Log{}).Logger(), Copy{Values: []toucanstore.Value{{Key: "k", Body: bytes.Repeat([]byte("x"), size)}}})
+		assert.NilError(t, sendRequest(far, &Request{}))
 		buf := make([]byte, readSize)
 		received := 0
 		for {
@@ -41,12 +40,12 @@
 	})
 }
 
-// TestSnapshotLeavesOutWhatPeerHolds checks that a large value is sent only to a peer that has another one or none, also to a
-// peer that does not say what it has.
-func TestSnapshotLeavesOutWhatPeerHolds(t *testing.T) {
+// TestCopyLeavesOutWhatReaderHolds checks that a large value is sent only to a reader that has another one or none, also to a
+// reader that does not say what it has.
+func TestCopyLeavesOutWhatReaderHolds(t *testing.T) {
 	large := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("x"), toucanmirror.LargeBody), Revision: 9}
 	older := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("y"), toucanmirror.LargeBody), Revision: 9}
-	offered := StoreCopy{Values: []toucanstore.Value{large, {Key: "s", Body: []byte("small"), Revision: 8}}, Era: 2}
+	offered := Copy{Values: []toucanstore.Value{large, {Key: "s", Body: []byte("small"), Revision: 8}}, Era: 2}
 	for _, tc := range []struct {
 		name  string
 		held  []toucanstore.Value
@@ -58,19 +57,19 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			near, far := net.Pipe()
-			go (&Mesh{log: (&toucanlogtest.Log{}).Logger()}).answerSnapshot(near, offered)
+			go answer(near, (&toucanlogtest.Log{}).Logger(), offered)
 			received := toucanwait.NewReader(far, func() {})
-			got, err := receiveSnapshot(far, received, tc.held)
+			got, err := receive(far, received, tc.held)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, got, offered)
 			assert.Equal(t, received.Bytes() > toucanmirror.LargeBody, tc.whole)
 		})
 	}
-	t.Run("silent peer", func(t *testing.T) {
+	t.Run("silent reader", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			near, far := net.Pipe()
-			go (&Mesh{log: (&toucanlogtest.Log{}).Logger()}).answerSnapshot(near, offered)
-			s := &Snapshot{}
+			go answer(near, (&toucanlogtest.Log{}).Logger(), offered)
+			s := &Message{}
 			assert.NilError(t, protodelim.UnmarshalFrom(bufio.NewReader(far), s))
 			got, err := copyOf(s, nil)
 			assert.NilError(t, err)
--- a/toucanpeer/state_test.go
+++ b/toucanpeer/state_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucancopy"
 	"toucanport/toucanlogtest"
 	"toucanport/toucanmoveorder"
 	"toucanport/toucanplace"
@@ -230,7 +231,7 @@
 	})
 	// An entry without the store fetches a snapshot from a peer.
 	values := []toucanstore.Value{{Key: "op/x", Body: []byte("body"), Revision: 7}}
-	go bm.ServeSnapshots(func() StoreCopy { return StoreCopy{Values: values, Era: 2} })
+	go bm.ServeSnapshots(func() toucancopy.Copy { return toucancopy.Copy{Values: values, Era: 2} })
 	b.SetSettings(3)
 	eventually(t, func() bool {
 		got, err := am.FetchSnapshot(t.Context(), nil)
