--- a/toucantraffic/table.go
+++ b/toucantraffic/table.go
@@ -3,6 +3,7 @@
 package toucantraffic
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -163,7 +164,7 @@
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, rs := range t.byHost {
-		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
+		slices.SortStableFunc(rs, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, s := range services {
 		t.services[s.Name] = s
