--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -49,6 +49,7 @@
 
 	// Events of the process itself.
 
+	MsgConditionalRefused  = "store refuses conditional reads, reading large settings whole"
 	MsgCopyNotDropped      = "copy not dropped"
 	MsgUnlisted            = "entry may no longer be listed for its peers"
 	MsgStaysListed         = "entry stays listed until its lease ends"
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -307,7 +307,8 @@
 }
 
 func (m *Mirror) snapshot(ctx context.Context, apply func(State)) error {
-	values, position, err := m.source.Snapshot(ctx, m.held(), m.onAnswer)
+	held := m.held()
+	values, position, err := m.source.Snapshot(ctx, held, m.onAnswer)
 	if err != nil {
 		return err
 	}
@@ -318,7 +319,7 @@
 	removed := m.replace(values, position.Era)
 	m.borrowed = false
 	m.position, m.lastPosition, m.lastSnapshot = position, position, time.Now()
-	m.verifyNext, m.copyBytes = false, snapshotBytes(values)
+	m.verifyNext, m.copyBytes = false, snapshotBytes(values, held)
 	m.scheduleVerify()
 	m.onSnapshot()
 	apply(State{Values: m.values, Removed: removed, Resumed: m.recordAnswer(), Restored: restored, Origin: OriginSnapshot})
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -376,3 +376,25 @@
 	assert.Equal(t, len(states), 2)
 	assert.Assert(t, states[0].Restored && !states[1].Restored)
 }
+
+// TestLargeValuesCountOnlyIfReadAgain checks what the size of a snapshot is taken to be, which bounds how often it is read.
+func TestLargeValuesCountOnlyIfReadAgain(t *testing.T) {
+	large := toucanstore.Value{Key: "k", Body: make([]byte, LargeBody), Revision: 3}
+	again := toucanstore.Value{Key: "k", Body: make([]byte, LargeBody), Revision: 3}
+	changed := toucanstore.Value{Key: "k", Body: make([]byte, LargeBody), Revision: 4}
+	held := Held{Values: map[string]toucanstore.Value{"k": large}}
+	for _, tc := range []struct {
+		name   string
+		value  toucanstore.Value
+		held   Held
+		counts bool
+	}{
+		{"first read", large, Held{}, false},
+		{"not read again", large, held, false},
+		{"read again", again, held, true},
+		{"changed", changed, held, false},
+	} {
+		n := snapshotBytes([]toucanstore.Value{tc.value}, tc.held)
+		assert.Equal(t, n >= LargeBody, tc.counts, tc.name)
+	}
+}
--- a/toucanmirror/verify.go
+++ b/toucanmirror/verify.go
@@ -70,18 +70,25 @@
 	m.verifyAfter = interval + rand.N(time.Duration(verifyJitter*float64(interval)))
 }
 
-// snapshotBytes returns the approximate size of a snapshot that has these values, of which large ones are not read.
-func snapshotBytes(values []toucanstore.Value) int {
+// snapshotBytes returns the approximate size of a snapshot that has these values while nothing changes. A large value counts only
+// if the source read it again although it is the one that was held.
+func snapshotBytes(values []toucanstore.Value, held Held) int {
 	n := 0
 	for _, v := range values {
 		n += len(v.Key) + valueOverhead
-		if len(v.Body) < LargeBody {
+		if len(v.Body) < LargeBody || readAgain(v, held) {
 			n += int(encodedBody * float64(len(v.Body)))
 		}
 	}
 	return n
 }
 
+// readAgain reports whether a large value is the held one in a body of its own.
+func readAgain(v toucanstore.Value, held Held) bool {
+	h, ok := held.Values[v.Key]
+	return ok && h.Revision == v.Revision && len(h.Body) == len(v.Body) && &h.Body[0] != &v.Body[0]
+}
+
 // lacksVersion reports whether a peer has a version of the settings that this process lacks, although the last step
 // should have read it. It is true once for each version, so that a version that the store has lost causes one snapshot.
 func (m *Mirror) lacksVersion() bool {
