--- a/toucanfakenet/ratelimit.go
+++ b/toucanfakenet/downlink.go
@@ -8,12 +8,12 @@
 	"time"
 )
 
-// partBytes is the number of bytes that arrive together over a RateLimit.
+// partBytes is the number of bytes that arrive together over a Downlink.
 const partBytes = 16 << 10
 
-// RateLimit is the rate of an instance's own network link, which all replies to the instance share. The zero value has no
+// Downlink is the receiving side of an instance's network link, whose rate all replies to the instance share. The zero value has no
 // bound. It is safe for concurrent use.
-type RateLimit struct {
+type Downlink struct {
 	mu             sync.Mutex
 	bytesPerSecond int
 	// free is when all that was put on the link has arrived.
@@ -21,25 +21,25 @@
 	received int
 }
 
-// NewRateLimit returns a link with a rate.
-func NewRateLimit(bytesPerSecond int) *RateLimit { return &RateLimit{bytesPerSecond: bytesPerSecond} }
+// NewDownlink returns a link with a rate.
+func NewDownlink(bytesPerSecond int) *Downlink { return &Downlink{bytesPerSecond: bytesPerSecond} }
 
 // PartTime returns the time between two parts of a reply that has the link for itself.
-func (l *RateLimit) PartTime() time.Duration {
+func (l *Downlink) PartTime() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.duration(partBytes)
 }
 
 // SetRate sets the rate; zero for no bound.
-func (l *RateLimit) SetRate(bytesPerSecond int) {
+func (l *Downlink) SetRate(bytesPerSecond int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.bytesPerSecond = bytesPerSecond
 }
 
 // TakeReceived returns the number of bytes that were received since the last call.
-func (l *RateLimit) TakeReceived() int {
+func (l *Downlink) TakeReceived() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.received
@@ -48,7 +48,7 @@
 }
 
 // Receive waits until n bytes have arrived, or until ctx ends, with its cause as the error.
-func (l *RateLimit) Receive(ctx context.Context, n int) error {
+func (l *Downlink) Receive(ctx context.Context, n int) error {
 	for ; n > 0; n -= partBytes {
 		arrival := time.NewTimer(l.reserve(min(n, partBytes)))
 		select {
@@ -62,13 +62,13 @@
 }
 
 // Throttle makes the body of a reply arrive over the link.
-func (l *RateLimit) Throttle(r *http.Request, resp *http.Response) *http.Response {
+func (l *Downlink) Throttle(r *http.Request, resp *http.Response) *http.Response {
 	resp.Body = &throttledBody{ReadCloser: resp.Body, ctx: r.Context(), link: l}
 	return resp
 }
 
 // reserve puts n bytes on the link and returns the time until they have arrived.
-func (l *RateLimit) reserve(n int) time.Duration {
+func (l *Downlink) reserve(n int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.received += n
@@ -81,7 +81,7 @@
 }
 
 // duration returns how long n bytes take. The caller holds l.mu.
-func (l *RateLimit) duration(n int) time.Duration {
+func (l *Downlink) duration(n int) time.Duration {
 	if l.bytesPerSecond == 0 {
 		return 0
 	}
@@ -92,7 +92,7 @@
 type throttledBody struct {
 	io.ReadCloser
 	ctx  context.Context
-	link *RateLimit
+	link *Downlink
 }
 
 // Read implements io.Reader.
--- a/toucanlisting/client_test.go
+++ b/toucanlisting/client_test.go
@@ -70,7 +70,7 @@
 func TestLongListArrivesOverSlowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const bytesPerSecond = 64 << 10
-		link := toucanfakenet.NewRateLimit(bytesPerSecond)
+		link := toucanfakenet.NewDownlink(bytesPerSecond)
 		body := append(bytes.Repeat([]byte(" "), 4*bytesPerSecond), `{"instances":[]}`...)
 		client := toucanlisting.New("http://10.0.0.3:80", toucanlisting.WithTransport(roundTripFunc(func(r *http.Request) (*http.Response, error) {
 			return link.Throttle(r, &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body))}), nil
--- a/toucanstore/client_test.go
+++ b/toucanstore/client_test.go
@@ -15,7 +15,7 @@
 
 // slowTransport answers each call with a body that arrives over a slow link.
 type slowTransport struct {
-	link *toucanfakenet.RateLimit
+	link *toucanfakenet.Downlink
 	body []byte
 }
 
@@ -30,7 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const bytesPerSecond = 1 << 20
 		body := append(bytes.Repeat([]byte(" "), 10*bytesPerSecond), "[]"...)
-		c := NewClient("http://store.example", WithTimeout(time.Second), WithTransport(&slowTransport{link: toucanfakenet.NewRateLimit(bytesPerSecond), body: body}))
+		c := NewClient("http://store.example", WithTimeout(time.Second), WithTransport(&slowTransport{link: toucanfakenet.NewDownlink(bytesPerSecond), body: body}))
 		_, err := c.List(t.Context(), "documents/")
 		assert.NilError(t, err)
 	})
