Call the store again while a peer's copy arrives

An entry that the store turned away read a peer's copy and called the store in turn. Since copies are limited by their progress, a large one over a slow link can take seconds, and the store's return was noticed only after it: callers would be answered by old settings meanwhile. Found in reading. The read now runs beside the calls, its copy is used when it arrives during the outage, and the store's return ends it.

The test of eras reads through the same functions as before, which now have two steps. The scripts of entries that are turned away pass unchanged.

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -15,7 +15,6 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanstore"
-	"toucanport/toucanwait"
 )
 
 // ErrHistoryLost is returned by a Source that no longer has all changes since the given revision.
@@ -151,6 +150,8 @@
 	// readPeer returns a peer's copy during an outage, and its era; nil if there is no such source. It ends when the peer is
 	// silent.
 	readPeer func(ctx context.Context) ([]toucanstore.Value, uint64, error)
+	// peerRead is the read of a peer's copy that is under way; nil if there is none.
+	peerRead *peerRead
 	wake     chan struct{}
 	// startedAt is when the mirror was created, and lastAnswer the time from then to the last answer of the source, in
 	// nanoseconds; zero if it never answered. A difference is stored because the wall clock can jump.
@@ -248,11 +249,9 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			wait = m.recordFailure(err)
-			m.readFromPeer(ctx, apply)
-		}
-		if wait > 0 {
-			toucanwait.Signal(ctx, m.wake, wait)
+			m.beginPeerRead(ctx)
 		}
+		m.pause(ctx, wait, apply)
 	}
 }
 
@@ -351,26 +350,3 @@
 	m.values, m.valuesEra = next, era
 	return removed
 }
-
-// readFromPeer replaces the copy by that of a peer during an outage of the store. A copy of an earlier era is ignored.
-func (m *Mirror) readFromPeer(ctx context.Context, apply func(State)) {
-	if m.readPeer == nil || m.outageSince.IsZero() {
-		return
-	}
-	values, era, err := m.readPeer(ctx)
-	if err != nil {
-		// The mirror keeps its values.
-		m.log.Info(toucanlog.MsgNoPeerSnapshot, toucanlog.Cause, err.Error())
-		return
-	}
-	if len(values) == 0 || era < m.lastPosition.Era {
-		return
-	}
-	restored := m.lastPosition != (Position{}) && era > m.lastPosition.Era
-	if restored {
-		m.lastPosition = Position{Era: era}
-	}
-	removed := m.replace(values, era)
-	m.borrowed = true
-	apply(State{Values: m.values, Removed: removed, Restored: restored, Origin: OriginPeer})
-}
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -108,7 +108,7 @@
 
 // runMirror runs a mirror of f during body in a synctest bubble, and returns the log. body gets a function that returns
 // a key's value in the mirror's last state.
-func runMirror(t *testing.T, f *fakeSource, body func(seen func(string) string)) string {
+func runMirror(t *testing.T, f *fakeSource, body func(seen func(string) string), opts ...Option) string {
 	log := &toucanlogtest.Log{}
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
@@ -117,7 +117,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			New(f, log.Logger()).Run(ctx, func(s State) {
+			New(f, log.Logger(), opts...).Run(ctx, func(s State) {
 				mu.Lock()
 				defer mu.Unlock()
 				held = make(map[string]string)
@@ -368,7 +368,12 @@
 	m.outageSince = time.Now()
 	m.lastPosition = Position{Era: 1, Revision: 9}
 	var states []State
-	read := func() { m.readFromPeer(t.Context(), func(s State) { states = append(states, s) }) }
+	read := func() {
+		m.beginPeerRead(t.Context())
+		c := <-m.peerRead.result
+		m.endPeerRead()
+		m.usePeerCopy(c, func(s State) { states = append(states, s) })
+	}
 	read()
 	read()
 	era = 1
@@ -398,3 +403,26 @@
 		assert.Equal(t, n >= LargeBody, tc.counts, tc.name)
 	}
 }
+
+// TestStoreIsReadAgainWhilePeerCopyArrives checks that a peer's copy that takes long to arrive does not delay the return to the
+// store, and is not used after it.
+func TestStoreIsReadAgainWhilePeerCopyArrives(t *testing.T) {
+	f := newFakeSource()
+	f.unavailable = true
+	readPeer := func(ctx context.Context) ([]toucanstore.Value, uint64, error) {
+		select {
+		case <-time.After(10 * time.Second):
+		case <-ctx.Done():
+		}
+		return []toucanstore.Value{{Key: "a", Body: []byte("peer's"), Revision: 1}}, 0, nil
+	}
+	runMirror(t, f, func(seen func(string) string) {
+		time.Sleep(settleTime)
+		f.update(func(f *fakeSource) { f.unavailable = false })
+		f.write("a", "store's")
+		time.Sleep(settleTime)
+		assert.Equal(t, seen("a"), "store's")
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, seen("a"), "store's")
+	}, WithPeerSnapshot(readPeer))
+}
--- a/toucanmirror/record.go
+++ b/toucanmirror/record.go
@@ -73,6 +73,7 @@
 	}
 	m.log.Info(toucanlog.MsgStoreRegained, toucanlog.AwayMs, time.Since(m.outageSince).Milliseconds())
 	m.outageSince = time.Time{}
+	m.endPeerRead()
 	m.onOutage(false)
 	return true
 }
