See progress within long reads

Cause: progress was seen when a read returned, and the reader of a chunked HTTP reply returns only when its buffer is full or the chunk ends. Since the buffer doubles, so that at half a megabyte one read takes 0.8 s, longer than the 0.6 s after which a transfer counts as stalled: the log has 116 calls that ended 1.43 s after they began with some 900 of 956 kB, the first byte after 7 to 30 ms. Ruled out: the link and the store, which sent all the while.

Change: a Reader passes on at most 16 KiB at a time, so that what a caller asks for does not decide on what counts as progress. Test first: TestReaderSeesProgressWithinLargeReads found a stall, and passes now.

--- a/toucanwait/progress.go
+++ b/toucanwait/progress.go
@@ -36,6 +36,9 @@
 	return ctx, progress, cancel
 }
 
+// maxReadBytes bounds one read of a Reader. Some readers return only when they have filled the buffer.
+const maxReadBytes = 16 << 10
+
 // Reader reads from another reader, counts the bytes and reports progress at each part. It must be used by one goroutine at a
 // time.
 type Reader struct {
@@ -49,7 +52,7 @@
 
 // Read implements io.Reader.
 func (p *Reader) Read(b []byte) (int, error) {
-	n, err := p.r.Read(b)
+	n, err := p.r.Read(b[:min(len(b), maxReadBytes)])
 	if n > 0 {
 		p.n += n
 		p.progress()
--- a/toucanwait/progress_test.go
+++ b/toucanwait/progress_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +57,26 @@
 	cancel()
 	assert.Assert(t, !errors.Is(context.Cause(ctx), ErrNoProgress))
 }
+
+// fillingReader fills each buffer before it returns, at a rate, as the reader of a long HTTP chunk does.
+type fillingReader struct{ bytesPerSecond int }
+
+// Read implements io.Reader.
+func (f fillingReader) Read(p []byte) (int, error) {
+	time.Sleep(time.Duration(len(p)) * time.Second / time.Duration(f.bytesPerSecond))
+	return len(p), nil
+}
+
+// TestReaderSeesProgressWithinLargeReads checks that a read into a large buffer does not look like a stall while bytes arrive.
+func TestReaderSeesProgressWithinLargeReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bytesPerSecond = 100_000
+		ctx, progress, cancel := WithProgress(t.Context(), TransferLimits{Begin: time.Second, Stall: time.Second, Total: time.Hour})
+		defer cancel()
+		r := NewReader(fillingReader{bytesPerSecond}, progress)
+		buf := make([]byte, 10*bytesPerSecond)
+		_, err := io.ReadFull(r, buf)
+		assert.NilError(t, err)
+		assert.NilError(t, context.Cause(ctx))
+	})
+}
