Let two entries of a cell read the store, and the others follow what they share

Cause: each of n entries paused after a watch for an interval that grew with n. A watch ends for all waiting entries at the same moment, so that all paused together and nobody read. Ruled out: the store itself (4 ms an answer) and lost datagrams (what the first entry reported reached the others within some ms).

Change: entries are ranked among those that hear each other; ranks 0 and 1 read, at intervals that differ, and send the changes from one revision to another to their cell. The others apply them in the order of the store and call it only for what they miss. An entry that the store turns away follows too; a peer's copy carries its position. Calls of all entries run beside the batches that arrive.

TestCallIntervalGrowsWithPeers tested the old division; TestCallsByRank is as strict on the new one: a reader is held to its interval, any other process to no call but its first.

Streams are still cut: their targets have no memory.

--- a/toucancopy/copy.go
+++ b/toucancopy/copy.go
@@ -35,6 +35,8 @@
 	// Era counts how often the store had come back from an older copy when the values were read. Revisions of different
 	// eras are not comparable.
 	Era uint64
+	// Revision is the revision of the store up to which the copy has all changes; zero if it is unknown.
+	Revision uint64
 }
 
 // Serve sends the copy that read returns to each reader that connects, until the listener is closed. Each connection carries
--- a/toucancopy/message.go
+++ b/toucancopy/message.go
@@ -24,7 +24,7 @@
 	for _, d := range request.GetHeld() {
 		held[d.GetKey()] = d.GetSha256()
 	}
-	s := &Message{Items: make([]*Item, len(c.Values)), Era: c.Era}
+	s := &Message{Items: make([]*Item, len(c.Values)), Era: c.Era, Revision: c.Revision}
 	for i, v := range c.Values {
 		s.Items[i] = &Item{Key: v.Key, Revision: v.Revision}
 		if digest, ok := held[v.Key]; ok && bytes.Equal(digest, sum(v.Body)) {
@@ -38,7 +38,7 @@
 
 // copyOf returns the copy in a message, with the bodies that it leaves out taken from the held values.
 func copyOf(s *Message, held []toucanstore.Value) (Copy, error) {
-	c := Copy{Values: make([]toucanstore.Value, len(s.GetItems())), Era: s.GetEra()}
+	c := Copy{Values: make([]toucanstore.Value, len(s.GetItems())), Era: s.GetEra(), Revision: s.GetRevision()}
 	for i, it := range s.GetItems() {
 		c.Values[i] = toucanstore.Value{Key: it.GetKey(), Body: it.GetBody(), Revision: it.GetRevision()}
 		if !it.GetUnchanged() {
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -43,6 +43,7 @@
 	MsgStoreOlder         = "store came back from an older copy"
 	MsgStoreRegained      = "store regained"
 	MsgStoreReplySlow     = "reply of the store arrived slowly"
+	MsgBatchGap           = "changes before a shared batch are missing"
 	MsgWatchReplaced      = "watch replaced by a complete read"
 	MsgWholeCopySent      = "peer did not say what it has, sending the whole copy"
 	MsgWatchOmitted       = "watch left out changes of the store"
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -7,7 +7,6 @@
 	"errors"
 	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -48,9 +47,9 @@
 // LargeBody is the size in bytes from which a value is large. Snapshots that find it unchanged should not read it again.
 const LargeBody = 16 << 10
 
-// Held is the copy that a mirror has already read from the store.
+// Held is what a mirror has already read from the store and need not read again.
 type Held struct {
-	// Values holds the values by key; it must not be modified. It is nil if the mirror has nothing that it read itself.
+	// Values holds the large values by key; it must not be modified. It is nil if the mirror has nothing that it read itself.
 	Values map[string]toucanstore.Value
 	// Era is the era of their revisions.
 	Era uint64
@@ -69,17 +68,12 @@
 const (
 	OriginWatch    Origin = "watch"
 	OriginSnapshot Origin = "snapshot"
-	OriginPeer     Origin = "peer"
+	// OriginPeer is a peer's whole copy, and OriginReader are changes that a peer has read from the store and shared.
+	OriginPeer   Origin = "peer"
+	OriginReader Origin = "reader"
 )
 
 const (
-	// minInterval is the mean time between two calls for changes while few processes make them.
-	minInterval = 250 * time.Millisecond
-	// maxInterval limits that mean time however many processes make calls, so that a process that receives nothing from
-	// its peers does not fall far behind.
-	maxInterval = 1500 * time.Millisecond
-	// unscaledProcesses is the number of processes up to which each calls at minInterval.
-	unscaledProcesses = 5
 	// minRetry and maxRetry limit the backoff between calls during an outage of the store, before jitter.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 700 * time.Millisecond
@@ -109,10 +103,10 @@
 	log    *slog.Logger
 
 	mu sync.Mutex
-	// values and valuesEra, the era that they were read in, are written only by the goroutine of Run, and only while it
+	// values and copied, their position, are written only by the goroutine of Run, and only while it
 	// holds mu.
-	values    map[string]toucanstore.Value
-	valuesEra uint64
+	values map[string]toucanstore.Value
+	copied Position
 	// borrowed is true while the values are those of a peer, whose revisions can be of an earlier era.
 	borrowed bool
 
@@ -137,8 +131,14 @@
 	onOutage func(down bool)
 	// onAnswer is called at each answer of the store, and at each part of a long one.
 	onAnswer func()
-	// peerCount returns the number of peers that can reach the store and report newer settings to this process.
+	// peerCount returns the number of peers that can reach the store and share what they read with this process.
 	peerCount func() int
+	// readers divides the reading of the store among processes.
+	readers Readers
+	// lastCall is when this process last called the store.
+	lastCall time.Time
+	// batches holds batches of peers that are not applied yet.
+	batches chan Batch
 	// peerSnapshotAge returns the time since a peer's last snapshot, or false if there is none.
 	peerSnapshotAge func() (time.Duration, bool)
 	// missingVersion returns the highest version of the settings that a peer has and this process lacks, or zero.
@@ -147,9 +147,9 @@
 	onLostVersion func(ctx context.Context)
 	// onSnapshot is called after each snapshot from the store.
 	onSnapshot func()
-	// readPeer returns a peer's copy during an outage, and its era; nil if there is no such source. It ends when the peer is
+	// readPeer returns a peer's copy during an outage, and its position; nil if there is no such source. It ends when the peer is
 	// silent.
-	readPeer func(ctx context.Context) ([]toucanstore.Value, uint64, error)
+	readPeer func(ctx context.Context) ([]toucanstore.Value, Position, error)
 	// peerRead is the read of a peer's copy that is under way; nil if there is none.
 	peerRead *peerRead
 	wake     chan struct{}
@@ -171,8 +171,7 @@
 // WithAnswerCallback calls f at each answer of the store, and at each part of a long one.
 func WithAnswerCallback(f func()) Option { return func(m *Mirror) { m.onAnswer = f } }
 
-// WithPeerCount makes the calls to the store less frequent the more peers share what they read. f returns the number
-// of those peers.
+// WithPeerCount sets the function that returns the number of peers that share what they read.
 func WithPeerCount(f func() int) Option { return func(m *Mirror) { m.peerCount = f } }
 
 // New returns a mirror of source. It is empty until Run has read a snapshot.
@@ -188,6 +187,8 @@
 		missingVersion:  func() uint64 { return 0 },
 		onLostVersion:   func(context.Context) {},
 		onSnapshot:      func() {},
+		readers:         aloneReader{},
+		batches:         make(chan Batch, maxPendingBatches),
 		wake:            make(chan struct{}, 1),
 		startedAt:       time.Now(),
 	}
@@ -197,16 +198,16 @@
 	return m
 }
 
-// WithPeerSnapshot sets the function that reads a peer's copy, and the era of its values, during an outage of the store.
-func WithPeerSnapshot(f func(ctx context.Context) ([]toucanstore.Value, uint64, error)) Option {
+// WithPeerSnapshot sets the function that reads a peer's copy, and its position, during an outage of the store.
+func WithPeerSnapshot(f func(ctx context.Context) ([]toucanstore.Value, Position, error)) Option {
 	return func(m *Mirror) { m.readPeer = f }
 }
 
-// Values returns the current values, in no particular order, and their era.
-func (m *Mirror) Values() ([]toucanstore.Value, uint64) {
+// Values returns the current values, in no particular order, and their position.
+func (m *Mirror) Values() ([]toucanstore.Value, Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Collect(maps.Values(m.values)), m.valuesEra
+	return slices.Collect(maps.Values(m.values)), m.copied
 }
 
 // Age returns the time since the source last answered, or false if it never did.
@@ -227,24 +228,18 @@
 	}
 }
 
-// intervalFactor is the ratio of the time between calls to that of a process without peers.
-func (m *Mirror) intervalFactor() float64 { return max(1, float64(m.peerCount()+1)/unscaledProcesses) }
-
-// interval returns the time between the starts of two calls for changes. It is jittered by a quarter so that processes
-// do not call at the same moment.
-func (m *Mirror) interval() time.Duration {
-	mean := min(time.Duration(m.intervalFactor()*float64(minInterval)), maxInterval)
-	return mean*3/4 + rand.N(mean/2)
-}
-
 // Run keeps the copy up to date and calls apply with each new state, until ctx is done. During an outage the last state
 // remains, unless a peer's copy replaces it.
 func (m *Mirror) Run(ctx context.Context, apply func(State)) {
 	for ctx.Err() == nil {
-		began := time.Now()
+		reader := m.isReader(time.Now())
+		if !reader {
+			m.follow(ctx, apply)
+		}
+		m.lastCall = time.Now()
 		err := m.step(ctx, apply)
-		wait := m.interval() - time.Since(began)
-		if m.verifyNext {
+		wait := m.interval() - time.Since(m.lastCall)
+		if m.verifyNext || !reader {
 			wait = 0
 		}
 		if err != nil && ctx.Err() == nil {
@@ -259,7 +254,11 @@
 	if m.position == (Position{}) || m.verifyNext || m.verifyDue(time.Now()) {
 		return m.snapshot(ctx, apply)
 	}
-	changes, position, err := m.watch(ctx)
+	after := m.position
+	var changes []Change
+	var position Position
+	var err error
+	m.whileReceiving(apply, func() { changes, position, err = m.watch(ctx, after) })
 	if errors.Is(err, errWatchReplaced) {
 		m.log.Info(toucanlog.MsgWatchReplaced,
 			toucanlog.Revision, m.position.Revision,
@@ -274,11 +273,15 @@
 		return err
 	}
 	m.recordAnswer()
+	if m.position.IsAfter(position) {
+		return nil // Batches of peers brought more meanwhile.
+	}
 	// The copy holds all keys, so each new revision is that of a change.
 	passedOver := len(changes) == 0 && position.Revision > m.position.Revision
-	m.position, m.lastPosition = position, position
+	m.setPosition(position)
+	m.share(after, position, changes)
 	if len(changes) > 0 {
-		written, removed := m.apply(changes)
+		written, removed := m.apply(changes, position)
 		apply(State{Values: m.values, Changed: written, Removed: removed, Origin: OriginWatch})
 	}
 	m.verifyNext = passedOver || m.lacksVersion()
@@ -288,16 +291,21 @@
 	return nil
 }
 
-// apply applies changes to the copy. It returns the keys that were written, never nil, and those that were removed.
-func (m *Mirror) apply(changes []Change) (written, removed []string) {
+// apply applies changes up to a position to the copy. It returns the keys that were written, never nil, and those that were removed.
+func (m *Mirror) apply(changes []Change, to Position) (written, removed []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.copied = to
 	written = make([]string, 0, len(changes))
 	for _, c := range changes {
-		if c.Removed {
+		held, ok := m.values[c.Key]
+		switch {
+		case ok && held.Revision > c.Revision:
+			// The copy is newer.
+		case c.Removed:
 			delete(m.values, c.Key)
 			removed = append(removed, c.Key)
-		} else if held, ok := m.values[c.Key]; !ok || held.Revision <= c.Revision {
+		default:
 			m.values[c.Key] = c.Value
 			written = append(written, c.Key)
 		}
@@ -307,17 +315,22 @@
 
 func (m *Mirror) snapshot(ctx context.Context, apply func(State)) error {
 	held := m.held()
-	values, position, err := m.source.Snapshot(ctx, held, m.onAnswer)
+	var values []toucanstore.Value
+	var position Position
+	var err error
+	m.whileReceiving(apply, func() { values, position, err = m.source.Snapshot(ctx, held, m.onAnswer) })
 	if err != nil {
 		return err
 	}
 	restored := m.recordRestore(position)
 	if !restored {
-		m.recordOmitted(values)
+		omitted := m.recordOmitted(values)
+		m.shareSnapshot(values, position, omitted > 0)
 	}
-	removed := m.replace(values, position.Era)
+	removed := m.replace(values, position)
 	m.borrowed = false
-	m.position, m.lastPosition, m.lastSnapshot = position, position, time.Now()
+	m.setPosition(position)
+	m.lastSnapshot = time.Now()
 	m.verifyNext, m.copyBytes = false, snapshotBytes(values, held)
 	m.scheduleVerify()
 	m.onSnapshot()
@@ -325,16 +338,22 @@
 	return nil
 }
 
-// held returns what the mirror has read from the store.
+// held returns the large values that the mirror has read from the store.
 func (m *Mirror) held() Held {
 	if m.borrowed {
 		return Held{}
 	}
-	return Held{Values: m.values, Era: m.valuesEra}
+	large := make(map[string]toucanstore.Value)
+	for key, v := range m.values {
+		if len(v.Body) >= LargeBody {
+			large[key] = v
+		}
+	}
+	return Held{Values: large, Era: m.copied.Era}
 }
 
-// replace replaces the copy by values of an era and returns the keys that were removed.
-func (m *Mirror) replace(values []toucanstore.Value, era uint64) []string {
+// replace replaces the copy by values at a position and returns the keys that were removed.
+func (m *Mirror) replace(values []toucanstore.Value, at Position) []string {
 	next := make(map[string]toucanstore.Value, len(values))
 	for _, v := range values {
 		next[v.Key] = v
@@ -347,6 +366,6 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.values, m.valuesEra = next, era
+	m.values, m.copied = next, at
 	return removed
 }
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -289,17 +289,57 @@
 	}
 }
 
-// TestCallIntervalGrowsWithPeers checks that a store that changes constantly is called at minInterval, and less often
-// by a process with many peers.
-func TestCallIntervalGrowsWithPeers(t *testing.T) {
-	for _, tc := range []struct {
-		peers int
-		most  int
-	}{{0, 60}, {19, 16}} {
+// rankedReaders are Readers of a fixed rank, whose peers are as far as the source was at the last batch that was shared.
+type rankedReaders struct {
+	rank    int
+	mu      sync.Mutex
+	peers   Position
+	shared  []Batch
+	current Position
+}
+
+func (r *rankedReaders) Rank(time.Time) int               { return r.rank }
+func (r *rankedReaders) StoreAge(time.Time) time.Duration { return 0 }
+
+func (r *rankedReaders) Newest(time.Time) Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peers
+}
+
+func (r *rankedReaders) setPeers(p Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers = p
+}
+
+func (r *rankedReaders) SetPosition(p Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.current = p
+}
+
+func (r *rankedReaders) position() Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current
+}
+
+func (r *rankedReaders) Share(b Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shared = append(r.shared, b)
+}
+
+// TestCallsByRank checks that a store that changes constantly is called at the interval of a process's rank, and by a process
+// that is not a reader only to read it once.
+func TestCallsByRank(t *testing.T) {
+	const duration = 10 * time.Second
+	for rank := range ReaderCount + 1 {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFakeSource()
-			m := New(f, slog.New(slog.DiscardHandler), WithPeerCount(func() int { return tc.peers }), WithPeerSnapshotAge(verifiedNow))
-			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			m := New(f, slog.New(slog.DiscardHandler), WithReaders(&rankedReaders{rank: rank}), WithPeerSnapshotAge(verifiedNow))
+			ctx, cancel := context.WithTimeout(t.Context(), duration)
 			defer cancel()
 			var wg sync.WaitGroup
 			wg.Go(func() {
@@ -310,12 +350,141 @@
 			})
 			m.Run(ctx, func(State) {})
 			wg.Wait()
-			assert.Assert(t, f.watches <= tc.most, "%d watches", f.watches)
-			assert.Assert(t, f.watches >= tc.most/2, "%d watches", f.watches)
+			most, least := 1, 0
+			if rank < ReaderCount {
+				due := int(duration / readerIntervals[rank])
+				most, least = due*3/2, due/2
+			}
+			assert.Assert(t, f.watches <= most, "rank %d: %d watches", rank, f.watches)
+			assert.Assert(t, f.watches >= least, "rank %d: %d watches", rank, f.watches)
 		})
 	}
 }
 
+// TestReaderSharesAllThatItReads checks that the batches of a reader follow each other without a gap up to its position, although
+// it also reads the whole store.
+func TestReaderSharesAllThatItReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeSource()
+		r := &rankedReaders{}
+		m := New(f, slog.New(slog.DiscardHandler), WithReaders(r))
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { m.Run(ctx, func(State) {}) })
+		time.Sleep(settleTime)
+		start := r.position()
+		for i := range 200 {
+			if i%7 == 0 {
+				f.remove("a")
+			} else {
+				f.write("a", "x")
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(settleTime)
+		cancel()
+		wg.Wait()
+		at := start.Revision
+		for _, b := range r.shared {
+			assert.Equal(t, b.After, at)
+			at = b.To
+		}
+		assert.Equal(t, at, f.revision)
+		assert.Assert(t, f.snapshots > 2)
+	})
+}
+
+// follower runs a mirror that is not a reader, at the source's position. It returns what it holds of the key a.
+func runFollower(t *testing.T, f *fakeSource, body func(m *Mirror, r *rankedReaders, held func() string)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &rankedReaders{rank: ReaderCount}
+		m := New(f, slog.New(slog.DiscardHandler), WithReaders(r), WithPeerSnapshotAge(verifiedNow))
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { m.Run(ctx, func(State) {}) })
+		time.Sleep(settleTime)
+		body(m, r, func() string {
+			values, _ := m.Values()
+			for _, v := range values {
+				if v.Key == "a" {
+					return string(v.Body)
+				}
+			}
+			return ""
+		})
+		cancel()
+		wg.Wait()
+	})
+}
+
+func written(revision uint64, body string) Change {
+	return Change{Value: toucanstore.Value{Key: "a", Body: []byte(body), Revision: revision}}
+}
+
+func removedAt(revision uint64) Change {
+	return Change{Value: toucanstore.Value{Key: "a", Revision: revision}, Removed: true}
+}
+
+// TestFollowerAppliesBatchesInOrder checks that shared changes are applied in the order of the store whatever the order of the
+// datagrams, without a call to the store.
+func TestFollowerAppliesBatchesInOrder(t *testing.T) {
+	f := newFakeSource()
+	runFollower(t, f, func(m *Mirror, r *rankedReaders, held func() string) {
+		calls := f.watches + f.snapshots
+		m.Receive(Batch{After: 1, To: 3, Changes: []Change{written(2, "1"), written(3, "2")}})
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, held(), "2")
+		// A late copy of an earlier batch changes nothing, nor does one that overlaps undo a removal.
+		m.Receive(Batch{After: 1, To: 2, Changes: []Change{written(2, "1")}})
+		m.Receive(Batch{After: 2, To: 5, Changes: []Change{written(3, "2"), removedAt(4)}})
+		m.Receive(Batch{After: 1, To: 3, Changes: []Change{written(2, "1"), written(3, "2")}})
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, held(), "")
+		assert.Equal(t, r.position().Revision, uint64(5))
+		// A batch of another era is ignored.
+		m.Receive(Batch{Era: 7, After: 5, To: 6, Changes: []Change{written(6, "other era")}})
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, held(), "")
+		assert.Equal(t, f.watches+f.snapshots, calls)
+	})
+}
+
+// TestFollowerReadsWhatItMissed checks that a process that lost a batch calls the store, whether it sees the gap or a peer's
+// newer copy.
+func TestFollowerReadsWhatItMissed(t *testing.T) {
+	f := newFakeSource()
+	runFollower(t, f, func(m *Mirror, r *rankedReaders, held func() string) {
+		f.write("a", "1")
+		f.write("a", "2")
+		m.Receive(Batch{After: 2, To: 3, Changes: []Change{written(3, "2")}})
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, held(), "2")
+		assert.Equal(t, f.watches, 1)
+		time.Sleep(settleTime)
+		f.write("a", "3")
+		r.setPeers(Position{Revision: 4})
+		time.Sleep(2*catchUpDelay + 2*followCheck)
+		assert.Equal(t, held(), "3")
+	})
+}
+
+// TestFollowerTakesRepairs checks that changes that watches left out, and that a peer found, are applied at an unchanged position,
+// but not by a process that is further.
+func TestFollowerTakesRepairs(t *testing.T) {
+	f := newFakeSource()
+	runFollower(t, f, func(m *Mirror, _ *rankedReaders, held func() string) {
+		m.Receive(Batch{After: 1, To: 5, Changes: []Change{{Value: toucanstore.Value{Key: "b", Revision: 5}}}})
+		m.Receive(Batch{After: 5, To: 5, Changes: []Change{written(3, "left out")}, Repair: true})
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, held(), "left out")
+		m.Receive(Batch{After: 5, To: 7, Changes: []Change{removedAt(6), {Value: toucanstore.Value{Key: "b", Revision: 7}}}})
+		m.Receive(Batch{After: 5, To: 5, Changes: []Change{written(3, "left out")}, Repair: true})
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, held(), "")
+	})
+}
+
 // TestReadsFromPeerDuringOutage checks that a peer's copy is used during an outage, and that the source's values
 // replace it afterwards.
 func TestReadsFromPeerDuringOutage(t *testing.T) {
@@ -323,13 +492,13 @@
 		f := newFakeSource()
 		f.unavailable = true
 		peerValue := "1"
-		m := New(f, slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, uint64, error) {
+		m := New(f, slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, Position, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if peerValue == "" {
-				return nil, 0, errUnavailable
+				return nil, Position{}, errUnavailable
 			}
-			return []toucanstore.Value{{Key: "a", Body: []byte(peerValue), Revision: 5}}, 0, nil
+			return []toucanstore.Value{{Key: "a", Body: []byte(peerValue), Revision: 5}}, Position{}, nil
 		}))
 		held := func() string {
 			values, _ := m.Values()
@@ -362,8 +531,8 @@
 // one of an earlier era is ignored.
 func TestPeerCopyOfAnotherEra(t *testing.T) {
 	era := uint64(2)
-	m := New(newFakeSource(), slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, uint64, error) {
-		return []toucanstore.Value{{Key: "a", Revision: 3}}, era, nil
+	m := New(newFakeSource(), slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, Position, error) {
+		return []toucanstore.Value{{Key: "a", Revision: 3}}, Position{Era: era}, nil
 	}))
 	m.outageSince = time.Now()
 	m.lastPosition = Position{Era: 1, Revision: 9}
@@ -409,12 +578,12 @@
 func TestStoreIsReadAgainWhilePeerCopyArrives(t *testing.T) {
 	f := newFakeSource()
 	f.unavailable = true
-	readPeer := func(ctx context.Context) ([]toucanstore.Value, uint64, error) {
+	readPeer := func(ctx context.Context) ([]toucanstore.Value, Position, error) {
 		select {
 		case <-time.After(10 * time.Second):
 		case <-ctx.Done():
 		}
-		return []toucanstore.Value{{Key: "a", Body: []byte("peer's"), Revision: 1}}, 0, nil
+		return []toucanstore.Value{{Key: "a", Body: []byte("peer's"), Revision: 1}}, Position{}, nil
 	}
 	runMirror(t, f, func(seen func(string) string) {
 		time.Sleep(settleTime)
--- a/toucanmirror/peerread.go
+++ b/toucanmirror/peerread.go
@@ -18,9 +18,9 @@
 
 // peerCopy is the copy of a peer, or the error of reading it.
 type peerCopy struct {
-	values []toucanstore.Value
-	era    uint64
-	err    error
+	values   []toucanstore.Value
+	position Position
+	err      error
 }
 
 // beginPeerRead starts to read a peer's copy during an outage of the store, unless that is under way.
@@ -32,8 +32,8 @@
 	read := &peerRead{cancel: cancel, result: make(chan peerCopy, 1)}
 	m.peerRead = read
 	go func() {
-		values, era, err := m.readPeer(ctx)
-		read.result <- peerCopy{values: values, era: era, err: err}
+		values, position, err := m.readPeer(ctx)
+		read.result <- peerCopy{values: values, position: position, err: err}
 	}()
 }
 
@@ -45,7 +45,8 @@
 	}
 }
 
-// pause waits until the next call is due or Wake is called. Meanwhile it uses a peer's copy that arrives.
+// pause waits until the next call is due or Wake is called. Meanwhile it uses a peer's copy that arrives, and the batches of
+// peers.
 func (m *Mirror) pause(ctx context.Context, wait time.Duration, apply func(State)) {
 	if wait <= 0 {
 		return
@@ -60,6 +61,8 @@
 			return
 		case <-ctx.Done():
 			return
+		case b := <-m.batches:
+			m.applyBatch(b, apply) // After a gap, the next call reads what is missing.
 		case c := <-m.peerResult():
 			m.endPeerRead()
 			m.usePeerCopy(c, apply)
@@ -82,14 +85,14 @@
 		m.log.Info(toucanlog.MsgNoPeerSnapshot, toucanlog.Cause, c.err.Error())
 		return
 	}
-	if len(c.values) == 0 || c.era < m.lastPosition.Era {
+	if len(c.values) == 0 || c.position.Era < m.lastPosition.Era {
 		return
 	}
-	restored := m.lastPosition != (Position{}) && c.era > m.lastPosition.Era
+	restored := m.lastPosition != (Position{}) && c.position.Era > m.lastPosition.Era
 	if restored {
-		m.lastPosition = Position{Era: c.era}
+		m.lastPosition = Position{Era: c.position.Era}
 	}
-	removed := m.replace(c.values, c.era)
+	removed := m.replace(c.values, c.position)
 	m.borrowed = true
 	apply(State{Values: m.values, Removed: removed, Restored: restored, Origin: OriginPeer})
 }
--- a/toucanmirror/record.go
+++ b/toucanmirror/record.go
@@ -42,8 +42,8 @@
 }
 
 // recordOmitted counts and logs the values of a snapshot that are not newer than the copy's position, but missing from
-// the copy: the watch left them out.
-func (m *Mirror) recordOmitted(values []toucanstore.Value) {
+// the copy: the watch left them out. It returns their number.
+func (m *Mirror) recordOmitted(values []toucanstore.Value) int {
 	count, key := 0, ""
 	for _, v := range values {
 		held, ok := m.values[v.Key]
@@ -53,7 +53,7 @@
 		}
 	}
 	if count == 0 {
-		return
+		return 0
 	}
 	m.omitted.Add(uint64(count))
 	m.log.Warn(toucanlog.MsgWatchOmitted,
@@ -61,6 +61,7 @@
 		toucanlog.Key, key,
 		toucanlog.Revision, m.position.Revision,
 	)
+	return count
 }
 
 // recordAnswer records that the store answered, and reports whether this ends an outage.
--- a/toucanmirror/verify.go
+++ b/toucanmirror/verify.go
@@ -100,20 +100,20 @@
 	return true
 }
 
-// watch waits for changes after the copy's position. Once it was woken, it returns errWatchReplaced if no reply begins to
+// watch waits for changes after a position. Once it was woken, it returns errWatchReplaced if no reply begins to
 // arrive within wakeGrace.
-func (m *Mirror) watch(ctx context.Context) ([]Change, Position, error) {
+func (m *Mirror) watch(ctx context.Context, after Position) ([]Change, Position, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	began := make(chan struct{})
 	markBegun := sync.OnceFunc(func() { close(began) })
 	go m.replaceWatch(ctx, began, cancel)
-	changes, position, err := m.source.Changes(ctx, m.position, func() {
+	changes, position, err := m.source.Changes(ctx, after, func() {
 		markBegun()
 		m.onAnswer()
 	})
 	if err != nil && errors.Is(context.Cause(ctx), errWatchReplaced) {
-		return nil, m.position, errWatchReplaced
+		return nil, after, errWatchReplaced
 	}
 	return changes, position, err
 }
--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -208,6 +208,10 @@
 	if m.applySlotMessage(now, r) {
 		return
 	}
+	if r.GetChanges() != nil {
+		m.state.deliverChanges(decodeBatch(r.GetChanges()))
+		return
+	}
 	if m.evidence != nil {
 		m.evidence.Apply(now, decodeEvidence(now, r))
 	}
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"toucanport/toucanmirror"
 	"toucanport/toucanmoveorder"
 	"toucanport/toucanplace"
 )
@@ -45,6 +46,10 @@
 	// onNewerSettings is called when a peer reports newer settings than this entry has seen, with the peer's name and
 	// the version.
 	onNewerSettings func(peer string, version uint64)
+	// copy is the position of this entry's copy of the store; zero if it has none.
+	copy toucanmirror.Position
+	// onChanges is called with the changes that a peer has read from the store.
+	onChanges func(toucanmirror.Batch)
 	// changed is closed and replaced whenever a peer's report is applied.
 	changed chan struct{}
 	// sendNow is signalled when the next report must be sent without waiting for the interval.
@@ -117,6 +122,7 @@
 		leaving:         make(map[uint64]bool),
 		probedLeaving:   make(map[uint64]time.Time),
 		onNewerSettings: func(string, uint64) {},
+		onChanges:       func(toucanmirror.Batch) {},
 		changed:         make(chan struct{}),
 		sendNow:         make(chan struct{}, 1),
 	}
@@ -278,6 +284,7 @@
 	r.SnapshotAgeMillis = reportedAge(s.lastSnapshot)
 	r.Lends = s.canServeSnapshot(time.Now())
 	r.SettingsVersion = s.settings
+	r.CopyEra, r.CopyRevision = s.copy.Era, s.copy.Revision
 	for endpoint, generations := range s.generations {
 		for _, g := range generations {
 			r.Runs = append(r.Runs, &Run{
--- a/toucanpeer/state_test.go
+++ b/toucanpeer/state_test.go
@@ -127,13 +127,13 @@
 }
 
 // TestStoreSilentUsesLatestAnswer checks that the store counts as silent once its last answer to this entry and to all
-// peers is older than storeSilentAfter.
+// peers is older than StoreSilentAfter.
 func TestStoreSilentUsesLatestAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b, _ := newState()
 		assert.Assert(t, b.StoreSilent(time.Now()))
 		b.RecordStoreAnswer()
-		time.Sleep(storeSilentAfter)
+		time.Sleep(StoreSilentAfter)
 		assert.Assert(t, !b.StoreSilent(time.Now()))
 		time.Sleep(time.Millisecond)
 		assert.Assert(t, b.StoreSilent(time.Now()))
@@ -141,7 +141,7 @@
 		r := testReport(1, 1)
 		r.StoreSilentMillis = 100
 		b.Apply(time.Now(), r)
-		time.Sleep(storeSilentAfter - 100*time.Millisecond)
+		time.Sleep(StoreSilentAfter - 100*time.Millisecond)
 		assert.Assert(t, !b.StoreSilent(time.Now()))
 		time.Sleep(time.Millisecond)
 		assert.Assert(t, b.StoreSilent(time.Now()))
--- a/toucanpeer/storestate.go
+++ b/toucanpeer/storestate.go
@@ -76,11 +76,13 @@
 // SetStoreDown records whether this entry sees a store outage.
 func (s *SharedState) SetStoreDown(down bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.storeDown = down
 	if !down {
 		s.storeUpSince = time.Now()
 	}
+	s.mu.Unlock()
+	// Other entries must read the store in place of this one.
+	s.requestReport()
 }
 
 // snapshotDelay is how long the store must have been available to an entry before the entry serves snapshots to peers.
@@ -139,14 +141,16 @@
 	return newest, ok
 }
 
-// storeSilentAfter exceeds the longest time between two answers of the store to one entry. All entries can call the
-// store at the same moment, so their calls do not shorten this time.
-const storeSilentAfter = 850 * time.Millisecond
+// StoreSilentAfter exceeds the longest time between two answers of the store to an entry that reads it for others.
+const StoreSilentAfter = 850 * time.Millisecond
 
 // StoreSilent reports whether the store has answered neither this entry nor any peer with a valid report within
-// storeSilentAfter. It detects an outage sooner than SetStoreDown and StoreUnreachable do, but with more false
+// StoreSilentAfter. It detects an outage sooner than SetStoreDown and StoreUnreachable do, but with more false
 // positives.
-func (s *SharedState) StoreSilent(now time.Time) bool {
+func (s *SharedState) StoreSilent(now time.Time) bool { return s.storeAge(now) > StoreSilentAfter }
+
+// storeAge returns the time since the store last answered this entry or a peer with a valid report.
+func (s *SharedState) storeAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := now.Sub(s.lastStoreAnswer)
@@ -158,5 +162,5 @@
 			age = min(age, now.Sub(p.receivedAt)+time.Duration(ms)*time.Millisecond)
 		}
 	}
-	return age > storeSilentAfter
+	return age
 }
