Choose targets of copies by the memory that requests take now

Cause: entries went by the sum of the requests' memory at their ends. It is lowest where requests have nearly ended, and there the memory is full now; an engine whose requests have just begun looks full and has room. Ruled out: reports that are late (at most 0.25 s, 2% of an engine's memory) and copies that were never freed.

Change: entries also keep and report what requests take now: prompts that are read or wait to be read, and tokens made so far. A copy and a new request need that much free. A backup counts with its prompt from the start.

--- a/toucangeneration/generation.go
+++ b/toucangeneration/generation.go
@@ -109,7 +109,7 @@
 }
 
 // estimateInterval is the number of events between two estimates of a generation's length.
-const estimateInterval = 24
+const estimateInterval = 12
 
 // UpdateEstimate updates the estimated length every estimateInterval events and resizes the generation's reservation.
 // lengthGiven returns the estimated length, in tokens, of an output with made tokens so far.
@@ -121,7 +121,7 @@
 	}
 	g.estimatedAtEvents = g.events
 	g.estimate = lengthGiven(g.events * g.tokensPerEvent())
-	g.reservation.Resize(g.spec.Prompt + g.estimate)
+	g.reservation.Resize(g.spec.Prompt+g.events*g.tokensPerEvent(), g.spec.Prompt+g.estimate)
 }
 
 // LogArgs returns key-value pairs for the log that describe the timing and size of the generation.
@@ -220,7 +220,13 @@
 func (g *Generation) Demand() toucanplace.Demand {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return toucanplace.Demand{Prompt: g.spec.Prompt, Output: g.estimate}
+	return toucanplace.Demand{Prompt: g.spec.Prompt, Output: g.estimate, Made: g.events * g.tokensPerEvent()}
+}
+
+// heldDemand returns the memory that the generation uses now, without what it will still generate.
+func (g *Generation) heldDemand() toucanplace.Demand {
+	d := g.Demand()
+	return toucanplace.Demand{Prompt: d.Prompt, Output: d.Made, Made: d.Made}
 }
 
 // forwardedEvents returns the number of events forwarded so far.
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -191,7 +191,7 @@
 	}
 	if err != nil {
 		// Without a target the generation is lost. So reserve only the memory that it uses now.
-		reservation, err = r.placer.PlaceCopy(now, source, toucanplace.Demand{Prompt: g.memoryTokens()}, untried)
+		reservation, err = r.placer.PlaceCopy(now, source, g.heldDemand(), untried)
 	}
 	return reservation, err
 }
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -254,6 +254,7 @@
 			Requests: int(u.GetRequests()),
 			Tokens:   int(u.GetTokens()),
 			Unread:   int(u.GetUnread()),
+			Held:     int(u.GetHeld()),
 		}
 	}
 	return uses
@@ -268,6 +269,7 @@
 			Requests: uint32(max(u.Requests, 0)),
 			Tokens:   uint32(max(u.Tokens, 0)),
 			Unread:   uint32(max(u.Unread, 0)),
+			Held:     uint32(max(u.Held, 0)),
 		})
 	}
 	s.mu.Lock()
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -32,7 +32,7 @@
 	if best == nil {
 		return nil, errors.Wrap(ErrFull, at.Service)
 	}
-	u := Use{Tokens: d.Tokens()}
+	u := Use{Tokens: d.Tokens(), Held: d.held()}
 	best.own = best.own.plus(u)
 	p.usesChanged(u)
 	return &Reservation{Endpoint: best.Endpoint, placer: p, state: best, use: u}, nil
@@ -48,8 +48,8 @@
 	demand  Demand
 	// allowed accepts the eligible endpoints.
 	allowed Filter
-	// share limits the memory as in fits.
-	share float64
+	// limits are those of fits.
+	limits memoryLimits
 	// patience is how long the request can wait for its slot at an endpoint with a limit; negative if it must not go to one.
 	patience time.Duration
 	// extra is added to the cost of an endpoint.
@@ -69,7 +69,7 @@
 // Place reserves capacity for d on the endpoint of a service with the lowest cost. It considers only endpoints that
 // allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrFull, ErrDeferred, ErrLimited or ErrTooLarge.
 func (p *Placer) Place(now time.Time, service string, d Demand, allowed Filter, opts ...PlaceOption) (*Reservation, error) {
-	q := search{now: now, service: service, demand: d, allowed: allowed, share: memoryShare, extra: p.domainCost(otherDomainCost)}
+	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.domainCost(otherDomainCost)}
 	for _, opt := range opts {
 		opt(&q)
 	}
@@ -118,7 +118,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, share: copyShare, patience: math.MaxInt64, extra: extra,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: extra,
+		limits: memoryLimits{end: copyShare, taken: copyTakenShare},
 	})
 	if err != nil {
 		return nil, err
@@ -203,7 +204,7 @@
 		}
 		limited = limited && hasLimit
 		u := p.total(q.now, s)
-		if !s.fits(u, q.demand, q.share) {
+		if !s.fits(u, q.demand, q.limits) {
 			limited = false
 			continue
 		}
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -63,11 +63,16 @@
 	Prompt int
 	// Output is the estimated length of the output.
 	Output int
+	// Made is the length of the output so far, for a generation that is copied from another endpoint.
+	Made int
 }
 
 // Tokens returns the estimated memory, in tokens, at the end of the output.
 func (d Demand) Tokens() int { return d.Prompt + d.Output }
 
+// held returns the memory, in tokens, that the request takes as soon as it runs.
+func (d Demand) held() int { return d.Prompt + d.Made }
+
 // Use is the load that one entry has placed on one endpoint.
 type Use struct {
 	Requests int
@@ -75,16 +80,21 @@
 	Tokens int
 	// Unread is the number of prompt tokens of requests that have no first event yet.
 	Unread int
+	// Held is the number of tokens in memory of requests that have a first event, and of copies on their way.
+	Held int
 }
 
 func (u Use) plus(v Use) Use {
-	return Use{Requests: u.Requests + v.Requests, Tokens: u.Tokens + v.Tokens, Unread: u.Unread + v.Unread}
+	return Use{Requests: u.Requests + v.Requests, Tokens: u.Tokens + v.Tokens, Unread: u.Unread + v.Unread, Held: u.Held + v.Held}
 }
 
 func (u Use) minus(v Use) Use {
-	return Use{Requests: u.Requests - v.Requests, Tokens: u.Tokens - v.Tokens, Unread: u.Unread - v.Unread}
+	return Use{Requests: u.Requests - v.Requests, Tokens: u.Tokens - v.Tokens, Unread: u.Unread - v.Unread, Held: u.Held - v.Held}
 }
 
+// taken returns the memory, in tokens, that requests hold now or as soon as their prompts are read.
+func (u Use) taken() int { return u.Held + u.Unread }
+
 const (
 	// memoryShare limits the sum of the requests' estimated memory at their ends, as a share of the engine's memory. It
 	// can exceed 1 because requests don't all end at the same time, and because an engine delays a request when its
@@ -93,6 +103,11 @@
 	// copyShare replaces memoryShare for generations that lose their endpoint: being preempted for a while is better
 	// than being lost.
 	copyShare = 1.6
+	// takenShare limits the memory that requests take now, as a share of the engine's memory, when a request is placed. An engine
+	// whose memory is full queues a request, and refuses copies for as long as it has a queue.
+	takenShare = 0.97
+	// copyTakenShare replaces takenShare for copies. The engine refuses a copy that does not fit.
+	copyTakenShare = 1.0
 	// backupShare limits the estimated memory of requests and backups, as a share of the engine's memory, when a backup
 	// of another engine's generation is placed.
 	backupShare = 0.5
@@ -194,13 +209,20 @@
 // isDraining reports whether the platform, a peer or the endpoint itself says that it is draining.
 func (s *endpointState) isDraining() bool { return s.Leaving || s.reportedLeaving || s.saidLeaving }
 
-// fits reports whether the endpoint has a free slot and memory for d in addition to the load u. share limits the total
-// as a share of the memory. An endpoint without a model engine only has a limit on requests.
-func (s *endpointState) fits(u Use, d Demand, share float64) bool {
+// memoryLimits are limits on an endpoint's memory, as shares of it.
+type memoryLimits struct {
+	// end limits the sum of the requests' estimated memory at their ends, taken the memory that they take now.
+	end, taken float64
+}
+
+// fits reports whether the endpoint has a free slot and memory for d in addition to the load u. An endpoint without a model
+// engine only has a limit on requests.
+func (s *endpointState) fits(u Use, d Demand, limits memoryLimits) bool {
 	if s.MemoryTokens == 0 {
 		return u.Requests < plainOverload*s.Slots
 	}
-	return u.Requests < s.Slots && float64(u.Tokens+d.Tokens()) <= share*float64(s.MemoryTokens)
+	memory := float64(s.MemoryTokens)
+	return u.Requests < s.Slots && float64(u.Tokens+d.Tokens()) <= limits.end*memory && float64(u.taken()+d.held()) <= limits.taken*memory
 }
 
 // fitsBackup reports whether the endpoint has memory for a backup of d in addition to the load u. The limit is lower
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -43,7 +43,7 @@
 
 // reserve adds the load of a request to an endpoint and returns the reservation. The caller holds p.mu.
 func (p *Placer) reserve(s *endpointState, d Demand) *Reservation {
-	u := Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt}
+	u := Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt, Held: d.Made}
 	s.own = s.own.plus(u)
 	p.usesChanged(u)
 	return &Reservation{Endpoint: s.Endpoint, placer: p, state: s, use: u}
@@ -71,20 +71,23 @@
 		return
 	}
 	r.state.own.Unread -= r.use.Unread
+	r.state.own.Held += r.use.Unread
+	r.use.Held += r.use.Unread
 	r.use.Unread = 0
 	r.placer.usesChanged(r.use)
 }
 
-// Resize updates the estimated memory, in tokens, at the end of the answer. It does not trigger a report to peers; the
-// next one includes it.
-func (r *Reservation) Resize(tokens int) {
+// Resize updates the memory, in tokens, that the request holds now and its estimate at the end of the answer. It does not
+// trigger a report to peers; the next one includes it.
+func (r *Reservation) Resize(held, tokens int) {
 	r.placer.mu.Lock()
 	defer r.placer.mu.Unlock()
-	if r.done || r.use.Tokens == tokens {
+	if r.done {
 		return
 	}
 	r.state.own.Tokens += tokens - r.use.Tokens
-	r.use.Tokens = tokens
+	r.state.own.Held += held - r.use.Held
+	r.use.Tokens, r.use.Held = tokens, held
 }
 
 // Outcome is the result of a request at its endpoint.
--- a/toucanplace/script_test.go
+++ b/toucanplace/script_test.go
@@ -41,6 +41,11 @@
 		}[d.CmdArgs[1].Key])
 	case "promptRead":
 		sc.reservations[d.CmdArgs[0].Key].MarkPromptRead()
+	case "resize":
+		held, tokens := 0, 0
+		d.ScanArgs(t, "held", &held)
+		d.ScanArgs(t, "tokens", &tokens)
+		sc.reservations[d.CmdArgs[0].Key].Resize(held, tokens)
 	case "advance":
 		by, err := time.ParseDuration(d.CmdArgs[0].Key)
 		assert.NilError(t, err)
@@ -91,12 +96,13 @@
 	return Endpoint{}
 }
 
-// place makes n placements. For example: place n=2 prompt=10 output=5 [copyFrom=a] [backupOf=a].
+// place makes n placements. For example: place n=2 prompt=10 output=5 [made=3] [copyFrom=a] [backupOf=a].
 func (sc *script) place(d *datadriven.TestData) string {
 	n, demand, from, of := 1, Demand{}, "", ""
 	d.MaybeScanArgs(sc.t, "n", &n)
 	d.MaybeScanArgs(sc.t, "prompt", &demand.Prompt)
 	d.MaybeScanArgs(sc.t, "output", &demand.Output)
+	d.MaybeScanArgs(sc.t, "made", &demand.Made)
 	d.MaybeScanArgs(sc.t, "copyFrom", &from)
 	d.MaybeScanArgs(sc.t, "backupOf", &of)
 	var got []string
@@ -132,14 +138,14 @@
 	return "unexpected: " + err.Error()
 }
 
-// peer applies a peer's report. Each input line is: id requests tokens unread.
+// peer applies a peer's report. Each input line is: id requests tokens unread [held].
 func (sc *script) peer(d *datadriven.TestData) {
 	uses := make(map[uint64]Use)
 	for _, line := range strings.Split(d.Input, "\n") {
 		var id string
 		var u Use
-		_, err := fmt.Sscanf(line, "%s %d %d %d", &id, &u.Requests, &u.Tokens, &u.Unread)
-		assert.NilError(sc.t, err)
+		n, err := fmt.Sscanf(line, "%s %d %d %d %d", &id, &u.Requests, &u.Tokens, &u.Unread, &u.Held)
+		assert.Assert(sc.t, n >= 4, "%v", err)
 		uses[sc.named(id).Key()] = u
 	}
 	sc.placer.Observe(sc.now, d.CmdArgs[0].Key, uses)
@@ -150,7 +156,7 @@
 	for key, u := range sc.placer.OwnUse() {
 		for _, e := range sc.list {
 			if e.Key() == key {
-				lines = append(lines, fmt.Sprintf("%s: %d requests, %d tokens, %d unread", e.ID, u.Requests, u.Tokens, u.Unread))
+				lines = append(lines, fmt.Sprintf("%s: %d requests, %d tokens, %d unread, %d held", e.ID, u.Requests, u.Tokens, u.Unread, u.Held))
 			}
 		}
 	}
