--- a/toucanpeer/mesh.go
+++ b/toucanpeer/mesh.go
@@ -18,8 +18,8 @@
 const (
 	// maxDatagram is the maximum size of a report, in bytes.
 	maxDatagram = 60 << 10
-	// reportInterval is the time between two reports while nothing changes.
-	reportInterval = 250 * time.Millisecond
+	// ReportInterval is the time between two reports while nothing changes.
+	ReportInterval = 250 * time.Millisecond
 	// reportGap, multiplied by the number of peers, is the minimum time between two reports. It does not apply to
 	// reports that are requested without delay.
 	reportGap = time.Millisecond
@@ -244,7 +244,7 @@
 			continue
 		case <-ctx.Done():
 		}
-		timer.Reset(max(reportInterval-gap, gap))
+		timer.Reset(max(ReportInterval-gap, gap))
 		select {
 		case <-timer.C:
 		case <-changed:
--- a/toucanpeer/readers.go
+++ b/toucanpeer/readers.go
@@ -12,7 +12,7 @@
 )
 
 // readerTimeout is how long an entry counts as one that may read the store for others after its last report. Reports are at
-// most reportInterval apart.
+// most ReportInterval apart.
 const readerTimeout = 700 * time.Millisecond
 
 const (
--- a/toucanpeer/storestate.go
+++ b/toucanpeer/storestate.go
@@ -141,7 +141,8 @@
 	return newest, ok
 }
 
-// StoreSilentAfter exceeds the longest time between two answers of the store to an entry that reads it for others.
+// StoreSilentAfter exceeds the longest time between two answers of the store to an entry that reads it for others, and the time
+// until the others hear of it.
 const StoreSilentAfter = 850 * time.Millisecond
 
 // StoreSilent reports whether the store has answered neither this entry nor any peer with a valid report within
