review: case 1, a stream that goes on elsewhere with a truncated body

Cause: the resume path sends a request with a long body again, although the rest of the body was read by the first attempt.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"errors"
+	"sync"
+	"time"
+)
+
+// playCalls sends calls, one after another at an interval, to the entries in turn, and returns their outcomes.
+func (s *scene) playCalls(calls []call, interval time.Duration) []outcome {
+	outcomes := make([]outcome, len(calls))
+	var wg sync.WaitGroup
+	for i, k := range calls {
+		s.group.expect(k.id, k.bodyLength)
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * interval)
+			outcomes[i] = k.do(s.entries[i%len(s.entries)].front, s.rec)
+		})
+	}
+	wg.Wait()
+	return outcomes
+}
+
+// countWhole records how many answers are whole.
+func (s *scene) countWhole(outcomes []outcome) {
+	for _, o := range outcomes {
+		if o.status == 200 && o.complete {
+			s.rec.count("whole answers")
+		}
+	}
+}
+
+// resumedBody takes away one engine of seven with a notice while it runs streams. Half of the requests have a body of some hundred
+// kilobytes, the other half a short one.
+func resumedBody(s *scene) error {
+	if err := s.start(7, 0, 2); err != nil {
+		return err
+	}
+	var calls []call
+	for i := range 28 {
+		length := 8 << 10
+		if i%4 < 2 {
+			length = (300 + 50*(i%5)) << 10
+		}
+		calls = append(calls, call{
+			id: newID(), path: proposalPath + "2f", key: clientKey, prompt: 1500, out: 800, deadline: 39 * time.Second,
+			bodyLength: length, burst: length, closes: true,
+		})
+	}
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		if s.trouble {
+			time.Sleep(4 * time.Second)
+			s.drainBusiest()
+		}
+	}()
+	outcomes := s.playCalls(calls, 50*time.Millisecond)
+	<-left
+	s.countWhole(outcomes)
+	if s.trouble && s.rec.counted("resumed runs") == 0 {
+		return errors.New("no run went on at another engine")
+	}
+	return nil
+}
+
+// serveAfterNotice is how long an engine serves after its notice: DrainMs and a little longer.
+const serveAfterNotice = 3 * time.Second
+
+// drainBusiest makes the engine with the most runs report that it drains, and ends it after serveAfterNotice.
+func (s *scene) drainBusiest() {
+	e := s.engines[0]
+	for _, other := range s.engines {
+		if other.runCount() > e.runCount() {
+			e = other
+		}
+	}
+	s.rec.line("engine %s drains with %d runs", e.id, e.runCount())
+	e.list("draining")
+	time.Sleep(serveAfterNotice)
+	e.end()
+}
+
+// oddShare makes half of the engines give one answer in twenty out of the ordinary.
+func (s *scene) oddShare(encodes bool) {
+	for i, e := range s.engines {
+		if s.trouble && i%2 == 0 {
+			e.mu.Lock()
+			e.oddEvery, e.encodes = 20, encodes
+			e.mu.Unlock()
+		}
+	}
+}
+
+// earlyAnswer has engines that begin some answers before they have read a long body, and read on while they answer.
+func earlyAnswer(s *scene) error {
+	if err := s.start(4, 0, 2); err != nil {
+		return err
+	}
+	s.oddShare(false)
+	var calls []call
+	for i := range 240 {
+		calls = append(calls, call{
+			id: newID(), path: proposalPath + "2f", key: clientKey, prompt: 300, out: 120, deadline: 39 * time.Second,
+			bodyLength: 400 << 10, burst: 280 << 10, piece: 8 << 10, pause: 40 * time.Millisecond, chunked: i%2 == 1,
+		})
+	}
+	s.countWhole(s.playCalls(calls, 60*time.Millisecond))
+	time.Sleep(6 * time.Second) // The engines wait up to 5 s for the rest of a body.
+	if s.trouble && s.rec.counted("early answers") == 0 {
+		return errors.New("no engine answered early")
+	}
+	return nil
+}
+
+// encodedStream has engines that give some of their answers with a Content-Encoding.
+func encodedStream(s *scene) error {
+	if err := s.start(4, 0, 2); err != nil {
+		return err
+	}
+	s.oddShare(true)
+	var calls []call
+	for range 240 {
+		calls = append(calls, call{
+			id: newID(), path: questionPath + "2f", key: clientKey, prompt: 300, out: 80, deadline: 6 * time.Second, bodyLength: 200, burst: 200,
+		})
+	}
+	outcomes := s.playCalls(calls, 60*time.Millisecond)
+	s.countWhole(outcomes)
+	for i, o := range outcomes {
+		if o.status == 200 && o.complete && (o.wrong > 0 || o.header.Get("Content-Encoding") != "") {
+			s.rec.violation("MIXED", "the client got of %s a whole success with Content-Encoding %q; first wrong event %d",
+				calls[i].id, o.header.Get("Content-Encoding"), o.wrong)
+		}
+	}
+	if s.trouble && s.rec.counted("encoded answers") == 0 {
+		return errors.New("no answer was encoded")
+	}
+	return nil
+}
+
+const (
+	// crowdedRate is the number of requests a second in leftClients, a little more than the engines can serve.
+	crowdedRate = 25
+	// giveUpAfter is the time after which a client leaves, within half of the route's objective of 1,800 ms.
+	giveUpAfter = 400 * time.Millisecond
+	// giveUpFrom and giveUpFor say when clients leave, and leavingOneIn which share of them.
+	giveUpFrom   = 8 * time.Second
+	giveUpFor    = 5500 * time.Millisecond
+	leavingOneIn = 5
+	// few is the number of late arrivals at engines that still counts as a few.
+	few = 5
+)
+
+// leftClients has clients that leave while the engines are full and their requests are held. Three requests of four have a body of
+// some hundred kilobytes, the others a short one.
+func leftClients(s *scene) error {
+	if err := s.start(6, 0, 2); err != nil {
+		return err
+	}
+	interval := time.Second / crowdedRate
+	var calls []call
+	for i := range 16 * crowdedRate {
+		k := call{id: newID(), path: proposalPath + "2f", key: clientKey, prompt: 3000, out: 360, deadline: 39 * time.Second, bodyLength: 300 << 10, burst: 300 << 10}
+		if i%4 == 0 {
+			k.bodyLength, k.burst = 8<<10, 8<<10
+		}
+		at := time.Duration(i) * interval
+		if s.trouble && i%leavingOneIn == 0 && at >= giveUpFrom && at < giveUpFrom+giveUpFor {
+			k.leaves, k.left = giveUpAfter, func() { s.group.left(k.id) }
+		}
+		calls = append(calls, k)
+	}
+	outcomes := s.playCalls(calls, interval)
+	s.countWhole(outcomes)
+	for _, o := range outcomes {
+		if o.status == 503 {
+			s.rec.count("refused")
+		}
+	}
+	long, short := s.rec.counted(lateLong), s.rec.counted(lateShort)
+	if long+short > few {
+		s.rec.violation("GONE", "%d requests with long bodies and %d with short ones reach an engine over %v after their clients closed their connections",
+			long, short, lateArrival)
+	}
+	return nil
+}
