review: case 1, a run goes on at a second engine while the first works on it

Cause: the handover to a backup ignores that the call that stops the first engine failed, and that call can meet a connection that the engine has dropped.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -185,3 +186,72 @@
 	}
 	return nil
 }
+
+const (
+	// idleDrop is the time after which the engines drop an idle connection without notice. They state 15 s.
+	idleDrop = 4 * time.Second
+	// shortRate is the number of short streams a second, which come for shortFor.
+	shortRate = 90
+	shortFor  = 3800 * time.Millisecond
+	// longFrom is when the long streams come, longCount how many.
+	longFrom  = 2600 * time.Millisecond
+	longCount = 72
+	// longEvent is the event after which the answer of a long stream is lost, about 8 s after its start.
+	longEvent = 195
+)
+
+// lostAnswer has three engines of six that lose the answers of some streams: the connection closes in the middle, and the run goes on.
+// All engines drop idle connections sooner than they state.
+func lostAnswer(s *scene) error {
+	if err := s.start(6, 0, 2); err != nil {
+		return err
+	}
+	for i, e := range s.engines {
+		e.idleDrop = idleDrop
+		if s.trouble && i%2 == 0 {
+			e.loses = loseSome(i / 2)
+		}
+	}
+	var short, long []call
+	for range int(shortFor.Seconds() * shortRate) {
+		short = append(short, call{id: newID(), path: questionPath + "2f", key: clientKey, prompt: 300, out: 40, deadline: 6 * time.Second, bodyLength: 200, burst: 200})
+	}
+	for range longCount {
+		long = append(long, call{id: newID(), path: proposalPath + "2f", key: clientKey, prompt: 100, out: 1000, deadline: 39 * time.Second, bodyLength: 200, burst: 200})
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { s.countWhole(s.playCalls(short, time.Second/shortRate)) })
+	wg.Go(func() {
+		time.Sleep(longFrom)
+		s.countWhole(s.playCalls(long, 10*time.Millisecond))
+	})
+	wg.Wait()
+	if s.trouble && s.rec.counted("lost answers") < 6 {
+		return errors.New("too few answers were lost")
+	}
+	return nil
+}
+
+// loseSome returns a function for engine.loses. Of the three engines that lose answers, numbered from 0, the first two lose two of their
+// answers to short streams, the last one loses one of them and that to its first long stream.
+func loseSome(number int) func(string, int) int {
+	var mu sync.Mutex
+	answers, longs := 0, 0
+	return func(_ string, total int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		if total > longEvent {
+			longs++
+			if number == 2 && longs == 1 {
+				return longEvent
+			}
+			return 0
+		}
+		answers++
+		early := map[int][]int{0: {8, 24}, 1: {12, 28}, 2: {16}}
+		if slices.Contains(early[number], answers) {
+			return 5
+		}
+		return 0
+	}
+}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -80,8 +80,8 @@
 	if k.closes {
 		framing += "Connection: close\r\n"
 	}
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Count: %d,%d\r\nPrompt-Prefix: 5c1e07a2:79,%x:%d\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\n%s\r\n",
-		k.path, clientHost, k.id, k.prompt, k.out, bodyBytes(k.id+"/part", 0, 4), k.prompt-79, k.deadline.Milliseconds(), k.key, framing)
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Count: %d,%d\r\nPrompt-Prefix: 5c1e07a2:79,%x:%d\r\nLength-Hint: %d\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\n%s\r\n",
+		k.path, clientHost, k.id, k.prompt, k.out, bodyBytes(k.id+"/part", 0, 4), k.prompt-79, k.out, k.deadline.Milliseconds(), k.key, framing)
 	if _, err := io.WriteString(c, head); err != nil {
 		return err
 	}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -146,6 +146,11 @@
 	// with a Content-Encoding if encodes is true, and otherwise begins after earlyBytes of a longer body.
 	oddEvery int
 	encodes  bool
+	// idleDrop is the time after which the engine drops an idle connection without notice; zero for never.
+	idleDrop time.Duration
+	// loses returns the event of a stream after which its answer is lost: the connection is closed in the middle, and the run goes on.
+	// Zero means that the answer is not lost.
+	loses func(id string, total int) int
 
 	mu   sync.Mutex
 	runs map[string]*run
@@ -173,6 +178,16 @@
 	return r.events
 }
 
+// halted reports whether the run was stopped.
+func (r *run) halted() bool {
+	select {
+	case <-r.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // advance counts an event, unless the run was stopped.
 func (r *run) advance(n int) bool {
 	r.mu.Lock()
@@ -195,7 +210,8 @@
 	e := &engine{
 		group: g, id: fmt.Sprintf("i-%s%02d%06x", service[:1], n, time.Now().UnixNano()&0xffffff), service: service, zone: zone,
 		address: l.Addr().String(), listener: l, bornMillis: time.Now().UnixMilli(),
-		runs: make(map[string]*run), moving: make(map[string]bool), conns: make(map[net.Conn]bool),
+		loses: func(string, int) int { return 0 },
+		runs:  make(map[string]*run), moving: make(map[string]bool), conns: make(map[net.Conn]bool),
 	}
 	g.mu.Lock()
 	g.byAddress[e.address] = e
@@ -265,11 +281,18 @@
 		e.mu.Unlock()
 	}()
 	r := bufio.NewReaderSize(c, 16<<10)
-	for {
+	for idleSince := time.Now(); ; idleSince = time.Now() {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
+		if e.idleDrop > 0 && time.Since(idleSince) > e.idleDrop {
+			e.group.rec.line("engine %s resets a connection that was idle for %v: %s %s %s is not read",
+				e.id, time.Since(idleSince).Round(time.Millisecond), req.Method, req.URL.Path, req.Header.Get("Attempt-Id"))
+			e.group.rec.count("requests on dropped connections")
+			reset(c)
+			return
+		}
 		if !e.answer(c, req) {
 			return
 		}
@@ -404,6 +427,7 @@
 	e.group.rec.count("runs")
 	if first > 1 {
 		e.group.rec.count("resumed runs")
+		go e.watchResumed(id)
 	}
 	e.group.rec.line("engine %s runs %s from event %d, body of %d bytes, first other byte at %d", e.id, id, first, check.read, check.differs)
 	if check.changed() {
@@ -450,6 +474,45 @@
 // eventData returns the data of an event of a stream.
 func eventData(id string, n int) string { return hex.EncodeToString(bodyBytes(id+"/events", n*16, 16)) }
 
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// workingElsewhere returns another engine that works on the request with an id.
+func (g *engineGroup) workingElsewhere(e *engine, id string) (*engine, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, other := range g.byAddress {
+		if other == e {
+			continue
+		}
+		other.mu.Lock()
+		r := other.runs[id]
+		other.mu.Unlock()
+		if r != nil && !r.halted() {
+			return other, true
+		}
+	}
+	return nil, false
+}
+
+// goesOnTwice is the time after which an engine must have stopped to work on a request that goes on at another one.
+const goesOnTwice = 400 * time.Millisecond
+
+// watchResumed checks goesOnTwice after a run has gone on at e whether another engine still works on the request.
+func (e *engine) watchResumed(id string) {
+	time.Sleep(goesOnTwice)
+	other, working := e.group.workingElsewhere(e, id)
+	e.mu.Lock()
+	here := e.runs[id] != nil
+	e.mu.Unlock()
+	if working && here {
+		e.group.rec.violation("TWICE", "%s goes on at engine %s, and %v later engine %s still works on it", id, e.id, goesOnTwice, other.id)
+	}
+}
+
 // stream answers with the events from first on. It reports whether the stream came to its end.
 func (e *engine) stream(c net.Conn, req *http.Request, id string, first int, encoded bool) bool {
 	promptText, outText, _ := strings.Cut(req.Header.Get("Token-Count"), ",")
@@ -476,18 +539,22 @@
 		e.group.rec.count("encoded answers")
 		e.group.rec.line("engine %s answers %s with a Content-Encoding", e.id, id)
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s.%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, e.id, id, encoding)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s.%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n%sKeep-Alive: timeout=15\r\nTransfer-Encoding: chunked\r\n\r\n", id, e.id, id, encoding)
 	if _, err := io.WriteString(c, head); err != nil {
 		return false
 	}
 	backup := req.Header.Get("Kv-Backup")
+	loseAt, lost := 0, false
+	if first == 1 {
+		loseAt = e.loses(id, total)
+	}
 	for n := first; n <= total; n++ {
 		select {
 		case <-time.After(eventTime):
 		case <-current.stop:
-			return false
 		}
 		if !current.advance(n) {
+			e.group.rec.line("engine %s has stopped its run of %s at event %d", e.id, id, n-1)
 			return false
 		}
 		data := eventData(id, n)
@@ -495,6 +562,16 @@
 			data = spoil(data)
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, data)
+		if lost {
+			continue
+		}
+		if n == loseAt {
+			e.group.rec.count("lost answers")
+			e.group.rec.line("engine %s: the answer of %s is lost after event %d, backup %q; the run goes on", e.id, id, n, backup)
+			_ = c.Close()
+			lost = true
+			continue
+		}
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			e.group.rec.line("engine %s drops %s after event %d: its connection is closed", e.id, id, n)
 			return false
@@ -503,7 +580,10 @@
 			e.group.putCopy(backup, id, memoryCopy{id: id, events: n})
 		}
 	}
-	e.group.rec.line("engine %s has ended its stream of %s", e.id, id)
+	e.group.rec.line("engine %s has ended its run of %s", e.id, id)
+	if lost {
+		return false
+	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -44,6 +44,7 @@
 	"early-answer":   earlyAnswer,
 	"encoded-stream": encodedStream,
 	"left-clients":   leftClients,
+	"lost-answer":    lostAnswer,
 }
 
 func main() {
