--- a/review/.standin/cases.go
+++ b/review/.standin/cases.go
@@ -255,3 +255,57 @@
 		return 0
 	}
 }
+
+const (
+	// crashEngines is the number of engines in crash, each in a process of its own. One of them is killed.
+	crashEngines = 6
+	// crashStreams is the number of streams, which fill nearly all slots.
+	crashStreams = 22 * crashEngines
+	// crashAt is when the engine is killed, counted from the first stream.
+	crashAt = 4 * time.Second
+	// unlistedAfter is when the entry of a crashed engine is removed: after three heartbeat intervals.
+	unlistedAfter = 3600 * time.Millisecond
+)
+
+// crash kills the process of one engine of six. Half of the engines give one answer in twenty without a length.
+func crash(s *scene) error {
+	s.configure(7)
+	for n := range crashEngines {
+		if _, err := s.startEngineProcess(n, n%2 == 0); err != nil {
+			return err
+		}
+	}
+	if err := s.startEntries(2); err != nil {
+		return err
+	}
+	var calls []call
+	for range crashStreams {
+		calls = append(calls, call{id: newID(), path: proposalPath + "2f", key: clientKey, prompt: 100, out: 800, deadline: 39 * time.Second, bodyLength: 200, burst: 200})
+	}
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		time.Sleep(crashAt)
+		p := s.processes[0]
+		if !s.trouble {
+			return
+		}
+		p.kill()
+		s.rec.line("engine %s is killed (SIGKILL); its address accepts connections: %v", p.id, p.accepts())
+		time.Sleep(unlistedAfter)
+		s.store.remove("servers/" + p.id)
+	}()
+	outcomes := s.playCalls(calls, 10*time.Millisecond)
+	<-killed
+	s.countWhole(outcomes)
+	for i, o := range outcomes {
+		if o.status != 200 || !o.complete {
+			s.rec.count("cut or refused")
+			continue
+		}
+		if want := calls[i].out / tokensPerEvent; o.events != want {
+			s.rec.violation("ORDER", "the stream of %s ended as complete after %d of %d events", calls[i].id, o.events, want)
+		}
+	}
+	return nil
+}
--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -34,6 +34,8 @@
 	group   *engineGroup
 	entries []*entry
 	engines []*engine
+	// processes are the engines that run in processes of their own.
+	processes []*engineProcess
 }
 
 var zones = []string{"lima-a", "lima-b", "lima-c"}
@@ -44,10 +46,14 @@
 	"early-answer":   earlyAnswer,
 	"encoded-stream": encodedStream,
 	"left-clients":   leftClients,
+	"crash":          crash,
 	"lost-answer":    lostAnswer,
 }
 
 func main() {
+	if len(os.Args) == 6 && os.Args[1] == "engine" {
+		os.Exit(runEngine(os.Args[2], os.Args[3], os.Args[4], os.Args[5] == "true"))
+	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
@@ -125,11 +131,25 @@
 	for _, e := range s.entries {
 		e.kill()
 	}
+	for _, p := range s.processes {
+		p.kill()
+	}
 }
 
+// engineLog returns the file to which an engine's process writes its log.
+func (s *scene) engineLog(id string) string { return filepath.Join(s.dir, id+".log") }
+
 // start writes the configuration and starts engines and entries, one in each zone in turn, and waits until the entries are ready.
 func (s *scene) start(engines, plain, entries int) error {
 	s.configure(7)
+	if err := s.startEngines(engines, plain); err != nil {
+		return err
+	}
+	return s.startEntries(entries)
+}
+
+// startEngines starts model engines and plain services in this process.
+func (s *scene) startEngines(engines, plain int) error {
 	for i := range engines + plain {
 		service := "assistant"
 		if i >= engines {
@@ -141,6 +161,11 @@
 		}
 		s.engines = append(s.engines, e)
 	}
+	return nil
+}
+
+// startEntries starts entries and waits until they are ready.
+func (s *scene) startEntries(entries int) error {
 	for i := range entries {
 		e, err := newEntry(s.dir, fmt.Sprintf("%s%d", s.network, 10+i), zones[i%len(zones)], 1+i/len(zones), s.store.address)
 		if err != nil {
