--- a/review/.standin/cases.go
+++ b/review/.standin/cases.go
@@ -82,12 +82,15 @@
 	e.end()
 }
 
-// oddShare makes half of the engines give one answer in twenty out of the ordinary.
+// oddEvery is how many answers an engine gives for each one out of the ordinary, 0.02 of them.
+const oddEvery = 50
+
+// oddShare makes half of the engines give one answer in oddEvery out of the ordinary.
 func (s *scene) oddShare(encodes bool) {
 	for i, e := range s.engines {
 		if s.trouble && i%2 == 0 {
 			e.mu.Lock()
-			e.oddEvery, e.encodes = 20, encodes
+			e.oddEvery, e.encodes = oddEvery, encodes
 			e.mu.Unlock()
 		}
 	}
@@ -191,24 +194,24 @@
 	// idleDrop is the time after which the engines drop an idle connection without notice. They state 15 s.
 	idleDrop = 4 * time.Second
 	// shortRate is the number of short streams a second, which come for shortFor.
-	shortRate = 90
+	shortRate = 130
 	shortFor  = 3800 * time.Millisecond
 	// longFrom is when the long streams come, longCount how many.
 	longFrom  = 2600 * time.Millisecond
-	longCount = 72
+	longCount = 98
 	// longEvent is the event after which the answer of a long stream is lost, about 8 s after its start.
 	longEvent = 195
 )
 
-// lostAnswer has three engines of six that lose the answers of some streams: the connection closes in the middle, and the run goes on.
+// lostAnswer has three engines of seven that lose the answers of some streams: the connection closes in the middle, and the run goes on.
 // All engines drop idle connections sooner than they state.
 func lostAnswer(s *scene) error {
-	if err := s.start(6, 0, 2); err != nil {
+	if err := s.start(7, 0, 2); err != nil {
 		return err
 	}
 	for i, e := range s.engines {
 		e.idleDrop = idleDrop
-		if s.trouble && i%2 == 0 {
+		if s.trouble && i%2 == 0 && i < 6 {
 			e.loses = loseSome(i / 2)
 		}
 	}
