A broken stream resumes elsewhere only once its source has stopped it

The entry asked the engine once to stop the run, the call met a connection that the engine had dropped while it was idle, and the request went on at the engine with the backup all the same. Both worked on it until the first one had come to its end, more than 2 s later.

A call that may be made any number of times was made once, on whatever idle connection there was. And handOverToBackup read every error of that call as "the source has ended": a reset, 409, 5xx, garbage, a 503 that declines the copy and a timeout alike. Ruled out: a stop that reached the engine and was not obeyed (the engine's record says "POST /kv-move is not read"). Found beside it: a late answer to a caller's request was taken for the reply to the call ("no such run", by its 404), and with 503 and a handle the request went to an engine that does not have the copy.

The pool sends a repeatable message again on a new connection when a used one breaks. A source that is not reached (two connections in a row can't be opened) does not hold the stream up; it is asked on in the background and stopped once it is reached. A source that is reached and tells nothing for 3 s ends the stream truthfully. The stop of a move is the same call. The states are logged and counted.

The input of one script changed: after a lost last copy the endpoint is asked again, and says that it does not run the request.

--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"toucanport/toucangeneration"
 	"toucanport/toucantraffic"
 )
 
@@ -47,6 +48,7 @@
 	refusals map[reason]tally.Counter
 	answers  map[answerKey]tally.Counter
 	took     map[toucantraffic.Kind]tally.Histogram
+	stops    map[toucangeneration.SourceState]tally.Counter
 	// workspaces has at most maxWorkspaces entries plus the one of otherWorkspaces.
 	workspaces map[string]workspaceCounters
 }
@@ -92,6 +94,7 @@
 		refusals:          make(map[reason]tally.Counter),
 		answers:           make(map[answerKey]tally.Counter),
 		took:              make(map[toucantraffic.Kind]tally.Histogram),
+		stops:             make(map[toucangeneration.SourceState]tally.Counter),
 		workspaces:        make(map[string]workspaceCounters),
 	}
 }
@@ -134,6 +137,18 @@
 	c.Inc(1)
 }
 
+// stopped counts the result of asking an endpoint whose stream broke to stop the generation.
+func (m *metrics) stopped(state toucangeneration.SourceState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ok := m.stops[state]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"state": string(state)}).Counter("broken_streams_stopped")
+		m.stops[state] = c
+	}
+	c.Inc(1)
+}
+
 // answered counts an answered request and records its duration.
 func (m *metrics) answered(kind toucantraffic.Kind, workspace string, status int, took time.Duration) {
 	m.workspace(workspace).answered.Inc(1)
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -439,8 +439,9 @@
 func (*coordinatorWithoutPeers) StoreUnreachable(time.Time) bool { return true }
 func (*coordinatorWithoutPeers) Changed() <-chan struct{}        { return make(chan struct{}) }
 
-// scriptedMover answers each Copy with the next outcome of the script: ok, notRunning, noCapacity, noCapacityStopped or lost. The
-// last outcome applies to all further copies; without a script every copy succeeds.
+// scriptedMover answers each Copy with the next outcome of the script: ok, notRunning, ended, unreached, noCapacity, noCapacityStopped,
+// unanswered and silent, at once and after the timeout, while the generation goes on, or lost, after it was stopped. The last outcome
+// applies to all further copies; without a script every copy succeeds.
 type scriptedMover struct {
 	deployment *deployment
 	mu         sync.Mutex
@@ -483,7 +484,7 @@
 	return append(append([]string(nil), seen...), m.drops...)
 }
 
-func (m *scriptedMover) Copy(_ context.Context, source, _, target string, last bool) (string, error) {
+func (m *scriptedMover) Copy(ctx context.Context, source, _, target string, last bool) (string, error) {
 	from, to := m.name(source), m.name(target)
 	m.mu.Lock()
 	outcome := "ok"
@@ -498,6 +499,15 @@
 	switch outcome {
 	case "notRunning":
 		return "", toucangeneration.ErrNotRunning
+	case "unreached":
+		return "", toucangeneration.ErrUnreached
+	case "ended":
+		return "", toucangeneration.ErrEnded
+	case "unanswered":
+		return "", io.ErrUnexpectedEOF
+	case "silent":
+		<-ctx.Done()
+		return "", ctx.Err()
 	case "noCapacity":
 		return "", toucangeneration.ErrNoCapacity
 	case "noCapacityStopped":
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -24,6 +24,8 @@
 	announceDelay = 12 * time.Millisecond
 	// maxTurnWait is how long a generation waits for generations of peers that are ahead of it in the order.
 	maxTurnWait = 1200 * time.Millisecond
+	// stopRetryDelay is the time between two attempts to stop a generation for a move.
+	stopRetryDelay = 25 * time.Millisecond
 	// moveRetryDelay is the time between a failed move and the next attempt.
 	moveRetryDelay = 150 * time.Millisecond
 )
@@ -215,7 +217,7 @@
 func (r *Registry) moveToTarget(ctx context.Context, g *Generation, source toucanplace.Endpoint, target *toucanplace.Reservation) (bool, error) {
 	began := time.Now()
 	defer r.coordinator.BeginCopy(target.Endpoint.Key())()
-	first, err := r.copyMemory(ctx, g, source, target, false)
+	first, err := r.copyMemory(ctx, g, source, target)
 	if err != nil {
 		return false, err
 	}
@@ -224,23 +226,23 @@
 		return false, ErrNotRunning
 	}
 	stoppedAt := time.Now()
-	handle, err := r.copyMemory(ctx, g, source, target, true)
-	h := Handover{Reservation: target, Source: source.Address, Handle: handle, StoppedAt: stoppedAt}
+	stop := r.stopForMove(ctx, g, source, target)
+	h := Handover{Reservation: target, Source: source.Address, Handle: stop.Handle, StoppedAt: stoppedAt}
 	switch {
-	case err == nil:
-	case errors.Is(err, ErrNotRunning), errors.Is(err, ErrNoCapacity) && handle == "":
+	case stop.State == SourceStopped:
+	case stop.goesOn():
 		g.markNotStopped()
 		r.dropCopy(ctx, source, first)
-		return false, err
-	case errors.Is(err, ErrNoCapacity):
+		return false, stop.Err
+	case stop.State == SourceKeepsMemory:
 		h.Reservation = r.placer.ReserveForced(source, g.Demand())
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
 	default:
 		// The generation may have stopped. If it has, only its backup can continue it.
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
-		r.reportMoveFailure(g, source, target.Endpoint.ID, err)
-		g.deliverHandover(Handover{err: err})
-		return true, err
+		r.reportMoveFailure(g, source, target.Endpoint.ID, stop.Err)
+		g.deliverHandover(Handover{err: stop.Err})
+		return true, stop.Err
 	}
 	r.moves.Inc(1)
 	r.log.Info(toucanlog.MsgGenerationMoved,
@@ -277,12 +279,27 @@
 	}()
 }
 
-// copyMemory copies a generation's memory to a target within copyTimeout. With last, the endpoint stops the generation
-// first.
-func (r *Registry) copyMemory(ctx context.Context, g *Generation, source toucanplace.Endpoint, target *toucanplace.Reservation, last bool) (string, error) {
+// copyMemory copies a generation's memory to a target within copyTimeout, while the generation continues.
+func (r *Registry) copyMemory(ctx context.Context, g *Generation, source toucanplace.Endpoint, target *toucanplace.Reservation) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	return r.mover.Copy(ctx, source.Address, g.spec.ID, target.Endpoint.Address, false)
+}
+
+// stopForMove makes the source stop a generation and copy the rest of its memory to a target, within copyTimeout.
+func (r *Registry) stopForMove(ctx context.Context, g *Generation, source toucanplace.Endpoint, target *toucanplace.Reservation) StopResult {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	return r.mover.Copy(ctx, source.Address, g.spec.ID, target.Endpoint.Address, last)
+	return Stop{
+		Mover:          r.mover,
+		Source:         source.Address,
+		ID:             g.spec.ID,
+		Target:         target.Endpoint.Address,
+		AttemptTimeout: copyTimeout,
+		RetryDelay:     stopRetryDelay,
+		Patience:       copyTimeout,
+		AcceptDecline:  true,
+	}.Run(ctx)
 }
 
 // markStopping records that the endpoint is about to be asked to stop the generation. It returns false if the
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -19,9 +19,9 @@
 // Mover requests copies of running generations' memory from endpoints.
 type Mover interface {
 	// Copy copies the memory of a generation from source to target, both addresses. With last, the source stops the
-	// generation before the copy. The handle identifies the copy at the source. The error is ErrNotRunning,
-	// ErrNoCapacity or another error. With ErrNoCapacity, the handle is set if the generation has stopped; after other
-	// errors the generation may have stopped.
+	// generation before the copy. The handle identifies the copy at the source. The error is ErrNotRunning, ErrEnded,
+	// ErrUnreached, ErrNoCapacity or another error. With ErrNoCapacity, the handle is set if the generation has stopped;
+	// after other errors the generation may have stopped. A copy can be requested again.
 	Copy(ctx context.Context, source, requestID, target string, last bool) (handle string, err error)
 	// Drop frees an unused copy.
 	Drop(ctx context.Context, source, handle string) error
@@ -30,6 +30,10 @@
 var (
 	// ErrNotRunning means that the endpoint does not run the request.
 	ErrNotRunning = errors.New("endpoint does not run the request")
+	// ErrEnded means that nothing listens at the endpoint's address any more.
+	ErrEnded = errors.New("endpoint has ended")
+	// ErrUnreached means that no connection to the endpoint could be opened, and it got nothing.
+	ErrUnreached = errors.New("endpoint was not reached")
 	// ErrNoCapacity means that the target has too little memory for the copy or is unreachable from the source.
 	ErrNoCapacity = errors.New("target has no capacity for the copy")
 )
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -16,6 +16,7 @@
 	MsgGenerationMoved    = "generation moved"
 	MsgGenerationNotMoved = "generation could not be moved"
 	MsgStreamResumed      = "stream resumed"
+	MsgSourceAsked        = "endpoint of a broken stream asked to stop it"
 
 	// Changes in a process's view of the store, its peers and its endpoints.
 
@@ -131,6 +132,7 @@
 	SameDomain      = "sameDomain"
 	Service         = "service"
 	SettingsVersion = "settingsVersion"
+	State           = "state"
 	Status          = "status"
 	StopGraceMs     = "stopGraceMs"
 	Store           = "store"
--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -21,6 +21,8 @@
 	// ErrConnections is returned if a request was not sent because all connections to the endpoint are in use. It wraps
 	// ErrNotSent.
 	ErrConnections = errors.Wrap(ErrNotSent, "all connections to the endpoint are in use")
+	// ErrRefused is returned if the address answers that nothing listens there. It wraps ErrNotSent.
+	ErrRefused = errors.WithStack(ErrNotSent)
 	// ErrLost is returned if at least part of a request may have been sent and no valid answer was received. The
 	// endpoint may have run the request.
 	ErrLost = errors.New("answer was lost")
@@ -123,12 +125,20 @@
 	if c := p.takeIdle(address); c != nil {
 		return c, nil
 	}
+	return p.dial(ctx, address, limit)
+}
+
+// dial returns a new connection to address if fewer than limit are open. The error wraps ErrNotSent.
+func (p *Pool) dial(ctx context.Context, address string, limit int) (*conn, error) {
 	if !p.reserve(address, limit) {
 		return nil, errors.Wrap(ErrConnections, address)
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, errors.Wrapf(ErrRefused, "dial %s: %v", address, err)
+		}
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", address, err)
 	}
 	head := &headLimit{r: raw, left: noHeadLimit}
--- a/toucanupstream/response.go
+++ b/toucanupstream/response.go
@@ -29,6 +29,10 @@
 	// Belongs reports whether an answer with these headers is for this request. Other answers are skipped. If Belongs
 	// is nil, the first answer is accepted.
 	Belongs func(http.Header) bool
+	// Repeatable is true if the endpoint may get the message twice. It is then sent again on a new connection when a
+	// connection that had carried another request before breaks without an answer, as the endpoint may have dropped that
+	// connection while it was idle.
+	Repeatable bool
 }
 
 const (
@@ -52,6 +56,8 @@
 	Framed bool
 	// Reused is true if the request was sent over a connection that had carried another request before.
 	Reused bool
+	// Repeated is true if a Repeatable message was sent a second time. The endpoint may have got the first one too.
+	Repeated bool
 
 	conn      *conn
 	resp      *http.Response
@@ -68,15 +74,37 @@
 	if err != nil {
 		return nil, err
 	}
+	r, err := c.exchange(ctx, m)
+	if err == nil || !m.Repeatable || c.used == 0 || ctx.Err() != nil {
+		return r, err
+	}
+	fresh, dialErr := p.dial(ctx, address, limit)
+	if dialErr != nil {
+		if errors.Is(dialErr, ErrRefused) {
+			// The endpoint has ended, and whatever it did with the message with it.
+			return nil, dialErr
+		}
+		return nil, err
+	}
+	r, err = fresh.exchange(ctx, m)
+	if r != nil {
+		r.Repeated = true
+	}
+	return r, err
+}
+
+// exchange sends a message on a connection and returns the answer once its header has arrived. It closes the connection
+// if there is none. The error wraps ErrLost.
+func (c *conn) exchange(ctx context.Context, m Message) (*Response, error) {
 	detach := context.AfterFunc(ctx, c.close)
 	r, err := c.roundTrip(m)
 	if err != nil {
 		detach()
 		c.close()
 		if c.used > 0 && ctx.Err() == nil && errors.Is(err, syscall.ECONNRESET) {
-			p.recordDrop(c.idleBefore)
+			c.pool.recordDrop(c.idleBefore)
 		}
-		return nil, errors.Wrapf(ErrLost, "%s: %v", address, err)
+		return nil, errors.Wrapf(ErrLost, "%s: %v", c.address, err)
 	}
 	r.detach = detach
 	return r, nil
