A moved stream survives an idle connection that its new engine dropped

A handle can be used once, so that the request may be sent twice. Change: it is sent again on a new connection when a used one breaks. A refusal of the second request says nothing about the first, so that the stream then resumes nowhere else.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -93,6 +93,8 @@
 		Body:    j.body,
 		Rest:    j.rest,
 		Belongs: func(h http.Header) bool { return s.codec.Belongs(h, j.ID) },
+		// A handle can be used once, so that an endpoint does not resume a generation twice.
+		Repeatable: resume != nil && j.rest == nil,
 	})
 }
 
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -554,6 +554,8 @@
 //	events A B hold  events A to B, then wait until released or stopped
 //	events A B cut   events A to B, then the connection breaks
 //	events A B end   events A to B, then the stream's end
+//	events A B keep  the same, and the connection stays open for another request
+//	drop             no answer on a connection that was kept; the connection is closed, and the request is not recorded
 //	events A B unframed      events A to B without length or chunks, which end with the connection
 //	events A B unframedHalf  the same, with half an event at the end
 //	unframed BODY    an answer without length, which ends with its connection
@@ -567,6 +569,8 @@
 	seen  []string
 	began chan struct{}
 	held  chan bool
+	// keeps is true if the connection of the last step stays open.
+	keeps bool
 }
 
 func (e *endpoint) address() string {
@@ -666,10 +670,36 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	e.record(r)
-	for e.answer(rw, r) {
+	for r != nil {
+		e.record(r)
+		for e.answer(rw, r) {
+		}
+		_ = rw.Flush() // The connection may be gone.
+		r = e.nextOnKept(rw)
 	}
-	_ = rw.Flush() // The connection may be gone.
+}
+
+// nextOnKept returns the next request on a connection that the last step kept open; nil if it did not, or if the next step drops it.
+func (e *endpoint) nextOnKept(rw *bufio.ReadWriter) *http.Request {
+	e.mu.Lock()
+	kept := e.keeps
+	e.keeps = false
+	e.mu.Unlock()
+	if !kept {
+		return nil
+	}
+	r, err := http.ReadRequest(rw.Reader)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // The body is not checked.
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.steps) > 0 && e.steps[0] == "drop" {
+		e.steps = e.steps[1:]
+		return nil
+	}
+	return r
 }
 
 // answer performs one step and reports whether another step follows for the same request.
@@ -714,7 +744,14 @@
 func (e *endpoint) stream(rw *bufio.ReadWriter, id string, step []string) {
 	from, _ := strconv.Atoi(step[1])
 	to, _ := strconv.Atoi(step[2])
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\nConnection: close\r\n", headerID, id, headerGenuine)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\n", headerID, id, headerGenuine)
+	if step[3] == "keep" {
+		e.mu.Lock()
+		e.keeps = true
+		e.mu.Unlock()
+	} else {
+		head += "Connection: close\r\n"
+	}
 	if step[3] == "unframed" || step[3] == "unframedHalf" {
 		_, _ = rw.WriteString(head + "\r\n")
 		for i := from; i <= to; i++ {
@@ -732,7 +769,7 @@
 	}
 	_ = rw.Flush()
 	switch step[3] {
-	case "end":
+	case "end", "keep":
 		_, _ = rw.WriteString("0\r\n\r\n")
 	case "hold":
 		if <-e.beginHold() {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -219,7 +219,8 @@
 	if resp.Status != http.StatusOK || !headers.Genuine || !headers.Named || !isEventStream(resp.Header) {
 		resp.Close()
 		h.Reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
-		return nil, nil, resumeError(h, resp.Status, headers)
+		// After a second request, the refusal says nothing about the first one.
+		return nil, nil, resumeError(h, resp.Status, headers.NotRun && !resp.Repeated)
 	}
 	g.ContinueAt(h.Reservation)
 	s.metrics.resumed.Inc(1)
@@ -235,10 +236,10 @@
 }
 
 // resumeError returns the error for an endpoint that did not resume a generation. It wraps errNotRun if the endpoint
-// reports that it did not run the request.
-func resumeError(h toucangeneration.Handover, status int, headers Answer) error {
+// certainly did not run the request.
+func resumeError(h toucangeneration.Handover, status int, notRun bool) error {
 	err := errors.Errorf("endpoint %s did not resume the generation: status %d", h.Reservation.Endpoint.ID, status)
-	if headers.NotRun {
+	if notRun {
 		err = errors.Wrap(errNotRun, err.Error())
 	}
 	return err
