A request is sent again whole or not at all

On kept connections the body had no end, and the stream stood still until the caller's deadline.

Cause: a long body was read once, while it was passed on, and each path that sends again decided for itself whether that was possible. The retry asked; the resume after a move, from a backup and at a third endpoint did not. Ruled out: a body that the pool cuts (the first engine gets it whole).

Change: toucanbody.Body owns the fact, and all paths ask it. Such a stream goes on whole. Where no memory is left, the body is passed on as it arrives and can be read once: a second reader gets an error, so that no path can send a beginning as a whole. That stream is not moved and is cut at once when it breaks. A metric, two gauges and a line say where the bound binds. A chunked body longer than callers may send is refused (413).

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -2,27 +2,25 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"toucanport/toucanbody"
+	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanretry"
 )
 
-const (
-	// maxBufferedBody is the size in bytes up to which a request's body is buffered, so that the request can be
-	// retried. A longer body is streamed and its request is sent only once.
-	maxBufferedBody = 256 << 10
-	// retryAfterUnready is the Retry-After value while this entry has no settings, or none for the route's service.
-	retryAfterUnready = 500 * time.Millisecond
-)
+// retryAfterUnready is the Retry-After value while this entry has no settings, or none for the route's service.
+const retryAfterUnready = 500 * time.Millisecond
 
 // accept parses a request and matches it to a route, a workspace and a service. It returns a refusal if the request is
 // malformed, not permitted or too large, or if the settings are missing. The job is never nil.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
-	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool)}
+	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}}
 	req, err := s.codec.Request(r.Header)
 	j.Request = req
 	table := s.traffic.Table()
@@ -48,7 +46,8 @@
 	if !ok {
 		return j, refuseLater(reasonNoService, retryAfterUnready)
 	}
-	if limit := table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+	j.maxBody = table.Limits.BodyBytes
+	if j.maxBody > 0 && r.ContentLength > j.maxBody {
 		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
 	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.estimates.estimate(route.Name, req, 0)}
@@ -74,24 +73,66 @@
 	return arrived.Add(left)
 }
 
-// readBody buffers the body up to maxBufferedBody. The remainder of a longer body is streamed to the endpoint.
+// readBody reads the body. If there is no memory to keep it whole, the remainder is passed on as it arrives.
 func (s *Server) readBody(ctx context.Context, j *job) *refusal {
 	if j.in.Body == nil || j.in.Body == http.NoBody {
 		return nil
 	}
-	_ = http.NewResponseController(j.w).SetReadDeadline(j.deadline) // Best effort: without it, a slow body is cut only later.
-	limited := io.LimitReader(j.in.Body, maxBufferedBody+1)
-	body, err := io.ReadAll(limited)
+	control := http.NewResponseController(j.w)
+	_ = control.SetReadDeadline(j.deadline) // Best effort: without it, a slow body is cut only later.
+	body, err := toucanbody.Read(j.in.Body, j.maxBody, s.bodies)
 	if err != nil {
-		if ctx.Err() != nil {
-			return &refusal{status: http.StatusRequestTimeout, reason: reasonCallerSlow, err: err}
-		}
-		return &refusal{status: http.StatusBadRequest, reason: reasonCallerLeft, err: err}
+		return bodyRefusal(ctx, err)
 	}
 	j.body = body
-	if len(body) > maxBufferedBody {
-		j.rest = j.in.Body
+	_ = control.SetReadDeadline(time.Time{}) // Best effort, as above.
+	if !body.Whole() {
+		s.recordNotKept(j)
+		// Otherwise net/http reads and drops what is left of the body when the answer begins.
+		_ = control.EnableFullDuplex() // Only HTTP/1 needs it and has it.
 	}
-	_ = http.NewResponseController(j.w).SetReadDeadline(time.Time{}) // Best effort, as above.
 	return nil
 }
+
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(ctx context.Context, err error) *refusal {
+	switch {
+	case errors.Is(err, toucanbody.ErrTooLong):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, err: err}
+	case ctx.Err() != nil:
+		return &refusal{status: http.StatusRequestTimeout, reason: reasonCallerSlow, err: err}
+	}
+	return &refusal{status: http.StatusBadRequest, reason: reasonCallerLeft, err: err}
+}
+
+// recordNotKept counts and logs a request that can be sent only once.
+func (s *Server) recordNotKept(j *job) {
+	j.logged = true
+	s.metrics.bodiesNotKept.Inc(1)
+	usage := s.bodies.Usage()
+	s.log.Warn(toucanlog.MsgBodyNotKept,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Route, j.route.Name,
+		toucanlog.Workspace, j.workspace,
+		toucanlog.UsedBytes, usage.Used,
+		toucanlog.LimitBytes, usage.Limit,
+	)
+}
+
+// bodyLinger is how long what is left of a body is still read after the answer, so that the caller gets the answer and not a
+// reset of its connection.
+const bodyLinger = 250 * time.Millisecond
+
+// releaseBody frees the memory of the request's body. It bounds how long a body that was not read to its end is still read, as
+// the caller's connection stays open as long; a cut stream ends at once.
+func (s *Server) releaseBody(j *job) {
+	j.body.Release()
+	if !j.body.Unread() {
+		return
+	}
+	until := time.Now()
+	if !j.cut {
+		until = until.Add(bodyLinger)
+	}
+	_ = http.NewResponseController(j.w).SetReadDeadline(until) // Best effort: without it, a slow body is cut only later.
+}
--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -91,20 +91,19 @@
 		Host:    j.in.Host,
 		Header:  header,
 		Body:    j.body,
-		Rest:    j.rest,
 		Belongs: func(h http.Header) bool { return s.codec.Belongs(h, j.ID) },
 		// A handle can be used once, so that an endpoint does not resume a generation twice.
-		Repeatable: resume != nil && j.rest == nil,
+		Repeatable: resume != nil && j.body.Whole(),
 	})
 }
 
 // reserveBackup reserves memory for a stream's backup at another endpoint and returns that endpoint's address. It
-// returns an empty address if the stream needs no backup or no endpoint has memory for it. An earlier reservation is
-// released.
+// returns an empty address if the stream needs no backup, could not resume from it or no endpoint has memory for it. An
+// earlier reservation is released.
 func (s *Server) reserveBackup(j *job, reservation *toucanplace.Reservation) string {
 	j.releaseBackup()
 	e := j.service.Engine
-	if e == nil || !e.Backups || j.route.Kind != toucantraffic.Stream || j.demand.Output < minBackupOutput || !s.streamsAtRisk() {
+	if e == nil || !e.Backups || !j.body.Whole() || j.route.Kind != toucantraffic.Stream || j.demand.Output < minBackupOutput || !s.streamsAtRisk() {
 		return ""
 	}
 	backup, err := s.placer.Backup(time.Now(), reservation.Endpoint, j.demand)
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -65,6 +65,7 @@
 			toucanlog.Endpoint, a.reservation.Endpoint.ID,
 			toucanlog.Cause, err.Error(),
 		)
+		j.cut = true
 		panic(http.ErrAbortHandler)
 	}
 	a.reservation.Done(time.Now(), toucanplace.OutcomeGood)
--- a/toucanforward/fingerprint.go
+++ b/toucanforward/fingerprint.go
@@ -1,6 +1,7 @@
 package toucanforward
 
 import (
+	"io"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,8 +9,11 @@
 	"toucanport/toucanquarantine"
 )
 
+// fingerprintBytes is the part of a body that its fingerprint holds.
+const fingerprintBytes = 256 << 10
+
 // fingerprint returns the part that holds the whole request: its method, path, caller, prompt and body. Two requests with the same
-// fingerprint make an engine do the same. Of a body that is not buffered, it holds the first part and the length.
+// fingerprint make an engine do the same. Of a long body, it holds the first part and the length.
 func (j *job) fingerprint() toucanquarantine.Part {
 	if j.wholePart != 0 {
 		return j.wholePart
@@ -20,7 +24,7 @@
 	} {
 		_, _ = d.WriteString(strconv.Itoa(len(text)) + ":" + text) // A digest's Write never fails.
 	}
-	_, _ = d.Write(j.body)
+	_, _ = io.Copy(d, j.body.Prefix(fingerprintBytes)) // Neither fails.
 	j.wholePart = toucanquarantine.Part(max(d.Sum64(), 1))
 	return j.wholePart
 }
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -37,9 +37,11 @@
 	resumed           tally.Counter
 	withoutBackup     tally.Counter
 	resumedFromBackup tally.Counter
-	firstEvent        tally.Histogram
-	betweenEvents     tally.Histogram
-	held              tally.Histogram
+	// bodiesNotKept counts the requests that can be sent only once, as there was no memory for their bodies.
+	bodiesNotKept tally.Counter
+	firstEvent    tally.Histogram
+	betweenEvents tally.Histogram
+	held          tally.Histogram
 
 	// limitedSends counts, by kind, what was sent to endpoints that named a limit.
 	limitedSends map[sendKind]tally.Counter
@@ -87,6 +89,7 @@
 		resumed:           scope.Counter("streams_resumed"),
 		withoutBackup:     scope.Counter("streams_without_backup"),
 		resumedFromBackup: scope.Counter("streams_resumed_from_backup"),
+		bodiesNotKept:     scope.Counter("request_bodies_not_kept"),
 		firstEvent:        scope.Histogram("first_event", answerBuckets),
 		betweenEvents:     scope.Histogram("between_events", answerBuckets),
 		held:              scope.Histogram("request_held", answerBuckets),
--- a/toucanforward/normalize_test.go
+++ b/toucanforward/normalize_test.go
@@ -26,5 +26,5 @@
 	toucanlog.MsgStreamCut, toucanlog.MsgCallerLeft, toucanlog.MsgGenerationMoved,
 	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed, toucanlog.MsgSourceAsked, toucanlog.MsgEndpointEnded, toucanlog.MsgPartQuarantined,
 	toucanlog.MsgEndpointDeferred, toucanlog.MsgEndpointLeaves,
-	toucanlog.MsgEndpointLimited, toucanlog.MsgEndpointUnlimited, toucanlog.MsgSentToLimited,
+	toucanlog.MsgBodyNotKept, toucanlog.MsgEndpointLimited, toucanlog.MsgEndpointUnlimited, toucanlog.MsgSentToLimited,
 }
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanbody"
 	"toucanport/toucangeneration"
 	"toucanport/toucanlogtest"
 	"toucanport/toucanmoveorder"
@@ -58,6 +59,8 @@
 	headerLeaving = "X-Leaving"
 	headerLimit   = "X-Limit"
 	headerPrivate = "X-Private"
+	// maxBody is the longest body in bytes that callers may send.
+	maxBody = 4 << 20
 	// secretMark is part of every key, header, query, body and answer, none of which may be logged.
 	secretMark = "hush"
 	// testTimeout bounds every wait of a script. A wait that takes as long has failed.
@@ -122,6 +125,10 @@
 	placer  *toucanplace.Placer
 	server  *Server
 	front   *httptest.Server
+	// bodies bounds the memory for long bodies; nil for the default.
+	bodies *toucanbody.Memory
+	// sent is the body of the last request.
+	sent string
 	// endpoints holds the endpoints in the order of the script's list.
 	endpoints []*endpoint
 	mover     *scriptedMover
@@ -148,6 +155,7 @@
 		Budget:  toucanretry.NewBudget(toucanretry.WithReserve(100)),
 		Log:     sc.log.Logger(),
 		Limits:  limits,
+		Bodies:  sc.bodies,
 	})
 	front := httptest.NewServer(sc.server)
 	sc.front = front
@@ -323,13 +331,19 @@
 		keys = append(keys, toucantraffic.Key{Secret: key, Workspace: toucantraffic.Workspace{Name: "w"}})
 	}
 	sc.traffic.Offer(toucantraffic.New(uint64(version), []toucantraffic.Route{route},
-		[]toucantraffic.Service{service}, keys, toucantraffic.Limits{BodyBytes: 1 << 20}))
+		[]toucantraffic.Service{service}, keys, toucantraffic.Limits{BodyBytes: maxBody}))
 }
 
 func (sc *deployment) startEndpoints(d *datadriven.TestData) {
+	sc.bodies = nil
+	if d.HasArg("memory") {
+		limit := 0
+		d.ScanArgs(sc.t, "memory", &limit)
+		sc.bodies = toucanbody.NewMemory(limit)
+	}
 	sc.start()
 	for _, name := range strings.Fields(d.Input) {
-		e := &endpoint{name: name, t: sc.t}
+		e := &endpoint{name: name, t: sc.t, deployment: sc}
 		e.server = httptest.NewServer(http.HandlerFunc(e.serve))
 		sc.t.Cleanup(e.kill)
 		sc.endpoints = append(sc.endpoints, e)
@@ -370,8 +384,7 @@
 	d.MaybeScanArgs(sc.t, "key", &key)
 	d.MaybeScanArgs(sc.t, "tokens", &tokens)
 	sc.serial++
-	sent := strings.NewReader(d.Input + secretMark)
-	r, err := http.NewRequestWithContext(ctx, method, sc.front.URL+path+"?"+secretMark, sent)
+	r, err := http.NewRequestWithContext(ctx, method, sc.front.URL+path+"?"+secretMark, sc.body(d))
 	assert.NilError(sc.t, err)
 	r.Host = "host"
 	id := fmt.Sprint("request", sc.serial)
@@ -387,7 +400,8 @@
 		e.reset()
 	}
 	sc.mover.reset()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: testTimeout}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: !d.HasArg("kept")}, Timeout: testTimeout}
+	defer client.CloseIdleConnections()
 	resp, err := client.Do(r)
 	if err != nil {
 		return "no answer\n" + sc.receivedRequests()
@@ -410,6 +424,27 @@
 	return fmt.Sprintf("%d%s %s%s\n%s", resp.StatusCode, later, text, end, sc.receivedRequests())
 }
 
+// body returns the body of a request: the command's input, or size bytes. With chunked, its length is not known before. With slow, its
+// end never comes.
+func (sc *deployment) body(d *datadriven.TestData) io.Reader {
+	size := 0
+	d.MaybeScanArgs(sc.t, "size", &size)
+	sc.sent = d.Input + secretMark
+	if size > 0 {
+		sc.sent = strings.Repeat(secretMark+"0123456789abcdef", 1+size/len(secretMark))[:size]
+	}
+	switch {
+	case d.HasArg("slow"):
+		r, w := io.Pipe()
+		go func() { _, _ = io.WriteString(w, sc.sent) }() // The end of the request ends the pipe.
+		sc.t.Cleanup(func() { _ = w.Close() })
+		return r
+	case d.HasArg("chunked"):
+		return io.MultiReader(strings.NewReader(sc.sent))
+	}
+	return strings.NewReader(sc.sent)
+}
+
 // endpointsInUse returns the number of endpoints with reservations. It waits for the number to become zero, up to
 // testTimeout.
 func (sc *deployment) endpointsInUse() string {
@@ -555,6 +590,7 @@
 //	events A B cut   events A to B, then the connection breaks
 //	events A B end   events A to B, then the stream's end
 //	events A B keep  the same, and the connection stays open for another request
+//	early ...        the step that follows, before the body was read
 //	drop             no answer on a connection that was kept; the connection is closed, and the request is not recorded
 //	events A B unframed      events A to B without length or chunks, which end with the connection
 //	events A B unframedHalf  the same, with half an event at the end
@@ -563,6 +599,8 @@
 	t      *testing.T
 	name   string
 	server *httptest.Server
+	// deployment knows the body that the endpoint is to get.
+	deployment *deployment
 
 	mu    sync.Mutex
 	steps []string
@@ -636,7 +674,23 @@
 	e.server.CloseClientConnections()
 }
 
-func (e *endpoint) record(r *http.Request) {
+// readBody reads the body of a request and reports whether it is the one that the caller sent. A step that begins with early answers
+// before it has read the body.
+func (e *endpoint) readBody(r *http.Request) bool {
+	e.mu.Lock()
+	early := len(e.steps) > 0 && strings.HasPrefix(e.steps[0], "early ")
+	if early {
+		e.steps[0] = strings.TrimPrefix(e.steps[0], "early ")
+	}
+	e.mu.Unlock()
+	if early {
+		return true
+	}
+	body, err := io.ReadAll(r.Body)
+	return err == nil && string(body) == e.deployment.sent
+}
+
+func (e *endpoint) record(r *http.Request, whole bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	what := "run"
@@ -649,6 +703,9 @@
 	if r.Header.Get("X-Key") != "" || r.Header.Get(headerLeft) != "true" {
 		what += " with wrong headers"
 	}
+	if !whole {
+		what += " with a wrong body"
+	}
 	e.seen = append(e.seen, what)
 }
 
@@ -664,14 +721,14 @@
 }
 
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // The body is not checked.
+	whole := e.readBody(r)
 	conn, rw, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
 	for r != nil {
-		e.record(r)
+		e.record(r, whole)
 		for e.answer(rw, r) {
 		}
 		_ = rw.Flush() // The connection may be gone.
@@ -692,7 +749,7 @@
 	if err != nil {
 		return nil
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // The body is not checked.
+	_, _ = io.Copy(io.Discard, r.Body) // Only bodies on new connections are checked.
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.steps) > 0 && e.steps[0] == "drop" {
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"toucanport/toucanbody"
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
@@ -26,6 +26,8 @@
 	unsentAttempts = 8
 	// retryAfterFull is the Retry-After value when no endpoint could take the request.
 	retryAfterFull = 300 * time.Millisecond
+	// defaultBodyMemory is the memory in bytes for long bodies, unless one is configured.
+	defaultBodyMemory = 16 << 20
 	// successSampleRate is the number of plain successful requests for each one that is logged.
 	successSampleRate = 64
 )
@@ -48,6 +50,7 @@
 	starting    startingRequests
 	limits      *toucanrate.Limits
 	returns     *toucanrate.Returns
+	bodies      *toucanbody.Memory
 	// closing is true once callers' connections are to be closed after their next answer.
 	closing atomic.Bool
 	started time.Time
@@ -56,7 +59,7 @@
 	lastBreak atomic.Int64
 }
 
-// Config holds the dependencies of a Server. All fields but Quarantine, Limits and Metrics are required.
+// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Bodies and Metrics are required.
 type Config struct {
 	Codec   Codec
 	Mover   toucangeneration.Mover
@@ -69,7 +72,9 @@
 	// Quarantine holds the parts of prompts that end engines; nil for a table that no one else uses.
 	Quarantine *toucanquarantine.Table
 	// Limits keeps the limits that endpoints name. The Placer must use the same; nil for limits that no one else uses.
-	Limits  *toucanrate.Limits
+	Limits *toucanrate.Limits
+	// Bodies bounds the memory for long bodies of requests; nil for defaultBodyMemory.
+	Bodies  *toucanbody.Memory
 	Metrics Metrics
 }
 
@@ -82,6 +87,9 @@
 	if cfg.Limits == nil {
 		cfg.Limits = toucanrate.New("")
 	}
+	if cfg.Bodies == nil {
+		cfg.Bodies = toucanbody.NewMemory(defaultBodyMemory)
+	}
 	return &Server{
 		codec:      cfg.Codec,
 		mover:      cfg.Mover,
@@ -94,6 +102,7 @@
 		quarantine: cfg.Quarantine,
 		limits:     cfg.Limits,
 		returns:    toucanrate.NewReturns(),
+		bodies:     cfg.Bodies,
 		metrics:    m,
 		generations: toucangeneration.New(toucangeneration.Config{
 			Placer: cfg.Placer,
@@ -127,11 +136,11 @@
 	placed   time.Time
 	deadline time.Time
 	demand   toucanplace.Demand
-	// body is the buffered body, or its first part if rest is set.
-	body []byte
-	// rest is the remainder of a body that is too long to buffer; nil for others. Such a request is not retried.
-	rest io.Reader
-	plan *toucanretry.Plan
+	// body tells whether the request can be sent again.
+	body *toucanbody.Body
+	// maxBody is the longest body in bytes that the caller may send; zero for any.
+	maxBody int64
+	plan    *toucanretry.Plan
 	// backup is the reservation for the generation's backup; nil for none.
 	backup *toucanplace.Reservation
 	// maybeRun counts the failed attempts that the endpoint may have run.
@@ -151,6 +160,8 @@
 	allParts []toucanquarantine.Part
 	// startedAt is when the last attempt began.
 	startedAt time.Time
+	// cut is true once the caller's connection is to be aborted.
+	cut bool
 	// proven is true once an engine has answered so far that the request can't be what ends engines.
 	proven bool
 }
@@ -173,6 +184,7 @@
 		s.refuse(j, *refusal)
 		return
 	}
+	defer s.releaseBody(j)
 	if s.isQuarantined(j) {
 		s.refuse(j, quarantineRefusal())
 		return
@@ -219,7 +231,7 @@
 	if !f.notRun {
 		j.maybeRun++
 	}
-	if ctx.Err() != nil || j.rest != nil || j.maybeRun >= j.route.MaxAttempts || !s.mayStartAgain(j) {
+	if ctx.Err() != nil || !j.body.Repeatable() || j.maybeRun >= j.route.MaxAttempts || !s.mayStartAgain(j) {
 		return false
 	}
 	if !s.placer.HasEndpoint(j.service.Name, j.untried) {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -23,6 +23,8 @@
 	errPartial = errors.New("stream ended inside an event")
 	errLong    = errors.New("event is too long")
 	errEmpty   = errors.New("stream without length ended before its first event")
+	// errSentOnce means that a generation can't resume, since the body of its request was not kept.
+	errSentOnce = errors.New("request can be sent only once")
 )
 
 // relay passes events on to the caller as they arrive. When the stream breaks because the generation was moved or its
@@ -70,6 +72,7 @@
 		MaxEventGap:       j.route.Gap,
 		Arrived:           j.arrived,
 		Placed:            j.placed,
+		SentOnce:          !j.body.Whole(),
 	}
 }
 
@@ -106,6 +109,7 @@
 		toucanlog.Workspace, j.workspace,
 		toucanlog.PromptParts, formatParts(j.SharedParts),
 	)
+	j.cut = true
 	panic(http.ErrAbortHandler)
 }
 
@@ -174,6 +178,9 @@
 	if ctx.Err() != nil {
 		return nil, nil, ctx.Err()
 	}
+	if !j.body.Whole() {
+		return nil, nil, errSentOnce
+	}
 	brokenAt := time.Now()
 	h, err := g.AwaitHandover(ctx)
 	if errors.Is(err, toucangeneration.ErrNotStopped) {
--- a/toucangeneration/generation.go
+++ b/toucangeneration/generation.go
@@ -47,6 +47,8 @@
 	MaxFirstEventTime, MaxEventGap time.Duration
 	// Arrived is the time at which the request arrived, Placed that at which its endpoint was reserved.
 	Arrived, Placed time.Time
+	// SentOnce is true if the request can't be sent again, so that the generation can't be moved.
+	SentOnce bool
 }
 
 // Generation is a generation whose events are being forwarded to the caller.
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -66,12 +66,12 @@
 	return found
 }
 
-// needsMove reports whether a generation is at a draining endpoint whose engine supports moves.
+// needsMove reports whether a generation that can be moved is at a draining endpoint whose engine supports moves.
 func (r *Registry) needsMove(g *Generation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.spec.Engine
-	return e != nil && e.Moves && !g.ended && !r.placer.IsAvailable(g.reservation.Endpoint.ID)
+	return e != nil && e.Moves && !g.spec.SentOnce && !g.ended && !r.placer.IsAvailable(g.reservation.Endpoint.ID)
 }
 
 // evacuate moves this entry's generations off an endpoint one at a time. Before each move it waits, for up to
@@ -132,11 +132,11 @@
 	return g.reservation.Endpoint
 }
 
-// movable reports whether the generation is at the endpoint, is not being moved and does not wait to retry a move.
+// movable reports whether the generation is at the endpoint, can be moved, is not being moved and does not wait to retry a move.
 func (g *Generation) movable(now time.Time, endpoint string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.ended && !g.stopping && g.reservation.Endpoint.ID == endpoint && !now.Before(g.retryMoveAt)
+	return !g.spec.SentOnce && !g.ended && !g.stopping && g.reservation.Endpoint.ID == endpoint && !now.Before(g.retryMoveAt)
 }
 
 // recordMoveFailure stores the cause of a failed move and reports whether it differs from that of the last one.
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -10,6 +10,7 @@
 	MsgRequestAnswered    = "request answered"
 	MsgRequestFailed      = "request failed at its endpoint"
 	MsgRequestRetried     = "request is sent again"
+	MsgBodyNotKept        = "no memory to keep the body, the request is sent only once"
 	MsgSentToLimited      = "request sent to an endpoint that names a limit"
 	MsgStreamCut          = "stream cut"
 	MsgCallerLeft         = "caller left"
@@ -108,6 +109,7 @@
 	LongestGapMs    = "longestGapMs"
 	MadeTokens      = "madeTokens"
 	MayHaveRun      = "mayHaveRun"
+	LimitBytes      = "limitBytes"
 	MemoryBytes     = "memoryBytes"
 	Moves           = "moves"
 	Next            = "next"
@@ -141,5 +143,6 @@
 	TookMs          = "tookMs"
 	Version         = "version"
 	WaitMs          = "waitMs"
+	UsedBytes       = "usedBytes"
 	Workspace       = "workspace"
 )
--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -33,6 +33,8 @@
 	StoreEra, StoreRestores, OmittedChanges uint64
 	// Quarantines is the number of quarantined parts of prompts.
 	Quarantines int
+	// BodyBytes is the memory that long bodies of requests hold, of at most BodyLimitBytes.
+	BodyBytes, BodyLimitBytes int
 	// Peers is the number of peers with a valid report, ReportAge the age of the oldest of these reports.
 	Peers     int
 	ReportAge time.Duration
@@ -68,7 +70,7 @@
 	budget, version, settingsAge, storeAge, reportAge                    *prometheus.Desc
 	peers, dropped                                                       *prometheus.Desc
 	newestSettings, storeEra, storeRestores, omittedChanges              *prometheus.Desc
-	quarantines                                                          *prometheus.Desc
+	quarantines, bodyBytes, bodyLimit                                    *prometheus.Desc
 }
 
 // NewStateCollectors returns collectors of the state that read returns, of the Go runtime and of the process.
@@ -100,6 +102,8 @@
 			storeRestores:  plain("store_restores_total", "how often this entry noticed that the store came back from an older copy"),
 			omittedChanges: plain("store_changes_omitted_total", "changes that a watch of the store left out"),
 			quarantines:    plain("quarantines", "quarantines of parts of prompts that end engines"),
+			bodyBytes:      plain("request_body_bytes", "memory that long bodies of requests hold"),
+			bodyLimit:      plain("request_body_limit_bytes", "memory that long bodies of requests may hold"),
 			peers:          plain("peers_heard", "peers that are heard"),
 			dropped:        plain("log_lines_dropped_total", "log lines that were dropped"),
 		},
@@ -114,7 +118,7 @@
 	for _, d := range []*prometheus.Desc{
 		c.slots, c.requests, c.capacity, c.tokens, c.failures, c.leaving, c.suspect, c.budget, c.version, c.settingsAge,
 		c.storeAge, c.reportAge, c.peers, c.dropped, c.newestSettings, c.storeEra, c.storeRestores, c.omittedChanges,
-		c.quarantines, c.limit,
+		c.quarantines, c.limit, c.bodyBytes, c.bodyLimit,
 	} {
 		ch <- d
 	}
@@ -143,6 +147,8 @@
 	ch <- gauge(c.newestSettings, float64(state.NewestSettings))
 	ch <- gauge(c.storeEra, float64(state.StoreEra))
 	ch <- gauge(c.quarantines, float64(state.Quarantines))
+	ch <- gauge(c.bodyBytes, float64(state.BodyBytes))
+	ch <- gauge(c.bodyLimit, float64(state.BodyLimitBytes))
 	ch <- counter(c.storeRestores, state.StoreRestores)
 	ch <- counter(c.omittedChanges, state.OmittedChanges)
 	ch <- counter(c.dropped, state.DroppedLines)
--- a/toucanmetric/state_test.go
+++ b/toucanmetric/state_test.go
@@ -55,6 +55,8 @@
 			Peers:           2,
 			ReportAge:       40 * time.Millisecond,
 			DroppedLines:    5,
+			BodyBytes:       65536,
+			BodyLimitBytes:  131072,
 		}
 	})
 	for _, want := range []string{
@@ -73,6 +75,8 @@
 		`toucan_peers_heard 2`,
 		`toucan_peer_report_age_seconds 0.04`,
 		`toucan_log_lines_dropped_total 5`,
+		`toucan_request_body_bytes 65536`,
+		`toucan_request_body_limit_bytes 131072`,
 		`go_goroutines `,
 		`process_open_fds `,
 		`process_resident_memory_bytes `,
--- a/toucanupstream/pool_test.go
+++ b/toucanupstream/pool_test.go
@@ -95,7 +95,7 @@
 
 func message() Message {
 	return Message{
-		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: Bytes("body"),
 		Belongs: func(h http.Header) bool { return h.Get("Id") == "mine" },
 	}
 }
@@ -218,7 +218,7 @@
 	s := serve(t, "early HTTP/1.1 413 Too Large\r\nId: mine\r\nContent-Length: 0\r\n\r\n", wholeAnswer)
 	p := NewPool()
 	m := message()
-	m.Rest = neverEnding{}
+	m.Body = unsized{neverEnding{}}
 	resp, err := p.Send(t.Context(), s.Addr().String(), 1, m)
 	assert.NilError(t, err)
 	assert.Equal(t, resp.Status, http.StatusRequestEntityTooLarge)
@@ -231,6 +231,12 @@
 	assert.Equal(t, s.connectionCount(), 2)
 }
 
+// unsized is a body of unknown length that can be sent once.
+type unsized struct{ r io.Reader }
+
+func (unsized) Length() int64       { return -1 }
+func (u unsized) Reader() io.Reader { return u.r }
+
 // neverEnding is an endless body, which fills every buffer.
 type neverEnding struct{}
 
@@ -241,9 +247,9 @@
 	long := strings.Repeat("0123456789", 2000)
 	s := serve(t, wholeAnswer, wholeAnswer, wholeAnswer)
 	p := NewPool()
-	for _, rest := range []io.Reader{nil, strings.NewReader("rest")} {
+	for _, body := range []Body{Bytes(long), unsized{strings.NewReader(long + "rest")}} {
 		m := message()
-		m.Body, m.Rest = []byte(long), rest
+		m.Body = body
 		resp, err := p.Send(t.Context(), s.Addr().String(), 1, m)
 		assert.NilError(t, err)
 		_, err = io.ReadAll(resp.Body)
--- a/toucanupstream/response.go
+++ b/toucanupstream/response.go
@@ -23,9 +23,8 @@
 	Host   string
 	// Header must not contain hop-by-hop headers.
 	Header http.Header
-	// Body is the body, or its first part if Rest is not nil. Rest is the remainder, whose length is unknown.
-	Body []byte
-	Rest io.Reader
+	// Body is nil for an empty one.
+	Body Body
 	// Belongs reports whether an answer with these headers is for this request. Other answers are skipped. If Belongs
 	// is nil, the first answer is accepted.
 	Belongs func(http.Header) bool
@@ -35,6 +34,24 @@
 	Repeatable bool
 }
 
+// Body is the body of a message.
+type Body interface {
+	// Length returns the number of bytes, or a negative number if it is unknown.
+	Length() int64
+	// Reader returns a reader of the body from its beginning. It is called once each time that the message is sent. If the
+	// reader fails, the endpoint gets no end of the body.
+	Reader() io.Reader
+}
+
+// Bytes is a Body in memory.
+type Bytes []byte
+
+// Length implements Body.
+func (b Bytes) Length() int64 { return int64(len(b)) }
+
+// Reader implements Body.
+func (b Bytes) Reader() io.Reader { return bytes.NewReader(b) }
+
 const (
 	// inlineBody is the largest body in bytes that is written before the answer is read. Longer bodies are written by a
 	// goroutine of their own, as the endpoint may answer before it has read the whole body.
@@ -114,7 +131,10 @@
 func (c *conn) roundTrip(m Message) (*Response, error) {
 	reused := c.used > 0
 	written := make(chan error, 1)
-	if m.Rest == nil && len(m.Body) <= inlineBody {
+	if m.Body == nil {
+		m.Body = Bytes(nil)
+	}
+	if n := m.Body.Length(); n >= 0 && n <= inlineBody {
 		written <- c.write(m)
 	} else {
 		go func() { written <- c.write(m) }()
@@ -224,17 +244,12 @@
 }
 
 func (c *conn) writeBody(m Message) error {
-	if m.Rest == nil {
-		if len(m.Body) > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead {
-			c.w.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n") //nolint:errcheck // Flush returns the error
-		}
-		c.w.WriteString("\r\n") //nolint:errcheck // Flush returns the error
-		_, err := c.w.Write(m.Body)
-		return err
+	if length := m.Body.Length(); length >= 0 {
+		return c.writeSized(m, length)
 	}
 	c.w.WriteString("Transfer-Encoding: chunked\r\n\r\n") //nolint:errcheck // Flush returns the error
 	chunked := httputil.NewChunkedWriter(c.w)
-	if _, err := io.Copy(chunked, io.MultiReader(bytes.NewReader(m.Body), m.Rest)); err != nil {
+	if _, err := io.Copy(chunked, m.Body.Reader()); err != nil {
 		return err
 	}
 	if err := chunked.Close(); err != nil {
@@ -244,6 +259,16 @@
 	return err
 }
 
+// writeSized writes a body of a known length.
+func (c *conn) writeSized(m Message, length int64) error {
+	if length > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead {
+		c.w.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n") //nolint:errcheck // Flush returns the error
+	}
+	c.w.WriteString("\r\n") //nolint:errcheck // Flush returns the error
+	_, err := io.CopyN(c.w, m.Body.Reader(), length)
+	return err
+}
+
 // setIdleTimeout sets the idle timeout from a Keep-Alive header, whose timeout is in whole seconds, less idleMargin.
 func (c *conn) setIdleTimeout(keepAlive string) {
 	for _, part := range strings.Split(keepAlive, ",") {
