Tests: half a head of an answer is never a whole answer

The users report, of similar systems: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Whether this can happen here: no. TestHalfAHeadIsNoAnswer cuts six heads (empty body with a length of 0, Content-Length before the id, a chunked stream, bare line ends, 1xx first, a refusal that says "not run") at each byte, on new and on kept connections, without a check of the answer's id: ErrLost each time. The tests pass without a change of the product: net/http's parser takes no head without its blank line.

--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -583,6 +583,7 @@
 //	foreign BODY     an answer to another request, before that of the next line on the same connection
 //	garbage          bytes that are not HTTP
 //	cutBody          an answer that ends early
+//	halfHead N       N percent of the head of an answer with an empty body; the connection is closed
 //	longBody         an answer longer than maxBufferedAnswer that ends early
 //	reset            no answer; the connection is closed
 //	silent           nothing until released or stopped, then no answer
@@ -790,6 +791,10 @@
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerGenuine, len(body)+1, body)
 	case "unframed":
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nConnection: close\r\n\r\n%s", headerID, id, headerGenuine, step[1])
+	case "halfHead":
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n", headerID, id, headerGenuine)
+		share, _ := strconv.Atoi(step[1])
+		_, _ = rw.WriteString(head[:(len(head)-1)*share/100])
 	case "silent":
 		<-e.beginHold()
 	case "events":
--- a/toucanupstream/pool_test.go
+++ b/toucanupstream/pool_test.go
@@ -345,3 +345,36 @@
 		})
 	}
 }
+
+// TestHalfAHeadIsNoAnswer guards against an answer whose head was broken off and that reaches the caller as a whole one: at each place at
+// which a head can be cut, on new and on kept connections.
+func TestHalfAHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 120\r\nId: mine\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\nId: mine\n\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for cut := range len(head) {
+			for _, kept := range []bool{false, true} {
+				answers := []string{head[:cut] + closeMark}
+				if kept {
+					answers = append([]string{wholeAnswer}, answers...)
+				}
+				s := serve(t, answers...)
+				p := NewPool()
+				if kept {
+					_, err := sendAndRead(t, p, s)
+					assert.NilError(t, err)
+				}
+				m := message()
+				m.Belongs = nil
+				_, err := p.Send(t.Context(), s.Addr().String(), 1, m)
+				assert.ErrorIs(t, err, ErrLost, "%q", head[:cut])
+				assert.NilError(t, s.Close())
+			}
+		}
+	}
+}
