A stopping entry answers every request that it takes

The users report, of similar systems: in a planned stop, in calm, requests that came late in the grace were taken, passed on, and cut at the end with no answer. Whether this can happen here: yes. Orders on connections that were open before the signal are closed unread (allowed, but the caller waits for nothing). In TestStopAnswersWhatFollowsAStream a request behind a running answer is closed unread, with the risk of a reset that takes the end of the answer with it.

Cause: a stop only waited. Nothing asked, when a request was to be sent to an engine, whether it could end before the process does, and at the end net/http closed the connections.

Change: the server knows the end of the stop. What can't end before it is refused at once as not run: an order whose deadline is later, anything else that would be later even if it is on time. That is asked before each attempt, so that slow bodies and retries count. Shortly before the end each request gets its true answer: 503 if it did not run, else 502. Only the listener closes after 2.5 s; open connections are in use until no request has been in progress for 100 ms.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -80,9 +80,11 @@
 	}
 	control := http.NewResponseController(j.w)
 	_ = control.SetReadDeadline(j.deadline) // Best effort: without it, a slow body is cut only later.
+	s.active.setReading(j, true)
 	body, err := toucanbody.Read(j.in.Body, j.maxBody, s.bodies)
+	s.active.setReading(j, false)
 	if err != nil {
-		return bodyRefusal(ctx, err)
+		return bodyRefusal(ctx, j, err)
 	}
 	j.body = body
 	_ = control.SetReadDeadline(time.Time{}) // Best effort, as above.
@@ -95,8 +97,11 @@
 }
 
 // bodyRefusal returns the refusal of a request whose body could not be read.
-func bodyRefusal(ctx context.Context, err error) *refusal {
+func bodyRefusal(ctx context.Context, j *job, err error) *refusal {
 	switch {
+	case endedByStop(ctx):
+		r := stopRefusal(j, true)
+		return &r
 	case errors.Is(err, toucanbody.ErrTooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, err: err}
 	case ctx.Err() != nil:
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -36,6 +36,7 @@
 	reasonUnreachable reason = "unreachable"
 	reasonUnknown     reason = "outcomeUnknown"
 	reasonQuarantined reason = "quarantined"
+	reasonStopping    reason = "stopping"
 )
 
 var (
@@ -108,6 +109,8 @@
 	switch {
 	case errors.Is(f.err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
 		return quarantineRefusal()
+	case endedByStop(ctx):
+		return stopRefusal(j, f.notRun)
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.reason = reasonCallerLeft
 	case f.notRun && j.maybeRun == 0 && ctx.Err() == nil:
@@ -128,6 +131,8 @@
 	switch {
 	case errors.Is(err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
 		return quarantineRefusal()
+	case endedByStop(ctx):
+		return stopRefusal(j, true)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: err}
 	case j.maybeRun > 0 || ctx.Err() != nil:
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -51,9 +51,8 @@
 	limits      *toucanrate.Limits
 	returns     *toucanrate.Returns
 	bodies      *toucanbody.Memory
-	// closing is true once callers' connections are to be closed after their next answer.
-	closing atomic.Bool
-	started time.Time
+	active      activeRequests
+	started     time.Time
 	// lastBreak is the time of the last break of a stream at an endpoint that was not draining, in nanoseconds since
 	// started; zero means never. It is taken from the monotonic clock, since the wall clock can jump.
 	lastBreak atomic.Int64
@@ -118,9 +117,6 @@
 // RunMoves moves generations off draining endpoints. It returns when ctx ends.
 func (s *Server) RunMoves(ctx context.Context) { s.generations.Move(ctx) }
 
-// CloseConnections makes the server close each caller's connection after its next answer.
-func (s *Server) CloseConnections() { s.closing.Store(true) }
-
 // job is the state of one caller's request. Only the request's own goroutine changes it.
 type job struct {
 	Request
@@ -149,7 +145,7 @@
 	logged bool
 	// tried holds the ids of the endpoints at which an attempt failed.
 	tried map[string]bool
-	// cancel ends the request with a cause.
+	// cancel ends the request with a cause. It is set before the request is in activeRequests.
 	cancel context.CancelCauseFunc
 	// brokenStarts counts the connections to endpoints that broke before the request was proven. Without shared parts, only
 	// those to endpoints that have ended count.
@@ -160,6 +156,8 @@
 	allParts []toucanquarantine.Part
 	// startedAt is when the last attempt began.
 	startedAt time.Time
+	// reading is true while the body is read. It is guarded by activeRequests.mu.
+	reading bool
 	// cut is true once the caller's connection is to be aborted.
 	cut bool
 	// proven is true once an engine has answered so far that the request can't be what ends engines.
@@ -168,16 +166,19 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.closing.Load() {
+	if s.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	j, refusal := s.accept(w, r)
+	ctx, cancelCause := context.WithCancelCause(r.Context())
+	defer cancelCause(nil)
+	j.cancel = cancelCause
+	s.active.add(j)
+	defer s.active.remove(j)
 	if refusal != nil {
 		s.refuse(j, *refusal)
 		return
 	}
-	ctx, cancelCause := context.WithCancelCause(r.Context())
-	defer cancelCause(nil)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if refusal := s.readBody(ctx, j); refusal != nil {
@@ -190,7 +191,6 @@
 		return
 	}
 	defer j.releaseBackup()
-	j.cancel = cancelCause
 	defer s.starting.remove(j)
 	s.runAttempts(ctx, j)
 }
@@ -199,6 +199,10 @@
 func (s *Server) runAttempts(ctx context.Context, j *job) {
 	var endpointAnswer *answer
 	for {
+		if !s.canEnd(j) {
+			s.deliverFailure(ctx, j, endpointAnswer, stopRefusal(j, true))
+			return
+		}
 		reservation, err := s.place(ctx, j)
 		if err != nil {
 			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err, s.delayFor(j, err)))
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -89,7 +89,7 @@
 func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *eventParser, cause, resumeErr error) {
 	msg := toucanlog.MsgStreamCut
 	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errQuarantined)
-	if callerLeft && !s.closing.Load() {
+	if callerLeft && !s.isStopping() {
 		msg = toucanlog.MsgCallerLeft
 	}
 	s.metrics.streamsCut.Inc(1)
