An event stream with a Content-Encoding is not passed on

"A response that has a Content-Encoding is not the engine's body" (PROTOCOL.md, Answers). Cause: the check is made on buffered answers, and an event stream is passed on before it comes there; the resume of a stream had the same gap. Change: both look at the head. The request may have run, so that the caller gets 502, at once; a resumed stream is cut.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -42,6 +42,11 @@
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
 		return nil, &failure{endpoint: reservation.Endpoint.ID, notRun: true, err: errNotRun}
 	}
+	if isEventStream(resp.Header) && isEncoded(resp.Header) {
+		resp.Close()
+		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
+		return nil, &failure{endpoint: reservation.Endpoint.ID, err: errEncoded}
+	}
 	if resp.Status == http.StatusOK && j.route.Kind == toucantraffic.Stream && headers.Genuine && isEventStream(resp.Header) {
 		return &answer{stream: resp, reservation: reservation, status: resp.Status, header: resp.Header}, nil
 	}
@@ -73,6 +78,10 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
+// isEncoded reports whether an answer with these headers has a Content-Encoding. Its body is not the endpoint's, since no encoding is
+// asked for.
+func isEncoded(h http.Header) bool { return len(h.Values("Content-Encoding")) > 0 }
+
 // send sends the request to the reserved endpoint. If resume is not nil, the endpoint continues that generation instead
 // of beginning a new one.
 func (s *Server) send(ctx context.Context, j *job, reservation *toucanplace.Reservation, resume *Resume) (*toucanupstream.Response, error) {
@@ -167,7 +176,7 @@
 	case !headers.Genuine || !headers.Named:
 		f.err = errNotGenuine
 		return f
-	case a.header.Get("Content-Encoding") != "":
+	case isEncoded(a.header):
 		f.err = errEncoded
 		return f
 	case a.status >= http.StatusInternalServerError:
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -593,6 +593,7 @@
 //	events A B keep  the same, and the connection stays open for another request
 //	early ...        the step that follows, before the body was read
 //	drop             no answer on a connection that was kept; the connection is closed, and the request is not recorded
+//	events A B encoded       the same as end, with a Content-Encoding
 //	events A B unframed      events A to B without length or chunks, which end with the connection
 //	events A B unframedHalf  the same, with half an event at the end
 //	unframed BODY    an answer without length, which ends with its connection
@@ -814,6 +815,9 @@
 	} else {
 		head += "Connection: close\r\n"
 	}
+	if step[3] == "encoded" {
+		head += "Content-Encoding: deflate\r\n"
+	}
 	if step[3] == "unframed" || step[3] == "unframedHalf" {
 		_, _ = rw.WriteString(head + "\r\n")
 		for i := from; i <= to; i++ {
@@ -831,7 +835,7 @@
 	}
 	_ = rw.Flush()
 	switch step[3] {
-	case "end", "keep":
+	case "end", "keep", "encoded":
 		_, _ = rw.WriteString("0\r\n\r\n")
 	case "hold":
 		if <-e.beginHold() {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -223,7 +223,7 @@
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
 	s.recordHints(h.Reservation.Endpoint, sentAt, headers)
-	if resp.Status != http.StatusOK || !headers.Genuine || !headers.Named || !isEventStream(resp.Header) {
+	if resp.Status != http.StatusOK || !headers.Genuine || !headers.Named || !isEventStream(resp.Header) || isEncoded(resp.Header) {
 		resp.Close()
 		h.Reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
 		// After a second request, the refusal says nothing about the first one.
