An answer without a length is not whole if its endpoint has ended

Cause: by its bytes such an end can't be told from a whole answer, and the entry did not ask further. The same code served an engine that drains and exits under such a stream, and plain answers without a length. Change: at the end of an answer without a length the entry asks whether anything listens at the endpoint's address. If nothing does, the stream has broken (it resumes from its backup or is cut), and a plain answer is lost (502, or cut if it has begun). An endpoint that ends its answer and exits within that time is taken for one that broke off: the caller then gets less than there was, never more than is true. Before: the script's first case is "200 id: 1|data: t1 id: 2|data: t2", not cut.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -136,6 +136,9 @@
 func (s *Server) readAnswer(ctx context.Context, j *job, reservation *toucanplace.Reservation, resp *toucanupstream.Response, headers Answer) (*answer, *failure) {
 	var body bytes.Buffer
 	_, err := io.Copy(&body, io.LimitReader(resp.Body, maxBufferedAnswer+1))
+	if err == nil && body.Len() <= maxBufferedAnswer {
+		err = s.checkEnd(ctx, resp, reservation.Endpoint)
+	}
 	if err != nil {
 		resp.Close()
 		f := &failure{endpoint: reservation.Endpoint.ID, err: err}
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -57,6 +57,9 @@
 	if err == nil {
 		_, err = io.Copy(j.w, a.rest.Body)
 	}
+	if err == nil {
+		err = s.checkEnd(ctx, a.rest, a.reservation.Endpoint)
+	}
 	a.rest.Close()
 	if err != nil {
 		a.reservation.Done(time.Now(), (&failure{err: err}).outcome(ctx))
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -596,7 +597,9 @@
 //	events A B encoded       the same as end, with a Content-Encoding
 //	events A B unframed      events A to B without length or chunks, which end with the connection
 //	events A B unframedHalf  the same, with half an event at the end
+//	events A B unframedDeath the same without it, and the endpoint ends too
 //	unframed BODY    an answer without length, which ends with its connection
+//	unframed BODY death       the same, and the endpoint ends too; with long before death, longer than maxBufferedAnswer
 type endpoint struct {
 	t      *testing.T
 	name   string
@@ -792,6 +795,12 @@
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerGenuine, len(body)+1, body)
 	case "unframed":
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nConnection: close\r\n\r\n%s", headerID, id, headerGenuine, step[1])
+		if slices.Contains(step, "long") {
+			_, _ = rw.WriteString(strings.Repeat("x", 2*maxBufferedAnswer))
+		}
+		if step[len(step)-1] == "death" {
+			_ = e.server.Listener.Close()
+		}
 	case "halfHead":
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n", headerID, id, headerGenuine)
 		share, _ := strconv.Atoi(step[1])
@@ -818,13 +827,16 @@
 	if step[3] == "encoded" {
 		head += "Content-Encoding: deflate\r\n"
 	}
-	if step[3] == "unframed" || step[3] == "unframedHalf" {
+	if strings.HasPrefix(step[3], "unframed") {
 		_, _ = rw.WriteString(head + "\r\n")
 		for i := from; i <= to; i++ {
 			_, _ = fmt.Fprintf(rw, "id: %d\ndata: t%d\n\n", i, i)
 		}
-		if step[3] == "unframedHalf" {
+		switch step[3] {
+		case "unframedHalf":
 			_, _ = fmt.Fprintf(rw, "id: %d\nda", to+1)
+		case "unframedDeath":
+			_ = e.server.Listener.Close()
 		}
 		return
 	}
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -147,7 +147,7 @@
 			// The end of the endpoint looks like this.
 			return errEmpty
 		}
-		return nil
+		return s.checkEnd(ctx, resp, reservation.Endpoint)
 	}
 }
 
