Write bodies in few calls

A body in memory went out through io.CopyN, which hides that the reader can write itself, so that a body of 12 kB took a system call for each 4 KiB of the connection's buffer instead of two.

--- a/toucanupstream/response.go
+++ b/toucanupstream/response.go
@@ -265,10 +265,16 @@
 		c.w.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n") //nolint:errcheck // Flush returns the error
 	}
 	c.w.WriteString("\r\n") //nolint:errcheck // Flush returns the error
-	_, err := io.CopyN(c.w, m.Body.Reader(), length)
+	n, err := io.Copy(c.w, m.Body.Reader())
+	if err == nil && n != length {
+		err = errBodyLength
+	}
 	return err
 }
 
+// errBodyLength means that a body is not as long as it says.
+var errBodyLength = errors.New("body has another length than its own")
+
 // setIdleTimeout sets the idle timeout from a Keep-Alive header, whose timeout is in whole seconds, less idleMargin.
 func (c *conn) setIdleTimeout(keepAlive string) {
 	for _, part := range strings.Split(keepAlive, ",") {
