--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -105,8 +105,12 @@
 func (j *job) sampled() bool { return xxhash.Sum64String(j.ID)%successSampleRate == 0 }
 
 // maxWait returns how long a request may wait for a free endpoint: maxWaitShare of the time to its deadline, and at
-// most maxWaitGoals times the route's goal if it has one.
+// most maxWaitGoals times the route's goal if it has one. One whose body is not kept does not wait, since its caller's
+// leaving is noticed only when the body has been read.
 func (j *job) maxWait(now time.Time) time.Duration {
+	if !j.body.Whole() {
+		return 0
+	}
 	wait := time.Duration(float64(j.deadline.Sub(now)) * maxWaitShare)
 	if j.route.Goal > 0 {
 		wait = min(wait, maxWaitGoals*j.route.Goal)
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -206,6 +206,8 @@
 		sc.awaitEvents(events)
 		sc.abandon()
 		<-sc.pending
+	case "leave":
+		return sc.leave(d)
 	case "awaitEvents":
 		n := 0
 		d.ScanArgs(t, "n", &n)
@@ -446,6 +448,21 @@
 	return strings.NewReader(sc.sent)
 }
 
+// leave sends a request whose caller leaves as soon as the server waits for an endpoint, and returns what the server logs.
+func (sc *deployment) leave(d *datadriven.TestData) string {
+	_ = sc.log.Next(sc.t, 0) // Earlier lines don't matter.
+	ctx, cancel := context.WithCancel(sc.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		sc.request(ctx, d)
+	}()
+	held := sc.normalize(sc.log.Next(sc.t, 1))
+	cancel()
+	<-done
+	return held + sc.normalize(sc.log.Next(sc.t, 1))
+}
+
 // endpointsInUse returns the number of endpoints with reservations. It waits for the number to become zero, up to
 // testTimeout.
 func (sc *deployment) endpointsInUse() string {
