--- a/toucanforward/backup.go
+++ b/toucanforward/backup.go
@@ -57,7 +57,7 @@
 		h.Source, h.Handle, h.Backup = source.Address, result.Handle, false
 	case toucangeneration.SourceKeepsMemory, toucangeneration.SourceIdle:
 	case toucangeneration.SourceUnreached:
-		go s.stopLate(ctx, stop)
+		j.lateStops = append(j.lateStops, s.beginLateStop(ctx, stop))
 	default:
 		return toucangeneration.Handover{}, errors.Wrap(errSourceRuns, result.Err.Error())
 	}
@@ -97,8 +97,39 @@
 	s.log.Info(toucanlog.MsgSourceAsked, args...)
 }
 
-// stopLate stops a generation at an endpoint that was not reached when the generation resumed elsewhere, as soon as it
-// is reached, and frees the copy of its memory. It returns when that is done or ctx ends, at the end of the request.
+// lateStop is the background work that stops a generation at an endpoint that was not reached when the generation resumed
+// elsewhere.
+type lateStop struct {
+	address string
+	cancel  context.CancelFunc
+	// done is closed when no further call is made.
+	done chan struct{}
+}
+
+// beginLateStop begins a lateStop. It ends when the endpoint has been stopped, or with ctx, at the end of the request.
+func (s *Server) beginLateStop(ctx context.Context, stop toucangeneration.Stop) lateStop {
+	ctx, cancel := context.WithCancel(ctx)
+	l := lateStop{address: stop.Source, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(l.done)
+		defer cancel()
+		s.stopLate(ctx, stop)
+	}()
+	return l
+}
+
+// endLateStops ends the lateStops at an address and waits for their last calls. It must be called before the generation
+// resumes there, since they would stop it again.
+func (j *job) endLateStops(address string) {
+	for _, l := range j.lateStops {
+		if l.address == address {
+			l.cancel()
+			<-l.done
+		}
+	}
+}
+
+// stopLate stops a generation as soon as its endpoint is reached, and frees the copy of its memory.
 func (s *Server) stopLate(ctx context.Context, stop toucangeneration.Stop) {
 	for delay := lateStopDelay; toucanwait.Sleep(ctx, delay); delay = min(2*delay, maxLateStopDelay) {
 		r := stop.Run(ctx)
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -139,6 +139,8 @@
 	plan    *toucanretry.Plan
 	// backup is the reservation for the generation's backup; nil for none.
 	backup *toucanplace.Reservation
+	// lateStops are those that were begun for this request.
+	lateStops []lateStop
 	// maybeRun counts the failed attempts that the endpoint may have run.
 	maybeRun int
 	// logged is true once a log line names the request. Its end is then logged too, whether or not it is sampled.
@@ -179,6 +181,10 @@
 		s.refuse(j, *refusal)
 		return
 	}
+	if !s.canEnd(j) {
+		s.refuse(j, stopRefusal(j, true))
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if refusal := s.readBody(ctx, j); refusal != nil {
