--- a/toucanupstream/pool_test.go
+++ b/toucanupstream/pool_test.go
@@ -355,7 +355,7 @@
 		"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.1 200 OK\nId: mine\n\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		for cut := range len(head) {
 			for _, kept := range []bool{false, true} {
