--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -25,6 +25,7 @@
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
 		return nil, &failure{endpoint: reservation.Endpoint.ID, notRun: true, unsent: true, err: errQuarantined}
 	}
+	s.logTaken(j, reservation.Endpoint.ID)
 	sentAt := time.Now()
 	resp, err := s.send(ctx, j, reservation, nil)
 	if err != nil {
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -53,9 +53,12 @@
 		j.w.Header().Set("Content-Length", n)
 	}
 	j.w.WriteHeader(a.status)
-	_, err := j.w.Write(a.body)
+	n, err := j.w.Write(a.body)
+	j.written = int64(n)
 	if err == nil {
-		_, err = io.Copy(j.w, a.rest.Body)
+		var rest int64
+		rest, err = io.Copy(j.w, a.rest.Body)
+		j.written += rest
 	}
 	if err == nil {
 		err = s.checkEnd(ctx, a.rest, a.reservation.Endpoint)
@@ -63,11 +66,12 @@
 	a.rest.Close()
 	if err != nil {
 		a.reservation.Done(time.Now(), (&failure{err: err}).outcome(ctx))
-		s.log.Warn(toucanlog.MsgStreamCut,
+		args := []any{
 			toucanlog.RequestID, j.ID,
 			toucanlog.Endpoint, a.reservation.Endpoint.ID,
 			toucanlog.Cause, err.Error(),
-		)
+		}
+		s.log.Warn(toucanlog.MsgStreamCut, append(args, s.stopArgs(j)...)...)
 		j.cut = true
 		panic(http.ErrAbortHandler)
 	}
@@ -107,7 +111,7 @@
 	if err != nil {
 		args = append(args, toucanlog.Cause, err.Error())
 	}
-	s.log.Info(msg, args...)
+	s.log.Info(msg, append(args, s.stopArgs(j)...)...)
 }
 
 // copyHeader copies the end-to-end headers of from into to.
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -175,7 +175,7 @@
 	if r.err != nil {
 		args = append(args, toucanlog.Cause, r.err.Error())
 	}
-	s.log.Warn(toucanlog.MsgRequestRefused, args...)
+	s.log.Warn(toucanlog.MsgRequestRefused, append(args, s.stopArgs(j)...)...)
 	if r.retryAfter > 0 {
 		j.w.Header().Set("Retry-After", formatRetryAfter(r.retryAfter))
 	}
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -39,6 +39,9 @@
 	resumedFromBackup tally.Counter
 	// bodiesNotKept counts the requests that can be sent only once, as there was no memory for their bodies.
 	bodiesNotKept tally.Counter
+	// takenWhileStopping counts the attempts that were made while the server stops, cutWhileStopping the streams cut then.
+	takenWhileStopping, cutWhileStopping tally.Counter
+
 	firstEvent    tally.Histogram
 	betweenEvents tally.Histogram
 	held          tally.Histogram
@@ -81,24 +84,26 @@
 		scope = tally.NoopScope
 	}
 	return &metrics{
-		scope:             scope,
-		retries:           scope.Counter("request_retries"),
-		streamsLate:       scope.Counter("streams_late"),
-		streamsCut:        scope.Counter("streams_cut"),
-		cutAtStart:        scope.Counter("streams_cut_at_start"),
-		resumed:           scope.Counter("streams_resumed"),
-		withoutBackup:     scope.Counter("streams_without_backup"),
-		resumedFromBackup: scope.Counter("streams_resumed_from_backup"),
-		bodiesNotKept:     scope.Counter("request_bodies_not_kept"),
-		firstEvent:        scope.Histogram("first_event", answerBuckets),
-		betweenEvents:     scope.Histogram("between_events", answerBuckets),
-		held:              scope.Histogram("request_held", answerBuckets),
-		limitedSends:      limitedSendCounters(scope),
-		refusals:          make(map[reason]tally.Counter),
-		answers:           make(map[answerKey]tally.Counter),
-		took:              make(map[toucantraffic.Kind]tally.Histogram),
-		stops:             make(map[toucangeneration.SourceState]tally.Counter),
-		workspaces:        make(map[string]workspaceCounters),
+		scope:              scope,
+		retries:            scope.Counter("request_retries"),
+		streamsLate:        scope.Counter("streams_late"),
+		streamsCut:         scope.Counter("streams_cut"),
+		cutAtStart:         scope.Counter("streams_cut_at_start"),
+		resumed:            scope.Counter("streams_resumed"),
+		withoutBackup:      scope.Counter("streams_without_backup"),
+		resumedFromBackup:  scope.Counter("streams_resumed_from_backup"),
+		bodiesNotKept:      scope.Counter("request_bodies_not_kept"),
+		takenWhileStopping: scope.Counter("requests_taken_while_stopping"),
+		cutWhileStopping:   scope.Counter("streams_cut_while_stopping"),
+		firstEvent:         scope.Histogram("first_event", answerBuckets),
+		betweenEvents:      scope.Histogram("between_events", answerBuckets),
+		held:               scope.Histogram("request_held", answerBuckets),
+		limitedSends:       limitedSendCounters(scope),
+		refusals:           make(map[reason]tally.Counter),
+		answers:            make(map[answerKey]tally.Counter),
+		took:               make(map[toucantraffic.Kind]tally.Histogram),
+		stops:              make(map[toucangeneration.SourceState]tally.Counter),
+		workspaces:         make(map[string]workspaceCounters),
 	}
 }
 
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -158,6 +158,10 @@
 	allParts []toucanquarantine.Part
 	// startedAt is when the last attempt began.
 	startedAt time.Time
+	// admission is why the request was sent to an endpoint while the server stops; empty otherwise.
+	admission admission
+	// written is the number of bytes of an answer's body that were passed on to the caller.
+	written int64
 	// reading is true while the body is read. It is guarded by activeRequests.mu.
 	reading bool
 	// cut is true once the caller's connection is to be aborted.
--- a/toucanforward/stop.go
+++ b/toucanforward/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanlog"
 	"toucanport/toucantraffic"
 )
 
@@ -29,11 +30,32 @@
 type activeRequests struct {
 	mu   sync.Mutex
 	jobs map[*job]struct{}
-	// stopping is true once the server stops. until is when its last requests end; zero for no bound.
-	stopping bool
-	until    time.Time
+	stop stopTimes
 }
 
+// stopTimes are the times of a server's stop.
+type stopTimes struct {
+	// began is zero unless the server stops.
+	began time.Time
+	// until is when the last requests end; zero for no bound.
+	until time.Time
+}
+
+// hasBegun reports whether the server stops.
+func (t stopTimes) hasBegun() bool { return !t.began.IsZero() }
+
+// admission is the reason for which a server that stops sends a request to an endpoint.
+type admission string
+
+const (
+	// admittedNoBound: the stop has no bound.
+	admittedNoBound admission = "noBound"
+	// admittedDeadline: the request's deadline is before the end of the stop.
+	admittedDeadline admission = "deadline"
+	// admittedPace: the request ends before the end of the stop if it is on time.
+	admittedPace admission = "pace"
+)
+
 func (a *activeRequests) add(j *job) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -56,11 +78,11 @@
 	j.reading = reading
 }
 
-// stop returns when the last requests end, and whether the server stops at all. A zero time is no bound.
-func (a *activeRequests) stop() (until time.Time, stopping bool) {
+// stopTimes returns the times of the server's stop.
+func (a *activeRequests) stopTimes() stopTimes {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.until, a.stopping
+	return a.stop
 }
 
 // endAll ends the requests: each gets the answer that is true for it, and streams are cut.
@@ -80,16 +102,15 @@
 func (s *Server) BeginStop(end time.Time) {
 	s.active.mu.Lock()
 	defer s.active.mu.Unlock()
-	s.active.stopping = true
+	s.active.stop.began = time.Now()
 	if !end.IsZero() {
-		s.active.until = end.Add(-stopMargin)
+		s.active.stop.until = end.Add(-stopMargin)
 	}
 }
 
 // StopsRequestsAt returns when EndRequests is due; zero for never.
 func (s *Server) StopsRequestsAt() time.Time {
-	until, _ := s.active.stop()
-	return until
+	return s.active.stopTimes().until
 }
 
 // EndRequests ends the requests that are in progress: each gets the answer that is true for it, and streams are cut.
@@ -104,20 +125,39 @@
 
 // isStopping reports whether the server stops.
 func (s *Server) isStopping() bool {
-	_, stopping := s.active.stop()
-	return stopping
+	return s.active.stopTimes().hasBegun()
 }
 
 // canEnd reports whether a request that is sent to an endpoint now ends before the server stops: certainly, by its
 // deadline, or, unless it runs at most once, if it is on time.
 func (s *Server) canEnd(j *job) bool {
-	until, stopping := s.active.stop()
-	if !stopping || until.IsZero() || !j.deadline.After(until) {
+	stop := s.active.stopTimes()
+	if !stop.hasBegun() {
 		return true
 	}
-	if j.route.Kind == toucantraffic.AtMostOnce {
-		return false
+	j.logged = true
+	j.admission = stop.admit(j)
+	return j.admission != ""
+}
+
+// admit returns why a request may be sent to an endpoint during the stop; empty if it may not.
+func (t stopTimes) admit(j *job) admission {
+	switch {
+	case t.until.IsZero():
+		return admittedNoBound
+	case !j.deadline.After(t.until):
+		return admittedDeadline
+	case j.route.Kind == toucantraffic.AtMostOnce:
+		return ""
 	}
+	if onTime := j.timeOnTime(); onTime > 0 && !time.Now().Add(onTime).After(t.until) {
+		return admittedPace
+	}
+	return ""
+}
+
+// timeOnTime returns how long a request takes at its endpoint if it is on time; zero if that is not known.
+func (j *job) timeOnTime() time.Duration {
 	onTime := j.route.Goal
 	if j.route.Kind == toucantraffic.Stream {
 		gap := j.route.Gap
@@ -126,7 +166,7 @@
 		}
 		onTime += time.Duration(j.events()) * gap
 	}
-	return onTime > 0 && !time.Now().Add(onTime).After(until)
+	return onTime
 }
 
 // events returns the estimated number of events of a stream.
@@ -149,3 +189,41 @@
 
 // endedByStop reports whether a request was ended because the server stops.
 func endedByStop(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
+// stopArgs returns the log fields of a request that place it in the server's stop, in time since the stop began: when it was read and
+// when it was sent to an endpoint. They are nil unless the server stops.
+func (s *Server) stopArgs(j *job) []any {
+	stop := s.active.stopTimes()
+	if !stop.hasBegun() {
+		return nil
+	}
+	args := []any{
+		toucanlog.StopMs, time.Since(stop.began).Milliseconds(),
+		toucanlog.ArrivedMs, j.arrived.Sub(stop.began).Milliseconds(),
+		toucanlog.WrittenBytes, j.written,
+	}
+	if !j.startedAt.IsZero() {
+		args = append(args, toucanlog.SentMs, j.startedAt.Sub(stop.began).Milliseconds())
+	}
+	if j.admission != "" {
+		args = append(args, toucanlog.Admitted, string(j.admission))
+	}
+	return args
+}
+
+// logTaken logs that a request is sent to an endpoint while the server stops, and by when it should end.
+func (s *Server) logTaken(j *job, endpoint string) {
+	stop := s.active.stopTimes()
+	if !stop.hasBegun() {
+		return
+	}
+	s.metrics.takenWhileStopping.Inc(1)
+	args := []any{
+		toucanlog.RequestID, j.ID,
+		toucanlog.Route, j.route.Name,
+		toucanlog.Endpoint, endpoint,
+		toucanlog.ExpectedMs, j.timeOnTime().Milliseconds(),
+		toucanlog.DeadlineMs, j.deadline.Sub(stop.began).Milliseconds(),
+	}
+	s.log.Info(toucanlog.MsgTakenWhileStopping, append(args, s.stopArgs(j)...)...)
+}
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -96,8 +96,11 @@
 	if seen.count == 0 {
 		s.metrics.cutAtStart.Inc(1)
 	}
+	if s.isStopping() {
+		s.metrics.cutWhileStopping.Inc(1)
+	}
 	s.metrics.workspace(j.workspace).cut.Inc(1)
-	s.log.Warn(msg,
+	args := []any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
 		toucanlog.Endpoint, reservation.Endpoint.ID,
@@ -108,7 +111,8 @@
 		toucanlog.TookMs, time.Since(j.arrived).Milliseconds(),
 		toucanlog.Workspace, j.workspace,
 		toucanlog.PromptParts, formatParts(j.SharedParts),
-	)
+	}
+	s.log.Warn(msg, append(args, s.stopArgs(j)...)...)
 	j.cut = true
 	panic(http.ErrAbortHandler)
 }
@@ -166,7 +170,9 @@
 		s.metrics.betweenEvents.RecordDuration(gap)
 	}
 	g.UpdateEstimate(func(made int) int { return s.estimates.estimate(j.route.Name, j.Request, made) })
-	if _, err := j.w.Write(whole); err != nil {
+	n, err := j.w.Write(whole)
+	j.written += int64(n)
+	if err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
 	return errors.Wrap(flusher.Flush(), "write to the caller")
