A stopping entry takes late requests only if their deadlines are before its end

Cause: a stream or a repeatable request was taken if it would end in time at the pace of its route. What an engine does not keep to is its pace: any slower one made the entry cut what it had taken up to 5.4 s after the signal. The same hope let in a request that had waited for an endpoint or for its retry: it was asked before the wait, not after it. Evidence: TestLateStreamIsNotCutAtTheEndOfAStop failed with status 0 in place of 503; TestRequestThatWaitedIsNotSentLateInAStop with 502: it had reached the endpoint. The question is put again after the wait for an endpoint. Callers that are refused come back 0.1 s later, on a connection to another entry.

--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -218,6 +218,11 @@
 			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err, s.delayFor(j, err)))
 			return
 		}
+		if !s.canEnd(j) {
+			reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
+			s.deliverFailure(ctx, j, endpointAnswer, stopRefusal(j, true))
+			return
+		}
 		got, failure := s.attempt(ctx, j, reservation)
 		if failure == nil {
 			s.deliver(ctx, j, got)
--- a/toucanforward/stop.go
+++ b/toucanforward/stop.go
@@ -39,6 +39,8 @@
 	began time.Time
 	// until is when the last requests end; zero for no bound.
 	until time.Time
+	// arrivals is when the last new connection of a caller can arrive.
+	arrivals time.Time
 }
 
 // hasBegun reports whether the server stops.
@@ -52,7 +54,7 @@
 	admittedNoBound admission = "noBound"
 	// admittedDeadline: the request's deadline is before the end of the stop.
 	admittedDeadline admission = "deadline"
-	// admittedPace: the request ends before the end of the stop if it is on time.
+	// admittedPace: the request ends before the end of the stop if it is on time, and its caller can't know of the stop.
 	admittedPace admission = "pace"
 )
 
@@ -97,14 +99,23 @@
 	}
 }
 
+// Stop describes the stop of a server.
+type Stop struct {
+	// End is when the server ends; zero for no bound. Shortly before it, EndRequests must be called.
+	End time.Time
+	// Arrivals is how long new connections of callers can still arrive.
+	Arrivals time.Duration
+}
+
 // BeginStop makes the server close each caller's connection after its next answer and refuse the requests that can't end
-// before the end of the stop. Shortly before it, EndRequests must be called. A zero end is no bound.
-func (s *Server) BeginStop(end time.Time) {
+// before the end of the stop.
+func (s *Server) BeginStop(stop Stop) {
 	s.active.mu.Lock()
 	defer s.active.mu.Unlock()
-	s.active.stop.began = time.Now()
-	if !end.IsZero() {
-		s.active.stop.until = end.Add(-stopMargin)
+	now := time.Now()
+	s.active.stop = stopTimes{began: now, arrivals: now.Add(stop.Arrivals)}
+	if !stop.End.IsZero() {
+		s.active.stop.until = stop.End.Add(-stopMargin)
 	}
 }
 
@@ -128,29 +139,30 @@
 	return s.active.stopTimes().hasBegun()
 }
 
-// canEnd reports whether a request that is sent to an endpoint now ends before the server stops: certainly, by its
-// deadline, or, unless it runs at most once, if it is on time.
+// canEnd reports whether a request that is sent to an endpoint now may be, as it ends before the server stops.
 func (s *Server) canEnd(j *job) bool {
 	stop := s.active.stopTimes()
 	if !stop.hasBegun() {
 		return true
 	}
 	j.logged = true
-	j.admission = stop.admit(j)
+	j.admission = stop.admit(time.Now(), j)
 	return j.admission != ""
 }
 
-// admit returns why a request may be sent to an endpoint during the stop; empty if it may not.
-func (t stopTimes) admit(j *job) admission {
+// admit returns why a request may be sent to an endpoint at a time during the stop; empty if it may not. What an endpoint does not bound
+// is its time, so that a request certainly ends only by its deadline. That it is on time is enough while callers can't know of the
+// stop, unless the request runs at most once.
+func (t stopTimes) admit(now time.Time, j *job) admission {
 	switch {
 	case t.until.IsZero():
 		return admittedNoBound
 	case !j.deadline.After(t.until):
 		return admittedDeadline
-	case j.route.Kind == toucantraffic.AtMostOnce:
+	case j.route.Kind == toucantraffic.AtMostOnce, now.After(t.arrivals):
 		return ""
 	}
-	if onTime := j.timeOnTime(); onTime > 0 && !time.Now().Add(onTime).After(t.until) {
+	if onTime := j.timeOnTime(); onTime > 0 && !now.Add(onTime).After(t.until) {
 		return admittedPace
 	}
 	return ""
