A stream of which nothing was passed on gets an answer when it breaks

Cause: the head of a stream counted as written once the engine's had come, while its bytes waited for the first event; a cut then aborted the connection. Evidence: TestStreamWithoutAnEventIsAnsweredAtTheEndOfAStop failed with status 0 in place of 502. Change: the head is written together with the first events, or at the end of a stream without any. Until then a broken stream gets the refusal that any other failed attempt gets: 502, at the deadline 504. A caller that has left is told nothing, as before.

--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -31,11 +31,11 @@
 
 // deliver writes an answer to the caller. It panics with http.ErrAbortHandler if a long body or a stream is cut.
 func (s *Server) deliver(ctx context.Context, j *job, a *answer) {
-	copyHeader(j.w.Header(), a.header)
 	if a.stream != nil {
 		s.relay(ctx, j, a)
 		return
 	}
+	copyHeader(j.w.Header(), a.header)
 	if a.rest != nil {
 		s.deliverLong(ctx, j, a)
 		return
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -160,6 +160,8 @@
 	startedAt time.Time
 	// admission is why the request was sent to an endpoint while the server stops; empty otherwise.
 	admission admission
+	// head is the answer of a stream whose head was not passed on to the caller yet; nil otherwise.
+	head *answer
 	// written is the number of bytes of an answer's body that were passed on to the caller.
 	written int64
 	// reading is true while the body is read. It is guarded by activeRequests.mu.
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -32,8 +32,7 @@
 func (s *Server) relay(ctx context.Context, j *job, a *answer) {
 	g := s.generations.Begin(j.generationSpec(), a.reservation)
 	defer s.generations.End(g)
-	j.w.Header().Del("Content-Length")
-	j.w.WriteHeader(a.status)
+	j.head = a
 	var seen eventParser
 	resp, reservation := a.stream, a.reservation
 	for {
@@ -55,6 +54,7 @@
 			f := &failure{err: err}
 			reservation.Done(time.Now(), f.outcome(ctx))
 			s.cutStream(ctx, j, reservation, &seen, err, resumeErr)
+			return
 		}
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
 		resp, reservation = next, nextReservation
@@ -78,18 +78,30 @@
 
 // recordFinished releases the reservation of a stream that completed, records its length and logs it.
 func (s *Server) recordFinished(j *job, a *answer, reservation *toucanplace.Reservation, g *toucangeneration.Generation) {
+	j.writeHead()
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.recordProven(j)
 	s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens())
 	s.logAnswered(j, &answer{status: a.status, reservation: reservation, generation: g}, nil)
 }
 
-// cutStream logs a stream that can't be resumed and aborts the caller's connection, so that the stream does not look
-// complete.
+// writeHead passes on the head of a stream, unless it was before. Until then, the caller can get another answer.
+func (j *job) writeHead() {
+	if j.head == nil {
+		return
+	}
+	copyHeader(j.w.Header(), j.head.header)
+	j.w.Header().Del("Content-Length")
+	j.w.WriteHeader(j.head.status)
+	j.head = nil
+}
+
+// cutStream logs a stream that can't be resumed. It aborts the caller's connection, so that the stream does not look complete, or
+// refuses the request if nothing was passed on.
 func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *eventParser, cause, resumeErr error) {
 	msg := toucanlog.MsgStreamCut
-	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errQuarantined)
-	if callerLeft && !s.isStopping() {
+	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errQuarantined) && !endedByStop(ctx)
+	if callerLeft {
 		msg = toucanlog.MsgCallerLeft
 	}
 	s.metrics.streamsCut.Inc(1)
@@ -113,6 +125,11 @@
 		toucanlog.PromptParts, formatParts(j.SharedParts),
 	}
 	s.log.Warn(msg, append(args, s.stopArgs(j)...)...)
+	if j.head != nil && !callerLeft {
+		f := &failure{endpoint: reservation.Endpoint.ID, err: cause}
+		s.refuse(j, f.refusal(ctx, j, 0))
+		return
+	}
 	j.cut = true
 	panic(http.ErrAbortHandler)
 }
@@ -170,6 +187,7 @@
 		s.metrics.betweenEvents.RecordDuration(gap)
 	}
 	g.UpdateEstimate(func(made int) int { return s.estimates.estimate(j.route.Name, j.Request, made) })
+	j.writeHead()
 	n, err := j.w.Write(whole)
 	j.written += int64(n)
 	if err != nil {
