Ask an engine's address later and again before a cut unframed answer passes as whole

Cause: the entry asked once, at the end of the connection, whether the engine's address refuses connections. The operating system closes the connections of a killed process before or after its listener; until the listener is closed, its backlog accepts further connections, which are reset with it.

The cases that were added to the script unframedEnds fail before (with Refuses in checkEnd):

testdata/scripts/unframedEnds:87: request expected: 502, a: run found: 200 short, a: run

Why it works: a listener that is closed resets what its backlog has accepted, and refuses what comes later. A living engine, also one that is stopped or slow, keeps the connection open; one that has too many connections resets it, but does not refuse the next. Nothing is sent and no probe is called. A living engine costs one new connection, as before; the end of an unframed answer comes 50 ms later.

--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,6 +68,8 @@
 	secretMark = "hush"
 	// testTimeout bounds every wait of a script. A wait that takes as long has failed.
 	testTimeout = 10 * time.Second
+	// testEndWait is how long the end of an answer without a length is held back while its endpoint lives.
+	testEndWait = time.Second
 )
 
 // testCodec is a minimal codec with one header for each value.
@@ -152,7 +156,7 @@
 		Moves:   &coordinatorWithoutPeers{},
 		Traffic: sc.traffic,
 		Placer:  sc.placer,
-		Pool:    toucanupstream.NewPool(),
+		Pool:    toucanupstream.NewPool(toucanupstream.WithEndWait(testEndWait)),
 		Budget:  toucanretry.NewBudget(toucanretry.WithReserve(100)),
 		Log:     sc.log.Logger(),
 		Limits:  limits,
@@ -347,7 +351,9 @@
 	sc.start()
 	for _, name := range strings.Fields(d.Input) {
 		e := &endpoint{name: name, t: sc.t, deployment: sc}
-		e.server = httptest.NewServer(http.HandlerFunc(e.serve))
+		e.server = httptest.NewUnstartedServer(http.HandlerFunc(e.serve))
+		e.server.Config.ConnState = e.endOnAccept
+		e.server.Start()
 		sc.t.Cleanup(e.kill)
 		sc.endpoints = append(sc.endpoints, e)
 	}
@@ -615,8 +621,10 @@
 //	events A B unframed      events A to B without length or chunks, which end with the connection
 //	events A B unframedHalf  the same, with half an event at the end
 //	events A B unframedDeath the same without it, and the endpoint ends too
+//	events A B unframedDying the same, but its listener accepts one more connection before it ends
 //	unframed BODY    an answer without length, which ends with its connection
 //	unframed BODY death       the same, and the endpoint ends too; with long before death, longer than maxBufferedAnswer
+//	unframed BODY dying       the same as death, but its listener accepts one more connection before it ends
 type endpoint struct {
 	t      *testing.T
 	name   string
@@ -631,6 +639,8 @@
 	held  chan bool
 	// keeps is true if the connection of the last step stays open.
 	keeps bool
+	// dying is true if the endpoint ends with the next connection that it accepts.
+	dying atomic.Bool
 }
 
 func (e *endpoint) address() string {
@@ -696,6 +706,16 @@
 	e.server.CloseClientConnections()
 }
 
+// endOnAccept ends a dying endpoint with its first connection, as an operating system does that closes a listener last.
+func (e *endpoint) endOnAccept(c net.Conn, state http.ConnState) {
+	if state != http.StateNew || !e.dying.Load() {
+		return
+	}
+	_ = e.server.Listener.Close()
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
 // readBody reads the body of a request and reports whether it is the one that the caller sent. A step that begins with early answers
 // before it has read the body.
 func (e *endpoint) readBody(r *http.Request) bool {
@@ -815,8 +835,11 @@
 		if slices.Contains(step, "long") {
 			_, _ = rw.WriteString(strings.Repeat("x", 2*maxBufferedAnswer))
 		}
-		if step[len(step)-1] == "death" {
+		switch step[len(step)-1] {
+		case "death":
 			_ = e.server.Listener.Close()
+		case "dying":
+			e.dying.Store(true)
 		}
 	case "halfHead":
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n", headerID, id, headerGenuine)
@@ -854,6 +877,8 @@
 			_, _ = fmt.Fprintf(rw, "id: %d\nda", to+1)
 		case "unframedDeath":
 			_ = e.server.Listener.Close()
+		case "unframedDying":
+			e.dying.Store(true)
 		}
 		return
 	}
--- a/toucanforward/unframed.go
+++ b/toucanforward/unframed.go
@@ -13,14 +13,12 @@
 var errEndedWithEndpoint = errors.New("answer without length ended with its endpoint")
 
 // checkEnd returns errEndedWithEndpoint if an answer that was read to its end is not whole as far as can be told: it has no
-// length, so that the end of its connection is its end, and nothing listens at the endpoint's address any more.
+// length, so that the end of its connection is its end, and its endpoint has ended too.
 func (s *Server) checkEnd(ctx context.Context, resp *toucanupstream.Response, e toucanplace.Endpoint) error {
 	if resp.Framed {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	if s.pool.Refuses(ctx, e.Address) {
+	if s.pool.HasEnded(ctx, e.Address) {
 		return errEndedWithEndpoint
 	}
 	return nil
--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -53,6 +53,8 @@
 // Pool is a connection pool for endpoints. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
+	// endWait is how long HasEnded watches a connection that was accepted.
+	endWait time.Duration
 
 	mu sync.Mutex
 	// peers has an entry for each address with an open connection.
@@ -89,10 +91,19 @@
 	closeOnce  sync.Once
 }
 
+// Option changes a Pool that is being created.
+type Option func(*Pool)
+
+// WithEndWait sets how long HasEnded watches a connection that was accepted. The default is 40 ms.
+func WithEndWait(d time.Duration) Option {
+	return func(p *Pool) { p.endWait = d }
+}
+
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{
-		peers: make(map[string]*peer),
+func NewPool(options ...Option) *Pool {
+	p := &Pool{
+		peers:   make(map[string]*peer),
+		endWait: defaultEndWait,
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -104,6 +115,10 @@
 			Control: SetUnackedTimeout,
 		},
 	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // SetUnackedTimeout makes the kernel drop a connection whose sent bytes stay unacknowledged for unackedTimeout. It is
@@ -153,17 +168,6 @@
 	}, nil
 }
 
-// Refuses reports whether the host at an address answers that nothing listens there. It is false if the host does not
-// answer before ctx ends.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = c.Close() // Nothing was sent.
-	return false
-}
-
 // takeIdle returns the most recently used idle connection that can be reused, or nil. It closes those that can't.
 func (p *Pool) takeIdle(address string) *conn {
 	for {
