A repeated SIGTERM no longer cuts the requests of a stop

Callers saw: an operator or a platform that sends SIGTERM twice ended the process at once; every request that the first stop still answered was closed without an answer (ErrStopped).

Cause: toucanprocess took any second signal as the wish to end at once.

Evidence, before the change:

--- FAIL: TestRun/a_repeated_SIGTERM_does_not_cut_requests (0.00s) process_test.go:87: assertion failed: expression is false: errors.Is(err, tc.want): stopped with requests in progress

Change: stopSignals handles the signals from the start of the program to its end. The first one asks for the graceful stop, only an interrupt after it for the immediate one.

Why it works: a SIGTERM has no path to ErrStopped any more. Ctrl-C twice, or SIGTERM and then Ctrl-C, ends the process as before. Signals are taken from the channel as they come, so that repeated ones during a slow start leave room for an interrupt.

--- a/toucanprocess/process.go
+++ b/toucanprocess/process.go
@@ -1,5 +1,5 @@
-// Package toucanprocess runs a program until SIGTERM or SIGINT: the first signal stops it gracefully, the second signal
-// ends it immediately.
+// Package toucanprocess runs a program until SIGTERM or SIGINT: the first signal stops it gracefully, a SIGINT after that
+// ends it immediately, and a repeated SIGTERM changes nothing.
 package toucanprocess
 
 import (
@@ -13,7 +13,10 @@
 	"github.com/pkg/errors"
 )
 
-// ErrStopped is returned when a second signal ended the program while requests were in progress.
+// signalBuffer is how many signals are kept until they are handled.
+const signalBuffer = 16
+
+// ErrStopped is returned when an interrupt ended the program while requests were in progress.
 var ErrStopped = errors.New("stopped with requests in progress")
 
 // Stopper is a running program.
@@ -29,7 +32,7 @@
 // Run starts a program and waits until it has stopped. grace is the maximum duration of a graceful stop. Run returns the
 // program's error, or the error of the stop.
 func Run(log *slog.Logger, grace time.Duration, start func(ctx context.Context) (Stopper, error)) error {
-	signals := make(chan os.Signal, 2)
+	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	return run(log, grace, signals, start)
@@ -38,6 +41,8 @@
 func run(log *slog.Logger, grace time.Duration, signals <-chan os.Signal, start func(ctx context.Context) (Stopper, error)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	received := newStopSignals(log)
+	go received.watch(ctx, signals)
 	program, err := start(ctx)
 	if err != nil {
 		return err
@@ -50,16 +55,15 @@
 	select {
 	case <-ended:
 		return program.Err()
-	case s := <-signals:
-		log.Info("stopping", "signal", s.String())
+	case <-received.graceful:
 	}
-	err = stop(ctx, program, grace, signals)
+	err = stop(ctx, program, grace, received)
 	cancel()
 	<-ended
 	return err
 }
 
-func stop(ctx context.Context, program Stopper, grace time.Duration, signals <-chan os.Signal) error {
+func stop(ctx context.Context, program Stopper, grace time.Duration, received *stopSignals) error {
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	stopped := make(chan error, 1)
@@ -67,7 +71,7 @@
 	select {
 	case err := <-stopped:
 		return err
-	case <-signals:
+	case <-received.immediate:
 		return ErrStopped
 	}
 }
--- a/toucanprocess/process_test.go
+++ b/toucanprocess/process_test.go
@@ -55,12 +55,18 @@
 		{name: "requests end within the grace", signals: []os.Signal{syscall.SIGTERM}, requests: 3 * time.Second, duration: 3 * time.Second},
 		{name: "requests outlast the grace", signals: []os.Signal{syscall.SIGTERM}, requests: time.Hour, want: context.DeadlineExceeded, duration: time.Minute},
 		{name: "a second signal stops the program immediately", signals: []os.Signal{syscall.SIGTERM, os.Interrupt}, requests: time.Hour, want: ErrStopped},
+		{name: "a repeated SIGTERM does not cut requests", signals: []os.Signal{syscall.SIGTERM, syscall.SIGTERM}, requests: 3 * time.Second, duration: 3 * time.Second},
+		{
+			name:     "an interrupt after a repeated SIGTERM stops the program immediately",
+			signals:  []os.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM, os.Interrupt},
+			requests: time.Hour, want: ErrStopped,
+		},
 		{name: "the program fails", fails: true, want: errFailed},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				signals := make(chan os.Signal, 2)
+				signals := make(chan os.Signal, len(tc.signals))
 				for _, s := range tc.signals {
 					signals <- s
 				}
