The grace of a stop counts from its signal, also during the start

Callers would see: a SIGTERM that came while a process was starting was handled once it had started, and its whole grace was counted from there. The process planned its last answers for a time after the platform's SIGKILL, which cut what it had taken in between.

Cause: the deadline of Shutdown was set when the start had ended.

Evidence, before the change (a start of 20 s, a grace of 60 s):

--- FAIL: TestRun/a_slow_start_shortens_the_stop (0.00s) process_test.go:88: assertion failed: 1m20s (time.Duration) != 1m0s (tc.duration time.Duration)

Change: the deadline is the time at which the signal was received plus the grace. The starts of entry and sidecar take no network call, so it was shown only with a stand-in that starts slowly.

--- a/toucanprocess/process.go
+++ b/toucanprocess/process.go
@@ -29,8 +29,9 @@
 	Err() error
 }
 
-// Run starts a program and waits until it has stopped. grace is the maximum duration of a graceful stop. Run returns the
-// program's error, or the error of the stop.
+// Run starts a program and waits until it has stopped. grace is the maximum duration of a graceful stop, counted
+// from its signal, which may come before the program has started. Run
+// returns the program's error, or the error of the stop.
 func Run(log *slog.Logger, grace time.Duration, start func(ctx context.Context) (Stopper, error)) error {
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -64,7 +65,7 @@
 }
 
 func stop(ctx context.Context, program Stopper, grace time.Duration, received *stopSignals) error {
-	ctx, cancel := context.WithTimeout(ctx, grace)
+	ctx, cancel := context.WithDeadline(ctx, received.began.Add(grace))
 	defer cancel()
 	stopped := make(chan error, 1)
 	go func() { stopped <- program.Shutdown(ctx) }()
--- a/toucanprocess/process_test.go
+++ b/toucanprocess/process_test.go
@@ -47,8 +47,10 @@
 		// signals are sent immediately and in this order.
 		signals  []os.Signal
 		requests time.Duration
-		fails    bool
-		want     error
+		// startTime is how long the start of the program takes.
+		startTime time.Duration
+		fails     bool
+		want      error
 		// duration is the expected duration of the run on the fake clock.
 		duration time.Duration
 	}{
@@ -61,6 +63,7 @@
 			signals:  []os.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM, os.Interrupt},
 			requests: time.Hour, want: ErrStopped,
 		},
+		{name: "a slow start shortens the stop", signals: []os.Signal{syscall.SIGTERM}, startTime: 20 * time.Second, requests: time.Hour, want: context.DeadlineExceeded, duration: time.Minute},
 		{name: "the program fails", fails: true, want: errFailed},
 	}
 	for _, tc := range tests {
@@ -73,6 +76,7 @@
 				log := slog.New(slog.NewTextHandler(io.Discard, nil))
 				start := time.Now()
 				err := run(log, time.Minute, signals, func(ctx context.Context) (Stopper, error) {
+					time.Sleep(tc.startTime)
 					p := &program{ctx: ctx, requests: tc.requests, failed: make(chan struct{})}
 					if tc.fails {
 						p.err = errFailed
