A SIGTERM at the end of a stop no longer ends the process before its log is written

Callers and operators saw: after the stop, toucanprocess gave SIGTERM back to its default action, and the process still had to write the last lines of its log. A repeated SIGTERM in that time ended it at once; the lines that name the requests it had cut were lost.

Evidence, before the change (go test -run TestSIGTERM ./toucanprocess):

signal: terminated FAIL toucanport/toucanprocess 0.005s

Change: SIGTERM stays caught, without effect, to the end of the process. Only the interrupt is given back, so that Ctrl-C ends a process that hangs at its end.

--- a/toucanprocess/process.go
+++ b/toucanprocess/process.go
@@ -31,11 +31,12 @@
 
 // Run starts a program and waits until it has stopped. grace is the maximum duration of a graceful stop, counted
 // from its signal, which may come before the program has started. Run
-// returns the program's error, or the error of the stop.
+// returns the program's error, or the error of the stop. A SIGTERM after that is ignored, so that the process can finish
+// its log; an interrupt ends the process.
 func Run(log *slog.Logger, grace time.Duration, start func(ctx context.Context) (Stopper, error)) error {
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
+	defer signal.Reset(os.Interrupt)
 	return run(log, grace, signals, start)
 }
 
--- a/toucanprocess/process_test.go
+++ b/toucanprocess/process_test.go
@@ -90,3 +90,13 @@
 		})
 	}
 }
+
+func TestSIGTERMAfterTheStopDoesNotEndTheProcess(t *testing.T) {
+	err := Run(slog.New(slog.DiscardHandler), time.Minute, func(ctx context.Context) (Stopper, error) {
+		p := &program{ctx: ctx, failed: make(chan struct{})}
+		close(p.failed)
+		return p, nil
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+}
