A SIGHUP no longer ends a process, nor loses its last log lines

What was seen: a SIGHUP, with which the platform announces new settings, ended - a platform entry that was still reading its settings, and one that had stopped and was writing its last log lines (its handler was taken away before the log was closed); - the commands entry and sidecar at any time, with all their requests in progress: they had no handler at all.

Evidence, before the change:

--- FAIL: TestSIGHUPDuringTheStartDoesNotEndTheProcess/platform (0.01s) reload_test.go:28: assertion failed: -1 (int) != 1 (int): signal: hangup --- FAIL: TestSIGHUPDuringTheStartDoesNotEndTheProcess/entry (0.01s) reload_test.go:28: assertion failed: -1 (int) != 1 (int): signal: hangup --- FAIL: TestSIGHUPDuringTheStartDoesNotEndTheProcess/sidecar (0.01s) reload_test.go:28: assertion failed: -1 (int) != 1 (int): signal: hangup

and for the end of a stop (go test -run TestSIGHUPAfter ./toucanprocess):

signal: hangup FAIL toucanport/toucanprocess 0.005s

Change: CatchReloads receives SIGHUPs before anything else is done and never gives them back. Handle checks the settings file for each of them and logs the result, for all three commands; a SIGHUP of the start waits for it. A SIGHUP during a stop is checked and logged like any other.

--- a/toucancmd/entry/entry.go
+++ b/toucancmd/entry/entry.go
@@ -46,11 +46,17 @@
 }
 
 func entryRun(opts *Options) error {
+	reloads := toucanprocess.CatchReloads()
+	defer reloads.Stop()
 	cfg, err := toucanconfig.LoadEntry(opts.File)
 	if err != nil {
 		return err
 	}
 	log := slog.New(slog.NewJSONHandler(opts.IO.Err, nil)).With("instance", cfg.Instance, "failureDomain", cfg.FailureDomain)
+	reloads.Handle(log, func() error {
+		_, err := toucanconfig.LoadEntry(opts.File)
+		return err
+	})
 	return toucanprocess.Run(log, cfg.Bounds.StopGrace, func(ctx context.Context) (toucanprocess.Stopper, error) {
 		return toucaninstance.StartEntry(ctx, cfg, log)
 	})
--- a/toucancmd/platform/platform.go
+++ b/toucancmd/platform/platform.go
@@ -55,6 +55,8 @@
 }
 
 func platformRun(opts *Options) error {
+	reloads := toucanprocess.CatchReloads()
+	defer reloads.Stop()
 	cfg, err := toucanplatform.LoadSettings(opts.File)
 	if err != nil {
 		return err
@@ -72,8 +74,10 @@
 		toucanlog.MemoryBytes, cfg.MemoryBytes,
 		toucanlog.StopGraceMs, cfg.StopGrace.Milliseconds(),
 	)
-	stopReload := toucanprocess.OnReload(func() { reload(opts.File, log) })
-	defer stopReload()
+	reloads.Handle(log, func() error {
+		_, err := toucanplatform.LoadSettings(opts.File)
+		return err
+	})
 	err = toucanprocess.Run(log, cfg.StopTime(), func(ctx context.Context) (toucanprocess.Stopper, error) {
 		return toucanplatform.StartEntry(ctx, cfg, log, toucanplatform.WithDroppedLines(ring.Dropped))
 	})
@@ -84,16 +88,6 @@
 	return err
 }
 
-// reload validates the settings file and logs the result. It does not apply the settings, since addresses can't
-// change while requests are in progress; the settings apply from the next start of the process.
-func reload(file string, log *slog.Logger) {
-	if _, err := toucanplatform.LoadSettings(file); err != nil {
-		log.Error(toucanlog.MsgNotReloaded, toucanlog.Cause, err.Error())
-		return
-	}
-	log.Info(toucanlog.MsgReloaded)
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/toucancmd/sidecar/sidecar.go
+++ b/toucancmd/sidecar/sidecar.go
@@ -46,11 +46,17 @@
 }
 
 func sidecarRun(opts *Options) error {
+	reloads := toucanprocess.CatchReloads()
+	defer reloads.Stop()
 	cfg, err := toucanconfig.LoadSidecar(opts.File)
 	if err != nil {
 		return err
 	}
 	log := slog.New(slog.NewJSONHandler(opts.IO.Err, nil)).With("instance", cfg.Instance, "failureDomain", cfg.FailureDomain)
+	reloads.Handle(log, func() error {
+		_, err := toucanconfig.LoadSidecar(opts.File)
+		return err
+	})
 	return toucanprocess.Run(log, cfg.Bounds.StopGrace, func(ctx context.Context) (toucanprocess.Stopper, error) {
 		return toucaninstance.StartSidecar(ctx, cfg, log)
 	})
--- a/toucanprocess/process_test.go
+++ b/toucanprocess/process_test.go
@@ -100,3 +100,22 @@
 	assert.NilError(t, err)
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
 }
+
+func TestSIGHUPAfterTheStopDoesNotEndTheProcess(t *testing.T) {
+	reloads := CatchReloads()
+	reloads.Handle(slog.New(slog.DiscardHandler), func() error { return nil })
+	reloads.Stop()
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+}
+
+func TestSIGHUPDuringTheStartIsHandledLater(t *testing.T) {
+	reloads := CatchReloads()
+	defer reloads.Stop()
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	handled := make(chan struct{})
+	reloads.Handle(slog.New(slog.DiscardHandler), func() error {
+		close(handled)
+		return nil
+	})
+	<-handled
+}
