The log names each request that a stop ends

Operators saw: a stop that ended many requests at once left no line for some of them.

Cause: two limits held to the end of the process. Of one message 50 lines a second are written, the last of the others represents them; and above 200 lines a second of all messages the rest is dropped. At the end of a stop every request in progress writes the same line in the same millisecond.

Evidence: 400 lines of ordinary work, then 600 lines of cut streams, and the process killed before its log is closed.

Change: ProcessLog puts ring and summaries together; the first signal lifts both limits before the stop begins. Lines are then written as they come, so a SIGKILL after the stop loses none that was written a moment before.

What remains: the buffer holds 1,024 lines.

--- a/toucancmd/platform/platform.go
+++ b/toucancmd/platform/platform.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"log/slog"
 
 	"github.com/MakeNowJust/heredoc/v2"
 	"github.com/integrii/flaggy"
@@ -61,11 +60,9 @@
 	if err != nil {
 		return err
 	}
-	ring := toucanlog.NewRing(opts.IO.Out)
-	defer func() { _ = ring.Close() }()
-	limiter := toucanlog.NewRepeatLimiter(slog.NewJSONHandler(ring, nil))
-	defer limiter.Close()
-	log := slog.New(limiter).With(toucanlog.Instance, cfg.Instance)
+	processLog := toucanlog.NewProcessLog(opts.IO.Out)
+	defer processLog.Close()
+	log := processLog.Logger().With(toucanlog.Instance, cfg.Instance)
 	log.Info(toucanlog.MsgStarted,
 		toucanlog.Version, opts.Version,
 		toucanlog.FailureDomain, cfg.FailureDomain,
@@ -79,11 +76,11 @@
 		return err
 	})
 	err = toucanprocess.Run(log, cfg.StopTime(), func(ctx context.Context) (toucanprocess.Stopper, error) {
-		return toucanplatform.StartEntry(ctx, cfg, log, toucanplatform.WithDroppedLines(ring.Dropped))
-	})
+		return toucanplatform.StartEntry(ctx, cfg, log, toucanplatform.WithDroppedLines(processLog.Dropped))
+	}, toucanprocess.WithStopHook(processLog.BeginStop))
 	log.Info(toucanlog.MsgStopped,
 		toucanlog.Cause, errorText(err),
-		toucanlog.LinesDropped, ring.Dropped(),
+		toucanlog.LinesDropped, processLog.Dropped(),
 	)
 	return err
 }
--- a/toucanlog/ring.go
+++ b/toucanlog/ring.go
@@ -24,9 +24,11 @@
 type Ring struct {
 	lines   chan []byte
 	dropped atomic.Uint64
-	stop    chan struct{}
-	stopped sync.WaitGroup
-	once    sync.Once
+	// unlimited is true once linesPerSecond does not apply any more.
+	unlimited atomic.Bool
+	stop      chan struct{}
+	stopped   sync.WaitGroup
+	once      sync.Once
 }
 
 // NewRing returns a ring whose lines are written to w until Close.
@@ -50,6 +52,9 @@
 // Dropped returns the number of dropped lines.
 func (r *Ring) Dropped() uint64 { return r.dropped.Load() }
 
+// Unlimit makes the ring write each further line, at any rate.
+func (r *Ring) Unlimit() { r.unlimited.Store(true) }
+
 // Close writes the buffered lines and stops the ring's goroutine.
 func (r *Ring) Close() error {
 	r.once.Do(func() { close(r.stop) })
@@ -67,7 +72,7 @@
 				reported = r.reportDropped(w, reported)
 				secondStart, written = now, 0
 			}
-			if written >= linesPerSecond {
+			if written >= linesPerSecond && !r.unlimited.Load() {
 				r.dropped.Add(1)
 				continue
 			}
--- a/toucanprocess/process.go
+++ b/toucanprocess/process.go
@@ -29,21 +29,26 @@
 	Err() error
 }
 
-// Run starts a program and waits until it has stopped. grace is the maximum duration of a graceful stop, counted
-// from its signal, which may come before the program has started. Run
-// returns the program's error, or the error of the stop. A SIGTERM after that is ignored, so that the process can finish
-// its log; an interrupt ends the process.
-func Run(log *slog.Logger, grace time.Duration, start func(ctx context.Context) (Stopper, error)) error {
+// Option configures Run.
+type Option func(*stopSignals)
+
+// WithStopHook makes Run call f at the first signal, before the stop begins.
+func WithStopHook(f func()) Option { return func(s *stopSignals) { s.hook = f } }
+
+// Run starts a program and waits until it has stopped. grace is the maximum duration of a graceful stop, counted from its
+// signal, which may come before the program has started. Run returns the program's error, or the error of the stop. A SIGTERM
+// after that is ignored, so that the process can finish its log; an interrupt ends the process.
+func Run(log *slog.Logger, grace time.Duration, start func(ctx context.Context) (Stopper, error), opts ...Option) error {
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Reset(os.Interrupt)
-	return run(log, grace, signals, start)
+	return run(log, grace, signals, start, opts...)
 }
 
-func run(log *slog.Logger, grace time.Duration, signals <-chan os.Signal, start func(ctx context.Context) (Stopper, error)) error {
+func run(log *slog.Logger, grace time.Duration, signals <-chan os.Signal, start func(ctx context.Context) (Stopper, error), opts ...Option) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	received := newStopSignals(log)
+	received := newStopSignals(log, opts...)
 	go received.watch(ctx, signals)
 	program, err := start(ctx)
 	if err != nil {
--- a/toucanprocess/process_test.go
+++ b/toucanprocess/process_test.go
@@ -75,6 +75,7 @@
 				}
 				log := slog.New(slog.NewTextHandler(io.Discard, nil))
 				start := time.Now()
+				hooked := 0
 				err := run(log, time.Minute, signals, func(ctx context.Context) (Stopper, error) {
 					time.Sleep(tc.startTime)
 					p := &program{ctx: ctx, requests: tc.requests, failed: make(chan struct{})}
@@ -83,7 +84,8 @@
 						close(p.failed)
 					}
 					return p, nil
-				})
+				}, WithStopHook(func() { hooked++ }))
+				assert.Equal(t, hooked, min(len(tc.signals), 1))
 				assert.Assert(t, errors.Is(err, tc.want), "%v", err)
 				assert.Equal(t, time.Since(start), tc.duration)
 			})
--- a/toucanprocess/signals.go
+++ b/toucanprocess/signals.go
@@ -17,10 +17,16 @@
 	graceful, immediate chan struct{}
 	// began is when the first signal was received; it does not change once graceful is closed.
 	began time.Time
+	// hook is called by the first signal.
+	hook func()
 }
 
-func newStopSignals(log *slog.Logger) *stopSignals {
-	return &stopSignals{log: log, graceful: make(chan struct{}), immediate: make(chan struct{})}
+func newStopSignals(log *slog.Logger, opts ...Option) *stopSignals {
+	s := &stopSignals{log: log, graceful: make(chan struct{}), immediate: make(chan struct{}), hook: func() {}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // watch handles signals until an immediate stop is asked for or ctx is done.
@@ -42,6 +48,7 @@
 	if s.began.IsZero() {
 		s.began = time.Now()
 		s.log.Info("stopping", "signal", received.String())
+		s.hook()
 		close(s.graceful)
 		return false
 	}
