A stalled reader of the log no longer keeps a stopped process from ending

Operators saw: a process that had stopped stayed until SIGKILL when nobody read its standard output.

Cause: Close waited without end for the write of the lines that were left.

Evidence, before the change:

--- FAIL: TestCloseDoesNotWaitForAStalledReader (0.00s) panic: deadlock: all goroutines in bubble are blocked

Change: Close waits one second and returns ErrNotWritten. A reader that takes its lines within that time gets all of them, as before.

--- a/toucanlog/ring.go
+++ b/toucanlog/ring.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -18,8 +20,13 @@
 	linesPerSecond = 200
 	// dropReportInterval is the minimum time between two lines about dropped lines.
 	dropReportInterval = time.Second
+	// closeTimeout is the maximum time that Close waits for the reader of the log.
+	closeTimeout = time.Second
 )
 
+// ErrNotWritten is returned by Close if the reader of the log did not take all lines in time.
+var ErrNotWritten = errors.New("log lines not written")
+
 // Ring is an io.Writer for log/slog that expects one line per call. It is safe for concurrent use.
 type Ring struct {
 	lines   chan []byte
@@ -27,14 +34,17 @@
 	// unlimited is true once linesPerSecond does not apply any more.
 	unlimited atomic.Bool
 	stop      chan struct{}
-	stopped   sync.WaitGroup
+	stopped   chan struct{}
 	once      sync.Once
 }
 
 // NewRing returns a ring whose lines are written to w until Close.
 func NewRing(w io.Writer) *Ring {
-	r := &Ring{lines: make(chan []byte, ringLines), stop: make(chan struct{})}
-	r.stopped.Go(func() { r.run(w) })
+	r := &Ring{lines: make(chan []byte, ringLines), stop: make(chan struct{}), stopped: make(chan struct{})}
+	go func() {
+		defer close(r.stopped)
+		r.run(w)
+	}()
 	return r
 }
 
@@ -55,11 +65,16 @@
 // Unlimit makes the ring write each further line, at any rate.
 func (r *Ring) Unlimit() { r.unlimited.Store(true) }
 
-// Close writes the buffered lines and stops the ring's goroutine.
+// Close writes the buffered lines and stops the ring's goroutine. It waits for at most closeTimeout and returns
+// ErrNotWritten after that.
 func (r *Ring) Close() error {
 	r.once.Do(func() { close(r.stop) })
-	r.stopped.Wait()
-	return nil
+	select {
+	case <-r.stopped:
+		return nil
+	case <-time.After(closeTimeout):
+		return ErrNotWritten
+	}
 }
 
 func (r *Ring) run(w io.Writer) {
--- a/toucanlog/ring_test.go
+++ b/toucanlog/ring_test.go
@@ -43,6 +43,16 @@
 	assert.Assert(t, strings.Contains(w.buf.String(), `"msg":"log lines dropped"`))
 }
 
+func TestCloseDoesNotWaitForAStalledReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &stalledWriter{open: make(chan struct{})}
+		defer close(w.open)
+		r := NewRing(w)
+		_, _ = r.Write([]byte("{}\n")) // Never fails.
+		assert.ErrorIs(t, r.Close(), ErrNotWritten)
+	})
+}
+
 // TestRingLimitsLinesPerSecond checks that at four times linesPerSecond the excess lines are dropped.
 func TestRingLimitsLinesPerSecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
