A resumed stream is no longer cut silently by a stop

Callers saw: GET /v1/generations/{id} through an entry that stops ended, one second before the end of the grace, in the middle of the events and without the error event that tells to resume; the answer was framed as whole. If no token had come, it was 500 `internal` with `ran: no`, though the generation ran.

Cause: only the path of a new generation turned the end of its context into the answer of a stopping entry. The path of a resume passed the bare context.Canceled on, which the stream has no event for, and which the handler of errors takes for a fault of its own that ran nothing.

Evidence, before the change:

--- FAIL: TestResumedStreamEndsWithAnErrorAtTheEndOfAStop (0.02s) stop_test.go:63: the stream ended without an error event after 220 tokens --- FAIL: TestResumeWithoutATokenIsAnsweredAtTheEndOfAStop (0.02s) stop_test.go:83: assertion failed: 500 (resp.StatusCode int) != 503 (http.StatusServiceUnavailable int): {Code:internal ...

Change: resumeGeneration answers as a new generation does: `leaving`, retryable, `ran` partly or unknown.

TestStreamWithoutATokenIsAnsweredAtTheEndOfAStop passed before too: a new stream whose engine has sent nothing gets 503 `leaving`.

--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -231,6 +231,9 @@
 	if ctx.Err() != nil && !endedByStop(ctx) {
 		go a.cancel()
 	}
+	if err != nil && ctx.Err() != nil {
+		err = endedError(ctx, a.prog)
+	}
 	return e.finishAnswer(c, out, res, err)
 }
 
--- /dev/null
+++ b/toucanentry/stop_test.go
@@ -0,0 +1,87 @@
+package toucanentry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanadmit"
+	"toucanport/toucanapi"
+	"toucanport/toucanrig"
+)
+
+// stopGrace is the time that an entry has for a stop.
+const stopGrace = 5 * time.Second
+
+// stopAfter begins a graceful stop of the entry after a delay and returns the channel for its result.
+func (p *deployment) stopAfter(delay time.Duration) <-chan error {
+	stopped := make(chan error, 1)
+	time.AfterFunc(delay, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+		defer cancel()
+		stopped <- p.entry.Shutdown(ctx)
+	})
+	return stopped
+}
+
+// assertLeaving checks that an answer is a refusal by a stopping entry.
+func assertLeaving(t *testing.T, resp *http.Response, ran string) {
+	t.Helper()
+	var b toucanapi.ErrorBody
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&b))
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, "%+v", b.Error)
+	assert.Equal(t, b.Error.Code, "leaving")
+	assert.Equal(t, b.Error.Ran, ran)
+}
+
+func TestStreamWithoutATokenIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	withFakeClock(t, func(t *testing.T) {
+		p := startDeploymentWithPolicy(t, &pausedPolicy{Policy: toucanadmit.NewNaive(toucanadmit.Config{})})
+		defer p.stop()
+		stopped := p.stopAfter(time.Second)
+		resp := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 50))
+		defer resp.Body.Close()
+		assertLeaving(t, resp, "unknown")
+		assert.NilError(t, <-stopped)
+	})
+}
+
+func TestResumedStreamEndsWithAnErrorAtTheEndOfAStop(t *testing.T) {
+	withFakeClock(t, func(t *testing.T) {
+		p := startDeployment(t)
+		defer p.stop()
+		first := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 20000))
+		defer first.Body.Close()
+		resumed := p.do(t, http.MethodGet, "/v1/generations/"+first.Header.Get("Toucan-Generation-Id"), testKey, "")
+		defer resumed.Body.Close()
+		stopped := p.stopAfter(0)
+		tokens, e := readUntilError(t, resumed.Body)
+		assert.Assert(t, tokens > 0)
+		assert.Equal(t, e.Code, "leaving")
+		assert.Equal(t, e.Ran, "partly")
+		assert.NilError(t, <-stopped)
+		time.Sleep(time.Minute) // The sidecar ends a generation that nobody reads.
+	})
+}
+
+func TestResumeWithoutATokenIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	withFakeClock(t, func(t *testing.T) {
+		p := startDeployment(t)
+		defer p.stop()
+		first := p.do(t, http.MethodPost, "/v1/completions", testKey, fmt.Sprintf(streamBody, 20000))
+		defer first.Body.Close()
+		id := first.Header.Get("Toucan-Generation-Id")
+		p.net.Set(toucanrig.LinkName{From: "10.0.0.1", To: sidecarAddr}, toucanrig.LinkState{RepliesStalled: true})
+		stopped := p.stopAfter(time.Second)
+		resumed := p.do(t, http.MethodGet, "/v1/generations/"+id, testKey, "", "Last-Event-ID", id+":0")
+		defer resumed.Body.Close()
+		assertLeaving(t, resumed, "partly")
+		assert.NilError(t, <-stopped)
+		time.Sleep(time.Minute) // The sidecar ends a generation that nobody reads.
+	})
+}
