A body that is still on its way at the end of a stop gets its answer

Callers saw: a request of the product's interface whose body had not arrived when a stopping entry ended its requests got no answer; its connection was closed with the process. If the body became whole in the last second, the request was still given to an endpoint, with a context that had already ended, and answered with `ran: unknown`.

Cause: the end of the requests' contexts does not end a read of a body, and neither dispatch looked at its context before it picked an endpoint.

Evidence, before the change (SIGTERM at 1 s, 5 s of grace, rest of the body at 5.5 s and at 10 s):

--- FAIL: TestSlowBodyIsAnsweredAtTheEndOfAStop/5.5s (0.02s) stop_test.go:114: assertion failed: unknown (b.Error.Ran string) != no (ran string) --- FAIL: TestSlowBodyIsAnsweredAtTheEndOfAStop/10s (0.02s) stop_test.go:113: assertion failed: time.Since(begun) is >= time.Second + stopGrace

Change: the end of the context ends the read of the body; the answer is 503 `leaving`. Generations and calls are not given to an endpoint once the stop has ended the requests. `ran` is `no` where nothing was sent.

--- a/toucanentry/body.go
+++ b/toucanentry/body.go
@@ -1,6 +1,7 @@
 package toucanentry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -63,23 +64,30 @@
 	control   *http.ResponseController
 	reserved  int
 	started   bool
+	// ctx is the request's context. stopWatch ends the watch for its end, which begins with the first Read.
+	ctx       context.Context
+	stopWatch func() bool
 }
 
 // poolBody replaces the request's body with a pooledBody. The returned function releases the body's bytes.
 func (e *Entry) poolBody(c *echo.Context, workspace string) (release func()) {
 	r := c.Request()
 	b := &pooledBody{ReadCloser: r.Body, pool: e.bodies, workspace: workspace, control: http.NewResponseController(c.Response())}
+	b.ctx, b.stopWatch = r.Context(), func() bool { return true }
 	r.Body = b
-	return func() { b.pool.release(workspace, b.reserved) }
+	return func() {
+		b.stopWatch()
+		b.pool.release(workspace, b.reserved)
+	}
 }
 
-// Read implements io.Reader. The whole body must arrive within readBodyTimeout after the first Read.
+// Read implements io.Reader. The whole body must arrive within readBodyTimeout after the first Read, and before the request's
+// context ends.
 func (b *pooledBody) Read(buf []byte) (int, error) {
 	if !b.started {
 		b.started = true
-		// The HTTP server clears the read deadline at the end of the body. Some writers have no deadlines, so
-		// the error is ignored.
-		_ = b.control.SetReadDeadline(time.Now().Add(readBodyTimeout))
+		b.limitTime(readBodyTimeout)
+		b.stopWatch = context.AfterFunc(b.ctx, func() { b.limitTime(0) })
 	}
 	n, err := b.ReadCloser.Read(buf)
 	if !b.pool.reserve(b.workspace, n) {
@@ -88,11 +96,21 @@
 		return 0, f
 	}
 	b.reserved += n
-	return n, bodyError(err)
+	if err != nil {
+		b.stopWatch()
+	}
+	return n, bodyError(b.ctx, err)
+}
+
+// limitTime sets the time that is left for the body. The HTTP server clears the read deadline at the end of the body.
+func (b *pooledBody) limitTime(left time.Duration) {
+	_ = b.control.SetReadDeadline(time.Now().Add(left)) // not every writer has deadlines
 }
 
-func bodyError(err error) error {
+func bodyError(ctx context.Context, err error) error {
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && endedByStop(ctx):
+		return stoppingFailure(&progress{})
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return newFailure(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive in time")
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -150,6 +150,9 @@
 	plan := toucanretry.NewPlan(time.Now(), e.cfg.Budget, call.Service, deadline)
 	mayHaveRun := false
 	for {
+		if endedByStop(ctx) {
+			return nil, stoppingFailure(&progress{mayHaveRun: mayHaveRun})
+		}
 		ep, err := e.cfg.Router.Pick(time.Now(), query)
 		if err != nil {
 			return nil, e.noEndpoint(err, &progress{mayHaveRun: mayHaveRun})
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -73,6 +73,9 @@
 	prog := &progress{}
 	plan := toucanretry.NewPlan(time.Now(), e.cfg.Budget, r.query.Service, r.deadline)
 	for {
+		if endedByStop(ctx) {
+			return result{}, prog, stoppingFailure(prog)
+		}
 		ep, err := e.cfg.Router.Pick(time.Now(), r.query)
 		if err != nil {
 			return result{}, prog, e.noEndpoint(err, prog)
@@ -149,12 +152,12 @@
 		go a.cancel()
 	}
 	e.cfg.Router.RecordOutcome(time.Now(), ep.Name, r.query, a.outcome(ctx, res), 0)
-	if err != nil && ctx.Err() != nil {
-		err = endedError(ctx, prog)
-	}
 	if res.refusal == nil || res.refusal.Ran != toucanwire.RanNo {
 		prog.mayHaveRun = true
 	}
+	if err != nil && ctx.Err() != nil {
+		err = endedError(ctx, prog)
+	}
 	return res, err
 }
 
--- a/toucanentry/stop.go
+++ b/toucanentry/stop.go
@@ -58,12 +58,14 @@
 
 // stoppingFailure returns the answer to a request that the entry cannot finish before it stops.
 func stoppingFailure(prog *progress) *failure {
-	f := newFailure(http.StatusServiceUnavailable, toucanwire.CodeLeaving, "the entry is stopping; resume the generation through another entry")
-	f.body.Ran = toucanwire.RanUnknown
+	f := newFailure(http.StatusServiceUnavailable, toucanwire.CodeLeaving, "the entry is stopping; repeat the request, or resume its generation, through another entry")
 	f.body.Retryable = true
 	f.retryAfter = time.Second
-	if prog.next > 0 {
+	switch {
+	case prog.next > 0:
 		f.body.Ran = toucanwire.RanPartly
+	case prog.mayHaveRun:
+		f.body.Ran = toucanwire.RanUnknown
 	}
 	return f
 }
--- a/toucanentry/stop_test.go
+++ b/toucanentry/stop_test.go
@@ -1,6 +1,7 @@
 package toucanentry_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -85,3 +86,35 @@
 		time.Sleep(time.Minute) // The sidecar ends a generation that nobody reads.
 	})
 }
+
+// postSlowly sends a request whose body is whole only after a delay, and returns the answer.
+func (p *deployment) postSlowly(t *testing.T, delay time.Duration) *http.Response {
+	t.Helper()
+	conn := p.connect(t, entryAddr)
+	body := fmt.Sprintf(streamBody, 50)
+	_, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: n1\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body[:10])
+	assert.NilError(t, err)
+	time.AfterFunc(delay, func() { _, _ = conn.Write([]byte(body[10:])) }) // Fails if the entry has closed.
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	return resp
+}
+
+func TestSlowBodyIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	for _, delay := range []time.Duration{500*time.Millisecond + stopGrace, 2 * stopGrace} {
+		t.Run(delay.String(), func(t *testing.T) {
+			withFakeClock(t, func(t *testing.T) {
+				p := startDeployment(t)
+				defer p.stop()
+				stopped := p.stopAfter(time.Second)
+				begun := time.Now()
+				resp := p.postSlowly(t, delay)
+				defer resp.Body.Close()
+				assert.Assert(t, time.Since(begun) < time.Second+stopGrace)
+				assertLeaving(t, resp, "no")
+				assert.NilError(t, <-stopped)
+				assert.Equal(t, len(p.ledger.Generations()), 0)
+			})
+		})
+	}
+}
