A stopping sidecar answers the calls that outlast its grace and records the orders

Callers saw: a call to a plain service whose application took longer than the sidecar's grace was not answered by the sidecar; the link broke with the process. The order's record was made after the claims had been closed, so that a repeat with its key was told "in progress" until the claim ran out. Outcomes of the last half second, not committed yet, had no time left either: the claims were closed with a context that had ended.

Cause: one second before the end Shutdown ended the generations only, and waited for the calls until its context ended.

Evidence, before the change:

--- FAIL: TestOrderThatOutlastsAStopIsAnsweredAndRecorded (0.01s) order_test.go:229: assertion failed: error is not nil: context deadline exceeded

Change: the calls' contexts end with the generations, one second before the end. The dispatcher then refuses with `ran: unknown`, or `no` if the application was not reached, and settles the claim; the rest of the second is for the commit.

The fixture of the test closes the stream of an answered call at once, as entries do; before, it kept it open for a second.

--- a/toucansidecar/call.go
+++ b/toucansidecar/call.go
@@ -14,6 +14,10 @@
 	}
 	defer s.inProgress.done()
 	defer awaitStreamClose(stream)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(s.calls, cancel)
+	defer stop()
 	if c.DeadlineUnixMillis != 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(c.DeadlineUnixMillis))
--- a/toucansidecar/order_test.go
+++ b/toucansidecar/order_test.go
@@ -37,6 +37,9 @@
 	server  *http.Server
 	wg      sync.WaitGroup
 	links   []*toucanwire.Link
+	// sidecars are in the order of sidecarAddrs, as are claims.
+	sidecars []*toucansidecar.Sidecar
+	claims   []*toucanorder.Claims
 }
 
 func withOrderFixture(t *testing.T, f func(r *orderFixture)) {
@@ -50,20 +53,19 @@
 		r := &orderFixture{t: t, net: toucanrig.NewNetwork(), store: toucanfakestore.New(), service: toucanfakeservice.New()}
 		r.startService()
 		var transports []*http.Transport
-		var claims []*toucanorder.Claims
 		for _, address := range sidecarAddrs {
 			transport := &http.Transport{DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
 				return r.net.Dialer(address)(ctx, to)
 			}}
 			c := toucanorder.New(r.store)
-			transports, claims = append(transports, transport), append(claims, c)
+			transports, r.claims = append(transports, transport), append(r.claims, c)
 			r.startSidecar(ctx, address, transport, c)
 		}
 		f(r)
 		for _, l := range r.links {
 			l.Close()
 		}
-		for i, c := range claims {
+		for i, c := range r.claims {
 			_ = c.Close(ctx)
 			transports[i].CloseIdleConnections()
 		}
@@ -90,6 +92,7 @@
 		Instance: address, Endpoint: "totora/" + address, Service: "totora/workshop", Kind: toucansettings.KindPlain,
 		ServiceURL: "http://" + applicationAddr, ServiceTransport: transport, Orders: c,
 	}, toucansidecar.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	r.sidecars = append(r.sidecars, sidecar)
 	r.wg.Go(func() { _ = sidecar.Run(ctx, ln) })
 	conn, err := r.net.Dialer("10.0.0.1")(ctx, address)
 	assert.NilError(r.t, err)
@@ -113,6 +116,7 @@
 	defer stream.Close()
 	event := &toucanwire.Event{}
 	assert.NilError(r.t, stream.Receive(event))
+	stream.Close() // An entry closes a stream once it has the answer.
 	time.Sleep(time.Second)
 	return event
 }
@@ -207,3 +211,22 @@
 		r.assertExecuted(1)
 	})
 }
+
+func TestOrderThatOutlastsAStopIsAnsweredAndRecorded(t *testing.T) {
+	withOrderFixture(t, func(r *orderFixture) {
+		const grace = 5 * time.Second
+		r.service.SetFaults(toucanfakeservice.Faults{Delay: 2 * grace})
+		defer time.Sleep(3 * grace) // The service ends what it has begun.
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		stopped := make(chan error, 1)
+		time.AfterFunc(time.Second, func() {
+			err := r.sidecars[0].Shutdown(ctx)
+			_ = r.claims[0].Close(ctx) // The order that is made again tells.
+			stopped <- err
+		})
+		r.assertRefused(r.call(0, http.MethodPost, "k1", "two panels"), toucanwire.CodeEndpointFailed, toucanwire.RanUnknown)
+		assert.NilError(t, <-stopped)
+		r.assertRefused(r.call(1, http.MethodPost, "k1", "two panels"), toucanwire.CodeOrderUnknown, toucanwire.RanUnknown)
+	})
+}
--- a/toucansidecar/shutdown.go
+++ b/toucansidecar/shutdown.go
@@ -11,8 +11,8 @@
 	// shortShutdown is the time until the deadline of Shutdown at or below which requests without a delivered token are
 	// ended immediately, so that entries still have time to restart them at another endpoint.
 	shortShutdown = 15 * time.Second
-	// endMargin is how long before the deadline of Shutdown the remaining generations are ended, so that there is time
-	// to send their refusals.
+	// endMargin is how long before the deadline of Shutdown the remaining generations and calls are ended, so that there is
+	// time to send their refusals and to record the orders.
 	endMargin = time.Second
 )
 
@@ -25,7 +25,7 @@
 }
 
 // Shutdown makes the sidecar refuse new work and waits until the work in progress has ended. If ctx has a deadline,
-// the generations that are still running shortly before it are ended with a refusal.
+// the generations and calls that are still running shortly before it are ended with a refusal.
 func (s *Sidecar) Shutdown(ctx context.Context) error {
 	s.Drain()
 	deadline, bounded := ctx.Deadline()
@@ -42,6 +42,7 @@
 	}
 	s.log.Warn("ending work that cannot finish in time", "requests", s.inProgress.count())
 	s.endGenerations(func(*generation) bool { return true })
+	s.endCalls()
 	return s.inProgress.wait(ctx)
 }
 
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -118,6 +118,9 @@
 	drainCalled atomic.Bool
 	// inProgress counts the generations and calls in progress. Shutdown waits for them.
 	inProgress workCounter
+	// calls ends when the calls in progress must end before Shutdown does; endCalls ends it.
+	calls      context.Context
+	endCalls   context.CancelFunc
 	dispatcher *toucandispatch.Dispatcher
 	reports    reportState
 	engine     *toucanmetric.Engine
@@ -147,6 +150,7 @@
 		closedIDs:   closedIDs,
 		links:       make(map[*toucanwire.Link]struct{}),
 	}
+	s.calls, s.endCalls = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(s)
 	}
