A stalled link no longer keeps a stopping entry from answering

Callers saw: a request whose sidecar stalled within the last two seconds of a stop got no answer; its connection was closed with the process.

Cause: a request that is larger than the link's window blocks while it is sent, and only the detection of a stalled link, after up to 2 s, ended that. The end of the requests, one second before the end of the process, had no effect on it.

Evidence, before the change (SIGTERM at 1 s, 5 s of grace, the link stalls at 4.8 s, the body is whole at 4.9 s):

--- FAIL: TestStalledLinkDoesNotDelayTheAnswersAtTheEndOfAStop (0.03s) stop_test.go:135: assertion failed: time.Since(begun) is >= time.Second + stopGrace

Change: half a second before the end the links are closed, which ends all that still waits for one. The requests get 503 `leaving` with the `ran` that holds.

--- a/toucanentry/stop.go
+++ b/toucanentry/stop.go
@@ -14,6 +14,10 @@
 // their answers.
 const endMargin = time.Second
 
+// linkMargin is how long before the deadline of Shutdown the links are closed, so that a request whose link has stalled is
+// answered too.
+const linkMargin = endMargin / 2
+
 // errStopping is the cancellation cause of the contexts of requests that a stopping entry cannot finish.
 var errStopping = errors.New("the entry is stopping")
 
@@ -37,6 +41,8 @@
 	if deadline, bounded := ctx.Deadline(); bounded {
 		timer := time.AfterFunc(time.Until(deadline.Add(-endMargin)), func() { e.endRequests(errStopping) })
 		defer timer.Stop()
+		linkTimer := time.AfterFunc(time.Until(deadline.Add(-linkMargin)), e.links.CloseAll)
+		defer linkTimer.Stop()
 	}
 	err := e.server.Shutdown(ctx)
 	e.links.CloseAll()
--- a/toucanentry/stop_test.go
+++ b/toucanentry/stop_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,10 +89,9 @@
 }
 
 // postSlowly sends a request whose body is whole only after a delay, and returns the answer.
-func (p *deployment) postSlowly(t *testing.T, delay time.Duration) *http.Response {
+func (p *deployment) postSlowly(t *testing.T, body string, delay time.Duration) *http.Response {
 	t.Helper()
 	conn := p.connect(t, entryAddr)
-	body := fmt.Sprintf(streamBody, 50)
 	_, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: n1\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body[:10])
 	assert.NilError(t, err)
 	time.AfterFunc(delay, func() { _, _ = conn.Write([]byte(body[10:])) }) // Fails if the entry has closed.
@@ -108,7 +108,7 @@
 				defer p.stop()
 				stopped := p.stopAfter(time.Second)
 				begun := time.Now()
-				resp := p.postSlowly(t, delay)
+				resp := p.postSlowly(t, fmt.Sprintf(streamBody, 50), delay)
 				defer resp.Body.Close()
 				assert.Assert(t, time.Since(begun) < time.Second+stopGrace)
 				assertLeaving(t, resp, "no")
@@ -118,3 +118,23 @@
 		})
 	}
 }
+
+func TestStalledLinkDoesNotDelayTheAnswersAtTheEndOfAStop(t *testing.T) {
+	withFakeClock(t, func(t *testing.T) {
+		p := startDeployment(t)
+		defer p.stop()
+		stopped := p.stopAfter(time.Second)
+		begun := time.Now()
+		link := toucanrig.LinkName{From: "10.0.0.1", To: sidecarAddr}
+		time.AfterFunc(stopGrace-200*time.Millisecond, func() { p.net.Set(link, toucanrig.LinkState{RequestsStalled: true}) })
+		body := fmt.Sprintf(streamBody, 50)
+		body = strings.Replace(body, "a plan", strings.Repeat("a plan ", 1<<17), 1) // More than the link's window.
+		resp := p.postSlowly(t, body, stopGrace-100*time.Millisecond)
+		defer resp.Body.Close()
+		assert.Assert(t, time.Since(begun) < time.Second+stopGrace)
+		assertLeaving(t, resp, "unknown")
+		assert.NilError(t, <-stopped)
+		p.net.Set(link, toucanrig.LinkState{})
+		time.Sleep(time.Minute) // Dials and generations end.
+	})
+}
