A stopping entry serves the connections that are open

Callers saw: from SIGTERM on, an entry of the product's own interface closed each idle connection at once, and each other one after its answer, with what the caller had sent on it unread. A request that was on its way got a closed connection in place of an answer. The 503 of /healthz that the operators' page promises to load balancers could not be seen either, as net/http serves no request after Shutdown has begun.

Cause: Shutdown of net/http was the first step of the stop.

Evidence, before the change:

--- FAIL: TestRequestOnAnOpenConnectionIsAnsweredDuringAStop (0.00s) stop_test.go:183: assertion failed: error is not nil: broken pipe

Looked at and found sound: a request that net/http reads from a connection in the moment in which Shutdown closes it is not served, so that it isn't sent to an endpoint without a way for its answer. TestRequestReadFromAConnectionThatAStopClosesIsNotSent holds that; it passed before too.

--- a/toucanentry/connections.go
+++ b/toucanentry/connections.go
@@ -91,6 +91,13 @@
 	return conn
 }
 
+// count returns the number of open connections.
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 func (c *connections) markIdle(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -94,6 +94,9 @@
 	markReady func()
 	// stopping is true once a graceful stop has begun.
 	stopping atomic.Bool
+	// accepting ends when a graceful stop begins; Run then closes its listener. stopAccepting ends it.
+	accepting     context.Context
+	stopAccepting context.CancelFunc
 	// drained is closed at the end of a graceful stop.
 	drained chan struct{}
 	// pickedSubsets caches this entry's subset of each service's endpoints. entries is the list of entries from which
@@ -135,6 +138,7 @@
 		bodies:      newBodyPool(),
 	}
 	e.lifetime, e.endLifetime = context.WithCancel(context.Background())
+	e.accepting, e.stopAccepting = context.WithCancel(context.Background())
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	e.markReady = sync.OnceFunc(func() { close(e.ready) })
 	for _, opt := range opts {
@@ -175,7 +179,7 @@
 	r := echo.New()
 	r.Logger = e.log
 	r.HTTPErrorHandler = e.handleError
-	r.Use(e.assignRequestID)
+	r.Use(e.assignRequestID, e.closeAfterAnswer)
 	r.GET("/healthz", e.health)
 	r.GET("/v1/models", e.authenticated(e.listModels))
 	r.POST("/v1/chat/completions", e.authenticated(e.chat))
@@ -196,11 +200,15 @@
 	go e.maintain(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
 	defer stop()
-	if err := e.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
+	stopWatch := context.AfterFunc(e.accepting, func() { _ = ln.Close() }) // Serve reports the end.
+	defer stopWatch()
+	err := e.server.Serve(ln)
 	if e.stopping.Load() {
 		e.awaitDrained(ctx)
+		return nil
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
 	return nil
 }
--- a/toucanentry/stop_test.go
+++ b/toucanentry/stop_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -138,3 +140,52 @@
 		time.Sleep(time.Minute) // Dials and generations end.
 	})
 }
+
+// answer is a whole answer that was read from a connection.
+type answer struct {
+	status       int
+	generationID string
+	closes       bool
+	body         string
+}
+
+// send writes a request to an open connection and returns its answer.
+func send(t *testing.T, conn net.Conn, request string) answer {
+	t.Helper()
+	_, err := io.WriteString(conn, request)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return answer{status: resp.StatusCode, generationID: resp.Header.Get("Toucan-Generation-Id"), closes: resp.Close, body: string(body)}
+}
+
+// rawStream is a request for a stream of a number of tokens.
+func rawStream(tokens int) string {
+	body := fmt.Sprintf(streamBody, tokens)
+	return rawPost(fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
+}
+
+func TestRequestOnAnOpenConnectionIsAnsweredDuringAStop(t *testing.T) {
+	const health = "GET /healthz HTTP/1.1\r\nHost: n1\r\n\r\n"
+	withFakeClock(t, func(t *testing.T) {
+		p := startDeployment(t)
+		defer p.stop()
+		balancer, caller := p.connect(t, entryAddr), p.connect(t, entryAddr)
+		for _, conn := range []net.Conn{balancer, caller} {
+			defer conn.Close()
+			assert.Equal(t, send(t, conn, health).status, http.StatusOK)
+		}
+		stopped := p.stopAfter(0)
+		time.Sleep(time.Second)
+		unready := send(t, balancer, health)
+		assert.Equal(t, unready.status, http.StatusServiceUnavailable)
+		assert.Assert(t, unready.closes)
+		served := send(t, caller, rawStream(50))
+		checkStream(t, strings.NewReader(served.body), served.generationID, 0, 50)
+		assert.Assert(t, served.closes)
+		assert.NilError(t, <-stopped)
+	})
+}
