Streams of comments without end were passed on until the deadline

What callers saw: 200, then comments (or empty lines, events without an id) at the speed of the connection until their deadline; no event and no end.

Cause: eventParser bounds one event that is not complete. Complete ones without an id are passed on, and repeated ones are dropped, without a bound, so the stream makes no progress and is never silent.

Evidence: TestStreamWithoutProgressIsBounded failed on the code before: expression is false: e.tooLong(): ": keep-alive\n\n": 4201470 bytes were read, 4201470 passed on

Change: maxEventBytes (1 MB) holds for all that follows the last new event with an id, complete or not. Beyond it the stream is broken as by an event that is too long: its engine's connection is closed, and the stream is resumed or cut.

Why it works: only an event with a new id resets the count, and these are bounded by the engine's work. Keep-alive comments of a slow stream stay far below: one of 15 bytes each second for the longest request (10 minutes) is 9 KB.

--- a/toucanforward/events.go
+++ b/toucanforward/events.go
@@ -14,9 +14,13 @@
 	last string
 	// count is the number of complete events with an id, without repeated ones.
 	count int
+	// sinceProgress is the number of bytes of comments, events without an id and repeated events that were complete since
+	// the last new event with an id.
+	sinceProgress int
 }
 
-// maxEventBytes bounds one event of a stream.
+// maxEventBytes bounds one event of a stream, together with all that precedes it since the last new event with an id. It
+// leaves room for the keep-alive comments of a slow stream.
 const maxEventBytes = 1 << 20
 
 var (
@@ -38,6 +42,7 @@
 			return whole, false
 		}
 		event := e.pending[:end+len(blankLine)]
+		e.sinceProgress += len(event)
 		isNew, gap := e.checkSequence(eventID(event))
 		if gap {
 			return whole, true
@@ -49,8 +54,8 @@
 	}
 }
 
-// tooLong reports whether the event that is not complete yet is longer than maxEventBytes.
-func (e *eventParser) tooLong() bool { return len(e.pending) > maxEventBytes }
+// tooLong reports whether more than maxEventBytes have followed the last new event with an id.
+func (e *eventParser) tooLong() bool { return e.sinceProgress+len(e.pending) > maxEventBytes }
 
 // checkSequence compares the id of the next event with the last one. isNew is false if the event was returned before;
 // gap is true if ids between the two are missing. Events without an id are always new.
@@ -68,13 +73,13 @@
 			return false, true
 		}
 	}
-	e.last = id
+	e.last, e.sinceProgress = id, 0
 	e.count++
 	return true, false
 }
 
 // discardPartial drops an incomplete event before the stream resumes at another endpoint, which sends it again.
-func (e *eventParser) discardPartial() { e.pending = nil }
+func (e *eventParser) discardPartial() { e.pending, e.sinceProgress = nil, 0 }
 
 // eventID returns the id of an event, or an empty string if it has none.
 func eventID(event []byte) string {
