Heads of answers with many short lines took 18 times their bytes

What callers saw: nothing yet; an entry before engines that send heads of many short lines and don't end them grows past its memory and is killed, with all its requests.

Cause: the head of an answer was bounded by its bytes only (64 KB). Each of its lines becomes an entry of a map, a slice and strings.

Evidence: 100 requests at once to an engine that sends 60 KB of lines "X1:" and then nothing held 107 to 108 MB in use in three plays (HeapInuse + StackInuse of entry, engine and callers in one process, 2 cores; the smallest entry has 112 MB). With the count of lines switched off, the new test fails: pool_test.go:358: assertion failed: true (err == nil bool) != false (isAnswer bool): 257 lines: <nil>

The lines are counted in what arrives, up to the empty line, so that a body that comes with its head isn't.

--- a/toucanupstream/pool_test.go
+++ b/toucanupstream/pool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -346,6 +347,19 @@
 	}
 }
 
+// TestHeadOfManyLinesIsCut guards against a head whose many short lines take far more memory than its bytes. The lines of the body
+// don't count.
+func TestHeadOfManyLinesIsCut(t *testing.T) {
+	body := strings.Repeat("\n", 3*maxHeadLines)
+	for lines, isAnswer := range map[int]bool{maxHeadLines - 5: true, maxHeadLines + 1: false} {
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: %d\r\n", len(body))
+		s := serve(t, head+strings.Repeat("X:\r\n", lines)+"\r\n"+body)
+		got, err := sendAndRead(t, NewPool(), s)
+		assert.Equal(t, err == nil, isAnswer, "%d lines: %v", lines, err)
+		assert.Equal(t, got == body, isAnswer)
+	}
+}
+
 // TestHalfAHeadIsNoAnswer guards against an answer whose head was broken off and that reaches the caller as a whole one: at each place at
 // which a head can be cut, on new and on kept connections.
 func TestHalfAHeadIsNoAnswer(t *testing.T) {
--- a/toucanupstream/response.go
+++ b/toucanupstream/response.go
@@ -162,9 +162,9 @@
 // answers to other requests.
 func (c *conn) readAnswer(req *http.Request, belongs func(http.Header) bool) (*http.Response, error) {
 	for range maxForeign + 1 {
-		c.head.left = maxHeadBytes
+		c.head.begin()
 		resp, err := http.ReadResponse(c.r, req)
-		c.head.left = noHeadLimit
+		c.head.end()
 		if err != nil {
 			return nil, readError(err)
 		}
@@ -184,35 +184,6 @@
 	return nil, errors.New("too many answers to other requests")
 }
 
-const (
-	// maxHeadBytes bounds the head of an answer, up to the size of the read buffer.
-	maxHeadBytes = 64 << 10
-	// noHeadLimit is the limit while a body is read.
-	noHeadLimit = -1
-)
-
-// errHeadTooLong means that an answer's head is longer than maxHeadBytes.
-var errHeadTooLong = errors.New("head of the answer is too long")
-
-// headLimit reads from r at most left bytes, unless left is noHeadLimit.
-type headLimit struct {
-	r    io.Reader
-	left int
-}
-
-// Read implements io.Reader.
-func (l *headLimit) Read(p []byte) (int, error) {
-	if l.left == noHeadLimit {
-		return l.r.Read(p)
-	}
-	if l.left == 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.r.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // errMalformed replaces the parse errors of net/http, which quote the bytes that were read.
 var errMalformed = errors.New("answer is not well formed")
 
