Buffers of answers and events together took the memory of the entry

What callers saw: nothing yet; an entry before engines that send part of an answer or event, up to the bound of one, and then nothing holds all of them until the deadlines. It exceeds its memory and is killed, with all its requests.

Cause: each answer was buffered up to 256 KB (in a buffer that doubles) and each event up to 1 MB. Nothing bounded them in sum: 112 events fill the smallest entry.

If none is left, an answer is passed on from there, as answers over 256 KB always were, and a stream with an event that needs more is broken, as by an event that is too long. Gauges toucan_answer_buffer_bytes and _limit_bytes.

Why it works: what is buffered is at most 32 KB a request, which is less than its two connections take, plus the shared part. An answer that was not buffered can't be sent again if it is cut.

--- a/toucanbody/memory.go
+++ b/toucanbody/memory.go
@@ -2,14 +2,15 @@
 
 import "sync"
 
-// Memory bounds the bytes that all bodies together keep beyond the first freeBytes of each. It is safe for concurrent use.
+// Memory bounds the bytes that all bodies together keep beyond the first freeBytes of each, or that all its reservations hold. It is safe
+// for concurrent use.
 type Memory struct {
 	limit int
 
 	mu sync.Mutex
 	// used is at most limit.
 	used int
-	// declined counts the bodies for which no memory was left.
+	// declined counts the bodies and buffers for which no memory was left.
 	declined int64
 }
 
@@ -20,7 +21,7 @@
 type Usage struct {
 	// Used and Limit are in bytes.
 	Used, Limit int
-	// Declined is the number of bodies so far that were not kept whole.
+	// Declined is the number of bodies and buffers so far for which no memory was left.
 	Declined int64
 }
 
--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -20,7 +20,7 @@
 // accept parses a request and matches it to a route, a workspace and a service. It returns a refusal if the request is
 // malformed, not permitted or too large, or if the settings are missing. The job is never nil.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
-	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}}
+	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}, buffers: s.answers.Reservation(freeAnswer)}
 	req, err := s.codec.Request(r.Header)
 	j.Request = req
 	table := s.traffic.Table()
@@ -128,9 +128,10 @@
 // reset of its connection.
 const bodyLinger = 250 * time.Millisecond
 
-// releaseBody frees the memory of the request's body. It bounds how long a body that was not read to its end is still read, as
+// releaseBody frees the memory of the request's body and of its answers. It bounds how long a body that was not read to its end is still read, as
 // the caller's connection stays open as long; a cut stream ends at once.
 func (s *Server) releaseBody(j *job) {
+	j.buffers.Release()
 	j.body.Release()
 	if !j.body.Unread() {
 		return
--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -1,9 +1,7 @@
 package toucanforward
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -14,8 +12,8 @@
 	"toucanport/toucanupstream"
 )
 
-// maxBufferedAnswer is the number of bytes of an answer that are read before the first byte is passed on. An answer
-// that is cut within them can still be retried or refused.
+// maxBufferedAnswer is the number of bytes of an answer that are read before the first byte is passed on, if there is memory for
+// them. An answer that is cut within them can still be retried or refused.
 const maxBufferedAnswer = 256 << 10
 
 // attempt sends the request to a reserved endpoint. It returns an answer to deliver or a failure. It has released the
@@ -133,11 +131,10 @@
 	}
 }
 
-// readAnswer reads an answer to its end or up to maxBufferedAnswer, whichever comes first, and checks it.
+// readAnswer reads an answer as far as it is buffered and checks it.
 func (s *Server) readAnswer(ctx context.Context, j *job, reservation *toucanplace.Reservation, resp *toucanupstream.Response, headers Answer) (*answer, *failure) {
-	var body bytes.Buffer
-	_, err := io.Copy(&body, io.LimitReader(resp.Body, maxBufferedAnswer+1))
-	if err == nil && body.Len() <= maxBufferedAnswer {
+	body, whole, err := bufferAnswer(resp.Body, j.buffers)
+	if err == nil && whole {
 		err = s.checkEnd(ctx, resp, reservation.Endpoint)
 	}
 	if err != nil {
@@ -149,11 +146,11 @@
 		}
 		return nil, f
 	}
-	a := &answer{status: resp.Status, header: resp.Header, body: body.Bytes(), reservation: reservation}
-	if body.Len() > maxBufferedAnswer {
-		a.rest = resp
-	} else {
+	a := &answer{status: resp.Status, header: resp.Header, body: body, reservation: reservation}
+	if whole {
 		resp.Close()
+	} else {
+		a.rest = resp
 	}
 	f := s.checkAnswer(j, reservation, headers, a)
 	if f != nil && a.rest != nil {
--- /dev/null
+++ b/toucanforward/buffer_test.go
@@ -0,0 +1,59 @@
+package toucanforward
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanbody"
+)
+
+// TestAnswersShareTheMemoryOfBuffers guards against long answers that together take the memory of the process: those for which none is
+// left are passed on without a whole buffer, and a released buffer makes room.
+func TestAnswersShareTheMemoryOfBuffers(t *testing.T) {
+	const answers = 100
+	m := toucanbody.NewMemory(4 * maxBufferedAnswer)
+	long := bytes.Repeat([]byte("x"), maxBufferedAnswer-1)
+	buffered, held := 0, make([]*toucanbody.Reservation, answers)
+	for i := range held {
+		held[i] = m.Reservation(freeAnswer)
+		r := bytes.NewReader(long)
+		body, whole, err := bufferAnswer(iotest.HalfReader(r), held[i])
+		assert.NilError(t, err)
+		rest, err := io.ReadAll(r)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(append(body, rest...), long))
+		assert.Assert(t, whole == (len(rest) == 0))
+		buffered += cap(body)
+	}
+	assert.Assert(t, buffered <= m.Usage().Limit+2*answers*freeAnswer, "%d bytes are held", buffered)
+	small, whole, err := bufferAnswer(bytes.NewReader(long[:freeAnswer-1]), m.Reservation(freeAnswer))
+	assert.Assert(t, err == nil && whole && len(small) == freeAnswer-1)
+	for _, r := range held {
+		r.Release()
+	}
+	assert.Equal(t, m.Usage().Used, 0)
+	_, whole, err = bufferAnswer(bytes.NewReader(long), held[0])
+	assert.Assert(t, err == nil && whole)
+}
+
+// TestEventsShareTheMemoryOfBuffers guards against long events that together take the memory of the process: a stream with one for which
+// none is left is broken, and streams with short events are not.
+func TestEventsShareTheMemoryOfBuffers(t *testing.T) {
+	m := toucanbody.NewMemory(2 * maxEventBytes)
+	assert.Assert(t, m.Reservation(0).Cover(2*maxEventBytes-1))
+	long := eventParser{memory: m.Reservation(freeAnswer)}
+	for range 2 * freeAnswer / relayBuffer {
+		_, _ = long.parse(bytes.Repeat([]byte("x"), relayBuffer))
+	}
+	assert.Assert(t, long.tooLong())
+	short := eventParser{memory: m.Reservation(freeAnswer)}
+	for id := range 100 {
+		whole, gap := short.parse([]byte(fmt.Sprintf("id: %d\ndata: %s\n\n", id+1, bytes.Repeat([]byte("x"), relayBuffer))))
+		assert.Assert(t, len(whole) > relayBuffer && !gap && !short.tooLong())
+	}
+}
--- a/toucanforward/events.go
+++ b/toucanforward/events.go
@@ -3,11 +3,17 @@
 import (
 	"bytes"
 	"strconv"
+
+	"toucanport/toucanbody"
 )
 
 // eventParser splits a byte stream into server-sent events and checks that their numeric ids are consecutive. It
 // keeps its state when a stream is resumed at another endpoint.
 type eventParser struct {
+	// memory covers the bytes that are kept; nil for any number.
+	memory *toucanbody.Reservation
+	// uncovered is true once there was no memory for the bytes that are kept.
+	uncovered bool
 	// pending holds the bytes of an event that is not complete yet.
 	pending []byte
 	// last is the id of the last complete event; empty before the first.
@@ -39,6 +45,7 @@
 	for {
 		end := bytes.Index(e.pending, blankLine)
 		if end < 0 {
+			e.uncovered = !e.memory.Cover(cap(e.pending) + cap(whole))
 			return whole, false
 		}
 		event := e.pending[:end+len(blankLine)]
@@ -54,8 +61,10 @@
 	}
 }
 
-// tooLong reports whether more than maxEventBytes have followed the last new event with an id.
-func (e *eventParser) tooLong() bool { return e.sinceProgress+len(e.pending) > maxEventBytes }
+// tooLong reports whether more than maxEventBytes have followed the last new event with an id, or more than there is memory for.
+func (e *eventParser) tooLong() bool {
+	return e.uncovered || e.sinceProgress+len(e.pending) > maxEventBytes
+}
 
 // checkSequence compares the id of the next event with the last one. isNew is false if the event was returned before;
 // gap is true if ids between the two are missing. Events without an id are always new.
@@ -79,7 +88,9 @@
 }
 
 // discardPartial drops an incomplete event before the stream resumes at another endpoint, which sends it again.
-func (e *eventParser) discardPartial() { e.pending, e.sinceProgress = nil, 0 }
+func (e *eventParser) discardPartial() {
+	e.pending, e.sinceProgress, e.uncovered = nil, 0, false
+}
 
 // eventID returns the id of an event, or an empty string if it has none.
 func eventID(event []byte) string {
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -28,6 +28,8 @@
 	retryAfterFull = 300 * time.Millisecond
 	// defaultBodyMemory is the memory in bytes for long bodies, unless one is configured.
 	defaultBodyMemory = 16 << 20
+	// defaultAnswerMemory is the memory in bytes for long answers and events, unless one is configured.
+	defaultAnswerMemory = 16 << 20
 	// successSampleRate is the number of plain successful requests for each one that is logged.
 	successSampleRate = 64
 )
@@ -51,6 +53,7 @@
 	limits      *toucanrate.Limits
 	returns     *toucanrate.Returns
 	bodies      *toucanbody.Memory
+	answers     *toucanbody.Memory
 	active      activeRequests
 	started     time.Time
 	// lastBreak is the time of the last break of a stream at an endpoint that was not draining, in nanoseconds since
@@ -58,7 +61,7 @@
 	lastBreak atomic.Int64
 }
 
-// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Bodies and Metrics are required.
+// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Bodies, Answers and Metrics are required.
 type Config struct {
 	Codec   Codec
 	Mover   toucangeneration.Mover
@@ -73,7 +76,9 @@
 	// Limits keeps the limits that endpoints name. The Placer must use the same; nil for limits that no one else uses.
 	Limits *toucanrate.Limits
 	// Bodies bounds the memory for long bodies of requests; nil for defaultBodyMemory.
-	Bodies  *toucanbody.Memory
+	Bodies *toucanbody.Memory
+	// Answers bounds the memory for long answers and events; nil for defaultAnswerMemory.
+	Answers *toucanbody.Memory
 	Metrics Metrics
 }
 
@@ -89,6 +94,9 @@
 	if cfg.Bodies == nil {
 		cfg.Bodies = toucanbody.NewMemory(defaultBodyMemory)
 	}
+	if cfg.Answers == nil {
+		cfg.Answers = toucanbody.NewMemory(defaultAnswerMemory)
+	}
 	return &Server{
 		codec:      cfg.Codec,
 		mover:      cfg.Mover,
@@ -102,6 +110,7 @@
 		limits:     cfg.Limits,
 		returns:    toucanrate.NewReturns(),
 		bodies:     cfg.Bodies,
+		answers:    cfg.Answers,
 		metrics:    m,
 		generations: toucangeneration.New(toucangeneration.Config{
 			Placer: cfg.Placer,
@@ -134,6 +143,8 @@
 	demand   toucanplace.Demand
 	// body tells whether the request can be sent again.
 	body *toucanbody.Body
+	// buffers is the memory for what is buffered of answers.
+	buffers *toucanbody.Reservation
 	// maxBody is the longest body in bytes that the caller may send; zero for any.
 	maxBody int64
 	plan    *toucanretry.Plan
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -33,7 +33,7 @@
 	g := s.generations.Begin(j.generationSpec(), a.reservation)
 	defer s.generations.End(g)
 	j.head = a
-	var seen eventParser
+	seen := eventParser{memory: j.buffers}
 	resp, reservation := a.stream, a.reservation
 	for {
 		err := s.relayFrom(ctx, j, g, reservation, resp, &seen)
--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -35,6 +35,8 @@
 	Quarantines int
 	// BodyBytes is the memory that long bodies of requests hold, of at most BodyLimitBytes.
 	BodyBytes, BodyLimitBytes int
+	// AnswerBytes is the memory that the buffers of long answers hold, of at most AnswerLimitBytes.
+	AnswerBytes, AnswerLimitBytes int
 	// Peers is the number of peers with a valid report, ReportAge the age of the oldest of these reports.
 	Peers     int
 	ReportAge time.Duration
@@ -70,7 +72,7 @@
 	budget, version, settingsAge, storeAge, reportAge                    *prometheus.Desc
 	peers, dropped                                                       *prometheus.Desc
 	newestSettings, storeEra, storeRestores, omittedChanges              *prometheus.Desc
-	quarantines, bodyBytes, bodyLimit                                    *prometheus.Desc
+	quarantines, bodyBytes, bodyLimit, answerBytes, answerLimit          *prometheus.Desc
 }
 
 // NewStateCollectors returns collectors of the state that read returns, of the Go runtime and of the process.
@@ -104,6 +106,8 @@
 			quarantines:    plain("quarantines", "quarantines of parts of prompts that end engines"),
 			bodyBytes:      plain("request_body_bytes", "memory that long bodies of requests hold"),
 			bodyLimit:      plain("request_body_limit_bytes", "memory that long bodies of requests may hold"),
+			answerBytes:    plain("answer_buffer_bytes", "memory that the buffers of long answers hold"),
+			answerLimit:    plain("answer_buffer_limit_bytes", "memory that the buffers of long answers may hold"),
 			peers:          plain("peers_heard", "peers that are heard"),
 			dropped:        plain("log_lines_dropped_total", "log lines that were dropped"),
 		},
@@ -118,7 +122,7 @@
 	for _, d := range []*prometheus.Desc{
 		c.slots, c.requests, c.capacity, c.tokens, c.failures, c.leaving, c.suspect, c.budget, c.version, c.settingsAge,
 		c.storeAge, c.reportAge, c.peers, c.dropped, c.newestSettings, c.storeEra, c.storeRestores, c.omittedChanges,
-		c.quarantines, c.limit, c.bodyBytes, c.bodyLimit,
+		c.quarantines, c.limit, c.bodyBytes, c.bodyLimit, c.answerBytes, c.answerLimit,
 	} {
 		ch <- d
 	}
@@ -149,6 +153,8 @@
 	ch <- gauge(c.quarantines, float64(state.Quarantines))
 	ch <- gauge(c.bodyBytes, float64(state.BodyBytes))
 	ch <- gauge(c.bodyLimit, float64(state.BodyLimitBytes))
+	ch <- gauge(c.answerBytes, float64(state.AnswerBytes))
+	ch <- gauge(c.answerLimit, float64(state.AnswerLimitBytes))
 	ch <- counter(c.storeRestores, state.StoreRestores)
 	ch <- counter(c.omittedChanges, state.OmittedChanges)
 	ch <- counter(c.dropped, state.DroppedLines)
--- a/toucanmetric/state_test.go
+++ b/toucanmetric/state_test.go
@@ -57,6 +57,7 @@
 			DroppedLines:    5,
 			BodyBytes:       65536,
 			BodyLimitBytes:  131072,
+			AnswerBytes:     4096,
 		}
 	})
 	for _, want := range []string{
@@ -77,6 +78,8 @@
 		`toucan_log_lines_dropped_total 5`,
 		`toucan_request_body_bytes 65536`,
 		`toucan_request_body_limit_bytes 131072`,
+		`toucan_answer_buffer_bytes 4096`,
+		`toucan_answer_buffer_limit_bytes 0`,
 		`go_goroutines `,
 		`process_open_fds `,
 		`process_resident_memory_bytes `,
