A stopping entry does not stop a generation for a move that outlasts it

Cause: moves went on as if the entry did not end. Change: the registry of generations knows when they end; within the time of a last copy before it no generation is stopped for a move. It goes on where it is: an engine that leaves serves on for its notice, and the entry asks nothing of it.

--- a/toucanforward/stop.go
+++ b/toucanforward/stop.go
@@ -123,6 +123,7 @@
 	s.active.stop = stopTimes{began: now, arrivals: now.Add(stop.Arrivals)}
 	if !stop.End.IsZero() {
 		s.active.stop.until = stop.End.Add(-stopMargin)
+		s.generations.SetEnd(s.active.stop.until)
 	}
 }
 
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -59,6 +59,9 @@
 // drainingEndpoints returns the draining endpoints that still run generations of this entry, by ID.
 func (r *Registry) drainingEndpoints() map[string]toucanplace.Endpoint {
 	found := make(map[string]toucanplace.Endpoint)
+	if !r.canStop(time.Now()) {
+		return found
+	}
 	for _, g := range r.filter(r.needsMove) {
 		e := g.Endpoint()
 		found[e.ID] = e
@@ -108,6 +111,9 @@
 // moves.
 func (r *Registry) movableGenerations(e toucanplace.Endpoint) []*Generation {
 	now := time.Now()
+	if !r.canStop(now) {
+		return nil
+	}
 	generations := r.filter(func(g *Generation) bool { return g.movable(now, e.ID) })
 	sort.Slice(generations, func(i, j int) bool {
 		return toucanmoveorder.Before(generations[i].moveRequest(now), generations[j].moveRequest(now))
@@ -221,7 +227,7 @@
 	if err != nil {
 		return false, err
 	}
-	if !g.markStopping() {
+	if !r.canStop(time.Now()) || !g.markStopping() {
 		r.dropCopy(ctx, source, first)
 		return false, ErrNotRunning
 	}
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -67,6 +67,8 @@
 
 	mu          sync.Mutex
 	generations map[*Generation]struct{}
+	// end is when all generations end with their process; zero for never.
+	end time.Time
 }
 
 // Config holds the dependencies of a Registry. All fields are required.
@@ -110,6 +112,21 @@
 	}
 }
 
+// SetEnd sets when all generations end with their process. A move that may not be complete by then is not begun: a generation that its
+// endpoint has stopped could not go on.
+func (r *Registry) SetEnd(end time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.end = end
+}
+
+// canStop reports whether a generation that is stopped for a move at a time can go on elsewhere before all end.
+func (r *Registry) canStop(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.end.IsZero() || now.Add(copyTimeout).Before(r.end)
+}
+
 // Events returns the number of events that the current generations have forwarded so far.
 func (r *Registry) Events() int {
 	n := 0
