A sidecar that stops refuses what is on its way

Callers saw: a sidecar without work ended at once after SIGTERM. A call that an entry had already sent to it met a closed link and was answered with `ran: unknown`, so that a call that may not be repeated was lost although nothing had run it. Entries learn only with the next heartbeat or a refusal that a sidecar leaves, and closing a link drops refusals that are not written yet.

Evidence, before the change (50 ms on the link, the sidecar is stopped 10 ms after the call was sent):

--- FAIL: TestCallOnItsWayToASidecarThatStopsIsRefusedAsNotRun (0.00s) order_test.go:247: assertion failed: error is not nil: EOF

Change: while it has links, a stopping sidecar refuses new work for at least a second before Shutdown returns. The dev deployment stops its sidecars at the same time, so that the second counts once.

What remains: with many links heartbeats are up to 2.5 s apart; an entry that sent nothing within the second meets a closed link, as before.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"toucanport/toucanadmit"
 	"toucanport/toucandeploy"
@@ -280,21 +281,25 @@
 
 // Shutdown stops accepting new requests and waits until requests in progress have ended or ctx is done.
 func (s *System) Shutdown(ctx context.Context) error {
-	var wg sync.WaitGroup
-	errs := make([]error, len(s.entries))
-	for i, e := range s.entries {
-		wg.Go(func() { errs[i] = e.Shutdown(ctx) })
+	err := shutdownAll(ctx, s.entries)
+	if sidecarErr := shutdownAll(ctx, s.sidecars); err == nil {
+		err = sidecarErr
 	}
-	wg.Wait()
-	for _, sidecar := range s.sidecars {
-		errs = append(errs, sidecar.Shutdown(ctx))
-	}
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
+	return err
+}
+
+// shutdowner is a program that can be stopped gracefully.
+type shutdowner interface {
+	Shutdown(ctx context.Context) error
+}
+
+// shutdownAll shuts programs down at the same time and returns the first error.
+func shutdownAll[S shutdowner](ctx context.Context, programs []S) error {
+	var all errgroup.Group
+	for _, p := range programs {
+		all.Go(func() error { return p.Shutdown(ctx) })
 	}
-	return nil
+	return all.Wait()
 }
 
 // Wait blocks until all entries, sidecars and fakes have stopped.
--- a/toucansidecar/order_test.go
+++ b/toucansidecar/order_test.go
@@ -37,8 +37,9 @@
 	server  *http.Server
 	wg      sync.WaitGroup
 	links   []*toucanwire.Link
-	// sidecars are in the order of sidecarAddrs, as are claims.
+	// sidecars are in the order of sidecarAddrs, as are claims and ends, which end the sidecars.
 	sidecars []*toucansidecar.Sidecar
+	ends     []context.CancelFunc
 	claims   []*toucanorder.Claims
 }
 
@@ -93,7 +94,9 @@
 		ServiceURL: "http://" + applicationAddr, ServiceTransport: transport, Orders: c,
 	}, toucansidecar.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
 	r.sidecars = append(r.sidecars, sidecar)
-	r.wg.Go(func() { _ = sidecar.Run(ctx, ln) })
+	runCtx, end := context.WithCancel(ctx)
+	r.ends = append(r.ends, end)
+	r.wg.Go(func() { _ = sidecar.Run(runCtx, ln) })
 	conn, err := r.net.Dialer("10.0.0.1")(ctx, address)
 	assert.NilError(r.t, err)
 	link, err := toucanwire.Dial(ctx, conn, &toucanwire.Hello{Version: 1, Role: "entry", Instance: "n1"})
@@ -230,3 +233,19 @@
 		r.assertRefused(r.call(1, http.MethodPost, "k1", "two panels"), toucanwire.CodeOrderUnknown, toucanwire.RanUnknown)
 	})
 }
+
+func TestCallOnItsWayToASidecarThatStopsIsRefusedAsNotRun(t *testing.T) {
+	withOrderFixture(t, func(r *orderFixture) {
+		r.net.Set(toucanrig.LinkName{From: "10.0.0.1", To: sidecarAddrs[0]}, toucanrig.LinkState{Delay: 50 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		time.AfterFunc(10*time.Millisecond, func() {
+			stopped <- r.sidecars[0].Shutdown(ctx)
+			r.ends[0]()
+		})
+		r.assertRefused(r.call(0, http.MethodPost, "", "two panels"), toucanwire.CodeLeaving, toucanwire.RanNo)
+		assert.NilError(t, <-stopped)
+		r.assertExecuted(0)
+	})
+}
--- a/toucansidecar/shutdown.go
+++ b/toucansidecar/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"toucanport/toucanstream"
+	"toucanport/toucanwait"
 )
 
 const (
@@ -14,6 +15,9 @@
 	// endMargin is how long before the deadline of Shutdown the remaining generations and calls are ended, so that there is
 	// time to send their refusals and to record the orders.
 	endMargin = time.Second
+	// noticeTime is how long a sidecar with links refuses new work before Shutdown returns, so that the entries have learnt that
+	// it leaves and get refusals for what is on its way.
+	noticeTime = time.Second
 )
 
 // Drain makes the sidecar refuse new work. Work in progress continues.
@@ -24,10 +28,23 @@
 	s.drainCalled.Store(true)
 }
 
-// Shutdown makes the sidecar refuse new work and waits until the work in progress has ended. If ctx has a deadline,
-// the generations and calls that are still running shortly before it are ended with a refusal.
+// Shutdown makes the sidecar refuse new work and waits until the work in progress has ended, for at least noticeTime if there
+// are links. If ctx has a deadline, the generations and calls that are still running shortly before it are ended with a
+// refusal.
 func (s *Sidecar) Shutdown(ctx context.Context) error {
 	s.Drain()
+	noticed := time.Now().Add(noticeTime)
+	if err := s.awaitWork(ctx); err != nil {
+		return err
+	}
+	if s.linkCount() > 0 {
+		toucanwait.Sleep(ctx, time.Until(noticed))
+	}
+	return nil
+}
+
+// awaitWork waits until the work in progress has ended, and ends what cannot finish in time.
+func (s *Sidecar) awaitWork(ctx context.Context) error {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
 		return s.inProgress.wait(ctx)
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -273,6 +273,13 @@
 	delete(s.links, link)
 }
 
+// linkCount returns the number of links.
+func (s *Sidecar) linkCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.links)
+}
+
 func (s *Sidecar) closeAll(ln net.Listener) {
 	ln.Close()
 	s.mu.Lock()
