Retries of requests that found no link to a sidecar cost no retry budget

Cause: toucanentry did not tell the plan that nothing had been sent (toucanretry.Failure.Unsent). While an endpoint accepts no link within 1.5 s (here: TLS handshakes on a starved machine just after the start), each request that picks it costs one retry; the budget of 3 and a tenth of the requests is soon used up, and the rest fail. toucanforward sets the field; the product's own entry did not, neither for generations nor for calls.

Change: the result of an attempt says whether nothing was sent, and both dispatchers pass that on.

Why it works: such a retry adds no load to endpoints, dials of one address are shared, and the number of attempts stays bounded. A retry after a request that may have been sent still costs budget.

--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -157,15 +157,21 @@
 		if err != nil {
 			return nil, e.noEndpoint(err, &progress{mayHaveRun: mayHaveRun})
 		}
-		response, ref := e.callEndpoint(ctx, ep, query, call)
+		response, res := e.callEndpoint(ctx, ep, query, call)
 		if response != nil {
 			return response, nil
 		}
+		ref := res.refusal
 		mayHaveRun = mayHaveRun || ref.Ran != toucanwire.RanNo
-		f := toucanretry.Failure{NotRun: canTryOtherEndpoint(ref), Idempotent: isIdempotent(call.Method), Draining: ref.Code == toucanwire.CodeLeaving}
+		f := toucanretry.Failure{
+			NotRun:     canTryOtherEndpoint(ref),
+			Idempotent: isIdempotent(call.Method),
+			Draining:   ref.Code == toucanwire.CodeLeaving,
+			Unsent:     res.unsent,
+		}
 		delay, again := plan.Next(time.Now(), f)
 		if !again || !toucanwait.Sleep(ctx, delay) {
-			return nil, failureFromRefusal(correctRan(result{refusal: ref}, &progress{mayHaveRun: mayHaveRun}).refusal)
+			return nil, failureFromRefusal(correctRan(res, &progress{mayHaveRun: mayHaveRun}).refusal)
 		}
 		query.Exclude = append(query.Exclude, ep.Name)
 	}
@@ -190,46 +196,47 @@
 	return false
 }
 
-// callEndpoint sends a call to one endpoint once and records the outcome in the router.
-func (e *Entry) callEndpoint(ctx context.Context, ep toucanroute.Endpoint, q toucanroute.Query, call *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+// callEndpoint sends a call to one endpoint once and records the outcome in the router. The result has a refusal if the
+// response is nil.
+func (e *Entry) callEndpoint(ctx context.Context, ep toucanroute.Endpoint, q toucanroute.Query, call *toucanwire.Call) (*toucanwire.CallResponse, result) {
 	sent := time.Now()
 	e.cfg.Router.RecordSent(sent, ep.Name, q)
-	response, ref := e.tryCall(ctx, ep, call)
+	response, res := e.tryCall(ctx, ep, call)
 	outcome := toucanroute.Completed
-	switch {
+	switch ref := res.refusal; {
 	case ref != nil && ref.Ran == toucanwire.RanNo && ref.Code != toucanwire.CodeEndpointFailed:
 		outcome = toucanroute.Refused
 	case ref != nil:
 		outcome = toucanroute.Failed
 	}
 	e.cfg.Router.RecordOutcome(time.Now(), ep.Name, q, outcome, time.Since(sent))
-	return response, ref
+	return response, res
 }
 
-func (e *Entry) tryCall(ctx context.Context, ep toucanroute.Endpoint, call *toucanwire.Call) (*toucanwire.CallResponse, *toucanwire.Refusal) {
+func (e *Entry) tryCall(ctx context.Context, ep toucanroute.Endpoint, call *toucanwire.Call) (*toucanwire.CallResponse, result) {
 	p, err := e.links.Get(ctx, ep.Address.String())
 	if err != nil {
-		return nil, notConnectedResult().refusal
+		return nil, notConnectedResult()
 	}
 	stream, err := p.Open(&toucanwire.Open{Request: &toucanwire.Open_Call{Call: call}})
 	if err != nil {
-		return nil, sidecarLostResult().refusal
+		return nil, sidecarLostResult()
 	}
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { stream.SetReadDeadline(time.Now()) })
 	defer stop()
 	event := &toucanwire.Event{}
 	if err := stream.Receive(event); err != nil {
-		return nil, sidecarLostResult().refusal
+		return nil, sidecarLostResult()
 	}
 	e.applyReport(event.Load)
 	switch ev := event.Event.(type) {
 	case *toucanwire.Event_Response:
-		return ev.Response, nil
+		return ev.Response, result{}
 	case *toucanwire.Event_Refusal:
-		return nil, ev.Refusal
+		return nil, result{refusal: ev.Refusal}
 	}
-	return nil, sidecarLostResult().refusal
+	return nil, sidecarLostResult()
 }
 
 // headerReplayed marks an answer that was recorded for an earlier order with the same idempotency key.
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -61,10 +61,12 @@
 	endpoint toucanroute.Endpoint
 }
 
-// result is the outcome of a generation at one endpoint; exactly one field is set.
+// result is the outcome of a request at one endpoint; exactly one of end and refusal is set.
 type result struct {
 	end     *toucanwire.End
 	refusal *toucanwire.Refusal
+	// unsent is true if refusal means that nothing was sent to the endpoint.
+	unsent bool
 }
 
 // dispatch runs a generation until it ends. It retries at other endpoints while nothing was sent to the caller and
@@ -86,7 +88,7 @@
 		if err != nil || res.end != nil {
 			return res, prog, err
 		}
-		delay, again := plan.Next(time.Now(), retryFailure(res.refusal, out))
+		delay, again := plan.Next(time.Now(), retryFailure(res, out))
 		if !again {
 			return correctRan(res, prog), prog, nil
 		}
@@ -97,7 +99,8 @@
 	}
 }
 
-func retryFailure(ref *toucanwire.Refusal, out sink) toucanretry.Failure {
+func retryFailure(res result, out sink) toucanretry.Failure {
+	ref := res.refusal
 	if failsEverywhere(ref.Code) {
 		return toucanretry.Failure{}
 	}
@@ -106,6 +109,7 @@
 		AnswerStarted: out.answerStarted(),
 		Idempotent:    true,
 		Draining:      ref.Code == toucanwire.CodeLeaving || ref.Code == toucanwire.CodeReclaimed,
+		Unsent:        res.unsent,
 	}
 }
 
@@ -362,7 +366,7 @@
 }
 
 func notConnectedResult() result {
-	return result{refusal: &toucanwire.Refusal{
+	return result{unsent: true, refusal: &toucanwire.Refusal{
 		Code:      toucanwire.CodeEndpointFailed,
 		Message:   "no link to the endpoint",
 		Ran:       toucanwire.RanNo,
--- a/toucanentry/fleet_test.go
+++ b/toucanentry/fleet_test.go
@@ -228,3 +228,28 @@
 		assert.Equal(t, len(f.ledger.Generations()), 2)
 	})
 }
+
+// TestRequestsThatFindNoLinkCostNoRetryBudget sends more streams than the retry budget covers while one of two endpoints
+// accepts no link.
+func TestRequestsThatFindNoLinkCostNoRetryBudget(t *testing.T) {
+	withFakeClock(t, func(t *testing.T) {
+		const streams = 40
+		f := startFleet(t, noChange)
+		defer f.stop()
+		link := toucanrig.LinkName{From: "10.0.0.1", To: fleetSidecar(0)}
+		f.net.Set(link, toucanrig.LinkState{RequestsStalled: true})
+		f.net.Cut(link)
+		time.Sleep(time.Second)
+		var wg sync.WaitGroup
+		for range streams {
+			wg.Go(func() {
+				resp := f.startStream(t, 0, 5)
+				defer resp.Body.Close()
+				checkStream(t, resp.Body, resp.Header.Get("Toucan-Generation-Id"), 0, 5)
+			})
+		}
+		wg.Wait()
+		f.net.Set(link, toucanrig.LinkState{})
+		assert.Equal(t, len(f.ledger.Generations()), streams)
+	})
+}
