Log why a generation was not resumed, and when the test froze the sidecar

What callers saw: once, a stream that ended after 20 tokens, 12 s after its sidecar had been frozen for 3 s (TestProcessesUnderFailure, KNOWN-RED). The logs could not tell attempts that time out from attempts that are refused.

Change: the entry logs the number of attempts and the last error when it gives a generation up; the test logs when it sent its signals. No decision changes.

--- a/cmd/toucanport/main_test.go
+++ b/cmd/toucanport/main_test.go
@@ -329,8 +329,10 @@
 			name: "sidecar frozen for three seconds",
 			fail: func(t *testing.T, _ *fleet, _, sidecar *exec.Cmd) {
 				assert.NilError(t, sidecar.Process.Signal(syscall.SIGSTOP))
+				t.Logf("stopped at %s", time.Now().Format(time.RFC3339Nano))
 				time.Sleep(3 * time.Second)
 				assert.NilError(t, sidecar.Process.Signal(syscall.SIGCONT))
+				t.Logf("continued at %s", time.Now().Format(time.RFC3339Nano))
 			},
 		},
 		{
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -220,7 +220,7 @@
 // for the duration of window.
 func (r *attempt) resume(ctx context.Context) (result, error) {
 	lost := time.Now()
-	for {
+	for attempts := 1; ; attempts++ {
 		before := r.prog.next
 		res, err := r.relay(ctx, r.resumeMessage())
 		if err == nil {
@@ -234,6 +234,7 @@
 		}
 		if time.Since(lost) > r.window() {
 			go r.cancel()
+			r.entry.log.Warn("generation not resumed", "generation", r.id, "address", r.address.String(), "attempts", attempts, "error", err.Error())
 			return sidecarLostResult(), nil
 		}
 		if !toucanwait.Sleep(ctx, resumeDelay) {
