Log how the processes of a failed test ended

In the frozen sidecar's incident, an address that refuses is what its figures leave as likely; whether the sidecar had ended, and by which signal or status, was not in the log. Seen with the condition turned round for one run: "entry1, signal: killed:".

--- a/cmd/toucanport/main_test.go
+++ b/cmd/toucanport/main_test.go
@@ -172,8 +172,8 @@
 	assert.NilError(f.t, err)
 }
 
-// start starts a process and kills it at the end of the test. If the test fails, it logs the process's standard
-// error.
+// start starts a process and kills it at the end of the test. If the test fails, it logs how the process
+// ended and its standard error.
 func (f *fleet) start(command, name, settings string) *exec.Cmd {
 	f.t.Helper()
 	file := filepath.Join(f.dir, name+".toml")
@@ -187,7 +187,7 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 		if f.t.Failed() {
-			f.t.Logf("%s:\n%s", name, output.String())
+			f.t.Logf("%s, %s:\n%s", name, cmd.ProcessState, output.String())
 		}
 	})
 	return cmd
