--- a/toucanforward/stop.go
+++ b/toucanforward/stop.go
@@ -140,7 +140,7 @@
 	return s.active.stopTimes().hasBegun()
 }
 
-// canEnd reports whether a request that is sent to an endpoint now may be, as it ends before the server stops.
+// canEnd reports whether a request may be sent to an endpoint now, as it ends before the server does.
 func (s *Server) canEnd(j *job) bool {
 	stop := s.active.stopTimes()
 	if !stop.hasBegun() {
@@ -151,9 +151,9 @@
 	return j.admission != ""
 }
 
-// admit returns why a request may be sent to an endpoint at a time during the stop; empty if it may not. What an endpoint does not bound
-// is its time, so that a request certainly ends only by its deadline. That it is on time is enough while callers can't know of the
-// stop, unless the request runs at most once.
+// admit returns why a request may be sent to an endpoint at a time during the stop; empty if it may not. An endpoint can take any time, so
+// that only a deadline makes sure that the request ends. While callers can't know of the stop, it is enough that the request ends
+// in time if it is on time, unless it runs at most once.
 func (t stopTimes) admit(now time.Time, j *job) admission {
 	switch {
 	case t.until.IsZero():
