Replies of the product's store had no bound

Cause: Client.attempt read the body with io.ReadAll. The transport of the product's processes allowed heads of 10 MB, net/http's default.

Evidence: TestEndlessReplyIsBounded failed before: assertion failed: endless.sent is >= 2 * maxReplyBytes: bytes were read (that is all that the test's store sends).

Change: a reply has at most 32 MB, a longer one counts as lost, and a head 16 KB. The bound of the head has no test of its own.

--- a/toucaninstance/instance.go
+++ b/toucaninstance/instance.go
@@ -67,6 +67,9 @@
 // endpoint. It is small because every running generation has a connection, and large enough for an event of an engine.
 const connectionBufferBytes = 1 << 10
 
+// maxResponseHeaderBytes bounds the head of an answer of the platform or of the endpoint.
+const maxResponseHeaderBytes = 16 << 10
+
 func listen(what string, address netip.AddrPort) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address.String())
 	return ln, errors.Wrapf(err, "%s", what)
@@ -76,11 +79,12 @@
 // connections.
 func transport(connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-		MaxIdleConnsPerHost: connections,
-		ReadBufferSize:      connectionBufferBytes,
-		WriteBufferSize:     connectionBufferBytes,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		MaxIdleConnsPerHost:    connections,
+		ReadBufferSize:         connectionBufferBytes,
+		WriteBufferSize:        connectionBufferBytes,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
--- a/toucanstore/client.go
+++ b/toucanstore/client.go
@@ -33,6 +33,8 @@
 	maxBackoff             = time.Second
 	// maxTransferTime limits the time in which a reply arrives after its first byte, whatever its size.
 	maxTransferTime = 30 * time.Second
+	// maxReplyBytes bounds the body of one reply.
+	maxReplyBytes = 32 << 20
 )
 
 // Counts are the numbers of calls that a client has sent, each attempt counted. A watch counts once, however long
@@ -349,7 +351,7 @@
 		return reply{}, noReplyError(cl, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(toucanwait.NewReader(resp.Body, progress))
+	body, err := io.ReadAll(toucanwait.NewReader(http.MaxBytesReader(nil, resp.Body, maxReplyBytes), progress))
 	if err != nil {
 		return reply{}, noReplyError(cl, err)
 	}
--- a/toucanstore/client_test.go
+++ b/toucanstore/client_test.go
@@ -35,3 +35,28 @@
 		assert.NilError(t, err)
 	})
 }
+
+// endlessTransport answers each call with a body without end, and counts its bytes.
+type endlessTransport struct{ sent int }
+
+// RoundTrip implements http.RoundTripper.
+func (e *endlessTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(e)}, nil
+}
+
+// Read implements io.Reader. It fails after some times the bound.
+func (e *endlessTransport) Read(p []byte) (int, error) {
+	if e.sent > 8*maxReplyBytes {
+		return 0, io.ErrUnexpectedEOF
+	}
+	e.sent += len(p)
+	return len(p), nil
+}
+
+// TestEndlessReplyIsBounded guards against a reply without end that takes the memory of the process.
+func TestEndlessReplyIsBounded(t *testing.T) {
+	var endless endlessTransport
+	_, err := NewClient("http://store.example", WithTries(1), WithTransport(&endless)).List(t.Context(), "documents/")
+	assert.ErrorIs(t, err, ErrUnavailable)
+	assert.Assert(t, endless.sent < 2*maxReplyBytes, "%d bytes were read", endless.sent)
+}
