A peer's announcement made an entry take up to 64 MB

What callers saw: nothing; found by reading all readers of foreign bytes.

Cause: protodelim takes memory for the announced size of a message before its bytes arrive: 4 MB for each connection to the copy's address, and 64 MB for a copy that is fetched, more than half of the smallest entry.

Evidence: TestAnnouncedSizeIsBounded failed before: expression is false: errors.As(err, &tooLarge): read pipe: i/o timeout (the announced request was waited for).

Change: a request has at most 64 KB (about 270 digests of large values; a reader with a longer one is sent everything, as before with a slow one), a copy 16 MB. An entry whose copy can't be fetched reads the store. The number of connections to the copy's address is not bounded.

--- a/toucancopy/copy.go
+++ b/toucancopy/copy.go
@@ -23,7 +23,9 @@
 	// partBytes is the number of bytes that are sent at a time.
 	partBytes = 16 << 10
 	// maxCopyBytes is the maximum size of a received copy.
-	maxCopyBytes = 64 << 20
+	maxCopyBytes = 16 << 20
+	// maxRequestBytes is the maximum size of a received request. A reader whose request is longer is sent everything.
+	maxRequestBytes = 64 << 10
 )
 
 // errNotHeld is returned if a sender left out a body that the reader does not have.
--- a/toucancopy/copy_test.go
+++ b/toucancopy/copy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -10,6 +11,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanlogtest"
@@ -77,3 +79,14 @@
 		})
 	})
 }
+
+// TestAnnouncedSizeIsBounded guards against peers that make the entry take memory for what they only announce.
+func TestAnnouncedSizeIsBounded(t *testing.T) {
+	tooLarge := &protodelim.SizeTooLargeError{}
+	near, far := net.Pipe()
+	go func() { _, _ = far.Write(protowire.AppendVarint(nil, maxRequestBytes+1)) }()
+	_, err := receiveRequest(near)
+	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+	_, err = receive(io.Discard, bytes.NewReader(protowire.AppendVarint(nil, maxCopyBytes+1)), nil)
+	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+}
--- a/toucancopy/message.go
+++ b/toucancopy/message.go
@@ -96,7 +96,7 @@
 		return &Request{}, err
 	}
 	request := &Request{}
-	if err := protodelim.UnmarshalFrom(bufio.NewReader(conn), request); err != nil {
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxRequestBytes}).UnmarshalFrom(bufio.NewReader(conn), request); err != nil {
 		return &Request{}, err
 	}
 	return request, nil
