A body's watch no longer sets the read deadline of the next request

Cause: a read that times out ends the request's context within Read, so that the watch for that end was already running when it was stopped. It set the read deadline through echo's response, which echo had given to the next request by then.

--- a/toucanentry/body.go
+++ b/toucanentry/body.go
@@ -64,30 +64,40 @@
 	control   *http.ResponseController
 	reserved  int
 	started   bool
-	// ctx is the request's context. stopWatch ends the watch for its end, which begins with the first Read.
+	// ctx is the request's context. stopWatch ends the watch for its end, which begins with the first Read. It returns false if the
+	// watch has seen the end; watched is then closed when it no longer uses control.
 	ctx       context.Context
 	stopWatch func() bool
+	watched   chan struct{}
 }
 
-// poolBody replaces the request's body with a pooledBody. The returned function releases the body's bytes.
+// poolBody replaces the request's body with a pooledBody. The returned function releases the body's bytes, and the response,
+// which echo gives to another request afterwards.
 func (e *Entry) poolBody(c *echo.Context, workspace string) (release func()) {
 	r := c.Request()
 	b := &pooledBody{ReadCloser: r.Body, pool: e.bodies, workspace: workspace, control: http.NewResponseController(c.Response())}
 	b.ctx, b.stopWatch = r.Context(), func() bool { return true }
 	r.Body = b
 	return func() {
-		b.stopWatch()
+		b.endWatch()
 		b.pool.release(workspace, b.reserved)
 	}
 }
 
+// endWatch ends the watch for the end of the request's context. Afterwards nothing uses control.
+func (b *pooledBody) endWatch() {
+	if !b.stopWatch() {
+		<-b.watched
+	}
+}
+
 // Read implements io.Reader. The whole body must arrive within readBodyTimeout after the first Read, and before the request's
 // context ends.
 func (b *pooledBody) Read(buf []byte) (int, error) {
 	if !b.started {
 		b.started = true
 		b.limitTime(readBodyTimeout)
-		b.stopWatch = context.AfterFunc(b.ctx, func() { b.limitTime(0) })
+		b.watch()
 	}
 	n, err := b.ReadCloser.Read(buf)
 	if !b.pool.reserve(b.workspace, n) {
@@ -97,11 +107,21 @@
 	}
 	b.reserved += n
 	if err != nil {
-		b.stopWatch()
+		b.endWatch()
 	}
 	return n, bodyError(b.ctx, err)
 }
 
+// watch ends a blocked Read when the request's context ends.
+func (b *pooledBody) watch() {
+	b.watched = make(chan struct{})
+	stop := context.AfterFunc(b.ctx, func() {
+		defer close(b.watched)
+		b.limitTime(0)
+	})
+	b.stopWatch = sync.OnceValue(stop)
+}
+
 // limitTime sets the time that is left for the body. The HTTP server clears the read deadline at the end of the body.
 func (b *pooledBody) limitTime(left time.Duration) {
 	_ = b.control.SetReadDeadline(time.Now().Add(left)) // not every writer has deadlines
