A cut answer is not whole because its check was ended

Callers could see: a stream without a length, cut by the end of its engine, that ended as complete when a stop or the deadline ended the request while the entry asked whether the engine had ended (ORDER; MIXED for plain answers). The same at the end of a stream whose engine had declined a move, where nothing was asked. Cause: the check returned nil if its context ended. Evidence: TestCutAnswerIsNotWholeIfItsCheckIsEnded failed (nil). Change: the check returns the error of its context; the stream whose engine declined a move is checked too.

--- a/toucanforward/stop_test.go
+++ b/toucanforward/stop_test.go
@@ -1,6 +1,7 @@
 package toucanforward
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 	"toucanport/toucanlogtest"
 	"toucanport/toucanplace"
 	"toucanport/toucantraffic"
+	"toucanport/toucanupstream"
 )
 
 // TestAdmitsWhileStopping checks which requests a server that stops sends to an endpoint: before callers can know of the stop, and after.
@@ -42,35 +44,87 @@
 	}
 }
 
+// TestCutAnswerIsNotWholeIfItsCheckIsEnded guards against a cut answer without a length that passes as whole, because its request ended while the
+// entry asked whether the endpoint has (ORDER, MIXED).
+func TestCutAnswerIsNotWholeIfItsCheckIsEnded(t *testing.T) {
+	s := newWaitingScene(t)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(errStopping)
+	address := strings.TrimPrefix(s.endpoint.URL, "http://")
+	s.endpoint.Close()
+	err := s.server.checkEnd(ctx, &toucanupstream.Response{}, toucanplace.Endpoint{Address: address})
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
 // TestRequestThatWaitedIsNotSentLateInAStop guards against requests that are taken in time, wait for an endpoint, and are cut at the end of the
 // stop (LOST).
 func TestRequestThatWaitedIsNotSentLateInAStop(t *testing.T) {
-	sc := &deployment{t: t, traffic: &toucantraffic.Current{}, log: &toucanlogtest.Log{}}
-	sc.start()
-	arrived := make(chan struct{}, 1)
-	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived <- struct{}{} }))
-	t.Cleanup(endpoint.Close)
+	s := newWaitingScene(t)
+	const arrivals = 200 * time.Millisecond
+	s.server.BeginStop(Stop{End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
+	answered := make(chan int, 1)
+	go func() { answered <- s.request() }()
+	assert.Assert(t, strings.Contains(s.log.Next(t, 1), "request held"))
+	time.Sleep(arrivals)
+	s.listEndpoint()
+	assert.Equal(t, <-answered, http.StatusServiceUnavailable)
+	assert.Equal(t, len(s.arrived), 0)
+}
+
+// waitingScene is a server without endpoints, at which requests wait until the only one is listed.
+type waitingScene struct {
+	*deployment
+	endpoint *httptest.Server
+	// arrived receives a value for each request that reaches the endpoint.
+	arrived chan struct{}
+	// answer is how the endpoint answers.
+	answer http.HandlerFunc
+}
+
+func newWaitingScene(t *testing.T) *waitingScene {
+	s := &waitingScene{deployment: &deployment{t: t, traffic: &toucantraffic.Current{}, log: &toucanlogtest.Log{}}, arrived: make(chan struct{}, 8)}
+	s.start()
+	s.answer = func(http.ResponseWriter, *http.Request) {}
+	s.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.arrived <- struct{}{}
+		w.Header().Set(headerID, r.Header.Get(headerID))
+		w.Header().Set(headerGenuine, "yes")
+		s.answer(w, r)
+	}))
+	t.Cleanup(s.endpoint.Close)
+	s.setRoute(toucantraffic.Idempotent)
+	return s
+}
+
+// setRoute sets the kind of the only route's requests.
+func (s *waitingScene) setRoute(kind toucantraffic.Kind) {
 	route := toucantraffic.Route{
-		Name: "r", Host: "host", Prefix: "/p/", Kind: toucantraffic.Idempotent, Timeout: testTimeout, MaxAttempts: 1, Anonymous: true,
+		Name: "r", Host: "host", Prefix: "/p/", Kind: kind, Timeout: testTimeout, MaxAttempts: 2, Anonymous: true,
 		Goal: 2 * time.Second, Shares: []toucantraffic.Share{{Service: "s", Weight: 1}},
 	}
-	sc.traffic.Offer(toucantraffic.New(1, []toucantraffic.Route{route}, []toucantraffic.Service{{Name: "s"}}, nil, toucantraffic.Limits{}))
-	const arrivals = 200 * time.Millisecond
-	sc.server.BeginStop(Stop{End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
+	version := uint64(1)
+	if table := s.traffic.Table(); table != nil {
+		version = table.Version + 1
+	}
+	s.traffic.Offer(toucantraffic.New(version, []toucantraffic.Route{route}, []toucantraffic.Service{{Name: "s"}}, nil, toucantraffic.Limits{}))
+}
 
-	answered := make(chan *httptest.ResponseRecorder, 1)
-	go func() {
-		r := httptest.NewRequest(http.MethodPost, "/p/x", nil)
-		r.Host = "host"
-		r.Header.Set(headerID, "waits")
-		w := httptest.NewRecorder()
-		sc.server.ServeHTTP(w, r)
-		answered <- w
-	}()
-	assert.Assert(t, strings.Contains(sc.log.Next(t, 1), "request held"))
-	time.Sleep(arrivals)
-	address := strings.TrimPrefix(endpoint.URL, "http://")
-	sc.placer.SetEndpoints([]toucanplace.Endpoint{{ID: "a", Address: address, FailureDomain: "d1", Service: "s", Slots: 1}})
-	assert.Equal(t, (<-answered).Code, http.StatusServiceUnavailable)
-	assert.Equal(t, len(arrived), 0)
+// listEndpoint makes the endpoint known to the server, by two ids.
+func (s *waitingScene) listEndpoint() {
+	address := strings.TrimPrefix(s.endpoint.URL, "http://")
+	var list []toucanplace.Endpoint
+	for _, id := range []string{"a", "b"} {
+		list = append(list, toucanplace.Endpoint{ID: id, Address: address, FailureDomain: "d1", Service: "s", Slots: 1})
+	}
+	s.placer.SetEndpoints(list)
+}
+
+// request makes a request and returns the status of its answer.
+func (s *waitingScene) request() int {
+	r := httptest.NewRequest(http.MethodPost, "/p/x", nil)
+	r.Host = "host"
+	r.Header.Set(headerID, "one")
+	w := httptest.NewRecorder()
+	s.server.ServeHTTP(w, r)
+	return w.Code
 }
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -46,7 +46,7 @@
 			s.recordBreak(j, reservation.Endpoint, seen.count)
 		}
 		next, nextReservation, resumeErr := s.resume(ctx, j, g, &seen)
-		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 {
+		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 && s.checkEnd(ctx, resp, reservation.Endpoint) == nil {
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
--- a/toucanforward/unframed.go
+++ b/toucanforward/unframed.go
@@ -13,7 +13,7 @@
 var errEndedWithEndpoint = errors.New("answer without length ended with its endpoint")
 
 // checkEnd returns errEndedWithEndpoint if an answer that was read to its end is not whole as far as can be told: it has no
-// length, so that the end of its connection is its end, and its endpoint has ended too.
+// length, so that the end of its connection is its end, and its endpoint has ended too. It returns the error of ctx if that ends first.
 func (s *Server) checkEnd(ctx context.Context, resp *toucanupstream.Response, e toucanplace.Endpoint) error {
 	if resp.Framed {
 		return nil
@@ -21,5 +21,6 @@
 	if s.pool.HasEnded(ctx, e.Address) {
 		return errEndedWithEndpoint
 	}
-	return nil
+	// A check that was ended tells nothing.
+	return ctx.Err()
 }
