A long failure of an engine is answered, not cut

Callers saw: an engine's own 5xx of over 256 KB, or of over 32 KB while the memory for answers is used up, began and was cut. Cause: what was not buffered of a failed attempt's answer is closed, so that a retry can follow, but the answer was kept to be delivered if none does. Evidence: TestLongFailureOfAnEndpointGetsAnAnswer panicked with net/http's abort before. Change: such an answer is not kept; the caller gets 502.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -155,6 +155,7 @@
 	f := s.checkAnswer(j, reservation, headers, a)
 	if f != nil && a.rest != nil {
 		resp.Close()
+		f.answer = nil // It can't be delivered whole any more.
 	}
 	if headers.Genuine && headers.Named {
 		s.recordWholeAnswer(j, a.status)
--- a/toucanforward/stop_test.go
+++ b/toucanforward/stop_test.go
@@ -56,6 +56,19 @@
 	assert.ErrorIs(t, err, context.Canceled)
 }
 
+// TestLongFailureOfAnEndpointGetsAnAnswer guards against a failure of an engine's own that is longer than what is buffered, and that its caller gets
+// cut (LOST).
+func TestLongFailureOfAnEndpointGetsAnAnswer(t *testing.T) {
+	s := newWaitingScene(t)
+	s.setRoute(toucantraffic.AtMostOnce)
+	s.answer = func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(make([]byte, 2*maxBufferedAnswer)) // The server may not read all.
+	}
+	s.listEndpoint()
+	assert.Equal(t, s.request(), http.StatusBadGateway)
+}
+
 // TestRequestThatWaitedIsNotSentLateInAStop guards against requests that are taken in time, wait for an endpoint, and are cut at the end of the
 // stop (LOST).
 func TestRequestThatWaitedIsNotSentLateInAStop(t *testing.T) {
