A request that waits is refused as soon as a stop can't serve it

Cause: whether the request can end was asked before and after the wait, not in it. Evidence: TestRequestThatWaitsIsNotSentLateInAStop failed: the refusal had another reason and came at the end of the wait. TestBrokenAttemptIsNotCalledUnrunInAStop is new: a mutation of stopRefusal that forgets what may have run had passed all tests.

--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -131,7 +131,7 @@
 	switch {
 	case errors.Is(err, errQuarantined), errors.Is(context.Cause(ctx), errQuarantined):
 		return quarantineRefusal()
-	case endedByStop(ctx):
+	case endedByStop(ctx), errors.Is(err, errStopping):
 		return stopRefusal(j, true)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return refusal{status: http.StatusBadGateway, reason: reasonCallerLeft, err: err}
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -26,7 +26,7 @@
 )
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
-// too large for every endpoint, if all endpoints have asked for no requests for longer than it may wait or have no slot in that
+// too large for every endpoint, if it can't end before the server stops, if all endpoints have asked for no requests for longer than it may wait or have no slot in that
 // time, or if an attempt has failed and no untried endpoint is left.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
@@ -37,7 +37,14 @@
 			return nil, errQuarantined
 		}
 		freed := s.placer.Freed()
+		if !s.canEnd(j) {
+			return nil, errStopping
+		}
 		reservation, err := s.tryPlace(ctx, j, until)
+		if err == nil && !s.canEnd(j) {
+			reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
+			return nil, errStopping
+		}
 		if err == nil {
 			s.recordPlaced(j, reservation, now)
 			return reservation, nil
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -222,20 +222,11 @@
 func (s *Server) runAttempts(ctx context.Context, j *job) {
 	var endpointAnswer *answer
 	for {
-		if !s.canEnd(j) {
-			s.deliverFailure(ctx, j, endpointAnswer, stopRefusal(j, true))
-			return
-		}
 		reservation, err := s.place(ctx, j)
 		if err != nil {
 			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err, s.delayFor(j, err)))
 			return
 		}
-		if !s.canEnd(j) {
-			reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
-			s.deliverFailure(ctx, j, endpointAnswer, stopRefusal(j, true))
-			return
-		}
 		got, failure := s.attempt(ctx, j, reservation)
 		if failure == nil {
 			s.deliver(ctx, j, got)
--- a/toucanforward/stop_test.go
+++ b/toucanforward/stop_test.go
@@ -69,19 +69,39 @@
 	assert.Equal(t, s.request(), http.StatusBadGateway)
 }
 
-// TestRequestThatWaitedIsNotSentLateInAStop guards against requests that are taken in time, wait for an endpoint, and are cut at the end of the
-// stop (LOST).
-func TestRequestThatWaitedIsNotSentLateInAStop(t *testing.T) {
+// TestRequestThatWaitsIsNotSentLateInAStop guards against requests that are taken in time, wait for an endpoint, and are cut at the end of the
+// stop (LOST), and against their being held when they can't be sent any more.
+func TestRequestThatWaitsIsNotSentLateInAStop(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		s := newWaitingScene(t)
+		const arrivals = 200 * time.Millisecond
+		s.server.BeginStop(Stop{End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
+		answered := make(chan int, 1)
+		go func() { answered <- s.request() }()
+		assert.Assert(t, strings.Contains(s.log.Next(t, 1), "request held"))
+		time.Sleep(arrivals)
+		if listed {
+			s.listEndpoint()
+		}
+		assert.Equal(t, <-answered, http.StatusServiceUnavailable)
+		assert.Equal(t, len(s.arrived), 0)
+		assert.Assert(t, strings.Contains(s.log.All(), `"reason":"stopping"`))
+	}
+}
+
+// TestBrokenAttemptIsNotCalledUnrunInAStop guards against a 503 for a request that an engine may have run, as its retry comes too late in a stop (REFUSED).
+func TestBrokenAttemptIsNotCalledUnrunInAStop(t *testing.T) {
 	s := newWaitingScene(t)
-	const arrivals = 200 * time.Millisecond
-	s.server.BeginStop(Stop{End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
-	answered := make(chan int, 1)
-	go func() { answered <- s.request() }()
-	assert.Assert(t, strings.Contains(s.log.Next(t, 1), "request held"))
-	time.Sleep(arrivals)
+	const arrivals = 100 * time.Millisecond
+	s.answer = func(http.ResponseWriter, *http.Request) {
+		time.Sleep(2 * arrivals)
+		panic(http.ErrAbortHandler)
+	}
 	s.listEndpoint()
-	assert.Equal(t, <-answered, http.StatusServiceUnavailable)
-	assert.Equal(t, len(s.arrived), 0)
+	s.server.BeginStop(Stop{End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
+	assert.Equal(t, s.request(), http.StatusBadGateway)
+	assert.Equal(t, len(s.arrived), 1)
+	assert.Assert(t, strings.Contains(s.log.All(), `"reason":"stopping"`))
 }
 
 // waitingScene is a server without endpoints, at which requests wait until the only one is listed.
