The first phase of a stop counts from its signal

Cause: the end of a stop counts from its signal since, the 2.5 s in which pace is enough counted from the call of Shutdown. Evidence: TestRun/a_slow_start_shortens_the_stop failed with StopBegan returning the present time. Change: Shutdown learns when the signal was received; phases and log fields count from there.

--- a/toucanforward/stop.go
+++ b/toucanforward/stop.go
@@ -101,10 +101,12 @@
 
 // Stop describes the stop of a server.
 type Stop struct {
+	// Began is when the stop began.
+	Began time.Time
+	// Arrivals is how long after it new connections of callers can still arrive.
+	Arrivals time.Duration
 	// End is when the server ends; zero for no bound. Shortly before it, EndRequests must be called.
 	End time.Time
-	// Arrivals is how long new connections of callers can still arrive.
-	Arrivals time.Duration
 }
 
 // BeginStop makes the server close each caller's connection after its next answer and refuse the requests that can't end
@@ -112,8 +114,7 @@
 func (s *Server) BeginStop(stop Stop) {
 	s.active.mu.Lock()
 	defer s.active.mu.Unlock()
-	now := time.Now()
-	s.active.stop = stopTimes{began: now, arrivals: now.Add(stop.Arrivals)}
+	s.active.stop = stopTimes{began: stop.Began, arrivals: stop.Began.Add(stop.Arrivals)}
 	if !stop.End.IsZero() {
 		s.active.stop.until = stop.End.Add(-stopMargin)
 		s.generations.SetEnd(s.active.stop.until)
--- a/toucanforward/stop_test.go
+++ b/toucanforward/stop_test.go
@@ -75,7 +75,7 @@
 	for _, listed := range []bool{false, true} {
 		s := newWaitingScene(t)
 		const arrivals = 200 * time.Millisecond
-		s.server.BeginStop(Stop{End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
+		s.server.BeginStop(Stop{Began: time.Now(), End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
 		answered := make(chan int, 1)
 		go func() { answered <- s.request() }()
 		assert.Assert(t, strings.Contains(s.log.Next(t, 1), "request held"))
@@ -98,7 +98,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.listEndpoint()
-	s.server.BeginStop(Stop{End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
+	s.server.BeginStop(Stop{Began: time.Now(), End: time.Now().Add(testTimeout / 2), Arrivals: arrivals})
 	assert.Equal(t, s.request(), http.StatusBadGateway)
 	assert.Equal(t, len(s.arrived), 1)
 	assert.Assert(t, strings.Contains(s.log.All(), `"reason":"stopping"`))
--- a/toucanprocess/process.go
+++ b/toucanprocess/process.go
@@ -19,9 +19,21 @@
 // ErrStopped is returned when an interrupt ended the program while requests were in progress.
 var ErrStopped = errors.New("stopped with requests in progress")
 
+// signalTime is the key of the time of the signal in the context of Shutdown.
+type signalTime struct{}
+
+// StopBegan returns when the signal was received that led to a Shutdown with this context, or now if there was none.
+func StopBegan(ctx context.Context) time.Time {
+	if at, ok := ctx.Value(signalTime{}).(time.Time); ok {
+		return at
+	}
+	return time.Now()
+}
+
 // Stopper is a running program.
 type Stopper interface {
-	// Shutdown refuses new requests and waits until those in progress have ended or ctx is done.
+	// Shutdown refuses new requests and waits until those in progress have ended or ctx is done. StopBegan returns when the
+	// stop began.
 	Shutdown(ctx context.Context) error
 	// Wait waits until the program has ended, either by itself or because its context is done.
 	Wait()
@@ -71,7 +83,7 @@
 }
 
 func stop(ctx context.Context, program Stopper, grace time.Duration, received *stopSignals) error {
-	ctx, cancel := context.WithDeadline(ctx, received.began.Add(grace))
+	ctx, cancel := context.WithDeadline(context.WithValue(ctx, signalTime{}, received.began), received.began.Add(grace))
 	defer cancel()
 	stopped := make(chan error, 1)
 	go func() { stopped <- program.Shutdown(ctx) }()
--- a/toucanprocess/process_test.go
+++ b/toucanprocess/process_test.go
@@ -20,9 +20,12 @@
 	requests time.Duration
 	err      error
 	failed   chan struct{}
+	// stopBegan is when the stop began.
+	stopBegan time.Time
 }
 
 func (p *program) Shutdown(ctx context.Context) error {
+	p.stopBegan = StopBegan(ctx)
 	select {
 	case <-time.After(p.requests):
 		return nil
@@ -76,9 +79,10 @@
 				log := slog.New(slog.NewTextHandler(io.Discard, nil))
 				start := time.Now()
 				hooked := 0
+				p := &program{requests: tc.requests, failed: make(chan struct{})}
 				err := run(log, time.Minute, signals, func(ctx context.Context) (Stopper, error) {
 					time.Sleep(tc.startTime)
-					p := &program{ctx: ctx, requests: tc.requests, failed: make(chan struct{})}
+					p.ctx = ctx
 					if tc.fails {
 						p.err = errFailed
 						close(p.failed)
@@ -86,6 +90,9 @@
 					return p, nil
 				}, WithStopHook(func() { hooked++ }))
 				assert.Equal(t, hooked, min(len(tc.signals), 1))
+				if len(tc.signals) > 0 && tc.want != ErrStopped { //nolint:errorlint // it is compared with the table's own value
+					assert.Equal(t, p.stopBegan, start, "the stop does not begin with its signal")
+				}
 				assert.Assert(t, errors.Is(err, tc.want), "%v", err)
 				assert.Equal(t, time.Since(start), tc.duration)
 			})
