A move leaves time for the generation to go on before a stop ends it

Half a second is left for that now, and a move that is not made for want of time is logged as that and not as 'endpoint does not run the request'. The case 'no time to go on' of TestGenerationIsNotStoppedForAMoveThatOutlastsTheProcess fails without it.

--- a/toucangeneration/end_test.go
+++ b/toucangeneration/end_test.go
@@ -58,7 +58,8 @@
 		{"no stop", 0, true},
 		{"time for the move", 2 * copyTimeout, true},
 		{"no time for the move", copyTimeout / 2, false},
-		{"no time left after the first copy", copyTimeout + copyTime/2, false},
+		{"no time to go on", copyTimeout + resumeTime/2, false},
+		{"no time left after the first copy", copyTimeout + resumeTime + copyTime/2, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -15,6 +15,8 @@
 const (
 	// copyTimeout is the timeout of one copy of a generation's memory.
 	copyTimeout = 2 * time.Second
+	// resumeTime is the time that a stopped generation has to go on at its target before all generations end.
+	resumeTime = 500 * time.Millisecond
 	// moveTargets is the maximum number of targets that are tried in one attempt to move a generation.
 	moveTargets = 3
 	// moveInterval is the longest time between two checks for draining endpoints.
@@ -179,7 +181,7 @@
 		}
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
 		r.reportMoveFailure(g, source, target.Endpoint.ID, err)
-		if errors.Is(err, ErrNotRunning) {
+		if errors.Is(err, ErrNotRunning) || errors.Is(err, ErrNoTime) {
 			break
 		}
 	}
@@ -227,7 +229,11 @@
 	if err != nil {
 		return false, err
 	}
-	if !r.canStop(time.Now()) || !g.markStopping() {
+	if !r.canStop(time.Now()) {
+		r.dropCopy(ctx, source, first)
+		return false, ErrNoTime
+	}
+	if !g.markStopping() {
 		r.dropCopy(ctx, source, first)
 		return false, ErrNotRunning
 	}
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -34,6 +34,8 @@
 	ErrEnded = errors.New("endpoint has ended")
 	// ErrUnreached means that no connection to the endpoint could be opened, and it got nothing.
 	ErrUnreached = errors.New("endpoint was not reached")
+	// ErrNoTime means that the generation could not go on at a target before all generations end.
+	ErrNoTime = errors.New("no time is left for a move")
 	// ErrNoCapacity means that the target has too little memory for the copy or is unreachable from the source.
 	ErrNoCapacity = errors.New("target has no capacity for the copy")
 )
@@ -124,7 +126,7 @@
 func (r *Registry) canStop(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.end.IsZero() || now.Add(copyTimeout).Before(r.end)
+	return r.end.IsZero() || now.Add(copyTimeout+resumeTime).Before(r.end)
 }
 
 // Events returns the number of events that the current generations have forwarded so far.
