--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -227,6 +227,14 @@
 	case "limit":
 		notice := toucanrate.ParseNotice(d.CmdArgs[1].Key)
 		sc.server.recordHints(toucanplace.Endpoint{ID: d.CmdArgs[0].Key}, time.Now(), Answer{Limit: notice})
+	case "stop":
+		ms := 0
+		d.ScanArgs(t, "ms", &ms)
+		sc.server.BeginStop(Stop{Began: time.Now(), End: time.Now().Add(time.Duration(ms) * time.Millisecond)})
+	case "pause":
+		ms := 0
+		d.ScanArgs(t, "ms", &ms)
+		time.Sleep(time.Duration(ms) * time.Millisecond)
 	case "drain":
 		sc.publishEndpoints(d.CmdArgs[0].Key)
 	case "lines":
