--- a/toucanupstream/pool_test.go
+++ b/toucanupstream/pool_test.go
@@ -386,6 +386,10 @@
 				m := message()
 				m.Belongs = nil
 				_, err := p.Send(t.Context(), s.Addr().String(), 1, m)
+				for errors.Is(err, ErrNotSent) && t.Context().Err() == nil {
+					// A busy machine can let a dial time out, which shows nothing about the head.
+					_, err = p.Send(t.Context(), s.Addr().String(), 1, m)
+				}
 				assert.ErrorIs(t, err, ErrLost, "%q", head[:cut])
 				assert.NilError(t, s.Close())
 			}
