toucanevent: the event parser in a package of its own

The parser decides what of a stream is new to the caller and what is missing. It was part of toucanforward and is needed with further state for streams that callers resume.

--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanevent"
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
@@ -33,27 +34,27 @@
 	g := s.generations.Begin(j.generationSpec(), a.reservation)
 	defer s.generations.End(g)
 	j.head = a
-	seen := eventParser{memory: j.buffers}
+	seen := toucanevent.New(toucanevent.WithMemory(j.buffers))
 	resp, reservation := a.stream, a.reservation
 	for {
-		err := s.relayFrom(ctx, j, g, reservation, resp, &seen)
+		err := s.relayFrom(ctx, j, g, reservation, resp, seen)
 		resp.Close()
 		if err == nil {
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
 		if ctx.Err() == nil && !g.StopRequested() {
-			s.recordBreak(j, reservation.Endpoint, seen.count)
+			s.recordBreak(j, reservation.Endpoint, seen.Count())
 		}
-		next, nextReservation, resumeErr := s.resume(ctx, j, g, &seen)
-		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 && s.checkEnd(ctx, resp, reservation.Endpoint) == nil {
+		next, nextReservation, resumeErr := s.resume(ctx, j, g, seen)
+		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && !seen.HasPartial() && s.checkEnd(ctx, resp, reservation.Endpoint) == nil {
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
 		if resumeErr != nil {
 			f := &failure{err: err}
 			reservation.Done(time.Now(), f.outcome(ctx))
-			s.cutStream(ctx, j, reservation, &seen, err, resumeErr)
+			s.cutStream(ctx, j, reservation, seen, err, resumeErr)
 			return
 		}
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
@@ -98,14 +99,14 @@
 
 // cutStream logs a stream that can't be resumed. It aborts the caller's connection, so that the stream does not look complete, or
 // refuses the request if nothing was passed on.
-func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *eventParser, cause, resumeErr error) {
+func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *toucanevent.Parser, cause, resumeErr error) {
 	msg := toucanlog.MsgStreamCut
 	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errQuarantined) && !endedByStop(ctx)
 	if callerLeft {
 		msg = toucanlog.MsgCallerLeft
 	}
 	s.metrics.streamsCut.Inc(1)
-	if seen.count == 0 {
+	if seen.Count() == 0 {
 		s.metrics.cutAtStart.Inc(1)
 	}
 	if s.isStopping() {
@@ -116,8 +117,8 @@
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
 		toucanlog.Endpoint, reservation.Endpoint.ID,
-		toucanlog.Events, seen.count,
-		toucanlog.LastEvent, seen.last,
+		toucanlog.Events, seen.Count(),
+		toucanlog.LastEvent, seen.Last(),
 		toucanlog.Cause, cause.Error(),
 		toucanlog.NotResumed, resumeErr.Error(),
 		toucanlog.TookMs, time.Since(j.arrived).Milliseconds(),
@@ -135,20 +136,20 @@
 }
 
 // relayFrom passes on the part of a stream that comes from one endpoint. It returns nil if the stream is complete.
-func (s *Server) relayFrom(ctx context.Context, j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, resp *toucanupstream.Response, seen *eventParser) error {
+func (s *Server) relayFrom(ctx context.Context, j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, resp *toucanupstream.Response, seen *toucanevent.Parser) error {
 	flusher := http.NewResponseController(j.w)
 	buf := make([]byte, relayBuffer)
 	for {
 		n, readErr := resp.Body.Read(buf)
 		if n > 0 {
-			whole, gap := seen.parse(buf[:n])
+			whole, gap := seen.Parse(buf[:n])
 			if err := s.writeEvents(j, g, reservation, flusher, whole, seen); err != nil {
 				return err
 			}
 			if gap {
 				return errGap
 			}
-			if seen.tooLong() {
+			if seen.TooLong() {
 				return errLong
 			}
 		}
@@ -161,10 +162,10 @@
 		if !errors.Is(readErr, io.EOF) || !resp.Framed && g.StopRequested() {
 			return readErr
 		}
-		if len(seen.pending) > 0 {
+		if seen.HasPartial() {
 			return errPartial
 		}
-		if !resp.Framed && seen.count == 0 {
+		if !resp.Framed && seen.Count() == 0 {
 			// The end of the endpoint looks like this.
 			return errEmpty
 		}
@@ -173,14 +174,14 @@
 }
 
 // writeEvents writes complete events to the caller and updates the progress and the estimate of the generation.
-func (s *Server) writeEvents(j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, flusher *http.ResponseController, whole []byte, seen *eventParser) error {
+func (s *Server) writeEvents(j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, flusher *http.ResponseController, whole []byte, seen *toucanevent.Parser) error {
 	if len(whole) == 0 {
 		return nil
 	}
-	if seen.count >= provenEvents {
+	if seen.Count() >= provenEvents {
 		s.recordProven(j)
 	}
-	if first, gap := g.Progress(seen.count); first {
+	if first, gap := g.Progress(seen.Count()); first {
 		reservation.MarkPromptRead()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	} else {
@@ -198,7 +199,7 @@
 
 // resume opens the rest of a stream at the endpoint that the generation was moved to, or else at the one with its
 // backup.
-func (s *Server) resume(ctx context.Context, j *job, g *toucangeneration.Generation, seen *eventParser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
+func (s *Server) resume(ctx context.Context, j *job, g *toucangeneration.Generation, seen *toucanevent.Parser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
 	if ctx.Err() != nil {
 		return nil, nil, ctx.Err()
 	}
@@ -231,13 +232,13 @@
 
 // resumeAt opens the rest of a stream at the endpoint that the handover names. The error wraps errNotRun if the
 // endpoint provably did not begin, so that the generation can be resumed at another one.
-func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *eventParser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
-	seen.discardPartial()
+func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *toucanevent.Parser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
+	seen.DiscardPartial()
 	j.endLateStops(h.Reservation.Endpoint.Address)
 	sentAt := time.Now()
 	s.limits.Spend(h.Reservation.Endpoint.Key())
 	j.startedAt = sentAt
-	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.last})
+	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.Last()})
 	if err != nil {
 		f := newFailure(h.Reservation, err)
 		h.Reservation.Done(time.Now(), f.outcome(ctx))
@@ -260,7 +261,7 @@
 		toucanlog.RequestID, j.ID,
 		toucanlog.Endpoint, h.Reservation.Endpoint.ID,
 		toucanlog.From, h.Source,
-		toucanlog.LastEvent, seen.last,
+		toucanlog.LastEvent, seen.Last(),
 		toucanlog.Backup, h.Backup,
 		toucanlog.PauseMs, time.Since(h.StoppedAt).Milliseconds(),
 	)
