Resumable streams: callers resume, and a broken one is sent again within one answer

Cause: routes with resumable streams were unknown.

Change: Route.Resumable makes a stream idempotent. The last event goes to the endpoint with each attempt; the parser begins there, so that nothing comes twice whatever the endpoint sends, and an endpoint that ends before it is not taken for the end (of other streams neither). A stream that breaks goes on, in this order, from the memory of a move, from its backup, and by sending the request again: the endpoint that may still run it is stopped first, and if it hands out its memory no prompt is read again. That draws on MaxAttempts and on the shared retry budget. A last event that is no number, or beyond the end, is refused with 400.

Tests: scripts 'resumable' (without CanResume the first of them fails), a property of the parser, toucanretry's plan.

--- a/toucanevent/parser.go
+++ b/toucanevent/parser.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"toucanport/toucanbody"
 )
 
@@ -18,10 +20,12 @@
 	uncovered bool
 	// pending holds the bytes of an event that is not complete yet.
 	pending []byte
-	// last is the id of the last complete event; empty before the first.
+	// last is the id of the last event that the caller has; empty before the first.
 	last string
-	// count is the number of complete events with an id, without repeated ones.
+	// count is the number of events with an id that Parse returned.
 	count int
+	// arrived is true once the present endpoint has sent an event with an id, reached once it has sent the last one or a later one.
+	arrived, reached bool
 	// sinceProgress is the number of bytes of comments, events without an id and repeated events that were complete since
 	// the last new event with an id.
 	sinceProgress int
@@ -33,6 +37,10 @@
 // WithMemory sets the reservation that covers the bytes that the parser keeps.
 func WithMemory(r *toucanbody.Reservation) Option { return func(p *Parser) { p.memory = r } }
 
+// WithLast sets the id of the last event that the caller has from an earlier stream, as ParseID returns it; empty for none. What comes
+// up to it is left out, and what follows it must not skip a number.
+func WithLast(id string) Option { return func(p *Parser) { p.last = id } }
+
 // New returns a parser before the first event.
 func New(opts ...Option) *Parser {
 	p := &Parser{}
@@ -51,15 +59,22 @@
 	idField   = []byte("id:")
 )
 
-// Last returns the id of the last complete event; empty before the first.
+// Last returns the id of the last event that the caller has; empty before the first.
 func (p *Parser) Last() string { return p.last }
 
-// Count returns the number of complete events with an id, without repeated ones.
+// Count returns the number of events with an id that Parse returned.
 func (p *Parser) Count() int { return p.count }
 
 // HasPartial reports whether bytes of an event have arrived that is not complete.
 func (p *Parser) HasPartial() bool { return len(p.pending) > 0 }
 
+// IsSilent reports whether the present endpoint has sent no complete event with an id.
+func (p *Parser) IsSilent() bool { return !p.arrived }
+
+// IsBehind reports whether the present endpoint has sent events, but none as late as the last one that the caller has. If its stream
+// ends so, that is not the end of what the caller has seen.
+func (p *Parser) IsBehind() bool { return p.arrived && !p.reached }
+
 // Parse returns the events that b completes, without those that were returned before. gap is true if the id of the next
 // event skips numbers, so that events are missing; that event and those after it are not returned. Once TooLong reports
 // true, Parse keeps and returns nothing more.
@@ -92,30 +107,46 @@
 	return p.uncovered || p.sinceProgress+len(p.pending) > MaxBytes
 }
 
-// checkSequence compares the id of the next event with the last one. isNew is false if the event was returned before;
+// checkSequence compares the id of the next event with the last one. isNew is false if the caller has the event;
 // gap is true if ids between the two are missing. Events without an id are always new.
 func (p *Parser) checkSequence(id string) (isNew, gap bool) {
 	if id == "" {
 		return true, false
 	}
+	p.arrived = true
 	n, err := strconv.ParseUint(id, 10, 64)
 	previous, previousErr := strconv.ParseUint(p.last, 10, 64)
 	if err == nil && previousErr == nil {
 		if n <= previous {
+			p.reached = p.reached || n == previous
 			return false, false
 		}
 		if n > previous+1 {
 			return false, true
 		}
 	}
-	p.last, p.sinceProgress = id, 0
+	p.last, p.sinceProgress, p.reached = id, 0, true
 	p.count++
 	return true, false
 }
 
-// DiscardPartial drops an incomplete event before the stream resumes at another endpoint, which sends it again.
-func (p *Parser) DiscardPartial() {
+// NextEndpoint prepares for the stream of the next endpoint. An incomplete event is dropped, as that endpoint sends it again.
+func (p *Parser) NextEndpoint() {
 	p.pending, p.sinceProgress, p.uncovered = nil, 0, false
+	p.arrived, p.reached = false, false
+}
+
+// ErrID is returned for the text of an event's id that is no number.
+var ErrID = errors.New("id of an event is not a number")
+
+// ParseID returns the id of an event in the form that endpoints send, without leading zeros. It returns ErrID if text is not a
+// non-negative number of 64 bits.
+func ParseID(text string) (string, error) {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return "", ErrID
+	}
+	return strconv.FormatUint(n, 10), nil
 }
 
 // eventID returns the id of an event, or an empty string if it has none.
--- a/toucanevent/parser_test.go
+++ b/toucanevent/parser_test.go
@@ -36,7 +36,7 @@
 		}
 		assert.Assert(t, e.TooLong(), "%q: %d bytes were read, %d passed on", piece, read, passed)
 		assert.Assert(t, passed <= MaxBytes+testBuffer, "%q", piece)
-		e.DiscardPartial()
+		e.NextEndpoint()
 		assert.Assert(t, !e.TooLong(), "%q: not resumed", piece)
 	}
 }
@@ -73,7 +73,7 @@
 		}
 		cut := size % len(text)
 		feed(text[:cut])
-		e.DiscardPartial()
+		e.NextEndpoint()
 		feed(text)
 		assert.Equal(t, got.String(), text)
 	}
--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -42,6 +42,9 @@
 	} else if !route.Anonymous {
 		return j, &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
 	}
+	if err := s.acceptLastEvent(j); err != nil {
+		return j, &refusal{status: http.StatusBadRequest, reason: reasonLastEvent, err: err}
+	}
 	j.service, ok = table.Service(route.Service(req.ID))
 	if !ok {
 		return j, refuseLater(reasonNoService, retryAfterUnready)
--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -85,12 +85,17 @@
 // of beginning a new one.
 func (s *Server) send(ctx context.Context, j *job, reservation *toucanplace.Reservation, resume *Resume) (*toucanupstream.Response, error) {
 	s.recordSend(j, reservation.Endpoint, resume != nil)
+	lastEvent := j.lastEvent
+	if resume != nil {
+		lastEvent = ""
+	}
 	header := s.codec.Outgoing(endToEndHeaders(j.in.Header), Attempt{
 		Request:   j.Request,
 		Workspace: j.workspace,
 		Left:      time.Until(j.deadline),
 		Instance:  reservation.Endpoint.ID,
 		Backup:    s.reserveBackup(j, reservation),
+		LastEvent: lastEvent,
 		Resume:    resume,
 	})
 	return s.pool.Send(ctx, reservation.Endpoint.Address, j.service.MaxConnections, toucanupstream.Message{
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -37,6 +37,7 @@
 	reasonUnknown     reason = "outcomeUnknown"
 	reasonQuarantined reason = "quarantined"
 	reasonStopping    reason = "stopping"
+	reasonLastEvent   reason = "lastEvent"
 )
 
 var (
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -37,6 +37,9 @@
 	resumed           tally.Counter
 	withoutBackup     tally.Counter
 	resumedFromBackup tally.Counter
+	// callersResumed counts the requests whose callers resume a stream, streamsResent the streams that were sent again to another endpoint
+	// within one answer, notResent those that broke and could not be.
+	callersResumed, streamsResent, notResent tally.Counter
 	// bodiesNotKept counts the requests that can be sent only once, as there was no memory for their bodies.
 	bodiesNotKept tally.Counter
 	// takenWhileStopping counts the attempts that were made while the server stops, cutWhileStopping the streams cut then.
@@ -92,6 +95,9 @@
 		resumed:            scope.Counter("streams_resumed"),
 		withoutBackup:      scope.Counter("streams_without_backup"),
 		resumedFromBackup:  scope.Counter("streams_resumed_from_backup"),
+		callersResumed:     scope.Counter("streams_resumed_by_callers"),
+		streamsResent:      scope.Counter("streams_resent"),
+		notResent:          scope.Counter("streams_not_resent"),
 		bodiesNotKept:      scope.Counter("request_bodies_not_kept"),
 		takenWhileStopping: scope.Counter("requests_taken_while_stopping"),
 		cutWhileStopping:   scope.Counter("streams_cut_while_stopping"),
--- a/toucanforward/normalize_test.go
+++ b/toucanforward/normalize_test.go
@@ -24,7 +24,7 @@
 	toucanlog.MsgRequestPlaced, toucanlog.MsgRequestHeld, toucanlog.MsgRequestRefused,
 	toucanlog.MsgRequestAnswered, toucanlog.MsgRequestFailed, toucanlog.MsgRequestRetried,
 	toucanlog.MsgStreamCut, toucanlog.MsgCallerLeft, toucanlog.MsgGenerationMoved,
-	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed, toucanlog.MsgSourceAsked, toucanlog.MsgEndpointEnded, toucanlog.MsgPartQuarantined,
+	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed, toucanlog.MsgCallerResumes, toucanlog.MsgStreamResent, toucanlog.MsgSourceAsked, toucanlog.MsgEndpointEnded, toucanlog.MsgPartQuarantined,
 	toucanlog.MsgEndpointDeferred, toucanlog.MsgEndpointLeaves,
 	toucanlog.MsgBodyNotKept, toucanlog.MsgEndpointLimited, toucanlog.MsgEndpointUnlimited, toucanlog.MsgSentToLimited,
 }
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -32,6 +32,9 @@
 	// SharedParts are the parts of the prompt that other requests can have too, in order; empty for requests that
 	// generate nothing.
 	SharedParts []toucanquarantine.Part
+	// LastEvent is the text of the id of the last event that the caller has of the same stream, unchecked; empty for none. It counts only
+	// on routes whose streams can be resumed.
+	LastEvent string
 	// PromptParts is the text that lists all parts of the prompt; empty for requests that generate nothing.
 	PromptParts string
 }
@@ -57,6 +60,8 @@
 	// Backup is the address of the endpoint that keeps the generation's backup; empty for none. The handle of the
 	// backup is the request's ID.
 	Backup string
+	// LastEvent is the id of the event after which the endpoint is to begin; empty for the first event. It is empty with Resume.
+	LastEvent string
 	// Resume is nil unless the endpoint is to continue a generation.
 	Resume *Resume
 }
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -82,6 +82,7 @@
 	tokens, _ := strconv.Atoi(h.Get(headerTokens))
 	r := Request{ID: h.Get(headerID), Key: h.Get("X-Key"), Patience: testTimeout, Prompt: tokens, MaxOutput: tokens}
 	r.SharedParts = parseParts(h.Get(headerParts))
+	r.LastEvent = h.Get(headerLast)
 	return r, nil
 }
 
@@ -98,6 +99,10 @@
 
 func (testCodec) Outgoing(h http.Header, a Attempt) http.Header {
 	h.Del("X-Key")
+	h.Del(headerLast)
+	if a.LastEvent != "" {
+		h.Set(headerLast, a.LastEvent)
+	}
 	h.Set(headerLeft, fmt.Sprint(a.Left <= testTimeout && a.Left > 0))
 	if a.Backup != "" {
 		h.Set(headerBackup, a.Backup)
@@ -335,7 +340,7 @@
 	}
 	route := toucantraffic.Route{
 		Name: "r", Host: "host", Prefix: "/p/", Kind: kinds[kind], Timeout: bound, MaxAttempts: attempts,
-		Anonymous: key == "", Shares: []toucantraffic.Share{{Service: "s", Weight: 1}},
+		Resumable: d.HasArg("resumable"), Anonymous: key == "", Shares: []toucantraffic.Share{{Service: "s", Weight: 1}},
 	}
 	service := toucantraffic.Service{Name: "s"}
 	if kind == "stream" {
@@ -395,7 +400,7 @@
 
 // request sends a request and returns its answer, the requests that each endpoint received and the requested copies.
 func (sc *deployment) request(ctx context.Context, d *datadriven.TestData) string {
-	method, path, key, tokens, parts := http.MethodPost, "/p/x", "", "0", ""
+	method, path, key, tokens, parts, last := http.MethodPost, "/p/x", "", "0", "", ""
 	d.MaybeScanArgs(sc.t, "parts", &parts)
 	d.MaybeScanArgs(sc.t, "path", &path)
 	d.MaybeScanArgs(sc.t, "key", &key)
@@ -412,6 +417,8 @@
 	r.Header.Set("X-Key", key)
 	r.Header.Set(headerTokens, tokens)
 	r.Header.Set(headerParts, parts)
+	d.MaybeScanArgs(sc.t, "last", &last)
+	r.Header.Set(headerLast, last)
 	r.Header.Set(headerPrivate, secretMark)
 	for _, e := range sc.endpoints {
 		e.reset()
@@ -438,7 +445,11 @@
 	}
 	text := strings.ReplaceAll(strings.TrimSpace(string(body)), "\n\n", " ")
 	text = strings.ReplaceAll(text, "\n", "|")
-	return fmt.Sprintf("%d%s %s%s\n%s", resp.StatusCode, later, text, end, sc.receivedRequests())
+	signed := ""
+	if d.HasArg("signed") {
+		signed = " signed " + resp.Header.Get(headerGenuine)
+	}
+	return fmt.Sprintf("%d%s%s %s%s\n%s", resp.StatusCode, signed, later, text, end, sc.receivedRequests())
 }
 
 // body returns the body of a request: the command's input, or size bytes. With chunked, its length is not known before. With slow, its
@@ -622,7 +633,8 @@
 //	events A B hold  events A to B, then wait until released or stopped
 //	events A B cut   events A to B, then the connection breaks
 //	events A B end   events A to B, then the stream's end
-//	events A B keep  the same, and the connection stays open for another request
+//	events A B cutInside  the same, inside the event after B
+//	events A B keep  the same as end, and the connection stays open for another request
 //	early ...        the step that follows, before the body was read
 //	drop             no answer on a connection that was kept; the connection is closed, and the request is not recorded
 //	events A B encoded       the same as end, with a Content-Encoding
@@ -744,6 +756,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	what := "run"
+	if r.Header.Get(headerLast) != "" {
+		what += " after " + r.Header.Get(headerLast)
+	}
 	if r.Header.Get(headerResume) != "" {
 		what = fmt.Sprintf("resume %s after %s", r.Header.Get(headerResume), r.Header.Get(headerLast))
 		if r.Header.Get(headerResume) == r.Header.Get(headerID) {
@@ -864,7 +879,7 @@
 func (e *endpoint) stream(rw *bufio.ReadWriter, id string, step []string) {
 	from, _ := strconv.Atoi(step[1])
 	to, _ := strconv.Atoi(step[2])
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\n", headerID, id, headerGenuine)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\n", headerID, id, headerGenuine, e.name)
 	if step[3] == "keep" {
 		e.mu.Lock()
 		e.keeps = true
@@ -899,6 +914,9 @@
 	switch step[3] {
 	case "end", "keep", "encoded":
 		_, _ = rw.WriteString("0\r\n\r\n")
+	case "cutInside":
+		event := fmt.Sprintf("id: %d\nda", to+1)
+		_, _ = fmt.Fprintf(rw, "%x\r\n%s\r\n", len(event), event)
 	case "hold":
 		if <-e.beginHold() {
 			_, _ = rw.WriteString("0\r\n\r\n")
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -148,6 +148,8 @@
 	// maxBody is the longest body in bytes that the caller may send; zero for any.
 	maxBody int64
 	plan    *toucanretry.Plan
+	// lastEvent is the id of the event after which the stream of the next endpoint is to begin; empty for the first event.
+	lastEvent string
 	// backup is the reservation for the generation's backup; nil for none.
 	backup *toucanplace.Reservation
 	// lateStops are those that were begun for this request.
@@ -257,13 +259,15 @@
 	if ctx.Err() != nil || !j.body.Repeatable() || j.maybeRun >= j.route.MaxAttempts || !s.mayStartAgain(j) {
 		return false
 	}
-	if !s.placer.HasEndpoint(j.service.Name, j.untried) {
+	if !s.hasEndpointFor(j) {
 		return false
 	}
 	delay, ok := j.plan.Next(time.Now(), toucanretry.Failure{
-		NotRun:     f.notRun,
-		Idempotent: j.route.Kind == toucantraffic.Idempotent,
-		Unsent:     f.unsent,
+		NotRun:        f.notRun,
+		AnswerStarted: j.written > 0,
+		Resumable:     j.route.CanResume(),
+		Idempotent:    j.route.IsIdempotent(),
+		Unsent:        f.unsent,
 	})
 	if !ok {
 		return false
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -34,7 +34,7 @@
 	g := s.generations.Begin(j.generationSpec(), a.reservation)
 	defer s.generations.End(g)
 	j.head = a
-	seen := toucanevent.New(toucanevent.WithMemory(j.buffers))
+	seen := toucanevent.New(toucanevent.WithMemory(j.buffers), toucanevent.WithLast(j.lastEvent))
 	resp, reservation := a.stream, a.reservation
 	for {
 		err := s.relayFrom(ctx, j, g, reservation, resp, seen)
@@ -43,6 +43,11 @@
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
+		if j.isBeyondEnd(err, seen) {
+			reservation.Done(time.Now(), toucanplace.OutcomeGood)
+			s.refuseBeyondEnd(j, reservation, err)
+			return
+		}
 		if ctx.Err() == nil && !g.StopRequested() {
 			s.recordBreak(j, reservation.Endpoint, seen.Count())
 		}
@@ -51,6 +56,9 @@
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
+		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) {
+			next, nextReservation, resumeErr = s.resendIfResumable(ctx, j, g, seen, newBrokenStream(time.Now(), reservation.Endpoint, err))
+		}
 		if resumeErr != nil {
 			f := &failure{err: err}
 			reservation.Done(time.Now(), f.outcome(ctx))
@@ -82,7 +90,9 @@
 	j.writeHead()
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.recordProven(j)
-	s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens())
+	if !j.callerResumed() {
+		s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens()) // Otherwise it made only the rest.
+	}
 	s.logAnswered(j, &answer{status: a.status, reservation: reservation, generation: g}, nil)
 }
 
@@ -165,7 +175,10 @@
 		if seen.HasPartial() {
 			return errPartial
 		}
-		if !resp.Framed && seen.Count() == 0 {
+		if seen.IsBehind() {
+			return errBehind
+		}
+		if !resp.Framed && (seen.Count() == 0 || j.route.CanResume() && seen.IsSilent()) {
 			// The end of the endpoint looks like this.
 			return errEmpty
 		}
@@ -197,8 +210,8 @@
 	return errors.Wrap(flusher.Flush(), "write to the caller")
 }
 
-// resume opens the rest of a stream at the endpoint that the generation was moved to, or else at the one with its
-// backup.
+// resume opens the rest of a stream at the endpoint that the generation was moved to, or else at the one with its backup. If neither goes
+// on with it, a resumable stream is sent again: that costs the reading of its prompt.
 func (s *Server) resume(ctx context.Context, j *job, g *toucangeneration.Generation, seen *toucanevent.Parser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
 	if ctx.Err() != nil {
 		return nil, nil, ctx.Err()
@@ -212,10 +225,14 @@
 		return nil, nil, err
 	}
 	if err == nil {
+		s.limits.Spend(h.Reservation.Endpoint.Key())
 		resp, reservation, err := s.resumeAt(ctx, j, g, h, seen)
-		if err == nil || ctx.Err() != nil || !errors.Is(err, errNotRun) {
+		if err == nil || ctx.Err() != nil {
 			return resp, reservation, err
 		}
+		if !errors.Is(err, errNotRun) {
+			return s.resendIfResumable(ctx, j, g, seen, newBrokenStream(brokenAt, h.Reservation.Endpoint, err))
+		}
 	}
 	if !s.mayStartAgain(j) {
 		return nil, nil, errQuarantined
@@ -224,26 +241,33 @@
 		s.lastBreak.Store(int64(brokenAt.Sub(s.started)))
 	}
 	h, err = s.handOverToBackup(ctx, j, g, brokenAt)
+	if errors.Is(err, errNoBackup) {
+		return s.resendIfResumable(ctx, j, g, seen, newBrokenStream(brokenAt, g.Endpoint(), err))
+	}
 	if err != nil {
 		return nil, nil, err
 	}
-	return s.resumeAt(ctx, j, g, h, seen)
+	s.limits.Spend(h.Reservation.Endpoint.Key())
+	resp, reservation, err := s.resumeAt(ctx, j, g, h, seen)
+	if err == nil || ctx.Err() != nil {
+		return resp, reservation, err
+	}
+	return s.resendIfResumable(ctx, j, g, seen, newBrokenStream(brokenAt, h.Reservation.Endpoint, err))
 }
 
 // resumeAt opens the rest of a stream at the endpoint that the handover names. The error wraps errNotRun if the
 // endpoint provably did not begin, so that the generation can be resumed at another one.
 func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *toucanevent.Parser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
-	seen.DiscardPartial()
+	seen.NextEndpoint()
 	j.endLateStops(h.Reservation.Endpoint.Address)
 	sentAt := time.Now()
-	s.limits.Spend(h.Reservation.Endpoint.Key())
 	j.startedAt = sentAt
-	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.Last()})
+	resp, err := s.send(ctx, j, h.Reservation, resumeFrom(h, seen))
 	if err != nil {
 		f := newFailure(h.Reservation, err)
 		h.Reservation.Done(time.Now(), f.outcome(ctx))
 		if f.notRun {
-			err = errors.Wrap(errNotRun, err.Error())
+			err = notRunError{cause: err}
 		}
 		return nil, nil, err
 	}
@@ -257,7 +281,11 @@
 	}
 	g.ContinueAt(h.Reservation)
 	s.metrics.resumed.Inc(1)
-	s.log.Info(toucanlog.MsgStreamResumed,
+	msg := toucanlog.MsgStreamResumed
+	if h.Handle == "" {
+		msg = toucanlog.MsgStreamResent
+	}
+	s.log.Info(msg,
 		toucanlog.RequestID, j.ID,
 		toucanlog.Endpoint, h.Reservation.Endpoint.ID,
 		toucanlog.From, h.Source,
@@ -268,6 +296,23 @@
 	return resp, h.Reservation, nil
 }
 
+// resumeFrom returns the memory from which an endpoint continues a generation; nil if it reads the prompt again.
+func resumeFrom(h toucangeneration.Handover, seen *toucanevent.Parser) *Resume {
+	if h.Handle == "" {
+		return nil
+	}
+	return &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.Last()}
+}
+
+// notRunError is the error of a send of which nothing reached the endpoint. It wraps errNotRun and its cause.
+type notRunError struct{ cause error }
+
+// Error implements error.
+func (e notRunError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the errors that e wraps.
+func (e notRunError) Unwrap() []error { return []error{errNotRun, e.cause} }
+
 // resumeError returns the error for an endpoint that did not resume a generation. It wraps errNotRun if the endpoint
 // certainly did not run the request.
 func resumeError(h toucangeneration.Handover, status int, notRun bool) error {
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -18,6 +18,8 @@
 	MsgGenerationMoved    = "generation moved"
 	MsgGenerationNotMoved = "generation could not be moved"
 	MsgStreamResumed      = "stream resumed"
+	MsgCallerResumes      = "caller resumes a stream"
+	MsgStreamResent       = "stream sent again after its last event"
 	MsgSourceAsked        = "endpoint of a broken stream asked to stop it"
 
 	// Changes in a process's view of the store, its peers and its endpoints.
--- a/toucanretry/retry.go
+++ b/toucanretry/retry.go
@@ -14,6 +14,8 @@
 	NotRun bool
 	// AnswerStarted is true if any part of the answer has been passed on to the caller.
 	AnswerStarted bool
+	// Resumable is true if the next endpoint leaves out what has been passed on to the caller.
+	Resumable bool
 	// Idempotent is true if running the request twice does no harm, as for generations.
 	Idempotent bool
 	// Draining is true if the endpoint returned the request because it drains. The retry then costs no budget, because
@@ -28,7 +30,7 @@
 
 // Safe reports whether a retry is safe: it cannot apply an order twice, and the caller cannot get a mix of two answers.
 func (f Failure) Safe() bool {
-	if f.AnswerStarted {
+	if f.AnswerStarted && !f.Resumable {
 		return false
 	}
 	return f.NotRun || f.Idempotent
--- a/toucanretry/retry_test.go
+++ b/toucanretry/retry_test.go
@@ -48,6 +48,7 @@
 		NotRun:        d.HasArg("notRun"),
 		AnswerStarted: d.HasArg("answerStarted"),
 		Idempotent:    d.HasArg("idempotent"),
+		Resumable:     d.HasArg("resumable"),
 		Draining:      d.HasArg("draining"),
 		RetryAfter:    retryAfter,
 	})
@@ -93,6 +94,7 @@
 					NotRun:        rapid.Bool().Draw(t, "notRun"),
 					AnswerStarted: rapid.Bool().Draw(t, "handedOver"),
 					Idempotent:    rapid.Bool().Draw(t, "repeatable"),
+					Resumable:     rapid.Bool().Draw(t, "resumable"),
 				}
 				delay, ok := plan.Next(at, f)
 				if !ok {
@@ -100,7 +102,7 @@
 				}
 				retries++
 				at = at.Add(delay)
-				assert.Assert(t, f.NotRun && !f.AnswerStarted || f.Idempotent && !f.AnswerStarted)
+				assert.Assert(t, (f.NotRun || f.Idempotent) && (!f.AnswerStarted || f.Resumable))
 				assert.Assert(t, delay > 0 && at.Before(deadline))
 			}
 		}
--- a/toucantraffic/table.go
+++ b/toucantraffic/table.go
@@ -20,7 +20,7 @@
 	AtMostOnce Kind = iota
 	// Idempotent requests may be run any number of times.
 	Idempotent
-	// Stream requests are answered by a stream of events and run at most once.
+	// Stream requests are answered by a stream of events. They are run at most once, unless their route is resumable.
 	Stream
 )
 
@@ -65,10 +65,18 @@
 	MaxAttempts int
 	// Anonymous is true if the route accepts requests without a key.
 	Anonymous bool
+	// Resumable is true if a stream may go on at any endpoint after the last event that its caller has. Only streams do.
+	Resumable bool
 	// Generates is true if requests state the length of their prompt and are answered by generated tokens.
 	Generates bool
 }
 
+// CanResume reports whether the route's requests are streams that may go on at any endpoint after the last event that the caller has.
+func (r Route) CanResume() bool { return r.Kind == Stream && r.Resumable }
+
+// IsIdempotent reports whether the route's requests may be run any number of times.
+func (r Route) IsIdempotent() bool { return r.Kind == Idempotent || r.CanResume() }
+
 // Service returns the name of the service for a request. It depends only on the request id and the shares.
 func (r Route) Service(requestID string) string {
 	total := 0.0
