--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanevent"
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
@@ -33,27 +34,35 @@
 	g := s.generations.Begin(j.generationSpec(), a.reservation)
 	defer s.generations.End(g)
 	j.head = a
-	seen := eventParser{memory: j.buffers}
+	seen := toucanevent.New(toucanevent.WithMemory(j.buffers), toucanevent.WithLast(j.lastEvent))
 	resp, reservation := a.stream, a.reservation
 	for {
-		err := s.relayFrom(ctx, j, g, reservation, resp, &seen)
+		err := s.relayFrom(ctx, j, g, reservation, resp, seen)
 		resp.Close()
 		if err == nil {
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
+		if j.isBeyondEnd(err, seen) {
+			reservation.Done(time.Now(), toucanplace.OutcomeGood)
+			s.refuseBeyondEnd(j, reservation, err)
+			return
+		}
 		if ctx.Err() == nil && !g.StopRequested() {
-			s.recordBreak(j, reservation.Endpoint, seen.count)
+			s.recordBreak(j, reservation.Endpoint, seen.Count())
 		}
-		next, nextReservation, resumeErr := s.resume(ctx, j, g, &seen)
-		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && len(seen.pending) == 0 && s.checkEnd(ctx, resp, reservation.Endpoint) == nil {
+		next, nextReservation, resumeErr := s.resume(ctx, j, g, seen)
+		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && !seen.HasPartial() && s.checkEnd(ctx, resp, reservation.Endpoint) == nil {
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
+		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) {
+			next, nextReservation, resumeErr = s.resendIfResumable(ctx, j, g, seen, newBrokenStream(time.Now(), reservation.Endpoint, err))
+		}
 		if resumeErr != nil {
 			f := &failure{err: err}
 			reservation.Done(time.Now(), f.outcome(ctx))
-			s.cutStream(ctx, j, reservation, &seen, err, resumeErr)
+			s.cutStream(ctx, j, reservation, seen, err, resumeErr)
 			return
 		}
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
@@ -81,7 +90,9 @@
 	j.writeHead()
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.recordProven(j)
-	s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens())
+	if !j.callerResumed() {
+		s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens()) // Otherwise it made only the rest.
+	}
 	s.logAnswered(j, &answer{status: a.status, reservation: reservation, generation: g}, nil)
 }
 
@@ -98,14 +109,14 @@
 
 // cutStream logs a stream that can't be resumed. It aborts the caller's connection, so that the stream does not look complete, or
 // refuses the request if nothing was passed on.
-func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *eventParser, cause, resumeErr error) {
+func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *toucanevent.Parser, cause, resumeErr error) {
 	msg := toucanlog.MsgStreamCut
 	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errQuarantined) && !endedByStop(ctx)
 	if callerLeft {
 		msg = toucanlog.MsgCallerLeft
 	}
 	s.metrics.streamsCut.Inc(1)
-	if seen.count == 0 {
+	if seen.Count() == 0 {
 		s.metrics.cutAtStart.Inc(1)
 	}
 	if s.isStopping() {
@@ -116,8 +127,8 @@
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
 		toucanlog.Endpoint, reservation.Endpoint.ID,
-		toucanlog.Events, seen.count,
-		toucanlog.LastEvent, seen.last,
+		toucanlog.Events, seen.Count(),
+		toucanlog.LastEvent, seen.Last(),
 		toucanlog.Cause, cause.Error(),
 		toucanlog.NotResumed, resumeErr.Error(),
 		toucanlog.TookMs, time.Since(j.arrived).Milliseconds(),
@@ -135,20 +146,20 @@
 }
 
 // relayFrom passes on the part of a stream that comes from one endpoint. It returns nil if the stream is complete.
-func (s *Server) relayFrom(ctx context.Context, j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, resp *toucanupstream.Response, seen *eventParser) error {
+func (s *Server) relayFrom(ctx context.Context, j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, resp *toucanupstream.Response, seen *toucanevent.Parser) error {
 	flusher := http.NewResponseController(j.w)
 	buf := make([]byte, relayBuffer)
 	for {
 		n, readErr := resp.Body.Read(buf)
 		if n > 0 {
-			whole, gap := seen.parse(buf[:n])
+			whole, gap := seen.Parse(buf[:n])
 			if err := s.writeEvents(j, g, reservation, flusher, whole, seen); err != nil {
 				return err
 			}
 			if gap {
 				return errGap
 			}
-			if seen.tooLong() {
+			if seen.TooLong() {
 				return errLong
 			}
 		}
@@ -161,10 +172,13 @@
 		if !errors.Is(readErr, io.EOF) || !resp.Framed && g.StopRequested() {
 			return readErr
 		}
-		if len(seen.pending) > 0 {
+		if seen.HasPartial() {
 			return errPartial
 		}
-		if !resp.Framed && seen.count == 0 {
+		if seen.IsBehind() {
+			return errBehind
+		}
+		if !resp.Framed && (seen.Count() == 0 || j.route.CanResume() && seen.IsSilent()) {
 			// The end of the endpoint looks like this.
 			return errEmpty
 		}
@@ -173,14 +187,14 @@
 }
 
 // writeEvents writes complete events to the caller and updates the progress and the estimate of the generation.
-func (s *Server) writeEvents(j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, flusher *http.ResponseController, whole []byte, seen *eventParser) error {
+func (s *Server) writeEvents(j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, flusher *http.ResponseController, whole []byte, seen *toucanevent.Parser) error {
 	if len(whole) == 0 {
 		return nil
 	}
-	if seen.count >= provenEvents {
+	if seen.Count() >= provenEvents {
 		s.recordProven(j)
 	}
-	if first, gap := g.Progress(seen.count); first {
+	if first, gap := g.Progress(seen.Count()); first {
 		reservation.MarkPromptRead()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	} else {
@@ -196,9 +210,9 @@
 	return errors.Wrap(flusher.Flush(), "write to the caller")
 }
 
-// resume opens the rest of a stream at the endpoint that the generation was moved to, or else at the one with its
-// backup.
-func (s *Server) resume(ctx context.Context, j *job, g *toucangeneration.Generation, seen *eventParser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
+// resume opens the rest of a stream at the endpoint that the generation was moved to, or else at the one with its backup. If neither goes
+// on with it, a resumable stream is sent again: that costs the reading of its prompt.
+func (s *Server) resume(ctx context.Context, j *job, g *toucangeneration.Generation, seen *toucanevent.Parser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
 	if ctx.Err() != nil {
 		return nil, nil, ctx.Err()
 	}
@@ -211,10 +225,14 @@
 		return nil, nil, err
 	}
 	if err == nil {
+		s.limits.Spend(h.Reservation.Endpoint.Key())
 		resp, reservation, err := s.resumeAt(ctx, j, g, h, seen)
-		if err == nil || ctx.Err() != nil || !errors.Is(err, errNotRun) {
+		if err == nil || ctx.Err() != nil {
 			return resp, reservation, err
 		}
+		if !errors.Is(err, errNotRun) {
+			return s.resendIfResumable(ctx, j, g, seen, newBrokenStream(brokenAt, h.Reservation.Endpoint, err))
+		}
 	}
 	if !s.mayStartAgain(j) {
 		return nil, nil, errQuarantined
@@ -223,26 +241,33 @@
 		s.lastBreak.Store(int64(brokenAt.Sub(s.started)))
 	}
 	h, err = s.handOverToBackup(ctx, j, g, brokenAt)
+	if errors.Is(err, errNoBackup) {
+		return s.resendIfResumable(ctx, j, g, seen, newBrokenStream(brokenAt, g.Endpoint(), err))
+	}
 	if err != nil {
 		return nil, nil, err
 	}
-	return s.resumeAt(ctx, j, g, h, seen)
+	s.limits.Spend(h.Reservation.Endpoint.Key())
+	resp, reservation, err := s.resumeAt(ctx, j, g, h, seen)
+	if err == nil || ctx.Err() != nil {
+		return resp, reservation, err
+	}
+	return s.resendIfResumable(ctx, j, g, seen, newBrokenStream(brokenAt, h.Reservation.Endpoint, err))
 }
 
 // resumeAt opens the rest of a stream at the endpoint that the handover names. The error wraps errNotRun if the
 // endpoint provably did not begin, so that the generation can be resumed at another one.
-func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *eventParser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
-	seen.discardPartial()
+func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *toucanevent.Parser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
+	seen.NextEndpoint()
 	j.endLateStops(h.Reservation.Endpoint.Address)
 	sentAt := time.Now()
-	s.limits.Spend(h.Reservation.Endpoint.Key())
 	j.startedAt = sentAt
-	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.last})
+	resp, err := s.send(ctx, j, h.Reservation, resumeFrom(h, seen))
 	if err != nil {
 		f := newFailure(h.Reservation, err)
 		h.Reservation.Done(time.Now(), f.outcome(ctx))
 		if f.notRun {
-			err = errors.Wrap(errNotRun, err.Error())
+			err = notRunError{cause: err}
 		}
 		return nil, nil, err
 	}
@@ -256,17 +281,38 @@
 	}
 	g.ContinueAt(h.Reservation)
 	s.metrics.resumed.Inc(1)
-	s.log.Info(toucanlog.MsgStreamResumed,
+	msg := toucanlog.MsgStreamResumed
+	if h.Handle == "" {
+		msg = toucanlog.MsgStreamResent
+	}
+	s.log.Info(msg,
 		toucanlog.RequestID, j.ID,
 		toucanlog.Endpoint, h.Reservation.Endpoint.ID,
 		toucanlog.From, h.Source,
-		toucanlog.LastEvent, seen.last,
+		toucanlog.LastEvent, seen.Last(),
 		toucanlog.Backup, h.Backup,
 		toucanlog.PauseMs, time.Since(h.StoppedAt).Milliseconds(),
 	)
 	return resp, h.Reservation, nil
 }
 
+// resumeFrom returns the memory from which an endpoint continues a generation; nil if it reads the prompt again.
+func resumeFrom(h toucangeneration.Handover, seen *toucanevent.Parser) *Resume {
+	if h.Handle == "" {
+		return nil
+	}
+	return &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.Last()}
+}
+
+// notRunError is the error of a send of which nothing reached the endpoint. It wraps errNotRun and its cause.
+type notRunError struct{ cause error }
+
+// Error implements error.
+func (e notRunError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the errors that e wraps.
+func (e notRunError) Unwrap() []error { return []error{errNotRun, e.cause} }
+
 // resumeError returns the error for an endpoint that did not resume a generation. It wraps errNotRun if the endpoint
 // certainly did not run the request.
 func resumeError(h toucangeneration.Handover, status int, notRun bool) error {
