--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -50,7 +50,7 @@
 	if j.maxBody > 0 && r.ContentLength > j.maxBody {
 		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
-	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.estimates.estimate(route.Name, req, 0)}
+	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.estimates.estimate(route.Name, req, 0), MaxGap: route.Gap}
 	j.deadline = deadline(j.arrived, req.Patience, route.Timeout)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
 		toucanretry.WithMaxAttempts(route.MaxAttempts+unsentAttempts))
--- /dev/null
+++ b/toucanforward/pace.go
@@ -0,0 +1,64 @@
+package toucanforward
+
+import (
+	"time"
+
+	"toucanport/toucanlog"
+	"toucanport/toucanpace"
+	"toucanport/toucanplace"
+)
+
+// eventTimer measures the time between events of one stream for what is learned of its endpoint's pace.
+type eventTimer struct {
+	// endpoint is the ID of the endpoint that made the last event; empty before the first one.
+	endpoint string
+	// at is when the last event arrived, and events the number of events until then.
+	at     time.Time
+	events int
+	// beside is true if the endpoint was reading a prompt then.
+	beside bool
+}
+
+// next records that events have arrived from an endpoint. ok is false if the time since the last event tells nothing: for the first
+// event from the endpoint, and if a prompt was read during a part of the time.
+func (t *eventTimer) next(now time.Time, endpoint string, events int, beside bool) (took time.Duration, made int, ok bool) {
+	last := *t
+	*t = eventTimer{endpoint: endpoint, at: now, events: events, beside: beside}
+	if last.endpoint != endpoint || last.beside != beside {
+		return 0, 0, false
+	}
+	return now.Sub(last.at), events - last.events, true
+}
+
+// recordPace records the time that an endpoint took for the newest events of a stream with a bound on its pauses.
+func (s *Server) recordPace(j *job, e toucanplace.Endpoint, events int) {
+	if j.route.Gap <= 0 || j.timer.events == events {
+		return
+	}
+	now := time.Now()
+	beside := s.placer.ReadsPrompts(now, e.ID)
+	if took, made, ok := j.timer.next(now, e.ID, events, beside); ok {
+		s.paces.Observe(now, e.Key(), took, made, beside)
+	}
+}
+
+// newPaces returns the learner of a configuration, or one that no one else uses.
+func newPaces(l *toucanpace.Learner) *toucanpace.Learner {
+	if l == nil {
+		return toucanpace.New()
+	}
+	return l
+}
+
+// paceArgs returns key-value pairs for the log that describe how the pace of endpoints decided; none if they are not uneven.
+func paceArgs(c toucanplace.PaceChoice) []any {
+	if !c.Uneven {
+		return nil
+	}
+	return []any{
+		toucanlog.PaceCost, roundCost(c.Cost),
+		toucanlog.PauseForecastMs, c.Pause.Milliseconds(),
+		toucanlog.PauseBoundMs, c.Bound.Milliseconds(),
+		toucanlog.Exposed, c.Exposed,
+	}
+}
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -90,7 +90,7 @@
 	}
 	j.logged = true
 	choice := reservation.Choice
-	s.log.Info(toucanlog.MsgRequestPlaced,
+	args := []any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
 		toucanlog.Workspace, j.workspace,
@@ -102,7 +102,8 @@
 		toucanlog.Tokens, j.demand.Tokens(),
 		toucanlog.HeldMs, held.Milliseconds(),
 		toucanlog.SettingsVersion, j.version,
-	)
+	}
+	s.log.Info(toucanlog.MsgRequestPlaced, append(args, paceArgs(choice.Pace)...)...)
 }
 
 // roundCost rounds a cost to three decimals for the log.
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -11,6 +11,7 @@
 	"toucanport/toucanbody"
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
+	"toucanport/toucanpace"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
 	"toucanport/toucanrate"
@@ -51,6 +52,7 @@
 	quarantine  *toucanquarantine.Table
 	starting    startingRequests
 	limits      *toucanrate.Limits
+	paces       *toucanpace.Learner
 	returns     *toucanrate.Returns
 	bodies      *toucanbody.Memory
 	answers     *toucanbody.Memory
@@ -61,7 +63,7 @@
 	lastBreak atomic.Int64
 }
 
-// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Bodies, Answers and Metrics are required.
+// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Paces, Bodies, Answers and Metrics are required.
 type Config struct {
 	Codec   Codec
 	Mover   toucangeneration.Mover
@@ -75,6 +77,8 @@
 	Quarantine *toucanquarantine.Table
 	// Limits keeps the limits that endpoints name. The Placer must use the same; nil for limits that no one else uses.
 	Limits *toucanrate.Limits
+	// Paces learns the paces of endpoints. The Placer must use the same; nil for a learner that no one else uses.
+	Paces *toucanpace.Learner
 	// Bodies bounds the memory for long bodies of requests; nil for defaultBodyMemory.
 	Bodies *toucanbody.Memory
 	// Answers bounds the memory for long answers and events; nil for defaultAnswerMemory.
@@ -108,6 +112,7 @@
 		log:        cfg.Log,
 		quarantine: cfg.Quarantine,
 		limits:     cfg.Limits,
+		paces:      newPaces(cfg.Paces),
 		returns:    toucanrate.NewReturns(),
 		bodies:     cfg.Bodies,
 		answers:    cfg.Answers,
@@ -137,6 +142,8 @@
 	// version is the version of the settings that the request is served by.
 	version uint64
 	arrived time.Time
+	// timer measures the events of a stream.
+	timer eventTimer
 	// placed is the time of the last reservation.
 	placed   time.Time
 	deadline time.Time
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -180,6 +180,7 @@
 	if seen.count >= provenEvents {
 		s.recordProven(j)
 	}
+	s.recordPace(j, reservation.Endpoint, seen.count)
 	if first, gap := g.Progress(seen.count); first {
 		reservation.MarkPromptRead()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
@@ -237,6 +238,7 @@
 	sentAt := time.Now()
 	s.limits.Spend(h.Reservation.Endpoint.Key())
 	j.startedAt = sentAt
+	j.timer = eventTimer{}
 	resp, err := s.send(ctx, j, h.Reservation, &Resume{Source: h.Source, Handle: h.Handle, LastEvent: seen.last})
 	if err != nil {
 		f := newFailure(h.Reservation, err)
--- a/toucangeneration/generation.go
+++ b/toucangeneration/generation.go
@@ -107,6 +107,11 @@
 func (g *Generation) Late() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.isLate()
+}
+
+// isLate is Late for callers that hold g.mu.
+func (g *Generation) isLate() bool {
 	return g.spec.MaxFirstEventTime > 0 && g.firstEventAt.Sub(g.spec.Arrived) > g.spec.MaxFirstEventTime || g.spec.MaxEventGap > 0 && g.longestGap > g.spec.MaxEventGap
 }
 
@@ -124,6 +129,9 @@
 	g.estimatedAtEvents = g.events
 	g.estimate = lengthGiven(g.events * g.tokensPerEvent())
 	g.reservation.Resize(g.spec.Prompt+g.events*g.tokensPerEvent(), g.spec.Prompt+g.estimate)
+	if g.isLate() {
+		g.reservation.MarkSafe()
+	}
 }
 
 // LogArgs returns key-value pairs for the log that describe the timing and size of the generation.
@@ -222,7 +230,11 @@
 func (g *Generation) Demand() toucanplace.Demand {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return toucanplace.Demand{Prompt: g.spec.Prompt, Output: g.estimate, Made: g.events * g.tokensPerEvent()}
+	d := toucanplace.Demand{Prompt: g.spec.Prompt, Output: g.estimate, Made: g.events * g.tokensPerEvent()}
+	if !g.isLate() {
+		d.MaxGap = g.spec.MaxEventGap
+	}
+	return d
 }
 
 // heldDemand returns the memory that the generation uses now, without what it will still generate.
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -121,6 +121,11 @@
 	Moves           = "moves"
 	Next            = "next"
 	NextCost        = "nextCost"
+	// How the pace of endpoints decided a placement.
+	PaceCost        = "paceCost"
+	PauseForecastMs = "pauseForecastMs"
+	PauseBoundMs    = "pauseBoundMs"
+	Exposed         = "exposed"
 	NotResumed      = "notResumed"
 	NotRun          = "notRun"
 	Origin          = "origin"
--- /dev/null
+++ b/toucanpace/spans.go
@@ -0,0 +1,113 @@
+package toucanpace
+
+import (
+	"math"
+	"time"
+)
+
+// spans holds the average event times of the last slotCount spans.
+type spans struct {
+	slots [slotCount]span
+	// last is the number of the newest span, counted from the epoch.
+	last int64
+	// cached is the median when the spans changed last, evaluated in the span cachedIn.
+	cached   time.Duration
+	cachedIn int64
+}
+
+// span holds the events in one slotLength.
+type span struct {
+	number int64
+	took   time.Duration
+	events int
+}
+
+func spanNumber(now time.Time) int64 { return now.UnixNano() / int64(slotLength) }
+
+// add adds events. Those that are older than the kept spans have no effect.
+func (s *spans) add(now time.Time, took time.Duration, events int) {
+	number := spanNumber(now)
+	slot := &s.slots[number%slotCount]
+	if number < slot.number {
+		return
+	}
+	if number > slot.number {
+		*slot = span{number: number}
+	}
+	slot.took += took
+	slot.events += events
+	s.last = max(s.last, number)
+}
+
+// median returns the median of the whole spans' average event times; zero if fewer than minSlots have enough events.
+func (s *spans) median(now time.Time) time.Duration {
+	number := spanNumber(now)
+	if s.cachedIn == number {
+		return s.cached
+	}
+	var means [slotCount]time.Duration
+	n := 0
+	for _, slot := range s.slots {
+		if slot.events < minSlotEvents || slot.number >= number || number-slot.number > slotCount {
+			continue
+		}
+		means[n] = slot.took / time.Duration(slot.events)
+		n++
+	}
+	s.cachedIn, s.cached = number, 0
+	if n >= minSlots {
+		s.cached = medianOf(means[:n])
+	}
+	return s.cached
+}
+
+const (
+	// slowdownSteps is the number of steps of slowdownStep in which slowdowns are counted, from 1 on.
+	slowdownSteps = 32
+	slowdownStep  = 1.1
+	// slowdownQuantile is the share of events that are not slower than the forecast. Slow moments last for more than the rest.
+	slowdownQuantile = 0.98
+	// minSlowdowns is the least number of events from which the share is known, maxSlowdowns the one at which the counts are
+	// halved.
+	minSlowdowns = 200
+	maxSlowdowns = 4000
+)
+
+// slowdowns counts by how much single events took longer than usual at their endpoint, over all endpoints.
+type slowdowns struct {
+	counts [slowdownSteps]int
+	total  int
+}
+
+// add counts an event that took ratio times as long as usual.
+func (s *slowdowns) add(ratio float64) {
+	step := 0
+	if ratio > 1 {
+		step = min(int(math.Log(ratio)/math.Log(slowdownStep)), slowdownSteps-1)
+	}
+	s.counts[step]++
+	s.total++
+	if s.total < maxSlowdowns {
+		return
+	}
+	s.total = 0
+	for i := range s.counts {
+		s.counts[i] /= 2
+		s.total += s.counts[i]
+	}
+}
+
+// high returns how many times longer than usual an event can take, at slowdownQuantile; 1 until enough events were counted.
+func (s *slowdowns) high() float64 {
+	if s.total < minSlowdowns {
+		return 1
+	}
+	below := 0
+	for step, n := range s.counts {
+		below += n
+		if float64(below) >= slowdownQuantile*float64(s.total) {
+			return math.Pow(slowdownStep, float64(step)+0.5)
+		}
+	}
+	return 1
+}
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -9,6 +9,7 @@
 
 	"toucanport/toucanmirror"
 	"toucanport/toucanmoveorder"
+	"toucanport/toucanpace"
 	"toucanport/toucanplace"
 )
 
@@ -50,6 +51,9 @@
 	copy toucanmirror.Position
 	// onChanges is called with the changes that a peer has read from the store.
 	onChanges func(toucanmirror.Batch)
+	// paces is what is learned of endpoints' paces, and pacesSentAt the time of the last report with it.
+	paces       *toucanpace.Learner
+	pacesSentAt time.Time
 	// changed is closed and replaced whenever a peer's report is applied.
 	changed chan struct{}
 	// sendNow is signalled when the next report must be sent without waiting for the interval.
@@ -113,8 +117,8 @@
 }
 
 // NewSharedState returns a SharedState without peer reports, which reports the load recorded in placer.
-func NewSharedState(placer *toucanplace.Placer) *SharedState {
-	return &SharedState{
+func NewSharedState(placer *toucanplace.Placer, opts ...StateOption) *SharedState {
+	s := &SharedState{
 		placer:          placer,
 		peers:           make(map[string]peerReport),
 		generations:     make(map[uint64][]toucanmoveorder.Generation),
@@ -123,9 +127,14 @@
 		probedLeaving:   make(map[uint64]time.Time),
 		onNewerSettings: func(string, uint64) {},
 		onChanges:       func(toucanmirror.Batch) {},
+		paces:           toucanpace.New(),
 		changed:         make(chan struct{}),
 		sendNow:         make(chan struct{}, 1),
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Changed returns a channel that is closed when the next peer report is applied.
@@ -211,6 +220,7 @@
 		notify(r.GetSender(), r.GetSettingsVersion())
 	}
 	s.placer.Observe(now, r.GetSender(), usesByEndpoint(r))
+	s.applyPaces(now, r)
 	s.placer.MarkUnreachable(now, r.GetUnreachable())
 	s.placer.SetReportedLeaving(leaving)
 	return true
@@ -255,6 +265,7 @@
 			Tokens:   int(u.GetTokens()),
 			Unread:   int(u.GetUnread()),
 			Held:     int(u.GetHeld()),
+			Exposed:  int(u.GetExposed()),
 		}
 	}
 	return uses
@@ -270,6 +281,7 @@
 			Tokens:   uint32(max(u.Tokens, 0)),
 			Unread:   uint32(max(u.Unread, 0)),
 			Held:     uint32(max(u.Held, 0)),
+			Exposed:  uint32(max(u.Exposed, 0)),
 		})
 	}
 	s.mu.Lock()
@@ -280,6 +292,7 @@
 	for key := range s.probedLeaving {
 		r.Leaving = append(r.Leaving, key)
 	}
+	r.Paces = s.reportedPaces(time.Now())
 	r.StoreAway = s.storeDown
 	r.Stopping = s.stopping
 	r.StoreSilentMillis = reportedAge(s.lastStoreAnswer)
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -54,6 +54,8 @@
 	patience time.Duration
 	// extra is added to the cost of an endpoint.
 	extra func(*endpointState) float64
+	// copied is true if the request's prompt was read at another endpoint.
+	copied bool
 }
 
 // PlaceOption sets an optional parameter of Place.
@@ -75,6 +77,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.learnGap(service, d.MaxGap)
 	best, why, err := p.choose(q)
 	if err != nil {
 		return nil, err
@@ -118,7 +121,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: extra,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: extra, copied: true,
 		limits: memoryLimits{end: copyShare, taken: copyTakenShare},
 	})
 	if err != nil {
@@ -185,6 +188,7 @@
 	best, bestID := (*endpointState)(nil), ""
 	var why Choice
 	listed, large, deferred, limited := false, true, true, true
+	uneven := q.demand.Tokens() > 0 && p.isUneven(q.now, q.service)
 	for _, s := range p.services[q.service] {
 		if s.isDraining() || s.OtherCell && !otherCells || !q.allowed(s.Endpoint) {
 			continue
@@ -208,8 +212,15 @@
 			limited = false
 			continue
 		}
-		if why.add(s.ID, bestID, s.cost(q.now, u)+q.extra(s)+slotWaitCost*wait.Seconds()) {
+		c := s.cost(q.now, u) + q.extra(s) + slotWaitCost*wait.Seconds()
+		if uneven {
+			c += q.paceCost(s, u)
+		}
+		if why.add(s.ID, bestID, c) {
 			best, bestID = s, s.ID
+			if uneven {
+				why.Pace = p.paceChoice(q, s, u)
+			}
 		}
 	}
 	switch {
@@ -227,6 +238,14 @@
 	return nil, why, errors.Wrap(ErrFull, q.service)
 }
 
+// paceCost returns what an endpoint costs because the endpoints of its service are uneven.
+func (q search) paceCost(s *endpointState, u Use) float64 {
+	if q.copied {
+		return s.paceCopyCost(u, q.demand)
+	}
+	return s.paceCost(u, q.demand)
+}
+
 // total returns the load of an endpoint: this entry's own and what its peers reported within peerUsesTTL.
 func (p *Placer) total(now time.Time, s *endpointState) Use {
 	u := s.own
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -65,6 +65,9 @@
 	Output int
 	// Made is the length of the output so far, for a generation that is copied from another endpoint.
 	Made int
+	// MaxGap is the longest pause between two events of the output that is on time; zero for none, and for a stream that is late
+	// already.
+	MaxGap time.Duration
 }
 
 // Tokens returns the estimated memory, in tokens, at the end of the output.
@@ -82,14 +85,16 @@
 	Unread int
 	// Held is the number of tokens in memory of requests that have a first event, and of copies on their way.
 	Held int
+	// Exposed is the number of streams that a longer pause would make late.
+	Exposed int
 }
 
 func (u Use) plus(v Use) Use {
-	return Use{Requests: u.Requests + v.Requests, Tokens: u.Tokens + v.Tokens, Unread: u.Unread + v.Unread, Held: u.Held + v.Held}
+	return Use{Requests: u.Requests + v.Requests, Tokens: u.Tokens + v.Tokens, Unread: u.Unread + v.Unread, Held: u.Held + v.Held, Exposed: u.Exposed + v.Exposed}
 }
 
 func (u Use) minus(v Use) Use {
-	return Use{Requests: u.Requests - v.Requests, Tokens: u.Tokens - v.Tokens, Unread: u.Unread - v.Unread, Held: u.Held - v.Held}
+	return Use{Requests: u.Requests - v.Requests, Tokens: u.Tokens - v.Tokens, Unread: u.Unread - v.Unread, Held: u.Held - v.Held, Exposed: u.Exposed - v.Exposed}
 }
 
 // taken returns the memory, in tokens, that requests hold now or as soon as their prompts are read.
@@ -178,6 +183,8 @@
 	deferredUntil time.Time
 	// unreachableInARow counts the failures to reach the endpoint since its last success.
 	unreachableInARow int
+	// breaksGap is true if a prompt makes streams beside it late in slow moments. isUneven sets it.
+	breaksGap bool
 }
 
 // suspect adds failureCost to the endpoint's cost for a time that doubles with each call in a row.
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -27,6 +27,9 @@
 	changed chan struct{}
 	// limits tells which endpoints take only so many requests a second.
 	limits RateLimits
+	// paces forecasts pauses, and gaps holds the shortest bound on pauses among the streams of each service.
+	paces Paces
+	gaps  map[string]time.Duration
 }
 
 // RateLimits tells which endpoints take only so many requests a second from all entries together.
@@ -67,6 +70,8 @@
 		freed:       make(chan struct{}),
 		changed:     make(chan struct{}),
 		limits:      unlimited{},
+		paces:       noPaces{},
+		gaps:        make(map[string]time.Duration),
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -25,6 +25,8 @@
 	// candidate.
 	Next     string
 	NextCost float64
+	// Pace says how the pace of endpoints decided; zero if they are not uneven.
+	Pace PaceChoice
 }
 
 // add adds a candidate and reports whether it has the lowest cost so far. best is the ID of the previous best.
@@ -43,7 +45,7 @@
 
 // reserve adds the load of a request to an endpoint and returns the reservation. The caller holds p.mu.
 func (p *Placer) reserve(s *endpointState, d Demand) *Reservation {
-	u := Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt, Held: d.Made}
+	u := Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt, Held: d.Made, Exposed: d.exposed()}
 	s.own = s.own.plus(u)
 	p.usesChanged(u)
 	return &Reservation{Endpoint: s.Endpoint, placer: p, state: s, use: u}
@@ -90,6 +92,17 @@
 	r.use.Tokens, r.use.Held = tokens, held
 }
 
+// MarkSafe records that the request can't become late by a pause any more: it is late already, or ends soon.
+func (r *Reservation) MarkSafe() {
+	r.placer.mu.Lock()
+	defer r.placer.mu.Unlock()
+	if r.done || r.use.Exposed == 0 {
+		return
+	}
+	r.state.own.Exposed -= r.use.Exposed
+	r.use.Exposed = 0
+}
+
 // Outcome is the result of a request at its endpoint.
 type Outcome int
 
