--- a/toucanforward/pace.go
+++ b/toucanforward/pace.go
@@ -30,12 +30,18 @@
 	return now.Sub(last.at), events - last.events, true
 }
 
-// recordPace records the time that an endpoint took for the newest events of a stream with a bound on its pauses.
-func (s *Server) recordPace(j *job, e toucanplace.Endpoint, events int) {
+// recordPace records the time that an endpoint took for the newest events of a stream with a bound on its pauses, or for the first
+// event.
+func (s *Server) recordPace(j *job, reservation *toucanplace.Reservation, events int) {
 	if j.route.Gap <= 0 || j.timer.events == events {
 		return
 	}
 	now := time.Now()
+	e := reservation.Endpoint
+	if j.firstEventAt.IsZero() {
+		j.firstEventAt = now
+		s.paces.ObserveRead(now, e.Key(), now.Sub(j.startedAt), reservation.Choice.Unread)
+	}
 	beside := s.placer.ReadsPrompts(now, e.ID)
 	if took, made, ok := j.timer.next(now, e.ID, events, beside); ok {
 		s.paces.Observe(now, e.Key(), took, made, beside)
@@ -60,5 +66,20 @@
 		toucanlog.PauseForecastMs, c.Pause.Milliseconds(),
 		toucanlog.PauseBoundMs, c.Bound.Milliseconds(),
 		toucanlog.Exposed, c.Exposed,
+		toucanlog.FirstForecastMs, c.FirstEvent.Milliseconds(),
+	}
+}
+
+// goalLeft returns the time that is left for a first event on time; zero if the route has no goal or it is missed.
+func (j *job) goalLeft(now time.Time) time.Duration {
+	if j.route.Goal <= 0 {
+		return 0
 	}
+	return max(j.arrived.Add(j.route.Goal).Sub(now), 0)
+}
+
+// isMovable reports whether the generation can be moved after its first event.
+func (j *job) isMovable() bool {
+	e := j.service.Engine
+	return e != nil && e.Moves && j.body.Whole()
 }
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -145,6 +145,7 @@
 func (s *Server) reserve(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
+		j.demand.Goal, j.demand.Movable = j.goalLeft(now), j.isMovable()
 		patience := max(until.Sub(now), 0)
 		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience))
 		if err != nil {
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -128,8 +128,11 @@
 	}
 }
 
-// RunMoves moves generations off draining endpoints. It returns when ctx ends.
-func (s *Server) RunMoves(ctx context.Context) { s.generations.Move(ctx) }
+// RunMoves moves generations off draining endpoints, and to endpoints with a better pace. It returns when ctx ends.
+func (s *Server) RunMoves(ctx context.Context) {
+	go s.generations.MoveByPace(ctx)
+	s.generations.Move(ctx)
+}
 
 // job is the state of one caller's request. Only the request's own goroutine changes it.
 type job struct {
@@ -144,6 +147,8 @@
 	arrived time.Time
 	// timer measures the events of a stream.
 	timer eventTimer
+	// firstEventAt is the time of the first event of a stream with a bound on its pauses; zero before.
+	firstEventAt time.Time
 	// placed is the time of the last reservation.
 	placed   time.Time
 	deadline time.Time
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -180,7 +180,7 @@
 	if seen.count >= provenEvents {
 		s.recordProven(j)
 	}
-	s.recordPace(j, reservation.Endpoint, seen.count)
+	s.recordPace(j, reservation, seen.count)
 	if first, gap := g.Progress(seen.count); first {
 		reservation.MarkPromptRead()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
--- a/toucangeneration/generation.go
+++ b/toucangeneration/generation.go
@@ -71,6 +71,10 @@
 	announcedTokens int
 	// retryMoveAt is the earliest time for another attempt after a failed move.
 	retryMoveAt time.Time
+	// paceMoveAt is the earliest time for another move for the pace.
+	paceMoveAt time.Time
+	// movedByPace is true while it is moved for its pace.
+	movedByPace bool
 	// moveFailure is the cause of the last failed move.
 	moveFailure string
 	// estimate is the estimated length of the output in tokens, estimatedAtEvents the value of events when it was made.
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -144,7 +144,7 @@
 func (g *Generation) movable(now time.Time, endpoint string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.spec.SentOnce && !g.ended && !g.stopping && g.reservation.Endpoint.ID == endpoint && !now.Before(g.retryMoveAt)
+	return !g.spec.SentOnce && !g.ended && !g.stopping && !g.movedByPace && g.reservation.Endpoint.ID == endpoint && !now.Before(g.retryMoveAt)
 }
 
 // recordMoveFailure stores the cause of a failed move and reports whether it differs from that of the last one.
--- /dev/null
+++ b/toucangeneration/pace.go
@@ -0,0 +1,113 @@
+package toucangeneration
+
+import (
+	"context"
+	"time"
+
+	"toucanport/toucanlog"
+	"toucanport/toucanplace"
+)
+
+const (
+	// paceInterval is the time between two checks for generations that are better off elsewhere.
+	paceInterval = 100 * time.Millisecond
+	// paceDwell is the least time between two moves of a generation for its pace.
+	paceDwell = time.Second
+	// maxPaceMoves limits the moves for the pace that an entry makes at a time.
+	maxPaceMoves = 3
+)
+
+// MoveByPace moves generations whose pauses would grow too long at their endpoint, or that take room there in which prompts can be
+// read without harm, until ctx is done. Of all entries, mostly one moves a generation from or to an endpoint at a time.
+func (r *Registry) MoveByPace(ctx context.Context) {
+	ticker := time.NewTicker(paceInterval)
+	defer ticker.Stop()
+	slots := make(chan struct{}, maxPaceMoves)
+	for {
+		select {
+		case now := <-ticker.C:
+			r.beginPaceMoves(ctx, now, slots)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// beginPaceMoves begins as many moves as there are free slots.
+func (r *Registry) beginPaceMoves(ctx context.Context, now time.Time, slots chan struct{}) {
+	if !r.canStop(now) {
+		return
+	}
+	for _, g := range r.filter(func(g *Generation) bool { return g.mayMoveByPace(now) }) {
+		select {
+		case slots <- struct{}{}:
+		default:
+			return
+		}
+		if !r.beginPaceMove(ctx, now, g, func() { <-slots }) {
+			<-slots
+		}
+	}
+}
+
+// beginPaceMove begins to move a generation if it is better off elsewhere. It calls done when the move has ended, and returns false
+// if there is none.
+func (r *Registry) beginPaceMove(ctx context.Context, now time.Time, g *Generation, done func()) bool {
+	source := g.Endpoint()
+	idle := func(e toucanplace.Endpoint) bool { return e.ID != source.ID && !r.coordinator.Copying(now, e.Key()) }
+	if r.coordinator.Copying(now, source.Key()) {
+		return false
+	}
+	target := r.placer.PlaceBetter(now, source, g.Demand(), idle)
+	if target == nil {
+		return false
+	}
+	g.beginMoveByPace(now)
+	end := r.coordinator.BeginCopy(source.Key())
+	go func() {
+		defer done()
+		defer end()
+		defer g.endMoveByPace()
+		r.paceMoves.Inc(1)
+		pace := target.Choice.Pace
+		r.log.Info(toucanlog.MsgMoveByPace,
+			toucanlog.RequestID, g.spec.ID,
+			toucanlog.Endpoint, source.ID,
+			toucanlog.Target, target.Endpoint.ID,
+			toucanlog.Cost, target.Choice.Cost,
+			toucanlog.StayCost, pace.Stay,
+			toucanlog.PauseForecastMs, pace.Pause.Milliseconds(),
+			toucanlog.PauseBoundMs, pace.Bound.Milliseconds(),
+			toucanlog.Exposed, pace.Exposed,
+		)
+		moved, err := r.moveToTarget(ctx, g, source, target)
+		if moved {
+			return
+		}
+		target.Done(time.Now(), toucanplace.OutcomeNeutral)
+		r.reportMoveFailure(g, source, target.Endpoint.ID, err)
+	}()
+	return true
+}
+
+// mayMoveByPace reports whether the generation can be moved for its pace now: it runs, and has done so for paceDwell.
+func (g *Generation) mayMoveByPace(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.spec.Engine
+	return e != nil && e.Moves && !g.spec.SentOnce && !g.ended && !g.stopping && !g.movedByPace && g.spec.MaxEventGap > 0 && !g.isLate() &&
+		g.events > 0 && !now.Before(g.retryMoveAt) && !now.Before(g.paceMoveAt)
+}
+
+// beginMoveByPace keeps the generation from other moves until endMoveByPace, and from further ones for its pace for paceDwell.
+func (g *Generation) beginMoveByPace(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.movedByPace, g.paceMoveAt = true, now.Add(paceDwell)
+}
+
+func (g *Generation) endMoveByPace() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.movedByPace = false
+}
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -66,6 +66,7 @@
 
 	moves     tally.Counter
 	moveFails tally.Counter
+	paceMoves tally.Counter
 
 	mu          sync.Mutex
 	generations map[*Generation]struct{}
@@ -91,6 +92,7 @@
 		log:         cfg.Log,
 		moves:       cfg.Scope.Counter("generations_moved"),
 		moveFails:   cfg.Scope.Counter("generation_moves_failed"),
+		paceMoves:   cfg.Scope.Counter("generation_moves_by_pace"),
 		generations: make(map[*Generation]struct{}),
 	}
 }
--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -12,13 +12,13 @@
 const (
 	// slotLength is the length of the spans over which event times are averaged. It is about as long as a slow moment, so that one
 	// falls into few spans.
-	slotLength = 500 * time.Millisecond
+	slotLength = 300 * time.Millisecond
 	// slotCount is the number of spans that are kept.
-	slotCount = 16
+	slotCount = 24
 	// minSlotEvents is the least number of events of a span that counts.
 	minSlotEvents = 2
-	// minSlots is the least number of spans from which a pace is known: one slow moment can fill two of them.
-	minSlots = 4
+	// minSlots is the least number of spans from which a pace is known.
+	minSlots = 5
 	// maxEvent bounds the time of one event. Longer ones are due to something else.
 	maxEvent = 2 * time.Second
 	// paceLife is how long a pace is kept without news.
@@ -44,6 +44,7 @@
 	mu        sync.Mutex
 	endpoints map[uint64]*endpoint
 	slowdowns slowdowns
+	reads     reads
 	view      view
 }
 
@@ -64,10 +65,18 @@
 // view is an evaluation of all that is known at a time. It is not changed any more.
 type view struct {
 	at time.Time
-	// pauses holds the forecast of each endpoint with a known pace.
-	pauses map[uint64]time.Duration
-	// usual is the median of pauses; zero if there is none.
-	usual time.Duration
+	// forecasts holds the forecast of each endpoint with a known pace.
+	forecasts map[uint64]Forecast
+	// usual is the median of the forecasts; zero if there is none.
+	usual Forecast
+}
+
+// Forecast is what to expect of an endpoint.
+type Forecast struct {
+	// Pause is the longest pause of a stream beside which the endpoint reads a prompt; zero if it is unknown.
+	Pause time.Duration
+	// ReadTime is the time in which it reads a thousand tokens of prompts; zero if it is unknown.
+	ReadTime time.Duration
 }
 
 // New returns a Learner that knows of no endpoint.
@@ -89,7 +98,7 @@
 	if beside {
 		s = &e.beside
 	}
-	if usual := s.median(now); usual > 0 && events == 1 {
+	if usual := s.usual(now); usual > 0 && events == 1 {
 		l.slowdowns.add(float64(took) / float64(usual))
 	}
 	s.add(now, took, events)
@@ -119,7 +128,7 @@
 	}
 	var list []dated
 	for key, e := range l.endpoints {
-		p := Pace{Alone: e.alone.median(now), Beside: e.beside.median(now)}
+		p := Pace{Alone: e.alone.usual(now), Beside: e.beside.usual(now)}
 		if p != (Pace{}) {
 			list = append(list, dated{Reported{Endpoint: key, Pace: p}, max(e.alone.last, e.beside.last)})
 		}
@@ -140,16 +149,33 @@
 	return paces
 }
 
-// Pause returns the longest pause to expect of a stream at an endpoint that reads a prompt beside it. known is false if the pace of
-// the endpoint is unknown; the pause is then the usual one, or zero if no pace is known.
-func (l *Learner) Pause(now time.Time, key uint64) (pause time.Duration, known bool) {
+// ObserveRead records the time from the sending of a request to the first event, at an endpoint that then had a number of tokens of
+// prompts to read.
+func (l *Learner) ObserveRead(now time.Time, key uint64, took time.Duration, tokens int) {
+	if tokens < minReadTokens || took <= 0 || took > maxRead {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.endpoints[key]
+	if !ok {
+		return
+	}
+	if beside := e.pace(now).Beside; beside > 0 {
+		l.reads.add(float64(took) / float64(beside) / float64(tokens))
+	}
+}
+
+// Forecast returns what to expect of an endpoint. known is false if its pace is unknown; the forecast is then the usual one, or zero
+// if no pace is known.
+func (l *Learner) Forecast(now time.Time, key uint64) (f Forecast, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.view.at.IsZero() || now.Sub(l.view.at) >= viewInterval {
 		l.evaluate(now)
 	}
-	if pause, known = l.view.pauses[key]; known {
-		return pause, true
+	if f, known = l.view.forecasts[key]; known {
+		return f, true
 	}
 	return l.view.usual, false
 }
@@ -169,9 +195,9 @@
 			ratios = append(ratios, float64(p.Beside)/float64(p.Alone))
 		}
 	}
-	besideRatio, slowdown := medianOf(ratios), l.slowdowns.high()
-	l.view = view{at: now, pauses: make(map[uint64]time.Duration, len(paces))}
-	var all []time.Duration
+	besideRatio, slowdown, readShare := medianOf(ratios), l.slowdowns.high(), l.reads.median()
+	l.view = view{at: now, forecasts: make(map[uint64]Forecast, len(paces))}
+	var pauses, readTimes []time.Duration
 	for key, p := range paces {
 		beside := p.Beside
 		if beside == 0 {
@@ -180,11 +206,15 @@
 		if beside == 0 {
 			continue
 		}
-		pause := time.Duration(float64(beside) * slowdown)
-		l.view.pauses[key] = pause
-		all = append(all, pause)
+		f := Forecast{
+			Pause:    time.Duration(float64(beside) * slowdown),
+			ReadTime: time.Duration(float64(beside) * readShare * readUnit),
+		}
+		l.view.forecasts[key] = f
+		pauses = append(pauses, f.Pause)
+		readTimes = append(readTimes, f.ReadTime)
 	}
-	l.view.usual = medianOf(all)
+	l.view.usual = Forecast{Pause: medianOf(pauses), ReadTime: medianOf(readTimes)}
 }
 
 // pace returns the median of this entry's own pace and those of its peers.
@@ -198,7 +228,7 @@
 			beside = append(beside, p.Beside)
 		}
 	}
-	add(Pace{Alone: e.alone.median(now), Beside: e.beside.median(now)})
+	add(Pace{Alone: e.alone.usual(now), Beside: e.beside.usual(now)})
 	for peer, h := range e.peers {
 		if now.Sub(h.at) > paceLife {
 			delete(e.peers, peer)
--- a/toucanpace/spans.go
+++ b/toucanpace/spans.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -10,7 +11,7 @@
 	slots [slotCount]span
 	// last is the number of the newest span, counted from the epoch.
 	last int64
-	// cached is the median when the spans changed last, evaluated in the span cachedIn.
+	// cached is the result of usual when the spans changed last, evaluated in the span cachedIn.
 	cached   time.Duration
 	cachedIn int64
 }
@@ -39,8 +40,9 @@
 	s.last = max(s.last, number)
 }
 
-// median returns the median of the whole spans' average event times; zero if fewer than minSlots have enough events.
-func (s *spans) median(now time.Time) time.Duration {
+// usual returns the lower third of the whole spans' average event times; zero if fewer than minSlots have enough events. Moments that
+// differ from the rest are slow ones, and can fill more than half of few spans.
+func (s *spans) usual(now time.Time) time.Duration {
 	number := spanNumber(now)
 	if s.cachedIn == number {
 		return s.cached
@@ -56,7 +58,8 @@
 	}
 	s.cachedIn, s.cached = number, 0
 	if n >= minSlots {
-		s.cached = medianOf(means[:n])
+		slices.Sort(means[:n])
+		s.cached = means[n/3]
 	}
 	return s.cached
 }
@@ -69,7 +72,7 @@
 	slowdownQuantile = 0.98
 	// minSlowdowns is the least number of events from which the share is known, maxSlowdowns the one at which the counts are
 	// halved.
-	minSlowdowns = 200
+	minSlowdowns = 100
 	maxSlowdowns = 4000
 )
 
@@ -111,3 +114,37 @@
 	}
 	return 1
 }
+
+const (
+	// readUnit is the number of tokens to which Forecast.ReadTime refers.
+	readUnit = 1000
+	// minReadTokens is the least number of tokens whose reading tells how fast an endpoint reads; maxRead bounds the time.
+	minReadTokens = 500
+	maxRead       = 10 * time.Second
+	// readCount is the number of readings that are kept, minReads the least number from which the share is known.
+	readCount = 63
+	minReads  = 8
+)
+
+// reads holds how long the reading of one token took in the last readings, as a share of an event's time beside a prompt at the
+// endpoint. Endpoints of any speed have the same share.
+type reads struct {
+	shares [readCount]float64
+	next   int
+	count  int
+}
+
+func (r *reads) add(share float64) {
+	r.shares[r.next] = share
+	r.next = (r.next + 1) % readCount
+	r.count = min(r.count+1, readCount)
+}
+
+// median returns the median share; zero until there are minReads.
+func (r *reads) median() float64 {
+	if r.count < minReads {
+		return 0
+	}
+	sorted := r.shares
+	return medianOf(sorted[:r.count])
+}
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -95,6 +95,18 @@
 	return slices.ContainsFunc(p.services[service], func(s *endpointState) bool { return !s.isDraining() && allowed(s.Endpoint) })
 }
 
+// copyCost returns a function with the cost of an endpoint as the target of a copy from another one.
+func (p *Placer) copyCost(from Endpoint) func(*endpointState) float64 {
+	source := from.Key()
+	return func(s *endpointState) float64 {
+		c := copySpreadCost*float64((source^s.key)%copySpreadSteps)/copySpreadSteps + p.limitedCost(s)
+		if s.FailureDomain != from.FailureDomain {
+			c += copyDomainCost
+		}
+		return c
+	}
+}
+
 // domainCost returns a function that adds cost to endpoints outside this entry's failure domain.
 func (p *Placer) domainCost(cost float64) func(*endpointState) float64 {
 	return func(s *endpointState) float64 {
@@ -110,18 +122,10 @@
 // and target, so that two endpoints that drain together don't copy to the same target. It can fill memory beyond the limit of
 // Place.
 func (p *Placer) PlaceCopy(now time.Time, from Endpoint, d Demand, allowed Filter) (*Reservation, error) {
-	source := from.Key()
-	extra := func(s *endpointState) float64 {
-		c := copySpreadCost*float64((source^s.key)%copySpreadSteps)/copySpreadSteps + p.limitedCost(s)
-		if s.FailureDomain != from.FailureDomain {
-			c += copyDomainCost
-		}
-		return c
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: extra, copied: true,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: p.copyCost(from), copied: true,
 		limits: memoryLimits{end: copyShare, taken: copyTakenShare},
 	})
 	if err != nil {
@@ -218,6 +222,7 @@
 		}
 		if why.add(s.ID, bestID, c) {
 			best, bestID = s, s.ID
+			why.Unread = u.Unread + q.demand.Prompt
 			if uneven {
 				why.Pace = p.paceChoice(q, s, u)
 			}
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -1,18 +1,25 @@
 package toucanplace
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"toucanport/toucanpace"
+)
 
 // Paces forecasts the pauses of streams at endpoints, which are given by their Keys.
 type Paces interface {
-	// Pause returns the longest pause to expect of a stream at an endpoint that reads a prompt beside it, and false if it is not
-	// known of this endpoint; the pause is then that of most endpoints, or zero.
-	Pause(now time.Time, endpoint uint64) (time.Duration, bool)
+	// Forecast returns what to expect of an endpoint, and false if its pace is not known; the forecast is then that of most
+	// endpoints, or zero.
+	Forecast(now time.Time, endpoint uint64) (toucanpace.Forecast, bool)
 }
 
 // noPaces is the Paces that knows of no endpoint.
 type noPaces struct{}
 
-func (noPaces) Pause(time.Time, uint64) (time.Duration, bool) { return 0, false }
+func (noPaces) Forecast(time.Time, uint64) (toucanpace.Forecast, bool) {
+	return toucanpace.Forecast{}, false
+}
 
 // WithPaces sets the forecasts of pauses.
 func WithPaces(f Paces) Option { return func(p *Placer) { p.paces = f } }
@@ -25,11 +32,26 @@
 	// the rest.
 	pauseMargin = 0.85
 	// harmCost is the cost of a prompt that makes an exposed stream beside it late in a slow moment.
-	harmCost = 0.4
+	harmCost = 0.6
 	// riskCost is the cost of an endpoint where the prompts of others make a stream late in a slow moment.
 	riskCost = 0.5
+	// moveCost is the cost of an endpoint from which a long stream is moved after its first event.
+	moveCost = 0.3
 	// soundCost is the cost of a short request at an endpoint where prompts harm no stream, while others are left for it.
-	soundCost = 0.3
+	soundCost = 0.15
+	// orderCost is the greatest cost by which short requests prefer some of the endpoints at which prompts harm streams, and long
+	// streams the others.
+	orderCost = 0.3
+	// readerCost is the cost of a stream that was read elsewhere at an endpoint that can read prompts without harm.
+	readerCost = 0.3
+	// moveGain is the least difference of costs for which a stream is moved.
+	moveGain = 0.4
+	// minMovedOutput is the least number of tokens that a stream still has to generate to be moved for its pace.
+	minMovedOutput = 200
+	// lateCost is the cost of an endpoint whose first event is forecast for the end of the time that it may take. It grows from half
+	// of that time on.
+	lateCost = 1.5
+	maxLate  = 1.5
 )
 
 // isExposed reports whether the prompts of others can make the request late: a long stream with a bound on its pauses.
@@ -60,8 +82,8 @@
 	bound := time.Duration(pauseMargin * float64(gap))
 	breaking, sound := false, false
 	for _, s := range p.services[service] {
-		pause, known := p.paces.Pause(now, s.key)
-		s.breaksGap = pause > bound
+		forecast, known := p.paces.Forecast(now, s.key)
+		s.breaksGap, s.readTime = forecast.Pause > bound, forecast.ReadTime
 		if known && !s.isDraining() {
 			breaking = breaking || s.breaksGap
 			sound = sound || !s.breaksGap
@@ -73,29 +95,54 @@
 // paceCost returns what a placement at an endpoint with the load u costs because endpoints are uneven: the streams there that its
 // prompt makes late, its own risk, and room that long streams need.
 func (s *endpointState) paceCost(u Use, d Demand) float64 {
-	switch {
-	case d.Prompt == 0:
+	if d.Prompt == 0 {
 		return 0
+	}
+	c := s.lateCost(u, d)
+	switch {
+	case s.breaksGap && d.isExposed() && !d.Movable:
+		c += harmCost*float64(u.Exposed) + riskCost + orderCost*(1-s.order())
+	case s.breaksGap && d.isExposed():
+		c += harmCost*float64(u.Exposed) + moveCost + orderCost*s.order()
 	case s.breaksGap:
-		return harmCost*float64(u.Exposed) + riskCost*float64(d.exposed())
-	case d.isExposed():
+		c += harmCost*float64(u.Exposed) + orderCost*s.order()
+	case !d.isExposed():
+		c += soundCost
+	}
+	return c
+}
+
+// order returns the place of the endpoint in an order that all entries know, from 0 to 1.
+func (s *endpointState) order() float64 { return float64(s.key) / math.MaxUint64 }
+
+// firstEventTime returns the forecast of the time in which the endpoint makes the first event of a request; zero if it is unknown.
+func (s *endpointState) firstEventTime(u Use, d Demand) time.Duration {
+	return s.readTime * time.Duration(u.Unread+d.Prompt) / 1000
+}
+
+// lateCost returns the cost of a late first event.
+func (s *endpointState) lateCost(u Use, d Demand) float64 {
+	if d.Goal <= 0 {
 		return 0
 	}
-	return soundCost
+	used := float64(s.firstEventTime(u, d)) / float64(d.Goal)
+	return lateCost * min(max(2*used-1, 0), maxLate)
 }
 
 // paceCopyCost returns what the target of a copy costs because endpoints are uneven. The prompt is not read there again. Where
 // prompts break the bound, the best place is one that other long streams keep free of prompts.
 func (s *endpointState) paceCopyCost(u Use, d Demand) float64 {
 	switch {
-	case !s.breaksGap || !d.isExposed():
+	case !d.isExposed():
 		return 0
+	case !s.breaksGap:
+		return readerCost
 	case u.Unread > 0:
 		return 2 * riskCost
 	case u.Exposed == 0:
-		return riskCost
+		return riskCost + orderCost*(1-s.order())
 	}
-	return 0
+	return orderCost * (1 - s.order())
 }
 
 // ReadsPrompts reports whether an endpoint has requests whose prompts it has not read yet, and false for one that is not listed.
@@ -112,14 +159,50 @@
 	Uneven bool
 	// Pause is the forecast of the longest pause beside a prompt, and Bound the shortest bound on pauses.
 	Pause, Bound time.Duration
+	// FirstEvent is the forecast of the time to the first event; zero if it is unknown.
+	FirstEvent time.Duration
 	// Exposed is the number of streams that ran there and that a longer pause would make late.
 	Exposed int
 	// Cost is the part of the cost that is due to the pace.
 	Cost float64
+	// Stay is the cost of the endpoint that a stream is moved from; zero for a first placement.
+	Stay float64
 }
 
 // paceChoice describes the selection of an endpoint with the load u. The caller holds p.mu.
 func (p *Placer) paceChoice(q search, s *endpointState, u Use) PaceChoice {
-	pause, _ := p.paces.Pause(q.now, s.key)
-	return PaceChoice{Uneven: true, Pause: pause, Bound: p.gaps[q.service], Exposed: u.Exposed, Cost: q.paceCost(s, u)}
+	forecast, _ := p.paces.Forecast(q.now, s.key)
+	return PaceChoice{Uneven: true, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.gaps[q.service], Exposed: u.Exposed, Cost: q.paceCost(s, u)}
+}
+
+// PlaceBetter is PlaceCopy for a stream that runs at an endpoint that takes further requests, for its pace: because the prompts of
+// others can make it late there, or because it takes room in which prompts could be read without harm. It returns nil unless
+// endpoints are uneven and another one costs less by moveGain.
+func (p *Placer) PlaceBetter(now time.Time, from Endpoint, d Demand, allowed Filter) *Reservation {
+	if !d.isExposed() || d.Output-d.Made < minMovedOutput {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	source, ok := p.endpoints[from.ID]
+	if !ok || source.isDraining() || !p.isUneven(now, from.Service) {
+		return nil
+	}
+	u := p.total(now, source).minus(Use{Requests: 1, Tokens: d.Tokens(), Held: d.held(), Exposed: 1})
+	stay := source.cost(now, u) + source.paceCopyCost(u, d)
+	if stay < moveGain {
+		return nil
+	}
+	best, why, err := p.choose(search{
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: -1, extra: p.copyCost(from), copied: true,
+		limits: memoryLimits{end: memoryShare, taken: takenShare},
+	})
+	if err != nil || best == source || why.Cost > stay-moveGain {
+		return nil
+	}
+	r := p.reserve(best, d)
+	why.Pace.Stay = stay
+	r.Choice = why
+	r.markPromptRead()
+	return r
 }
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -68,6 +68,10 @@
 	// MaxGap is the longest pause between two events of the output that is on time; zero for none, and for a stream that is late
 	// already.
 	MaxGap time.Duration
+	// Movable is true if the generation can be moved to another endpoint after its first event.
+	Movable bool
+	// Goal is the time that is left for the first event to be on time; zero for no such bound.
+	Goal time.Duration
 }
 
 // Tokens returns the estimated memory, in tokens, at the end of the output.
@@ -185,6 +189,9 @@
 	unreachableInARow int
 	// breaksGap is true if a prompt makes streams beside it late in slow moments. isUneven sets it.
 	breaksGap bool
+	// readTime is the forecast of the time in which the endpoint reads a thousand tokens of prompts; zero if it is unknown. isUneven
+	// sets it.
+	readTime time.Duration
 }
 
 // suspect adds failureCost to the endpoint's cost for a time that doubles with each call in a row.
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -25,6 +25,8 @@
 	// candidate.
 	Next     string
 	NextCost float64
+	// Unread is the number of prompt tokens that the endpoint has to read until the request's first event.
+	Unread int
 	// Pace says how the pace of endpoints decided; zero if they are not uneven.
 	Pace PaceChoice
 }
