--- a/toucanforward/pace.go
+++ b/toucanforward/pace.go
@@ -15,16 +15,16 @@
 	// at is when the last event arrived, and events the number of events until then.
 	at     time.Time
 	events int
-	// beside is true if the endpoint was reading a prompt then.
-	beside bool
+	// unread is the number of tokens of prompts that the endpoint had not read then.
+	unread int
 }
 
 // next records that events have arrived from an endpoint. ok is false if the time since the last event tells nothing: for the first
 // event from the endpoint, and if a prompt was read during a part of the time.
-func (t *eventTimer) next(now time.Time, endpoint string, events int, beside bool) (took time.Duration, made int, ok bool) {
+func (t *eventTimer) next(now time.Time, endpoint string, events, unread int) (took time.Duration, made int, ok bool) {
 	last := *t
-	*t = eventTimer{endpoint: endpoint, at: now, events: events, beside: beside}
-	if last.endpoint != endpoint || last.beside != beside {
+	*t = eventTimer{endpoint: endpoint, at: now, events: events, unread: unread}
+	if last.endpoint != endpoint || (last.unread > 0) != (unread > 0) {
 		return 0, 0, false
 	}
 	return now.Sub(last.at), events - last.events, true
@@ -42,9 +42,14 @@
 		j.firstEventAt = now
 		s.paces.ObserveRead(now, e.Key(), now.Sub(j.startedAt), reservation.Choice.Unread)
 	}
-	beside := s.placer.ReadsPrompts(now, e.ID)
-	if took, made, ok := j.timer.next(now, e.ID, events, beside); ok {
-		s.paces.Observe(now, e.Key(), took, made, beside)
+	load := s.placer.LoadOf(now, e.ID)
+	if gap := now.Sub(j.lastEventAt); !j.lastEventAt.IsZero() && gap > j.route.Gap && !j.pauseLogged {
+		j.pauseLogged = true
+		s.logPause(j, e, gap, load)
+	}
+	j.lastEventAt = now
+	if took, made, ok := j.timer.next(now, e.ID, events, load.Unread); ok {
+		s.paces.Observe(now, e.Key(), took, made, load.Unread > 0)
 	}
 }
 
@@ -83,3 +88,23 @@
 	e := j.service.Engine
 	return e != nil && e.Moves && j.body.Whole()
 }
+
+// logPause logs the first pause of a stream that is longer than its route's bound.
+func (s *Server) logPause(j *job, e toucanplace.Endpoint, gap time.Duration, load toucanplace.Use) {
+	forecast, known := s.paces.Forecast(time.Now(), e.Key())
+	s.log.Info(toucanlog.MsgLongPause,
+		toucanlog.RequestID, j.ID,
+		toucanlog.Route, j.route.Name,
+		toucanlog.Endpoint, e.ID,
+		toucanlog.PauseMs, gap.Milliseconds(),
+		toucanlog.PauseBoundMs, j.route.Gap.Milliseconds(),
+		toucanlog.PauseForecastMs, forecast.Pause.Milliseconds(),
+		toucanlog.PaceKnown, known,
+		toucanlog.SameEndpoint, j.timer.endpoint == e.ID,
+		toucanlog.Events, j.timer.events,
+		toucanlog.Requests, load.Requests,
+		toucanlog.Unread, load.Unread,
+		toucanlog.UnreadBefore, j.timer.unread,
+		toucanlog.Exposed, load.Exposed,
+	)
+}
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -503,6 +503,10 @@
 }
 func (*coordinatorWithoutPeers) BeginCopy(uint64) func()         { return func() {} }
 func (*coordinatorWithoutPeers) Copying(time.Time, uint64) bool  { return false }
+func (*coordinatorWithoutPeers) CopyingByPeer(time.Time, uint64) bool {
+	return false
+}
+
 func (*coordinatorWithoutPeers) StoreUnreachable(time.Time) bool { return true }
 func (*coordinatorWithoutPeers) Changed() <-chan struct{}        { return make(chan struct{}) }
 
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -149,6 +149,9 @@
 	timer eventTimer
 	// firstEventAt is the time of the first event of a stream with a bound on its pauses; zero before.
 	firstEventAt time.Time
+	// lastEventAt is the time of its last event, and pauseLogged is true once a pause beyond its bound was logged.
+	lastEventAt time.Time
+	pauseLogged bool
 	// placed is the time of the last reservation.
 	placed   time.Time
 	deadline time.Time
--- a/toucangeneration/end_test.go
+++ b/toucangeneration/end_test.go
@@ -42,6 +42,9 @@
 }
 func (noPeers) BeginCopy(uint64) func()         { return func() {} }
 func (noPeers) Copying(time.Time, uint64) bool  { return false }
+func (noPeers) CopyingByPeer(time.Time, uint64) bool {
+	return false
+}
 func (noPeers) StoreUnreachable(time.Time) bool { return false }
 func (noPeers) Changed() <-chan struct{}        { return nil }
 
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -175,7 +175,7 @@
 			break
 		}
 		tried[target.Endpoint.ID] = true
-		done, err := r.moveToTarget(ctx, g, source, target)
+		done, err := r.moveToTarget(ctx, g, source, target, func() bool { return true })
 		if done {
 			return
 		}
@@ -220,15 +220,19 @@
 	)
 }
 
-// moveToTarget moves a generation to one target. It returns true if a Handover or an error was delivered to the
+// moveToTarget moves a generation to one target. Before the generation is stopped, mayStop can give the move up. It returns true if a Handover or an error was delivered to the
 // generation's stream, and false if the generation continues at its source or has ended.
-func (r *Registry) moveToTarget(ctx context.Context, g *Generation, source toucanplace.Endpoint, target *toucanplace.Reservation) (bool, error) {
+func (r *Registry) moveToTarget(ctx context.Context, g *Generation, source toucanplace.Endpoint, target *toucanplace.Reservation, mayStop func() bool) (bool, error) {
 	began := time.Now()
 	defer r.coordinator.BeginCopy(target.Endpoint.Key())()
 	first, err := r.copyMemory(ctx, g, source, target)
 	if err != nil {
 		return false, err
 	}
+	if !mayStop() {
+		r.dropCopy(ctx, source, first)
+		return false, errLinkBusy
+	}
 	if !r.canStop(time.Now()) {
 		r.dropCopy(ctx, source, first)
 		return false, ErrNoTime
--- a/toucangeneration/pace.go
+++ b/toucangeneration/pace.go
@@ -2,21 +2,32 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanwait"
 )
 
 const (
 	// paceInterval is the time between two checks for generations that are better off elsewhere.
 	paceInterval = 100 * time.Millisecond
-	// paceDwell is the least time between two moves of a generation for its pace.
+	// paceDwell bounds the time between two attempts to move a generation for its pace. It is at least half of that, at random, so that
+	// entries whose moves met don't meet again.
 	paceDwell = time.Second
 	// maxPaceMoves limits the moves for the pace that an entry makes at a time.
 	maxPaceMoves = 3
+	// idleWait is how long a copied generation waits for an idle link before it is stopped, idleCheck the time between two checks.
+	idleWait  = 400 * time.Millisecond
+	idleCheck = 20 * time.Millisecond
 )
 
+// errLinkBusy means that a generation is not stopped for a move because another copy would delay it.
+var errLinkBusy = errors.New("another copy is on the link")
+
 // MoveByPace moves generations whose pauses would grow too long at their endpoint, or that take room there in which prompts can be
 // read without harm, until ctx is done. Of all entries, mostly one moves a generation from or to an endpoint at a time.
 func (r *Registry) MoveByPace(ctx context.Context) {
@@ -63,11 +74,17 @@
 		return false
 	}
 	g.beginMoveByPace(now)
-	end := r.coordinator.BeginCopy(source.Key())
+	endSource, endTarget := r.coordinator.BeginCopy(source.Key()), r.coordinator.BeginCopy(target.Endpoint.Key())
 	go func() {
 		defer done()
-		defer end()
+		defer endSource()
+		defer endTarget()
 		defer g.endMoveByPace()
+		toucanwait.Sleep(ctx, announceDelay)
+		if !r.isIdle(source, target.Endpoint) {
+			target.Done(time.Now(), toucanplace.OutcomeNeutral)
+			return
+		}
 		r.paceMoves.Inc(1)
 		pace := target.Choice.Pace
 		r.log.Info(toucanlog.MsgMoveByPace,
@@ -80,7 +97,7 @@
 			toucanlog.PauseBoundMs, pace.Bound.Milliseconds(),
 			toucanlog.Exposed, pace.Exposed,
 		)
-		moved, err := r.moveToTarget(ctx, g, source, target)
+		moved, err := r.moveToTarget(ctx, g, source, target, func() bool { return r.awaitIdle(ctx, source, target.Endpoint) })
 		if moved {
 			return
 		}
@@ -90,6 +107,27 @@
 	return true
 }
 
+// isIdle reports whether no other entry copies memory to or from two endpoints, as far as is known.
+func (r *Registry) isIdle(source, target toucanplace.Endpoint) bool {
+	now := time.Now()
+	return !r.coordinator.CopyingByPeer(now, source.Key()) && !r.coordinator.CopyingByPeer(now, target.Key())
+}
+
+// awaitIdle waits for isIdle, for at most idleWait. It returns false if the source drains meanwhile: its generations are then moved
+// in the order of all entries.
+func (r *Registry) awaitIdle(ctx context.Context, source, target toucanplace.Endpoint) bool {
+	until := time.Now().Add(idleWait)
+	for r.placer.IsAvailable(source.ID) && r.placer.IsAvailable(target.ID) {
+		if r.isIdle(source, target) {
+			return true
+		}
+		if !time.Now().Before(until) || !toucanwait.Sleep(ctx, idleCheck) {
+			return false
+		}
+	}
+	return false
+}
+
 // mayMoveByPace reports whether the generation can be moved for its pace now: it runs, and has done so for paceDwell.
 func (g *Generation) mayMoveByPace(now time.Time) bool {
 	g.mu.Lock()
@@ -103,7 +141,7 @@
 func (g *Generation) beginMoveByPace(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.movedByPace, g.paceMoveAt = true, now.Add(paceDwell)
+	g.movedByPace, g.paceMoveAt = true, now.Add(paceDwell/2+rand.N(paceDwell/2))
 }
 
 func (g *Generation) endMoveByPace() {
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -50,6 +50,8 @@
 	BeginCopy(endpoint uint64) (end func())
 	// Copying reports whether any entry is copying memory to an endpoint.
 	Copying(now time.Time, endpoint uint64) bool
+	// CopyingByPeer reports whether another entry is copying memory to an endpoint.
+	CopyingByPeer(now time.Time, endpoint uint64) bool
 	// StoreUnreachable reports whether the store answers none of the entries, so that updates on draining endpoints
 	// reach none of them.
 	StoreUnreachable(now time.Time) bool
--- a/toucanpeer/movestate.go
+++ b/toucanpeer/movestate.go
@@ -70,9 +70,18 @@
 func (s *SharedState) Copying(now time.Time, endpoint uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.copying[endpoint] > 0 {
-		return true
-	}
+	return s.copying[endpoint] > 0 || s.copyingByPeer(now, endpoint)
+}
+
+// CopyingByPeer reports whether a peer is copying memory to an endpoint.
+func (s *SharedState) CopyingByPeer(now time.Time, endpoint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copyingByPeer(now, endpoint)
+}
+
+// copyingByPeer is CopyingByPeer for callers that hold s.mu.
+func (s *SharedState) copyingByPeer(now time.Time, endpoint uint64) bool {
 	for _, p := range s.peers {
 		if now.Sub(p.receivedAt) > reportTimeout {
 			continue
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -145,12 +145,15 @@
 	return orderCost * (1 - s.order())
 }
 
-// ReadsPrompts reports whether an endpoint has requests whose prompts it has not read yet, and false for one that is not listed.
-func (p *Placer) ReadsPrompts(now time.Time, id string) bool {
+// LoadOf returns the load of an endpoint, of all entries; zero for one that is not listed.
+func (p *Placer) LoadOf(now time.Time, id string) Use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.endpoints[id]
-	return ok && p.total(now, s).Unread > 0
+	if !ok {
+		return Use{}
+	}
+	return p.total(now, s)
 }
 
 // PaceChoice describes the endpoint that was selected among uneven ones.
