--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -501,8 +501,8 @@
 func (*coordinatorWithoutPeers) Ahead(time.Time, uint64, toucanmoveorder.Generation) bool {
 	return false
 }
-func (*coordinatorWithoutPeers) BeginCopy(uint64) func()         { return func() {} }
-func (*coordinatorWithoutPeers) Copying(time.Time, uint64) bool  { return false }
+func (*coordinatorWithoutPeers) BeginCopy(uint64) func()        { return func() {} }
+func (*coordinatorWithoutPeers) Copying(time.Time, uint64) bool { return false }
 func (*coordinatorWithoutPeers) CopyingByPeer(time.Time, uint64) bool {
 	return false
 }
--- a/toucangeneration/end_test.go
+++ b/toucangeneration/end_test.go
@@ -40,8 +40,8 @@
 func (noPeers) Ahead(time.Time, uint64, toucanmoveorder.Generation) bool {
 	return false
 }
-func (noPeers) BeginCopy(uint64) func()         { return func() {} }
-func (noPeers) Copying(time.Time, uint64) bool  { return false }
+func (noPeers) BeginCopy(uint64) func()        { return func() {} }
+func (noPeers) Copying(time.Time, uint64) bool { return false }
 func (noPeers) CopyingByPeer(time.Time, uint64) bool {
 	return false
 }
--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -12,7 +12,7 @@
 const (
 	// slotLength is the length of the spans over which event times are averaged. It is about as long as a slow moment, so that one
 	// falls into few spans.
-	slotLength = 300 * time.Millisecond
+	slotLength = 250 * time.Millisecond
 	// slotCount is the number of spans that are kept.
 	slotCount = 24
 	// minSlotEvents is the least number of events of a span that counts.
@@ -39,12 +39,21 @@
 	Pace     Pace
 }
 
+// Learned is what an entry has learned itself.
+type Learned struct {
+	Paces []Reported
+	// Slowdowns holds how many single events took longer than usual, by steps of slowdownStep.
+	Slowdowns []uint32
+}
+
 // Learner holds the paces of endpoints, which are given by their Keys. It is safe for concurrent use.
 type Learner struct {
 	mu        sync.Mutex
 	endpoints map[uint64]*endpoint
 	slowdowns slowdowns
-	reads     reads
+	// peers holds the slowdowns that each peer has counted, by name.
+	peers map[string]heardSlowdowns
+	reads reads
 	view      view
 }
 
@@ -53,8 +62,16 @@
 	alone, beside spans
 	// peers holds the last word of each peer, by name.
 	peers map[string]heard
-	// news is the time of the last event or word.
-	news time.Time
+	// reads holds the last readings of prompts.
+	reads recentReads
+	// news is the time of the last event or word, newest the number of the last span with an event or a reading.
+	news   time.Time
+	newest int64
+}
+
+type heardSlowdowns struct {
+	at     time.Time
+	counts slowdowns
 }
 
 type heard struct {
@@ -65,6 +82,9 @@
 // view is an evaluation of all that is known at a time. It is not changed any more.
 type view struct {
 	at time.Time
+	// paces holds the known paces, and readShare the share of reads.
+	paces     map[uint64]Pace
+	readShare float64
 	// forecasts holds the forecast of each endpoint with a known pace.
 	forecasts map[uint64]Forecast
 	// usual is the median of the forecasts; zero if there is none.
@@ -81,7 +101,7 @@
 
 // New returns a Learner that knows of no endpoint.
 func New() *Learner {
-	return &Learner{endpoints: make(map[uint64]*endpoint)}
+	return &Learner{endpoints: make(map[uint64]*endpoint), peers: make(map[string]heardSlowdowns)}
 }
 
 // Observe records that an endpoint made a number of events of a stream in a time. beside is true if it read a prompt all the while,
@@ -93,22 +113,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.endpoint(key)
-	e.news = now
-	s := &e.alone
+	e.news, e.newest = now, spanNumber(now)
+	s, usual := &e.alone, l.view.paces[key].Alone
 	if beside {
-		s = &e.beside
+		s, usual = &e.beside, l.view.paces[key].Beside
 	}
-	if usual := s.usual(now); usual > 0 && events == 1 {
+	if usual > 0 && events == 1 {
 		l.slowdowns.add(float64(took) / float64(usual))
 	}
 	s.add(now, took, events)
 }
 
-// ObservePeer records what a peer has learned. A later word of the peer on an endpoint replaces the earlier one.
-func (l *Learner) ObservePeer(now time.Time, peer string, paces []Reported) {
+// ObservePeer records what a peer has learned. A later word of the peer on an endpoint replaces the earlier one, as its counts of
+// slowdowns do.
+func (l *Learner) ObservePeer(now time.Time, peer string, learned Learned) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, r := range paces {
+	if len(learned.Slowdowns) > 0 {
+		l.peers[peer] = heardSlowdowns{at: now, counts: newSlowdowns(learned.Slowdowns)}
+	}
+	for _, r := range learned.Paces {
 		if r.Pace.Alone < 0 || r.Pace.Beside < 0 || r.Pace.Alone > maxEvent || r.Pace.Beside > maxEvent {
 			continue
 		}
@@ -118,8 +142,8 @@
 	}
 }
 
-// Own returns the paces that this entry has learned itself, the newest first, and at most limit.
-func (l *Learner) Own(now time.Time, limit int) []Reported {
+// Own returns what this entry has learned itself, with at most limit paces, the newest ones.
+func (l *Learner) Own(now time.Time, limit int) Learned {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	type dated struct {
@@ -128,9 +152,8 @@
 	}
 	var list []dated
 	for key, e := range l.endpoints {
-		p := Pace{Alone: e.alone.usual(now), Beside: e.beside.usual(now)}
-		if p != (Pace{}) {
-			list = append(list, dated{Reported{Endpoint: key, Pace: p}, max(e.alone.last, e.beside.last)})
+		if p := e.ownPace(now, l.view.readShare); p != (Pace{}) {
+			list = append(list, dated{Reported{Endpoint: key, Pace: p}, e.newest})
 		}
 	}
 	slices.SortFunc(list, func(x, y dated) int {
@@ -146,7 +169,7 @@
 	for _, d := range list[:min(len(list), limit)] {
 		paces = append(paces, d.Reported)
 	}
-	return paces
+	return Learned{Paces: paces, Slowdowns: l.slowdowns.trimmed()}
 }
 
 // ObserveRead records the time from the sending of a request to the first event, at an endpoint that then had a number of tokens of
@@ -157,11 +180,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.endpoints[key]
-	if !ok {
-		return
-	}
-	if beside := e.pace(now).Beside; beside > 0 {
+	e := l.endpoint(key)
+	e.news, e.newest = now, spanNumber(now)
+	e.reads.add(float64(took) / float64(tokens))
+	if beside := e.beside.usual(now); beside > 0 {
 		l.reads.add(float64(took) / float64(beside) / float64(tokens))
 	}
 }
@@ -182,6 +204,7 @@
 
 // evaluate renews the view and forgets endpoints without news. The caller holds l.mu.
 func (l *Learner) evaluate(now time.Time) {
+	readShare := l.reads.median()
 	paces := make(map[uint64]Pace, len(l.endpoints))
 	var ratios []float64
 	for key, e := range l.endpoints {
@@ -189,14 +212,15 @@
 			delete(l.endpoints, key)
 			continue
 		}
-		p := e.pace(now)
+		p := e.pace(now, readShare)
 		paces[key] = p
 		if p.Alone > 0 && p.Beside > 0 {
 			ratios = append(ratios, float64(p.Beside)/float64(p.Alone))
 		}
 	}
-	besideRatio, slowdown, readShare := medianOf(ratios), l.slowdowns.high(), l.reads.median()
-	l.view = view{at: now, forecasts: make(map[uint64]Forecast, len(paces))}
+	all := l.allSlowdowns(now)
+	besideRatio, slowdown := medianOf(ratios), all.high()
+	l.view = view{at: now, paces: paces, readShare: readShare, forecasts: make(map[uint64]Forecast, len(paces))}
 	var pauses, readTimes []time.Duration
 	for key, p := range paces {
 		beside := p.Beside
@@ -218,7 +242,7 @@
 }
 
 // pace returns the median of this entry's own pace and those of its peers.
-func (e *endpoint) pace(now time.Time) Pace {
+func (e *endpoint) pace(now time.Time, readShare float64) Pace {
 	var alone, beside []time.Duration
 	add := func(p Pace) {
 		if p.Alone > 0 {
@@ -228,7 +252,7 @@
 			beside = append(beside, p.Beside)
 		}
 	}
-	add(Pace{Alone: e.alone.usual(now), Beside: e.beside.usual(now)})
+	add(e.ownPace(now, readShare))
 	for peer, h := range e.peers {
 		if now.Sub(h.at) > paceLife {
 			delete(e.peers, peer)
@@ -239,6 +263,29 @@
 	return Pace{Alone: medianOf(alone), Beside: medianOf(beside)}
 }
 
+// ownPace returns this entry's own pace of an endpoint. Until enough events were seen beside prompts, it follows from the reading of
+// prompts, of which the reading of one token takes readShare of an event; zero if that is unknown.
+func (e *endpoint) ownPace(now time.Time, readShare float64) Pace {
+	p := Pace{Alone: e.alone.usual(now), Beside: e.beside.usual(now)}
+	if p.Beside == 0 && readShare > 0 {
+		p.Beside = time.Duration(e.reads.usual() / readShare)
+	}
+	return p
+}
+
+// allSlowdowns returns the counts of all entries. The caller holds l.mu.
+func (l *Learner) allSlowdowns(now time.Time) slowdowns {
+	all := l.slowdowns
+	for peer, h := range l.peers {
+		if now.Sub(h.at) > paceLife {
+			delete(l.peers, peer)
+			continue
+		}
+		all.merge(h.counts)
+	}
+	return all
+}
+
 // endpoint returns what is known of an endpoint. The caller holds l.mu.
 func (l *Learner) endpoint(key uint64) *endpoint {
 	e, ok := l.endpoints[key]
--- a/toucanpace/spans.go
+++ b/toucanpace/spans.go
@@ -9,8 +9,6 @@
 // spans holds the average event times of the last slotCount spans.
 type spans struct {
 	slots [slotCount]span
-	// last is the number of the newest span, counted from the epoch.
-	last int64
 	// cached is the result of usual when the spans changed last, evaluated in the span cachedIn.
 	cached   time.Duration
 	cachedIn int64
@@ -37,7 +35,6 @@
 	}
 	slot.took += took
 	slot.events += events
-	s.last = max(s.last, number)
 }
 
 // usual returns the lower third of the whole spans' average event times; zero if fewer than minSlots have enough events. Moments that
@@ -85,7 +82,7 @@
 // add counts an event that took ratio times as long as usual.
 func (s *slowdowns) add(ratio float64) {
 	step := 0
-	if ratio > 1 {
+	if ratio > 1 && !math.IsInf(ratio, 0) {
 		step = min(int(math.Log(ratio)/math.Log(slowdownStep)), slowdownSteps-1)
 	}
 	s.counts[step]++
@@ -100,6 +97,39 @@
 	}
 }
 
+// newSlowdowns returns the slowdowns with given counts. Counts beyond slowdownSteps and maxSlowdowns are ignored.
+func newSlowdowns(counts []uint32) slowdowns {
+	var s slowdowns
+	for step, n := range counts[:min(len(counts), slowdownSteps)] {
+		s.counts[step] = min(int(n), maxSlowdowns)
+		s.total += s.counts[step]
+	}
+	return s
+}
+
+// trimmed returns the counts without the zeros at the end.
+func (s *slowdowns) trimmed() []uint32 {
+	var counts []uint32
+	for step, n := range s.counts {
+		if n == 0 {
+			continue
+		}
+		for len(counts) < step {
+			counts = append(counts, 0)
+		}
+		counts = append(counts, uint32(n))
+	}
+	return counts
+}
+
+// merge adds the counts of another entry.
+func (s *slowdowns) merge(other slowdowns) {
+	for step, n := range other.counts {
+		s.counts[step] += n
+	}
+	s.total += other.total
+}
+
 // high returns how many times longer than usual an event can take, at slowdownQuantile; 1 until enough events were counted.
 func (s *slowdowns) high() float64 {
 	if s.total < minSlowdowns {
@@ -148,3 +178,25 @@
 	sorted := r.shares
 	return medianOf(sorted[:r.count])
 }
+
+// recentCount is the number of an endpoint's readings that are kept.
+const recentCount = 5
+
+// recentReads holds how long the reading of one token took, in nanoseconds, in the last readings of an endpoint.
+type recentReads struct {
+	times [recentCount]float64
+	next  int
+	count int
+}
+
+func (r *recentReads) add(perToken float64) {
+	r.times[r.next] = perToken
+	r.next = (r.next + 1) % recentCount
+	r.count = min(r.count+1, recentCount)
+}
+
+// usual returns the lower median, since slow moments and queues only prolong a reading; zero if there is none.
+func (r *recentReads) usual() float64 {
+	sorted := r.times
+	return medianOf(sorted[:r.count])
+}
--- a/toucanpeer/pace.go
+++ b/toucanpeer/pace.go
@@ -10,7 +10,7 @@
 	// paceInterval is the least time between two reports with paces.
 	paceInterval = time.Second
 	// maxPaces limits the paces in a report, about 18 B each.
-	maxPaces = 16
+	maxPaces = 8
 )
 
 // StateOption configures a SharedState.
@@ -23,32 +23,37 @@
 
 // applyPaces learns what a peer reports on paces.
 func (s *SharedState) applyPaces(now time.Time, r *Report) {
-	if len(r.GetPaces()) == 0 {
+	if r.GetPaces() == nil {
 		return
 	}
-	paces := make([]toucanpace.Reported, 0, min(len(r.GetPaces()), maxPaces))
-	for _, p := range r.GetPaces()[:min(len(r.GetPaces()), maxPaces)] {
-		paces = append(paces, toucanpace.Reported{Endpoint: p.GetEndpoint(), Pace: toucanpace.Pace{
+	learned := toucanpace.Learned{Slowdowns: r.GetPaces().GetSlowdowns()}
+	list := r.GetPaces().GetEndpoints()
+	for _, p := range list[:min(len(list), maxPaces)] {
+		learned.Paces = append(learned.Paces, toucanpace.Reported{Endpoint: p.GetEndpoint(), Pace: toucanpace.Pace{
 			Alone:  time.Duration(p.GetAloneMicros()) * time.Microsecond,
 			Beside: time.Duration(p.GetBesideMicros()) * time.Microsecond,
 		}})
 	}
-	s.paces.ObservePeer(now, r.GetSender(), paces)
+	s.paces.ObservePeer(now, r.GetSender(), learned)
 }
 
 // reportedPaces returns the paces for the next report; nil until paceInterval after the last ones. The caller must hold s.mu.
-func (s *SharedState) reportedPaces(now time.Time) []*EndpointPace {
+func (s *SharedState) reportedPaces(now time.Time) *Paces {
 	if now.Sub(s.pacesSentAt) < paceInterval {
 		return nil
 	}
 	s.pacesSentAt = now
-	var out []*EndpointPace
-	for _, p := range s.paces.Own(now, maxPaces) {
-		out = append(out, &EndpointPace{
+	own := s.paces.Own(now, maxPaces)
+	out := &Paces{Slowdowns: own.Slowdowns}
+	for _, p := range own.Paces {
+		out.Endpoints = append(out.Endpoints, &EndpointPace{
 			Endpoint:     p.Endpoint,
 			AloneMicros:  uint32(p.Pace.Alone.Microseconds()),
 			BesideMicros: uint32(p.Pace.Beside.Microseconds()),
 		})
 	}
+	if len(out.GetEndpoints()) == 0 && len(out.GetSlowdowns()) == 0 {
+		return nil
+	}
 	return out
 }
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -83,7 +83,7 @@
 	breaking, sound := false, false
 	for _, s := range p.services[service] {
 		forecast, known := p.paces.Forecast(now, s.key)
-		s.breaksGap, s.readTime = forecast.Pause > bound, forecast.ReadTime
+		s.breaksGap, s.paceKnown, s.readTime = forecast.Pause > bound, known, forecast.ReadTime
 		if known && !s.isDraining() {
 			breaking = breaking || s.breaksGap
 			sound = sound || !s.breaksGap
@@ -104,6 +104,9 @@
 		c += harmCost*float64(u.Exposed) + riskCost + orderCost*(1-s.order())
 	case s.breaksGap && d.isExposed():
 		c += harmCost*float64(u.Exposed) + moveCost + orderCost*s.order()
+	case s.breaksGap && !s.paceKnown:
+		// A short request shows the pace of a new endpoint.
+		c += harmCost * float64(u.Exposed)
 	case s.breaksGap:
 		c += harmCost*float64(u.Exposed) + orderCost*s.order()
 	case !d.isExposed():
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -189,6 +189,8 @@
 	unreachableInARow int
 	// breaksGap is true if a prompt makes streams beside it late in slow moments. isUneven sets it.
 	breaksGap bool
+	// paceKnown is false if breaksGap follows from the pace of most endpoints. isUneven sets it.
+	paceKnown bool
 	// readTime is the forecast of the time in which the endpoint reads a thousand tokens of prompts; zero if it is unknown. isUneven
 	// sets it.
 	readTime time.Duration
