--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// Own returns what this entry has learned itself, with at most limit paces, the newest ones.
+// Own returns what this entry has learned from events itself, with at most limit paces, the newest ones.
 func (l *Learner) Own(now time.Time, limit int) Learned {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,7 +152,7 @@
 	}
 	var list []dated
 	for key, e := range l.endpoints {
-		if p := e.ownPace(now, l.view.readShare); p != (Pace{}) {
+		if p := e.ownPace(now, 0); p != (Pace{}) {
 			list = append(list, dated{Reported{Endpoint: key, Pace: p}, e.newest})
 		}
 	}
@@ -183,7 +183,7 @@
 	e := l.endpoint(key)
 	e.news, e.newest = now, spanNumber(now)
 	e.reads.add(float64(took) / float64(tokens))
-	if beside := e.beside.usual(now); beside > 0 {
+	if beside := e.pace(now, 0).Beside; beside > 0 {
 		l.reads.add(float64(took) / float64(beside) / float64(tokens))
 	}
 }
