--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -90,7 +90,7 @@
 	}
 	j.logged = true
 	choice := reservation.Choice
-	s.log.Info(toucanlog.MsgRequestPlaced,
+	args := []any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
 		toucanlog.Workspace, j.workspace,
@@ -102,7 +102,8 @@
 		toucanlog.Tokens, j.demand.Tokens(),
 		toucanlog.HeldMs, held.Milliseconds(),
 		toucanlog.SettingsVersion, j.version,
-	)
+	}
+	s.log.Info(toucanlog.MsgRequestPlaced, append(args, paceArgs(choice.Pace)...)...)
 }
 
 // roundCost rounds a cost to three decimals for the log.
@@ -144,6 +145,7 @@
 func (s *Server) reserve(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
+		j.demand.Goal, j.demand.Movable = j.goalLeft(now), j.isMovable()
 		patience := max(until.Sub(now), 0)
 		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience))
 		if err != nil {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -194,6 +194,7 @@
 	if seen.Count() >= provenEvents {
 		s.recordProven(j)
 	}
+	s.recordPace(j, reservation, seen.Count())
 	if first, gap := g.Progress(seen.Count()); first {
 		reservation.MarkPromptRead()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
@@ -262,6 +263,7 @@
 	j.endLateStops(h.Reservation.Endpoint.Address)
 	sentAt := time.Now()
 	j.startedAt = sentAt
+	j.timer = eventTimer{}
 	resp, err := s.send(ctx, j, h.Reservation, resumeFrom(h, seen))
 	if err != nil {
 		f := newFailure(h.Reservation, err)
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -50,6 +50,8 @@
 	BeginCopy(endpoint uint64) (end func())
 	// Copying reports whether any entry is copying memory to an endpoint.
 	Copying(now time.Time, endpoint uint64) bool
+	// CopyingByPeer reports whether another entry is copying memory to an endpoint.
+	CopyingByPeer(now time.Time, endpoint uint64) bool
 	// StoreUnreachable reports whether the store answers none of the entries, so that updates on draining endpoints
 	// reach none of them.
 	StoreUnreachable(now time.Time) bool
@@ -66,6 +68,7 @@
 
 	moves     tally.Counter
 	moveFails tally.Counter
+	paceMoves tally.Counter
 
 	mu          sync.Mutex
 	generations map[*Generation]struct{}
@@ -91,6 +94,7 @@
 		log:         cfg.Log,
 		moves:       cfg.Scope.Counter("generations_moved"),
 		moveFails:   cfg.Scope.Counter("generation_moves_failed"),
+		paceMoves:   cfg.Scope.Counter("generation_moves_by_pace"),
 		generations: make(map[*Generation]struct{}),
 	}
 }
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -65,6 +65,13 @@
 	Output int
 	// Made is the length of the output so far, for a generation that is copied from another endpoint.
 	Made int
+	// MaxGap is the longest pause between two events of the output that is on time; zero for none, and for a stream that is late
+	// already.
+	MaxGap time.Duration
+	// Movable is true if the generation can be moved to another endpoint after its first event.
+	Movable bool
+	// Goal is the time that is left for the first event to be on time; zero for no such bound.
+	Goal time.Duration
 }
 
 // Tokens returns the estimated memory, in tokens, at the end of the output.
@@ -82,14 +89,16 @@
 	Unread int
 	// Held is the number of tokens in memory of requests that have a first event, and of copies on their way.
 	Held int
+	// Exposed is the number of streams that a longer pause would make late.
+	Exposed int
 }
 
 func (u Use) plus(v Use) Use {
-	return Use{Requests: u.Requests + v.Requests, Tokens: u.Tokens + v.Tokens, Unread: u.Unread + v.Unread, Held: u.Held + v.Held}
+	return Use{Requests: u.Requests + v.Requests, Tokens: u.Tokens + v.Tokens, Unread: u.Unread + v.Unread, Held: u.Held + v.Held, Exposed: u.Exposed + v.Exposed}
 }
 
 func (u Use) minus(v Use) Use {
-	return Use{Requests: u.Requests - v.Requests, Tokens: u.Tokens - v.Tokens, Unread: u.Unread - v.Unread, Held: u.Held - v.Held}
+	return Use{Requests: u.Requests - v.Requests, Tokens: u.Tokens - v.Tokens, Unread: u.Unread - v.Unread, Held: u.Held - v.Held, Exposed: u.Exposed - v.Exposed}
 }
 
 // taken returns the memory, in tokens, that requests hold now or as soon as their prompts are read.
@@ -178,6 +187,13 @@
 	deferredUntil time.Time
 	// unreachableInARow counts the failures to reach the endpoint since its last success.
 	unreachableInARow int
+	// breaksGap is true if a prompt makes streams beside it late in slow moments. isUneven sets it.
+	breaksGap bool
+	// paceKnown is false if breaksGap follows from the pace of most endpoints. isUneven sets it.
+	paceKnown bool
+	// readTime is the forecast of the time in which the endpoint reads a thousand tokens of prompts; zero if it is unknown. isUneven
+	// sets it.
+	readTime time.Duration
 }
 
 // suspect adds failureCost to the endpoint's cost for a time that doubles with each call in a row.
