--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -64,6 +64,9 @@
 			toucanlog.LeftMs, headers.RetryAfter.Milliseconds(),
 		)
 	}
+	if headers.Cold > 0 {
+		s.placer.MarkCold(time.Now(), e.ID, headers.Cold)
+	}
 	if headers.Leaving && s.placer.MarkLeaving(time.Now(), e.ID) {
 		s.log.Info(toucanlog.MsgEndpointLeaves,
 			toucanlog.Endpoint, e.ID,
@@ -100,6 +103,7 @@
 		Header:  header,
 		Body:    j.body,
 		Belongs: func(h http.Header) bool { return s.codec.Belongs(h, j.ID) },
+		OnWrite: func() { reservation.MarkSent(time.Now()) },
 		// A handle can be used once, so that an endpoint does not resume a generation twice.
 		Repeatable: resume != nil && j.body.Whole(),
 	})
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -15,6 +15,10 @@
 	"toucanport/toucanupstream"
 )
 
+// retryAfterEvacuated is the Retry-After value while every endpoint is in an evacuated failure domain. Only the operator
+// changes that.
+const retryAfterEvacuated = time.Second
+
 // reason is the cause of a refusal as it appears in logs and metrics.
 type reason string
 
@@ -28,6 +32,7 @@
 	reasonCallerSlow  reason = "callerSlow"
 	reasonCallerLeft  reason = "callerLeft"
 	reasonNoEndpoint  reason = "noEndpoint"
+	reasonEvacuated   reason = "evacuated"
 	reasonFull        reason = "full"
 	reasonDeferred    reason = "deferred"
 	reasonLimited     reason = "limited"
@@ -139,6 +144,8 @@
 		return refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout, err: err}
 	case errors.Is(err, toucanplace.ErrTooLarge):
 		return refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, err: err}
+	case errors.Is(err, toucanplace.ErrEvacuated):
+		return refusal{status: http.StatusServiceUnavailable, reason: reasonEvacuated, retryAfter: retryAfterEvacuated, err: err}
 	case errors.Is(err, toucanplace.ErrNoEndpoint):
 		return refusal{status: http.StatusServiceUnavailable, reason: reasonNoEndpoint, retryAfter: retryAfterFull, err: err}
 	}
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -27,7 +27,7 @@
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
 // too large for every endpoint, if it can't end before the server stops, if all endpoints have asked for no requests for
-// longer than it may wait or have no slot in that time, or if an attempt has failed and no untried endpoint is left.
+// longer than it may wait or have no slot in that time, if all are in evacuated failure domains, or if an attempt has failed and no untried endpoint is left.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
 	until := now.Add(j.maxWait(now))
@@ -49,7 +49,7 @@
 			s.recordPlaced(j, reservation, now)
 			return reservation, nil
 		}
-		if errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrLimited) {
+		if errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrLimited) || errors.Is(err, toucanplace.ErrEvacuated) {
 			return nil, err
 		}
 		if errors.Is(err, toucanplace.ErrNoEndpoint) && len(j.tried) > 0 {
@@ -90,7 +90,7 @@
 	}
 	j.logged = true
 	choice := reservation.Choice
-	s.log.Info(toucanlog.MsgRequestPlaced,
+	args := []any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
 		toucanlog.Workspace, j.workspace,
@@ -102,7 +102,11 @@
 		toucanlog.Tokens, j.demand.Tokens(),
 		toucanlog.HeldMs, held.Milliseconds(),
 		toucanlog.SettingsVersion, j.version,
-	)
+	}
+	if choice.Cold > 0 {
+		args = append(args, toucanlog.ColdLeftOut, choice.Cold)
+	}
+	s.log.Info(toucanlog.MsgRequestPlaced, args...)
 }
 
 // roundCost rounds a cost to three decimals for the log.
@@ -166,7 +170,7 @@
 	if wait == 0 {
 		return true
 	}
-	return toucanwait.Sleep(ctx, wait) && s.placer.IsAvailable(e.ID)
+	return toucanwait.Sleep(ctx, wait) && s.placer.TakesNew(e.ID)
 }
 
 // untried reports whether no attempt of the request has failed at the endpoint.
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -75,6 +75,8 @@
 	Leaving bool
 	// Limit is what the answer says about the requests a second that the endpoint takes from all entries together.
 	Limit toucanrate.Notice
+	// Cold is how long the endpoint stays cold; zero if it does not say so.
+	Cold time.Duration
 }
 
 // Codec translates between HTTP headers and the values that they carry.
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -233,6 +233,11 @@
 // endpoint provably did not begin, so that the generation can be resumed at another one.
 func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *eventParser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
 	seen.discardPartial()
+	h, err := s.redirect(j, g, h)
+	if err != nil {
+		return nil, nil, err
+	}
+	awaitColdTurn(ctx, h.Reservation)
 	j.endLateStops(h.Reservation.Endpoint.Address)
 	sentAt := time.Now()
 	s.limits.Spend(h.Reservation.Endpoint.Key())
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -233,6 +233,10 @@
 		r.dropCopy(ctx, source, first)
 		return false, ErrNoTime
 	}
+	if !r.placer.MayResume(time.Now().Add(resumeTime), target.Endpoint) {
+		r.dropCopy(ctx, source, first)
+		return false, ErrTargetEvacuated
+	}
 	if !g.markStopping() {
 		r.dropCopy(ctx, source, first)
 		return false, ErrNotRunning
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -36,6 +36,8 @@
 	ErrUnreached = errors.New("endpoint was not reached")
 	// ErrNoTime means that the generation could not go on at a target before all generations end.
 	ErrNoTime = errors.New("no time is left for a move")
+	// ErrTargetEvacuated means that the failure domain of a move's target was evacuated while memory was copied to it.
+	ErrTargetEvacuated = errors.New("target's failure domain was evacuated")
 	// ErrNoCapacity means that the target has too little memory for the copy or is unreachable from the source.
 	ErrNoCapacity = errors.New("target has no capacity for the copy")
 )
--- a/toucanpeer/limit.go
+++ b/toucanpeer/limit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"toucanport/toucanmember"
+	"toucanport/toucanplace"
 	"toucanport/toucanrate"
 )
 
@@ -28,7 +29,10 @@
 // WithLimits shares limits with the entries of the cell. Connect them with the mesh.
 func WithLimits(l RateLimits) MeshOption { return func(m *Mesh) { m.limits = l } }
 
-var _ toucanrate.Peers = (*Mesh)(nil)
+var (
+	_ toucanrate.Peers    = (*Mesh)(nil)
+	_ toucanplace.Entries = (*Mesh)(nil)
+)
 
 // Members implements toucanrate.Peers.
 func (m *Mesh) Members(now time.Time) []string {
@@ -54,6 +58,22 @@
 	return n
 }
 
+// Known implements toucanplace.Entries. It returns the names of the entries of the cell in sorted order, with those that are no
+// longer registered or heard and may still send requests.
+func (m *Mesh) Known() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	cells := toucanmember.NewCells(len(m.peers) + 1)
+	names := []string{m.name}
+	for name := range m.peers {
+		if cells.Of(name) == cells.Of(m.name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // ReportSoon implements toucanrate.Peers.
 func (m *Mesh) ReportSoon() { m.state.requestReport() }
 
--- a/toucanplace/avoid.go
+++ b/toucanplace/avoid.go
@@ -71,6 +71,7 @@
 	for _, s := range p.endpoints {
 		if slices.Contains(keys, s.key) {
 			s.peerSuspectUntil = now.Add(peerSuspectDuration)
+			s.suspectCold(now)
 		}
 	}
 }
@@ -100,7 +101,7 @@
 	defer p.mu.Unlock()
 	least := time.Duration(0)
 	for _, s := range p.services[service] {
-		if s.isDraining() {
+		if !s.takesNew() {
 			continue
 		}
 		left := s.deferredUntil.Sub(now)
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -17,7 +17,7 @@
 	var bestCost float64
 	for _, s := range p.services[at.Service] {
 		u := p.total(now, s)
-		if s.isDraining() || s.isDeferred(now) || s.OtherCell || s.ID == at.ID || now.Before(s.suspectUntil) || !s.fitsBackup(u, d) {
+		if !s.takesNew() || s.isDeferred(now) || s.OtherCell || s.ID == at.ID || now.Before(s.suspectUntil) || !s.fitsBackup(u, d) {
 			continue
 		}
 		c := s.cost(now, u)
@@ -67,7 +67,8 @@
 func WithoutLimited() PlaceOption { return func(q *search) { q.patience = -1 } }
 
 // Place reserves capacity for d on the endpoint of a service with the lowest cost. It considers only endpoints that
-// allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrFull, ErrDeferred, ErrLimited or ErrTooLarge.
+// allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrEvacuated, ErrFull,
+// ErrDeferred, ErrLimited or ErrTooLarge.
 func (p *Placer) Place(now time.Time, service string, d Demand, allowed Filter, opts ...PlaceOption) (*Reservation, error) {
 	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.domainCost(otherDomainCost)}
 	for _, opt := range opts {
@@ -89,7 +90,7 @@
 func (p *Placer) HasEndpoint(service string, allowed Filter) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.services[service], func(s *endpointState) bool { return !s.isDraining() && allowed(s.Endpoint) })
+	return slices.ContainsFunc(p.services[service], func(s *endpointState) bool { return s.takesNew() && allowed(s.Endpoint) })
 }
 
 // domainCost returns a function that adds cost to endpoints outside this entry's failure domain.
@@ -144,7 +145,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.services[service] {
-		if s.isDraining() || s.OtherCell {
+		if !s.takesNew() || s.OtherCell {
 			continue
 		}
 		limit, ok := p.limits.Limit(s.key)
@@ -184,11 +185,15 @@
 func (p *Placer) chooseAmong(q search, otherCells bool) (*endpointState, Choice, error) {
 	best, bestID := (*endpointState)(nil), ""
 	var why Choice
-	listed, large, deferred, limited := false, true, true, true
+	listed, evacuated, large, deferred, limited := false, false, true, true, true
 	for _, s := range p.services[q.service] {
 		if s.isDraining() || s.OtherCell && !otherCells || !q.allowed(s.Endpoint) {
 			continue
 		}
+		if s.Evacuated {
+			evacuated = true
+			continue
+		}
 		listed = true
 		if s.MemoryTokens > 0 && q.demand.Tokens() > s.MemoryTokens {
 			continue
@@ -203,6 +208,11 @@
 			continue
 		}
 		limited = limited && hasLimit
+		if !p.coldAllows(q.now, s) {
+			limited = false
+			why.Cold++
+			continue
+		}
 		u := p.total(q.now, s)
 		if !s.fits(u, q.demand, q.limits) {
 			limited = false
@@ -212,9 +222,14 @@
 			best, bestID = s, s.ID
 		}
 	}
+	if why.Cold > 0 {
+		p.cold.leftOut++
+	}
 	switch {
 	case best != nil:
 		return best, why, nil
+	case !listed && evacuated:
+		return nil, why, errors.Wrap(ErrEvacuated, q.service)
 	case !listed:
 		return nil, why, errors.Wrap(ErrNoEndpoint, q.service)
 	case large:
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -41,6 +41,16 @@
 	MemoryTokens int
 	// Leaving is true for an endpoint that takes no new requests.
 	Leaving bool
+	// Evacuated is true for an endpoint in a failure domain that the operator has evacuated: it gets nothing new, and its
+	// generations go on.
+	Evacuated bool
+	// ResumeUntil is until when a generation that was stopped may go on at an evacuated endpoint; zero for never.
+	ResumeUntil time.Time
+	// ColdLimit is how many requests the endpoint takes in any one second from all entries of the cell while it is cold;
+	// zero for no limit.
+	ColdLimit int
+	// ColdTime is how long the endpoint is cold after a start.
+	ColdTime time.Duration
 	// OtherCell is true for an endpoint that is assigned to other entries. This entry uses it only when its own
 	// endpoints have no capacity.
 	OtherCell bool
@@ -178,12 +188,14 @@
 	deferredUntil time.Time
 	// unreachableInARow counts the failures to reach the endpoint since its last success.
 	unreachableInARow int
+	cold              coldState
 }
 
 // suspect adds failureCost to the endpoint's cost for a time that doubles with each call in a row.
 func (s *endpointState) suspect(now time.Time) {
 	s.suspectUntil = now.Add(suspectDuration << min(s.unreachableInARow, suspectDoublings))
 	s.unreachableInARow++
+	s.suspectCold(now)
 }
 
 // failureShare returns the average of failed requests, decayed until now.
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -27,6 +27,7 @@
 	changed chan struct{}
 	// limits tells which endpoints take only so many requests a second.
 	limits RateLimits
+	cold   coldGuard
 }
 
 // RateLimits tells which endpoints take only so many requests a second from all entries together.
@@ -79,6 +80,7 @@
 func (p *Placer) SetEndpoints(list []Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	next := make(map[string]*endpointState, len(list))
 	services := make(map[string][]*endpointState)
 	anyDeparted := false
@@ -89,7 +91,9 @@
 			s = &endpointState{saidLeaving: saidLeaving}
 		}
 		anyDeparted = anyDeparted || e.Leaving && !s.Leaving
+		previous := s.Endpoint
 		s.Endpoint, s.key = e, e.Key()
+		p.observeListed(now, s, previous)
 		next[e.ID] = s
 		services[e.Service] = append(services[e.Service], s)
 	}
@@ -102,7 +106,8 @@
 		sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
 	}
 	p.endpoints, p.services = next, services
-	p.forgetLeaving(time.Now())
+	p.cold.observeList(now, len(list))
+	p.forgetLeaving(now)
 	if anyDeparted {
 		broadcast(&p.departed)
 	}
@@ -150,7 +155,7 @@
 	return last, found
 }
 
-// IsAvailable reports whether an endpoint is listed and not draining.
+// IsAvailable reports whether an endpoint is listed and not draining. An evacuated one is available to its generations.
 func (p *Placer) IsAvailable(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -158,7 +163,7 @@
 	return ok && !s.isDraining()
 }
 
-// Endpoints returns this entry's endpoints that take new requests now, in no order.
+// Endpoints returns this entry's endpoints that do not drain and can be called now, with the evacuated ones, in no order.
 func (p *Placer) Endpoints() []Endpoint {
 	now := time.Now()
 	p.mu.Lock()
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -14,6 +14,8 @@
 	state  *endpointState
 	use    Use
 	done   bool
+	// toSend is true while the request is in the endpoint's window and was not sent.
+	toSend bool
 }
 
 // Choice describes how an endpoint was selected. Costs have no unit; the endpoint with the lowest cost is selected.
@@ -25,6 +27,8 @@
 	// candidate.
 	Next     string
 	NextCost float64
+	// Cold is the number of endpoints that were left out because of their limits while they are cold.
+	Cold int
 }
 
 // add adds a candidate and reports whether it has the lowest cost so far. best is the ID of the previous best.
@@ -46,7 +50,11 @@
 	u := Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt, Held: d.Made}
 	s.own = s.own.plus(u)
 	p.usesChanged(u)
-	return &Reservation{Endpoint: s.Endpoint, placer: p, state: s, use: u}
+	r := &Reservation{Endpoint: s.Endpoint, placer: p, state: s, use: u, toSend: s.ColdLimit > 0}
+	if r.toSend {
+		s.cold.window.Reserve()
+	}
+	return r
 }
 
 // usesChanged wakes the waiters on changed, so that peers receive the new load at once. It ignores requests without
@@ -113,6 +121,7 @@
 		return
 	}
 	r.done = true
+	r.releaseUnsent()
 	r.state.own = r.state.own.minus(r.use)
 	switch o {
 	case OutcomeGood:
--- a/toucantraffic/table.go
+++ b/toucantraffic/table.go
@@ -111,6 +111,10 @@
 	HealthPath string
 	// MaxConnections bounds the connections to one endpoint from all callers together.
 	MaxConnections int
+	// ColdPerSecond is the rate of requests that an endpoint takes while it is cold; zero for any. ColdTime is how long it is
+	// cold after a start.
+	ColdPerSecond float64
+	ColdTime      time.Duration
 	// Engine is nil for services that are not model engines.
 	Engine *Engine
 }
--- a/toucanupstream/response.go
+++ b/toucanupstream/response.go
@@ -32,6 +32,8 @@
 	// connection that had carried another request before breaks without an answer, as the endpoint may have dropped that
 	// connection while it was idle.
 	Repeatable bool
+	// OnWrite is called each time that the message begins to be written to a connection; nil for none.
+	OnWrite func()
 }
 
 // Body is the body of a message.
@@ -134,6 +136,9 @@
 	if m.Body == nil {
 		m.Body = Bytes(nil)
 	}
+	if m.OnWrite != nil {
+		m.OnWrite()
+	}
 	if n := m.Body.Length(); n >= 0 && n <= inlineBody {
 		written <- c.write(m)
 	} else {
