--- a/toucanforward/normalize_test.go
+++ b/toucanforward/normalize_test.go
@@ -26,5 +26,6 @@
 	toucanlog.MsgStreamCut, toucanlog.MsgCallerLeft, toucanlog.MsgGenerationMoved,
 	toucanlog.MsgGenerationNotMoved, toucanlog.MsgStreamResumed, toucanlog.MsgSourceAsked, toucanlog.MsgEndpointEnded, toucanlog.MsgPartQuarantined,
 	toucanlog.MsgEndpointDeferred, toucanlog.MsgEndpointLeaves,
+	toucanlog.MsgTargetEvacuated,
 	toucanlog.MsgBodyNotKept, toucanlog.MsgEndpointLimited, toucanlog.MsgEndpointUnlimited, toucanlog.MsgSentToLimited,
 }
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -138,7 +138,15 @@
 	endpoints []*endpoint
 	mover     *scriptedMover
 	serial    int
+	// evacuateTargets is when targets of copies are evacuated: at the first or at the last copy; empty for never.
+	evacuateTargets string
+	// resumable lets stopped generations go on at these targets.
+	resumable bool
 	pending   chan string
+	// evacuated are the names of the evacuated endpoints, with the time until which stopped generations may go on there.
+	evacuated map[string]time.Time
+	// draining is the name of the endpoint that drains; empty for none.
+	draining string
 	// abandon cancels the request that was begun last, as its caller would.
 	abandon context.CancelFunc
 	log     *toucanlogtest.Log
@@ -149,7 +157,7 @@
 	limits := toucanrate.New("entry")
 	sc.placer = toucanplace.NewPlacer("d1", toucanplace.WithRateLimits(limits))
 	sc.mover = &scriptedMover{deployment: sc}
-	sc.endpoints = nil
+	sc.endpoints, sc.evacuated = nil, nil
 	sc.server = New(Config{
 		Codec:   testCodec{},
 		Mover:   sc.mover,
@@ -192,6 +200,8 @@
 		sc.startEndpoints(d)
 	case "answers":
 		sc.endpoint(d.CmdArgs[0].Key).script(d.Input)
+	case "evacuateTargets":
+		sc.evacuateTargets, sc.resumable = d.CmdArgs[0].Key, d.HasArg("resumable")
 	case "moves":
 		sc.mover.outcomes = strings.Fields(d.Input)
 	case "request":
@@ -235,6 +245,8 @@
 		ms := 0
 		d.ScanArgs(t, "ms", &ms)
 		time.Sleep(time.Duration(ms) * time.Millisecond)
+	case "evacuate":
+		sc.evacuate(d)
 	case "drain":
 		sc.publishEndpoints(d.CmdArgs[0].Key)
 	case "lines":
@@ -370,9 +382,11 @@
 
 // publishEndpoints sets all endpoints in the placer. If leaving is not empty, the endpoint of that name drains.
 func (sc *deployment) publishEndpoints(leaving string) {
+	sc.draining = leaving
 	var list []toucanplace.Endpoint
 	for _, e := range sc.endpoints {
 		entry := toucanplace.Endpoint{ID: e.name, Address: e.address(), FailureDomain: "d1", Service: "s", Slots: 4, Leaving: e.name == leaving}
+		entry.ResumeUntil, entry.Evacuated = sc.evacuated[e.name]
 		if table := sc.traffic.Table(); table != nil {
 			if s, _ := table.Service("s"); s.Engine != nil {
 				entry.MemoryTokens = s.Engine.MemoryTokens
@@ -383,6 +397,28 @@
 	sc.placer.SetEndpoints(list)
 }
 
+// evacuate evacuates the named endpoints and takes all others back.
+func (sc *deployment) evacuate(d *datadriven.TestData) {
+	sc.evacuated = make(map[string]time.Time)
+	for _, a := range d.CmdArgs {
+		sc.evacuated[a.Key] = time.Time{}
+	}
+	sc.publishEndpoints(sc.draining)
+}
+
+// evacuateTarget evacuates the target of a copy once, if evacuateTargets asks for it.
+func (sc *deployment) evacuateTarget(target string, last bool) {
+	if sc.evacuateTargets == "first" && !last || sc.evacuateTargets == "last" && last {
+		sc.evacuateTargets = ""
+		until := time.Time{}
+		if sc.resumable {
+			until = time.Now().Add(testTimeout)
+		}
+		sc.evacuated = map[string]time.Time{target: until}
+		sc.publishEndpoints(sc.draining)
+	}
+}
+
 func (sc *deployment) endpoint(name string) *endpoint {
 	for _, e := range sc.endpoints {
 		if e.name == name {
@@ -553,6 +589,7 @@
 
 func (m *scriptedMover) Copy(ctx context.Context, source, _, target string, last bool) (string, error) {
 	from, to := m.name(source), m.name(target)
+	m.deployment.evacuateTarget(to.name, last)
 	m.mu.Lock()
 	outcome := "ok"
 	if len(m.outcomes) > 0 {
