toucanmirror: what a watch left out reaches entries whose copies have moved on

Cause: a complete read that found changes which the watches had left out shared them as a batch that ends at its own revision. Entries whose copies were later by another change ignored it, and kept the hole until their own complete read, up to 25 s at 28 entries. A removal that was left out was not shared as a repair at all. Settings and leaving endpoints are reported otherwise; an evacuation is not.

Change: a removal makes the batch a repair. A later copy takes from a repair what it has as of an earlier revision, and reads everything itself if it lacks a key.

Test: testdata/follow/evacuationOmitted, 27 entries; before, 26 of them had not taken the domain back after 2.5 s.

--- a/toucanmirror/follow.go
+++ b/toucanmirror/follow.go
@@ -157,7 +157,11 @@
 
 // applyBatch applies the part of a batch that is new. It returns false if changes before the batch are missing.
 func (m *Mirror) applyBatch(b Batch, apply func(State)) bool {
-	if b.Era != m.copied.Era || b.To < m.copied.Revision || b.To == m.copied.Revision && !b.Repair {
+	if b.Era != m.copied.Era || b.To <= m.copied.Revision && !b.Repair {
+		return true
+	}
+	if b.To < m.copied.Revision {
+		m.repairEarlier(b, apply)
 		return true
 	}
 	if b.After > m.copied.Revision {
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -325,7 +325,7 @@
 	restored := m.recordRestore(position)
 	if !restored {
 		omitted := m.recordOmitted(values)
-		m.shareSnapshot(values, position, omitted > 0)
+		m.shareSnapshot(values, position, omitted > 0 || m.hasRemoved(values))
 	}
 	removed := m.replace(values, position)
 	m.borrowed = false
