--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -101,7 +101,7 @@
 			return nil, nil, ctx.Err()
 		}
 		b = newBrokenStream(b.brokenAt, next, err)
-		if b.source != nil {
+		if errors.Is(err, toucanupstream.ErrLost) {
 			s.recordBreak(j, next, seen.Count())
 		}
 	}
