toucanpeer: entries whose copies lack an evacuation see it in peers' reports

A lost repair left an entry without an evacuation, or with one that was taken back, until its own next complete read. Reports carry a digest of the evacuated domains; a difference at the same revision for 0.3 s makes both read everything anew, at most once a second. Nine bytes a report, only while something is evacuated.

Metrics: evacuated endpoints by domain, choices that left out a cold endpoint.

--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -35,6 +35,7 @@
 	MsgEvacuated          = "failure domain evacuated"
 	MsgEvacuatedNothing   = "evacuated failure domain has no endpoint"
 	MsgEvacuationEnded    = "failure domain taken back"
+	MsgEvacuationsDiffer  = "a peer has other evacuations at the same revision, reading everything anew"
 	MsgEvacuationOdd      = "odd entry for an evacuation"
 	MsgColdLimit          = "endpoints are limited while they are cold"
 	MsgColdLimitOdd       = "limit of cold endpoints can't be used, there is none"
--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -31,6 +31,10 @@
 	// StoreEra counts how often the store came back from an older copy, as the store says, and StoreRestores how often
 	// this process has noticed it. OmittedChanges is the number of changes that watches of the store left out.
 	StoreEra, StoreRestores, OmittedChanges uint64
+	// Evacuated is the number of endpoints in each evacuated failure domain.
+	Evacuated map[string]int
+	// ColdRefusals is the number of choices that left out an endpoint because of its limit while it is cold.
+	ColdRefusals uint64
 	// Quarantines is the number of quarantined parts of prompts.
 	Quarantines int
 	// BodyBytes is the memory that long bodies of requests hold, of at most BodyLimitBytes.
@@ -73,6 +77,7 @@
 	peers, dropped                                                       *prometheus.Desc
 	newestSettings, storeEra, storeRestores, omittedChanges              *prometheus.Desc
 	quarantines, bodyBytes, bodyLimit, answerBytes, answerLimit          *prometheus.Desc
+	evacuated, coldRefusals                                              *prometheus.Desc
 }
 
 // NewStateCollectors returns collectors of the state that read returns, of the Go runtime and of the process.
@@ -103,6 +108,8 @@
 			storeEra:       plain("store_era", "how often the store came back from an older copy, as it says"),
 			storeRestores:  plain("store_restores_total", "how often this entry noticed that the store came back from an older copy"),
 			omittedChanges: plain("store_changes_omitted_total", "changes that a watch of the store left out"),
+			evacuated:      plain("evacuated_endpoints", "endpoints in an evacuated failure domain, which get nothing new", "domain"),
+			coldRefusals:   plain("cold_share_refusals_total", "choices that left out an endpoint because of its limit while it is cold"),
 			quarantines:    plain("quarantines", "quarantines of parts of prompts that end engines"),
 			bodyBytes:      plain("request_body_bytes", "memory that long bodies of requests hold"),
 			bodyLimit:      plain("request_body_limit_bytes", "memory that long bodies of requests may hold"),
@@ -122,7 +129,7 @@
 	for _, d := range []*prometheus.Desc{
 		c.slots, c.requests, c.capacity, c.tokens, c.failures, c.leaving, c.suspect, c.budget, c.version, c.settingsAge,
 		c.storeAge, c.reportAge, c.peers, c.dropped, c.newestSettings, c.storeEra, c.storeRestores, c.omittedChanges,
-		c.quarantines, c.limit, c.bodyBytes, c.bodyLimit, c.answerBytes, c.answerLimit,
+		c.evacuated, c.coldRefusals, c.quarantines, c.limit, c.bodyBytes, c.bodyLimit, c.answerBytes, c.answerLimit,
 	} {
 		ch <- d
 	}
@@ -150,6 +157,10 @@
 	}
 	ch <- gauge(c.newestSettings, float64(state.NewestSettings))
 	ch <- gauge(c.storeEra, float64(state.StoreEra))
+	for domain, n := range state.Evacuated {
+		ch <- gauge(c.evacuated, float64(n), domain)
+	}
+	ch <- counter(c.coldRefusals, state.ColdRefusals)
 	ch <- gauge(c.quarantines, float64(state.Quarantines))
 	ch <- gauge(c.bodyBytes, float64(state.BodyBytes))
 	ch <- gauge(c.bodyLimit, float64(state.BodyLimitBytes))
--- a/toucanmirror/follow.go
+++ b/toucanmirror/follow.go
@@ -122,6 +122,9 @@
 			}
 		case <-m.wake:
 			return
+		case <-m.doubt:
+			m.verifyNext = true
+			return
 		case <-check.C:
 		case <-ctx.Done():
 			return
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -153,6 +153,8 @@
 	// peerRead is the read of a peer's copy that is under way; nil if there is none.
 	peerRead *peerRead
 	wake     chan struct{}
+	// doubt is signalled by Verify.
+	doubt chan struct{}
 	// startedAt is when the mirror was created, and lastAnswer the time from then to the last answer of the source, in
 	// nanoseconds; zero if it never answered. A difference is stored because the wall clock can jump.
 	startedAt  time.Time
@@ -190,6 +192,7 @@
 		readers:         aloneReader{},
 		batches:         make(chan Batch, maxPendingBatches),
 		wake:            make(chan struct{}, 1),
+		doubt:           make(chan struct{}, 1),
 		startedAt:       time.Now(),
 	}
 	for _, opt := range opts {
@@ -236,6 +239,7 @@
 		if !reader {
 			m.follow(ctx, apply)
 		}
+		m.takeDoubt()
 		m.lastCall = time.Now()
 		err := m.step(ctx, apply)
 		wait := m.interval() - time.Since(m.lastCall)
--- a/toucanmirror/repair.go
+++ b/toucanmirror/repair.go
@@ -23,6 +23,23 @@
 	apply(State{Values: m.values, Changed: written, Removed: removed, Origin: OriginReader})
 }
 
+// Verify makes the next call be for a snapshot, since the copy may lack a change.
+func (m *Mirror) Verify() {
+	select {
+	case m.doubt <- struct{}{}:
+	default:
+	}
+}
+
+// takeDoubt makes the next call be for a snapshot if Verify was called.
+func (m *Mirror) takeDoubt() {
+	select {
+	case <-m.doubt:
+		m.verifyNext = true
+	default:
+	}
+}
+
 // hasRemoved reports whether a snapshot's values lack a key of the copy. A watch may have left out its removal.
 func (m *Mirror) hasRemoved(values []toucanstore.Value) bool {
 	listed := make(map[string]bool, len(values))
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -50,6 +50,11 @@
 	copy toucanmirror.Position
 	// onChanges is called with the changes that a peer has read from the store.
 	onChanges func(toucanmirror.Batch)
+	// evacuations is the digest of this entry's evacuations, onDoubt is called if a peer has others at the same revision, and
+	// lastDoubt is when it was called last.
+	evacuations uint64
+	onDoubt     func(peer string)
+	lastDoubt   time.Time
 	// changed is closed and replaced whenever a peer's report is applied.
 	changed chan struct{}
 	// sendNow is signalled when the next report must be sent without waiting for the interval.
@@ -62,6 +67,8 @@
 	boot       uint64
 	serial     uint64
 	report     *Report
+	// differsSince is since when the peer's evacuations differ; zero if they don't.
+	differsSince time.Time
 }
 
 // ReportAge returns the age of the oldest valid peer report, and the number of peers with a valid report.
@@ -123,6 +130,7 @@
 		probedLeaving:   make(map[uint64]time.Time),
 		onNewerSettings: func(string, uint64) {},
 		onChanges:       func(toucanmirror.Batch) {},
+		onDoubt:         func(string) {},
 		changed:         make(chan struct{}),
 		sendNow:         make(chan struct{}, 1),
 	}
@@ -200,7 +208,9 @@
 		s.mu.Unlock()
 		return false
 	}
-	s.peers[r.GetSender()] = peerReport{receivedAt: now, boot: r.GetBoot(), serial: r.GetSerial(), report: r}
+	differsSince := s.compareEvacuations(now, previous.differsSince, r)
+	s.peers[r.GetSender()] = peerReport{receivedAt: now, boot: r.GetBoot(), serial: r.GetSerial(), report: r, differsSince: differsSince}
+	doubts, onDoubt := s.mustDoubt(now, differsSince), s.onDoubt
 	leaving := s.mergeLeaving(now)
 	newer := r.GetSettingsVersion() > max(s.settings, s.newestSettings)
 	s.newestSettings = max(s.newestSettings, r.GetSettingsVersion())
@@ -210,6 +220,9 @@
 	if newer {
 		notify(r.GetSender(), r.GetSettingsVersion())
 	}
+	if doubts {
+		onDoubt(r.GetSender())
+	}
 	s.placer.Observe(now, r.GetSender(), usesByEndpoint(r))
 	s.placer.MarkUnreachable(now, r.GetUnreachable())
 	s.placer.SetReportedLeaving(leaving)
@@ -287,6 +300,7 @@
 	r.Lends = s.canServeSnapshot(time.Now())
 	r.SettingsVersion = s.settings
 	r.CopyEra, r.CopyRevision = s.copy.Era, s.copy.Revision
+	r.Evacuations = s.evacuations
 	for endpoint, generations := range s.generations {
 		for _, g := range generations {
 			r.Runs = append(r.Runs, &Run{
