--- a/toucanplace/script_test.go
+++ b/toucanplace/script_test.go
@@ -66,14 +66,14 @@
 	return ""
 }
 
-// endpoints replaces the list. Each input line is: id domain slots memory [leaving|otherCell].
+// endpoints replaces the list. Each input line is: id domain slots memory [leaving|otherCell|evacuated].
 func (sc *script) endpoints(d *datadriven.TestData) string {
 	sc.list = nil
 	for _, line := range strings.Split(d.Input, "\n") {
 		e := Endpoint{Service: "s"}
 		rest := ""
 		_, _ = fmt.Sscanf(line, "%s %s %d %d %s", &e.ID, &e.FailureDomain, &e.Slots, &e.MemoryTokens, &rest) // The last field is optional.
-		e.Leaving, e.OtherCell = rest == "leaving", rest == "otherCell"
+		e.Leaving, e.OtherCell, e.Evacuated = rest == "leaving", rest == "otherCell", rest == "evacuated"
 		sc.list = append(sc.list, e)
 	}
 	departed := sc.placer.Departed()
@@ -130,7 +130,7 @@
 }
 
 func errorName(err error) string {
-	for _, sentinel := range []error{ErrNoEndpoint, ErrFull, ErrTooLarge} {
+	for _, sentinel := range []error{ErrEvacuated, ErrNoEndpoint, ErrFull, ErrTooLarge} {
 		if errors.Is(err, sentinel) {
 			return sentinel.Error()
 		}
@@ -192,7 +192,7 @@
 				d := Demand{Prompt: rapid.IntRange(0, 600).Draw(t, "prompt"), Output: rapid.IntRange(0, 600).Draw(t, "output")}
 				reservation, err := placer.Place(now, "s", d, nil)
 				if err == nil {
-					assert.Assert(t, !reservation.Endpoint.Leaving)
+					assert.Assert(t, !reservation.Endpoint.Leaving && !reservation.Endpoint.Evacuated)
 					assert.Assert(t, float64(placer.OwnUse()[reservation.Endpoint.Key()].Tokens) <= memoryShare*float64(reservation.Endpoint.MemoryTokens))
 					reservations = append(reservations, reservation)
 				}
@@ -213,6 +213,7 @@
 		list = append(list, Endpoint{
 			ID: fmt.Sprint("e", i), Service: "s", Slots: rapid.IntRange(1, 6).Draw(t, "slots"), MemoryTokens: 1000,
 			FailureDomain: "d1", Leaving: rapid.Bool().Draw(t, "leaving"),
+			Evacuated: rapid.Bool().Draw(t, "evacuated"),
 		})
 	}
 	return list
