--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -56,6 +56,8 @@
 	extra func(*endpointState) float64
 	// copied is true if the request's prompt was read at another endpoint.
 	copied bool
+	// chosen is true for a copy of a generation that could stay where it is.
+	chosen bool
 }
 
 // PlaceOption sets an optional parameter of Place.
@@ -245,6 +247,9 @@
 
 // paceCost returns what an endpoint costs because the endpoints of its service are uneven.
 func (q search) paceCost(s *endpointState, u Use) float64 {
+	if q.chosen {
+		return s.paceMoveCost(u, q.demand)
+	}
 	if q.copied {
 		return s.paceCopyCost(u, q.demand)
 	}
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -48,6 +48,10 @@
 	moveGain = 0.4
 	// minMovedOutput is the least number of tokens that a stream still has to generate to be moved for its pace.
 	minMovedOutput = 200
+	// crowdCost is the cost of each long stream at an endpoint beyond crowdStreams, which is about as many as its link carries away
+	// while it drains.
+	crowdCost    = 0.25
+	crowdStreams = 4
 	// lateCost is the cost of an endpoint whose first event is forecast for the end of the time that it may take. It grows from half
 	// of that time on.
 	lateCost = 1.5
@@ -99,6 +103,9 @@
 		return 0
 	}
 	c := s.lateCost(u, d)
+	if d.isExposed() {
+		c += crowdCost * float64(max(u.Exposed-crowdStreams, 0))
+	}
 	switch {
 	case s.breaksGap && d.isExposed() && !d.Movable:
 		c += harmCost*float64(u.Exposed) + riskCost + orderCost*(1-s.order())
@@ -135,17 +142,28 @@
 // paceCopyCost returns what the target of a copy costs because endpoints are uneven. The prompt is not read there again. Where
 // prompts break the bound, the best place is one that other long streams keep free of prompts.
 func (s *endpointState) paceCopyCost(u Use, d Demand) float64 {
-	switch {
-	case !d.isExposed():
+	if !d.isExposed() {
 		return 0
+	}
+	c := crowdCost * float64(max(u.Exposed-crowdStreams, 0))
+	switch {
 	case !s.breaksGap:
-		return readerCost
 	case u.Unread > 0:
-		return 2 * riskCost
+		c += 2 * riskCost
 	case u.Exposed == 0:
-		return riskCost + orderCost*(1-s.order())
+		c += riskCost
+	}
+	return c
+}
+
+// paceMoveCost is paceCopyCost for a stream that need not be moved: it also costs room in which prompts can be read without harm, and
+// streams prefer endpoints of the order's end.
+func (s *endpointState) paceMoveCost(u Use, d Demand) float64 {
+	c := s.paceCopyCost(u, d)
+	if s.breaksGap {
+		return c + orderCost*(1-s.order())
 	}
-	return orderCost * (1 - s.order())
+	return c + readerCost
 }
 
 // LoadOf returns the load of an endpoint, of all entries; zero for one that is not listed.
@@ -195,12 +213,12 @@
 		return nil
 	}
 	u := p.total(now, source).minus(Use{Requests: 1, Tokens: d.Tokens(), Held: d.held(), Exposed: 1})
-	stay := source.cost(now, u) + source.paceCopyCost(u, d)
+	stay := source.cost(now, u) + source.paceMoveCost(u, d)
 	if stay < moveGain {
 		return nil
 	}
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: -1, extra: p.copyCost(from), copied: true,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: -1, extra: p.copyCost(from), copied: true, chosen: true,
 		limits: memoryLimits{end: memoryShare, taken: takenShare},
 	})
 	if err != nil || best == source || why.Cost > stay-moveGain {
