--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -23,6 +23,9 @@
 	maxEvent = 2 * time.Second
 	// paceLife is how long a pace is kept without news.
 	paceLife = 8 * time.Second
+	// derivedMargin is how much longer an event may take than the reading of prompts shows: requests without others before them, or
+	// with parts that are kept, are read in less than the usual time.
+	derivedMargin = 1.3
 	// viewInterval is the time between two evaluations.
 	viewInterval = 250 * time.Millisecond
 )
@@ -268,7 +271,7 @@
 func (e *endpoint) ownPace(now time.Time, readShare float64) Pace {
 	p := Pace{Alone: e.alone.usual(now), Beside: e.beside.usual(now)}
 	if p.Beside == 0 && readShare > 0 {
-		p.Beside = time.Duration(e.reads.usual() / readShare)
+		p.Beside = time.Duration(derivedMargin * e.reads.usual() / readShare)
 	}
 	return p
 }
