--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -115,6 +115,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refresh(now)
 	e := l.endpoint(key)
 	e.news, e.newest = now, spanNumber(now)
 	s, usual := &e.alone, l.view.paces[key].Alone
@@ -196,15 +197,20 @@
 func (l *Learner) Forecast(now time.Time, key uint64) (f Forecast, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.view.at.IsZero() || now.Sub(l.view.at) >= viewInterval {
-		l.evaluate(now)
-	}
+	l.refresh(now)
 	if f, known = l.view.forecasts[key]; known {
 		return f, true
 	}
 	return l.view.usual, false
 }
 
+// refresh evaluates what is known if the view is older than viewInterval. The caller holds l.mu.
+func (l *Learner) refresh(now time.Time) {
+	if l.view.at.IsZero() || now.Sub(l.view.at) >= viewInterval {
+		l.evaluate(now)
+	}
+}
+
 // evaluate renews the view and forgets endpoints without news. The caller holds l.mu.
 func (l *Learner) evaluate(now time.Time) {
 	readShare := l.reads.median()
--- a/toucanplace/bench_test.go
+++ b/toucanplace/bench_test.go
@@ -31,3 +31,31 @@
 		reservation.Done(now, OutcomeGood)
 	}
 }
+
+// BenchmarkPlaceUneven is a choice among 130 endpoints of one service that differ in pace, a part of which peers use.
+func BenchmarkPlaceUneven(b *testing.B) {
+	pauses := make([]time.Duration, 130)
+	for i := range pauses {
+		pauses[i] = brokenPause
+		if i%4 == 0 {
+			pauses[i] = soundPause
+		}
+	}
+	placer, list := unevenPlacer(pauses...)
+	now := time.Now()
+	for p := range 15 {
+		uses := make(map[uint64]Use)
+		for i := p; i < len(list); i += 15 {
+			uses[list[i].Key()] = Use{Requests: 2, Tokens: 7000, Held: 6000, Exposed: 1}
+		}
+		placer.Observe(now, fmt.Sprint("peer-", p), uses)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		reservation, err := placer.Place(now, "s", longDemand, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		reservation.Done(now, OutcomeGood)
+	}
+}
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -258,11 +258,6 @@
 
 // total returns the load of an endpoint: this entry's own and what its peers reported within peerUsesTTL.
 func (p *Placer) total(now time.Time, s *endpointState) Use {
-	u := s.own
-	for _, reported := range p.peers {
-		if now.Sub(reported.at) < peerUsesTTL {
-			u = u.plus(reported.uses[s.key])
-		}
-	}
-	return u
+	p.expirePeers(now)
+	return s.own.plus(s.reported)
 }
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -176,6 +176,8 @@
 	saidLeaving bool
 	// own is the load that this entry has placed.
 	own Use
+	// reported is the load that peers have reported within peerUsesTTL.
+	reported Use
 	// failures is the moving average of failed requests at failuresAt, between 0 and 1.
 	failures   float64
 	failuresAt time.Time
@@ -204,6 +206,9 @@
 
 // failureShare returns the average of failed requests, decayed until now.
 func (s *endpointState) failureShare(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
 	return s.failures * math.Exp(-now.Sub(s.failuresAt).Seconds()/failureDecay.Seconds())
 }
 
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -16,7 +16,11 @@
 	endpoints map[string]*endpointState
 	// services holds the endpoints of each service, sorted by ID.
 	services map[string][]*endpointState
-	peers    map[string]peerUses
+	// byKey holds endpoints by Key.
+	byKey map[uint64]*endpointState
+	peers map[string]peerUses
+	// nextExpiry is when the first of the peers' reports expires; zero without reports.
+	nextExpiry time.Time
 	// saidLeaving holds when endpoints said in an answer that they drain, by Key.
 	saidLeaving map[uint64]time.Time
 	// departed is closed and replaced when an endpoint starts to drain or is removed.
@@ -52,18 +56,13 @@
 // WithRateLimits sets the limits of endpoints on requests a second.
 func WithRateLimits(l RateLimits) Option { return func(p *Placer) { p.limits = l } }
 
-// peerUses is the load that a peer last reported, by the endpoint's Key.
-type peerUses struct {
-	at   time.Time
-	uses map[uint64]Use
-}
-
 // NewPlacer returns a Placer without endpoints for an entry in a failure domain.
 func NewPlacer(domain string, opts ...Option) *Placer {
 	p := &Placer{
 		domain:      domain,
 		endpoints:   make(map[string]*endpointState),
 		services:    make(map[string][]*endpointState),
+		byKey:       make(map[uint64]*endpointState),
 		peers:       make(map[string]peerUses),
 		saidLeaving: make(map[uint64]time.Time),
 		departed:    make(chan struct{}),
@@ -85,17 +84,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := make(map[string]*endpointState, len(list))
+	byKey := make(map[uint64]*endpointState, len(list))
 	services := make(map[string][]*endpointState)
 	anyDeparted := false
 	for _, e := range list {
 		s, known := p.endpoints[e.ID]
 		if !known || s.StartMillis != e.StartMillis {
 			_, saidLeaving := p.saidLeaving[e.Key()]
-			s = &endpointState{saidLeaving: saidLeaving}
+			s = &endpointState{saidLeaving: saidLeaving, reported: p.sumReports(e.Key())}
 		}
 		anyDeparted = anyDeparted || e.Leaving && !s.Leaving
 		s.Endpoint, s.key = e, e.Key()
 		next[e.ID] = s
+		byKey[s.key] = s
 		services[e.Service] = append(services[e.Service], s)
 	}
 	for id := range p.endpoints {
@@ -106,7 +107,7 @@
 	for _, states := range services {
 		sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
 	}
-	p.endpoints, p.services = next, services
+	p.endpoints, p.byKey, p.services = next, byKey, services
 	p.forgetLeaving(time.Now())
 	if anyDeparted {
 		broadcast(&p.departed)
@@ -218,16 +219,3 @@
 	slices.SortFunc(loads, func(x, y Load) int { return strings.Compare(x.ID, y.ID) })
 	return loads
 }
-
-// Observe replaces a peer's load with its newest report, and drops reports older than peerUsesTTL.
-func (p *Placer) Observe(now time.Time, peer string, uses map[uint64]Use) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.peers[peer] = peerUses{at: now, uses: uses}
-	for name, reported := range p.peers {
-		if now.Sub(reported.at) >= peerUsesTTL {
-			delete(p.peers, name)
-		}
-	}
-	broadcast(&p.freed)
-}
