--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -33,10 +33,13 @@
 	// cutAtStart counts the cut streams of which no event had been passed on.
 	cutAtStart tally.Counter
 	// streamsLate counts streams that completed, but whose first event or a later one was late.
-	streamsLate       tally.Counter
-	resumed           tally.Counter
-	withoutBackup     tally.Counter
-	resumedFromBackup tally.Counter
+	streamsLate   tally.Counter
+	resumed       tally.Counter
+	withoutBackup tally.Counter
+	// besideStreams counts requests placed at an endpoint where their prompts can make streams late, longPauses the streams with a
+	// pause beyond the bound.
+	besideStreams, longPauses tally.Counter
+	resumedFromBackup         tally.Counter
 	// bodiesNotKept counts the requests that can be sent only once, as there was no memory for their bodies.
 	bodiesNotKept tally.Counter
 	// takenWhileStopping counts the attempts that were made while the server stops, cutWhileStopping the streams cut then.
@@ -91,6 +94,8 @@
 		cutAtStart:         scope.Counter("streams_cut_at_start"),
 		resumed:            scope.Counter("streams_resumed"),
 		withoutBackup:      scope.Counter("streams_without_backup"),
+		besideStreams:      scope.Counter("prompts_beside_streams"),
+		longPauses:         scope.Counter("streams_with_long_pause"),
 		resumedFromBackup:  scope.Counter("streams_resumed_from_backup"),
 		bodiesNotKept:      scope.Counter("request_bodies_not_kept"),
 		takenWhileStopping: scope.Counter("requests_taken_while_stopping"),
--- a/toucanforward/pace.go
+++ b/toucanforward/pace.go
@@ -91,6 +91,7 @@
 
 // logPause logs the first pause of a stream that is longer than its route's bound.
 func (s *Server) logPause(j *job, e toucanplace.Endpoint, gap time.Duration, load toucanplace.Use) {
+	s.metrics.longPauses.Inc(1)
 	forecast, known := s.paces.Forecast(time.Now(), e.Key())
 	s.log.Info(toucanlog.MsgLongPause,
 		toucanlog.RequestID, j.ID,
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -90,6 +90,9 @@
 	}
 	j.logged = true
 	choice := reservation.Choice
+	if choice.Pace.Harms {
+		s.metrics.besideStreams.Inc(1)
+	}
 	args := []any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
--- /dev/null
+++ b/toucangeneration/pace_test.go
@@ -0,0 +1,86 @@
+package toucangeneration
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanpace"
+	"toucanport/toucanplace"
+	"toucanport/toucantraffic"
+)
+
+// twoPaces forecasts pauses beyond a bound of 180 ms everywhere but at the endpoint quick.
+type twoPaces struct{ quick uint64 }
+
+func (p twoPaces) Forecast(_ time.Time, endpoint uint64) (toucanpace.Forecast, bool) {
+	if endpoint == p.quick {
+		return toucanpace.Forecast{Pause: 80 * time.Millisecond}, true
+	}
+	return toucanpace.Forecast{Pause: 185 * time.Millisecond}, true
+}
+
+// busyPeers is a MoveCoordinator whose peers copy memory to an endpoint from a time on.
+type busyPeers struct {
+	noPeers
+	endpoint uint64
+	from     time.Time
+}
+
+func (p busyPeers) CopyingByPeer(now time.Time, endpoint uint64) bool {
+	return !p.from.IsZero() && !now.Before(p.from) && endpoint == p.endpoint
+}
+
+// TestStreamMovesAwayFromPrompts has a slow endpoint read a prompt beside a long stream. The stream moves to the endpoint where prompts do
+// it no harm, unless a peer's copy would delay it there: then it goes on where it is.
+func TestStreamMovesAwayFromPrompts(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// busyAfter is when a peer begins to copy to the target; zero for never.
+		busyAfter time.Duration
+		moved     bool
+	}{
+		{"idle link", 0, true},
+		{"busy before the first copy", time.Nanosecond, false},
+		{"busy before the stop", paceInterval + 150*time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				list := []toucanplace.Endpoint{
+					{ID: "slow", Address: "slow", FailureDomain: "d", Service: "s", Slots: 8, MemoryTokens: 27000},
+					{ID: "quick", Address: "quick", FailureDomain: "d", Service: "s", Slots: 8, MemoryTokens: 27000},
+				}
+				placer := toucanplace.NewPlacer("d", toucanplace.WithPaces(twoPaces{list[1].Key()}))
+				placer.SetEndpoints(list)
+				peers := busyPeers{endpoint: list[1].Key()}
+				if tc.busyAfter > 0 {
+					peers.from = time.Now().Add(tc.busyAfter)
+				}
+				mover := &slowMover{copyTime: 200 * time.Millisecond}
+				r := New(Config{Placer: placer, Moves: peers, Mover: mover, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+				demand := toucanplace.Demand{Prompt: 3000, Output: 700, MaxGap: 180 * time.Millisecond}
+				atSlow := func(e toucanplace.Endpoint) bool { return e.ID == "slow" }
+				reservation, err := placer.Place(time.Now(), "s", demand, atSlow)
+				assert.NilError(t, err)
+				engine := &toucantraffic.Engine{Slots: 8, MemoryTokens: 27000, Moves: true, TokensPerEvent: 4}
+				g := r.Begin(Spec{ID: "g", Prompt: 3000, Estimate: 700, Engine: engine, MaxEventGap: demand.MaxGap, Arrived: time.Now()}, reservation)
+				reservation.MarkPromptRead()
+				g.Progress(1)
+				_, err = placer.Place(time.Now(), "s", demand, atSlow)
+				assert.NilError(t, err)
+				ctx, cancel := context.WithCancel(t.Context())
+				go r.MoveByPace(ctx)
+				time.Sleep(paceInterval + 700*time.Millisecond)
+				assert.Equal(t, mover.stopped, tc.moved)
+				cancel()
+				r.End(g)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/toucanmetric/state.go
+++ b/toucanmetric/state.go
@@ -56,6 +56,10 @@
 	Draining, Suspect bool
 	// Limit is the number of requests a second that the endpoint takes from all entries; nil for one without a limit.
 	Limit *float64
+	// Pause is the forecast of the longest pause of a stream beside a prompt; zero if it is unknown. Exposed is the number of streams
+	// that a longer pause would make late.
+	Pause   time.Duration
+	Exposed int
 }
 
 // RetryBudget is the number of retries that a service can still make.
@@ -72,6 +76,7 @@
 	budget, version, settingsAge, storeAge, reportAge                    *prometheus.Desc
 	peers, dropped                                                       *prometheus.Desc
 	newestSettings, storeEra, storeRestores, omittedChanges              *prometheus.Desc
+	pause, exposed                                                       *prometheus.Desc
 	quarantines, bodyBytes, bodyLimit, answerBytes, answerLimit          *prometheus.Desc
 }
 
@@ -94,6 +99,8 @@
 			leaving:        endpoint("leaving", "1 for an endpoint that takes no new requests"),
 			suspect:        endpoint("suspect", "1 for an endpoint that could not be reached lately"),
 			limit:          endpoint("limit_per_second", "requests a second that the endpoint takes from all entries, if it says so"),
+			pause:          endpoint("pause_forecast_seconds", "longest pause to expect of a stream beside which the endpoint reads a prompt"),
+			exposed:        endpoint("exposed_streams", "streams that a longer pause would make late"),
 			budget:         plain("retry_budget", "retries that may still be made", "service"),
 			version:        plain("settings_version", "version of the settings in force"),
 			settingsAge:    plain("settings_age_seconds", "time since the settings came into force"),
@@ -170,6 +177,10 @@
 	ch <- gauge(c.failures, e.FailureShare, e.Name, e.Service)
 	ch <- gauge(c.leaving, boolValue(e.Draining), e.Name, e.Service)
 	ch <- gauge(c.suspect, boolValue(e.Suspect), e.Name, e.Service)
+	if e.Pause > 0 {
+		ch <- gauge(c.pause, e.Pause.Seconds(), e.Name, e.Service)
+		ch <- gauge(c.exposed, float64(e.Exposed), e.Name, e.Service)
+	}
 	if e.Limit != nil {
 		ch <- gauge(c.limit, *e.Limit, e.Name, e.Service)
 	}
@@ -187,6 +198,8 @@
 		rest.Requests += e.Requests
 		rest.MemoryTokens += e.MemoryTokens
 		rest.Tokens += e.Tokens
+		rest.Exposed += e.Exposed
+		rest.Pause = max(rest.Pause, e.Pause)
 		rest.FailureShare = max(rest.FailureShare, e.FailureShare)
 		rest.Draining = rest.Draining || e.Draining
 		rest.Suspect = rest.Suspect || e.Suspect
--- a/toucanmetric/state_test.go
+++ b/toucanmetric/state_test.go
@@ -47,6 +47,7 @@
 		return ProcessState{
 			Endpoints: []EndpointLoad{{
 				Name: "e1", Service: "s", Slots: 4, Requests: 3, MemoryTokens: 1000, Tokens: 700, FailureShare: 0.25, Suspect: true, Limit: &limit,
+				Pause: 185 * time.Millisecond, Exposed: 2,
 			}},
 			Budgets:         []RetryBudget{{Service: "s", Retries: 1.5}},
 			SettingsVersion: 7,
@@ -63,6 +64,8 @@
 	for _, want := range []string{
 		`toucan_endpoint_slots{endpoint="e1",service="s"} 4`,
 		`toucan_endpoint_limit_per_second{endpoint="e1",service="s"} 2.5`,
+		`toucan_endpoint_pause_forecast_seconds{endpoint="e1",service="s"} 0.185`,
+		`toucan_endpoint_exposed_streams{endpoint="e1",service="s"} 2`,
 		`toucan_endpoint_requests{endpoint="e1",service="s"} 3`,
 		`toucan_endpoint_memory_tokens{endpoint="e1",service="s"} 1000`,
 		`toucan_endpoint_tokens{endpoint="e1",service="s"} 700`,
--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -57,7 +57,7 @@
 	// peers holds the slowdowns that each peer has counted, by name.
 	peers map[string]heardSlowdowns
 	reads reads
-	view      view
+	view  view
 }
 
 // endpoint holds what is known of an endpoint.
--- a/toucanpeer/state_test.go
+++ b/toucanpeer/state_test.go
@@ -15,6 +15,7 @@
 	"toucanport/toucancopy"
 	"toucanport/toucanlogtest"
 	"toucanport/toucanmoveorder"
+	"toucanport/toucanpace"
 	"toucanport/toucanplace"
 	"toucanport/toucanstore"
 )
@@ -300,3 +301,44 @@
 	assert.Equal(t, len(ReadPeers(values)), 1)
 	assert.Equal(t, ReadPeers(values)["a"], netip.MustParseAddrPort("10.0.0.1:7000"))
 }
+
+// TestPacesAreSharedAtIntervals checks that a peer learns what an entry has learned, that not each report has it, and that a report is
+// bounded.
+func TestPacesAreSharedAtIntervals(t *testing.T) {
+	own, peers := toucanpace.New(), toucanpace.New()
+	a := NewSharedState(toucanplace.NewPlacer("d"), WithPaces(own))
+	b := NewSharedState(toucanplace.NewPlacer("d"), WithPaces(peers))
+	now := time.Now()
+	for key := range uint64(40) {
+		for ms := -5000; ms < 0; ms += 50 {
+			own.Observe(now.Add(time.Duration(ms)*time.Millisecond), key, 50*time.Millisecond, 1, true)
+		}
+	}
+	r := a.Report()
+	assert.Equal(t, len(r.GetPaces().GetEndpoints()), maxPaces)
+	r.Sender, r.Serial = "a", 1
+	assert.Assert(t, b.Apply(now, r))
+	known := 0
+	for key := range uint64(40) {
+		if f, ok := peers.Forecast(now, key); ok {
+			known++
+			assert.Assert(t, f.Pause >= 49*time.Millisecond)
+		}
+	}
+	assert.Equal(t, known, maxPaces)
+	assert.Assert(t, a.Report().GetPaces() == nil)
+}
+
+// TestCopyingByPeerLeavesOutOwnCopies checks which copies an entry gives way to.
+func TestCopyingByPeerLeavesOutOwnCopies(t *testing.T) {
+	b, _ := newState()
+	end := b.BeginCopy(endpoint.Key())
+	defer end()
+	assert.Assert(t, b.Copying(start, endpoint.Key()))
+	assert.Assert(t, !b.CopyingByPeer(start, endpoint.Key()))
+	r := testReport(1, 1)
+	r.CopyingTo = []uint64{endpoint.Key()}
+	b.Apply(start, r)
+	assert.Assert(t, b.CopyingByPeer(start, endpoint.Key()))
+	assert.Assert(t, !b.CopyingByPeer(start.Add(reportTimeout+1), endpoint.Key()))
+}
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -31,6 +31,9 @@
 	// pauseMargin is the share of a stream's longest pause on time that an endpoint may need by itself; the way to the caller needs
 	// the rest.
 	pauseMargin = 0.85
+	// minBreakingPart is the number of endpoints of which one at least must break the bound: single ones are slow for other reasons,
+	// such as a recent start.
+	minBreakingPart = 8
 	// harmCost is the cost of a prompt that makes an exposed stream beside it late in a slow moment.
 	harmCost = 0.6
 	// riskCost is the cost of an endpoint where the prompts of others make a stream late in a slow moment.
@@ -84,16 +87,19 @@
 		return false
 	}
 	bound := time.Duration(pauseMargin * float64(gap))
-	breaking, sound := false, false
+	breaking, sound := 0, 0
 	for _, s := range p.services[service] {
 		forecast, known := p.paces.Forecast(now, s.key)
 		s.breaksGap, s.paceKnown, s.readTime = forecast.Pause > bound, known, forecast.ReadTime
-		if known && !s.isDraining() {
-			breaking = breaking || s.breaksGap
-			sound = sound || !s.breaksGap
+		switch {
+		case !known || s.isDraining():
+		case s.breaksGap:
+			breaking++
+		default:
+			sound++
 		}
 	}
-	return breaking && sound
+	return sound > 0 && breaking > 0 && breaking*minBreakingPart >= breaking+sound
 }
 
 // paceCost returns what a placement at an endpoint with the load u costs because endpoints are uneven: the streams there that its
@@ -185,6 +191,8 @@
 	Pause, Bound time.Duration
 	// FirstEvent is the forecast of the time to the first event; zero if it is unknown.
 	FirstEvent time.Duration
+	// Harms is true if the prompt can make streams late there.
+	Harms bool
 	// Exposed is the number of streams that ran there and that a longer pause would make late.
 	Exposed int
 	// Cost is the part of the cost that is due to the pace.
@@ -196,7 +204,8 @@
 // paceChoice describes the selection of an endpoint with the load u. The caller holds p.mu.
 func (p *Placer) paceChoice(q search, s *endpointState, u Use) PaceChoice {
 	forecast, _ := p.paces.Forecast(q.now, s.key)
-	return PaceChoice{Uneven: true, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.gaps[q.service], Exposed: u.Exposed, Cost: q.paceCost(s, u)}
+	harms := s.breaksGap && u.Exposed > 0 && !q.copied
+	return PaceChoice{Uneven: true, Harms: harms, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.gaps[q.service], Exposed: u.Exposed, Cost: q.paceCost(s, u)}
 }
 
 // PlaceBetter is PlaceCopy for a stream that runs at an endpoint that takes further requests, for its pace: because the prompts of
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -196,6 +196,8 @@
 	Endpoint
 	// Use is the load of all entries.
 	Use Use
+	// Pause is the forecast of the longest pause of a stream beside a prompt; zero if the endpoint's pace is unknown.
+	Pause time.Duration
 	// FailureShare is the decaying average of this entry's failed requests, between 0 and 1.
 	FailureShare float64
 	// Draining is true for an endpoint that takes no new requests, Suspect for one that this entry could not reach.
@@ -208,7 +210,12 @@
 	defer p.mu.Unlock()
 	loads := make([]Load, 0, len(p.endpoints))
 	for _, s := range p.endpoints {
+		forecast, known := p.paces.Forecast(now, s.key)
+		if !known {
+			forecast.Pause = 0
+		}
 		loads = append(loads, Load{
+			Pause:        forecast.Pause,
 			Endpoint:     s.Endpoint,
 			Use:          p.total(now, s),
 			FailureShare: s.failureShare(now),
