--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -40,6 +40,9 @@
 	// callersResumed counts the requests whose callers resume a stream, streamsResent the streams that were sent again to another endpoint
 	// within one answer, notResent those that broke and could not be.
 	callersResumed, streamsResent, notResent tally.Counter
+	// besideStreams counts requests placed at an endpoint where their prompts can make streams late, longPauses the streams with a
+	// pause beyond the bound.
+	besideStreams, longPauses tally.Counter
 	// bodiesNotKept counts the requests that can be sent only once, as there was no memory for their bodies.
 	bodiesNotKept tally.Counter
 	// takenWhileStopping counts the attempts that were made while the server stops, cutWhileStopping the streams cut then.
@@ -94,6 +97,8 @@
 		cutAtStart:         scope.Counter("streams_cut_at_start"),
 		resumed:            scope.Counter("streams_resumed"),
 		withoutBackup:      scope.Counter("streams_without_backup"),
+		besideStreams:      scope.Counter("prompts_beside_streams"),
+		longPauses:         scope.Counter("streams_with_long_pause"),
 		resumedFromBackup:  scope.Counter("streams_resumed_from_backup"),
 		callersResumed:     scope.Counter("streams_resumed_by_callers"),
 		streamsResent:      scope.Counter("streams_resent"),
--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -23,6 +23,9 @@
 	maxEvent = 2 * time.Second
 	// paceLife is how long a pace is kept without news.
 	paceLife = 8 * time.Second
+	// derivedMargin is how much longer an event may take than the reading of prompts shows: requests without others before them, or
+	// with parts that are kept, are read in less than the usual time.
+	derivedMargin = 1.3
 	// viewInterval is the time between two evaluations.
 	viewInterval = 250 * time.Millisecond
 )
@@ -112,6 +115,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refresh(now)
 	e := l.endpoint(key)
 	e.news, e.newest = now, spanNumber(now)
 	s, usual := &e.alone, l.view.paces[key].Alone
@@ -193,15 +197,20 @@
 func (l *Learner) Forecast(now time.Time, key uint64) (f Forecast, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.view.at.IsZero() || now.Sub(l.view.at) >= viewInterval {
-		l.evaluate(now)
-	}
+	l.refresh(now)
 	if f, known = l.view.forecasts[key]; known {
 		return f, true
 	}
 	return l.view.usual, false
 }
 
+// refresh evaluates what is known if the view is older than viewInterval. The caller holds l.mu.
+func (l *Learner) refresh(now time.Time) {
+	if l.view.at.IsZero() || now.Sub(l.view.at) >= viewInterval {
+		l.evaluate(now)
+	}
+}
+
 // evaluate renews the view and forgets endpoints without news. The caller holds l.mu.
 func (l *Learner) evaluate(now time.Time) {
 	readShare := l.reads.median()
@@ -268,7 +277,7 @@
 func (e *endpoint) ownPace(now time.Time, readShare float64) Pace {
 	p := Pace{Alone: e.alone.usual(now), Beside: e.beside.usual(now)}
 	if p.Beside == 0 && readShare > 0 {
-		p.Beside = time.Duration(e.reads.usual() / readShare)
+		p.Beside = time.Duration(derivedMargin * e.reads.usual() / readShare)
 	}
 	return p
 }
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -56,6 +56,8 @@
 	extra func(*endpointState) float64
 	// copied is true if the request's prompt was read at another endpoint.
 	copied bool
+	// chosen is true for a copy of a generation that could stay where it is.
+	chosen bool
 }
 
 // PlaceOption sets an optional parameter of Place.
@@ -260,6 +262,9 @@
 
 // paceCost returns what an endpoint costs because the endpoints of its service are uneven.
 func (q search) paceCost(s *endpointState, u Use) float64 {
+	if q.chosen {
+		return s.paceMoveCost(u, q.demand)
+	}
 	if q.copied {
 		return s.paceCopyCost(u, q.demand)
 	}
@@ -268,11 +273,6 @@
 
 // total returns the load of an endpoint: this entry's own and what its peers reported within peerUsesTTL.
 func (p *Placer) total(now time.Time, s *endpointState) Use {
-	u := s.own
-	for _, reported := range p.peers {
-		if now.Sub(reported.at) < peerUsesTTL {
-			u = u.plus(reported.uses[s.key])
-		}
-	}
-	return u
+	p.expirePeers(now)
+	return s.own.plus(s.reported)
 }
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -31,6 +31,9 @@
 	// pauseMargin is the share of a stream's longest pause on time that an endpoint may need by itself; the way to the caller needs
 	// the rest.
 	pauseMargin = 0.85
+	// minBreakingPart is the number of endpoints of which one at least must break the bound: single ones are slow for other reasons,
+	// such as a recent start.
+	minBreakingPart = 8
 	// harmCost is the cost of a prompt that makes an exposed stream beside it late in a slow moment.
 	harmCost = 0.6
 	// riskCost is the cost of an endpoint where the prompts of others make a stream late in a slow moment.
@@ -48,6 +51,10 @@
 	moveGain = 0.4
 	// minMovedOutput is the least number of tokens that a stream still has to generate to be moved for its pace.
 	minMovedOutput = 200
+	// crowdCost is the cost of each long stream at an endpoint beyond crowdStreams, which is about as many as its link carries away
+	// while it drains.
+	crowdCost    = 0.25
+	crowdStreams = 4
 	// lateCost is the cost of an endpoint whose first event is forecast for the end of the time that it may take. It grows from half
 	// of that time on.
 	lateCost = 1.5
@@ -80,16 +87,19 @@
 		return false
 	}
 	bound := time.Duration(pauseMargin * float64(gap))
-	breaking, sound := false, false
+	breaking, sound := 0, 0
 	for _, s := range p.services[service] {
 		forecast, known := p.paces.Forecast(now, s.key)
 		s.breaksGap, s.paceKnown, s.readTime = forecast.Pause > bound, known, forecast.ReadTime
-		if known && !s.isDraining() {
-			breaking = breaking || s.breaksGap
-			sound = sound || !s.breaksGap
+		switch {
+		case !known || s.isDraining():
+		case s.breaksGap:
+			breaking++
+		default:
+			sound++
 		}
 	}
-	return breaking && sound
+	return sound > 0 && breaking > 0 && breaking*minBreakingPart >= breaking+sound
 }
 
 // paceCost returns what a placement at an endpoint with the load u costs because endpoints are uneven: the streams there that its
@@ -99,6 +109,9 @@
 		return 0
 	}
 	c := s.lateCost(u, d)
+	if d.isExposed() {
+		c += crowdCost * float64(max(u.Exposed-crowdStreams, 0))
+	}
 	switch {
 	case s.breaksGap && d.isExposed() && !d.Movable:
 		c += harmCost*float64(u.Exposed) + riskCost + orderCost*(1-s.order())
@@ -135,17 +148,28 @@
 // paceCopyCost returns what the target of a copy costs because endpoints are uneven. The prompt is not read there again. Where
 // prompts break the bound, the best place is one that other long streams keep free of prompts.
 func (s *endpointState) paceCopyCost(u Use, d Demand) float64 {
-	switch {
-	case !d.isExposed():
+	if !d.isExposed() {
 		return 0
+	}
+	c := crowdCost * float64(max(u.Exposed-crowdStreams, 0))
+	switch {
 	case !s.breaksGap:
-		return readerCost
 	case u.Unread > 0:
-		return 2 * riskCost
+		c += 2 * riskCost
 	case u.Exposed == 0:
-		return riskCost + orderCost*(1-s.order())
+		c += riskCost
+	}
+	return c
+}
+
+// paceMoveCost is paceCopyCost for a stream that need not be moved: it also costs room in which prompts can be read without harm, and
+// streams prefer endpoints of the order's end.
+func (s *endpointState) paceMoveCost(u Use, d Demand) float64 {
+	c := s.paceCopyCost(u, d)
+	if s.breaksGap {
+		return c + orderCost*(1-s.order())
 	}
-	return orderCost * (1 - s.order())
+	return c + readerCost
 }
 
 // LoadOf returns the load of an endpoint, of all entries; zero for one that is not listed.
@@ -167,6 +191,8 @@
 	Pause, Bound time.Duration
 	// FirstEvent is the forecast of the time to the first event; zero if it is unknown.
 	FirstEvent time.Duration
+	// Harms is true if the prompt can make streams late there.
+	Harms bool
 	// Exposed is the number of streams that ran there and that a longer pause would make late.
 	Exposed int
 	// Cost is the part of the cost that is due to the pace.
@@ -178,7 +204,8 @@
 // paceChoice describes the selection of an endpoint with the load u. The caller holds p.mu.
 func (p *Placer) paceChoice(q search, s *endpointState, u Use) PaceChoice {
 	forecast, _ := p.paces.Forecast(q.now, s.key)
-	return PaceChoice{Uneven: true, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.gaps[q.service], Exposed: u.Exposed, Cost: q.paceCost(s, u)}
+	harms := s.breaksGap && u.Exposed > 0 && !q.copied
+	return PaceChoice{Uneven: true, Harms: harms, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.gaps[q.service], Exposed: u.Exposed, Cost: q.paceCost(s, u)}
 }
 
 // PlaceBetter is PlaceCopy for a stream that runs at an endpoint that takes further requests, for its pace: because the prompts of
@@ -195,12 +222,12 @@
 		return nil
 	}
 	u := p.total(now, source).minus(Use{Requests: 1, Tokens: d.Tokens(), Held: d.held(), Exposed: 1})
-	stay := source.cost(now, u) + source.paceCopyCost(u, d)
+	stay := source.cost(now, u) + source.paceMoveCost(u, d)
 	if stay < moveGain {
 		return nil
 	}
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: -1, extra: p.copyCost(from), copied: true,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: -1, extra: p.copyCost(from), copied: true, chosen: true,
 		limits: memoryLimits{end: memoryShare, taken: takenShare},
 	})
 	if err != nil || best == source || why.Cost > stay-moveGain {
