Room for brief requests: long ones leave memory free, and wait in order of rank

In the burst of long streams the engines' memory is full (median 22,000 to 24,000 of 26,901 tokens at the one chosen, from second 6 to 20), so that few endpoints have room (median 4, where streams were on time 20), and prompts queue there. Ruled out: waiting at the entries (15), moves (0 of the 288 were moved), urgency at the engines (the lead's trial: as many late).

Change: toucanrank learns the flows of each service by route and rank, with those that the other entries report (rows of reports, at most each 0.5 s). A request leaves free the memory that brief requests of a shorter goal need, 95 times of 100; the reserve shrinks to nothing until the request has to be placed for its own goal. Waiting requests try in order of rank, then as before; one that leaves room free lets smaller ones pass. Entries leave freed room to others' waiting requests that go first. Rejected at once is what would get room too late by the work that waits; Retry-After follows the forecast, spread. It takes effect for services whose requests differ in goal or priority.

Priority of a request: all workspaces of this deployment have one (0 or 1), which goes before the route's.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -37,7 +37,9 @@
 		return j, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
 	j.route = route
-	if workspace, ok := table.Workspace(req.Key); ok {
+	workspace, ok := table.Workspace(req.Key)
+	j.rank = route.Rank(workspace)
+	if ok {
 		j.workspace = workspace.Name
 	} else if !route.Anonymous {
 		return j, &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
@@ -52,6 +54,8 @@
 	}
 	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.estimates.estimate(route.Name, req, 0)}
 	j.deadline = deadline(j.arrived, req.Patience, route.Timeout)
+	j.ranked = j.service.Engine != nil && table.Mixed(j.service.Name)
+	s.recordArrival(j)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
 		toucanretry.WithMaxAttempts(route.MaxAttempts+unsentAttempts))
 	return j, nil
--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -31,6 +31,7 @@
 	reasonFull        reason = "full"
 	reasonDeferred    reason = "deferred"
 	reasonLimited     reason = "limited"
+	reasonHopeless    reason = "noRoomInTime"
 	reasonTimeout     reason = "timeout"
 	reasonNotRun      reason = "notRun"
 	reasonUnreachable reason = "unreachable"
@@ -148,6 +149,8 @@
 		r.reason = reasonDeferred
 	case errors.Is(err, toucanplace.ErrLimited):
 		r.reason = reasonLimited
+	case errors.Is(err, errHopeless):
+		r.reason = reasonHopeless
 	}
 	return r
 }
--- a/toucanforward/limit.go
+++ b/toucanforward/limit.go
@@ -32,10 +32,10 @@
 // known of it.
 func (s *Server) delayFor(j *job, err error) time.Duration {
 	perSecond, limited := s.placer.RateLimit(j.service.Name)
+	now := time.Now()
 	if !limited || !errors.Is(err, toucanplace.ErrLimited) {
-		return s.deferredFor(j)
+		return max(s.deferredFor(j), s.returnAfter(now, j))
 	}
-	now := time.Now()
 	return s.returns.After(now, j.service.Name, s.limits.Share(now, perSecond))
 }
 
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
@@ -59,10 +59,15 @@
 		if left <= 0 || s.deferredFor(j) > left {
 			return nil, err
 		}
-		s.queue.add(j)
+		if !held && s.isHopeless(j, until) {
+			return nil, errors.Wrap(errHopeless, err.Error())
+		}
+		request := s.request(j, until)
+		request.Reserve = s.reserveFor(j, time.Now(), until)
+		s.queue.add(j, request)
 		if !held {
 			j.logged = true
-			s.log.Info(toucanlog.MsgRequestHeld,
+			s.log.Info(toucanlog.MsgRequestHeld, append([]any{
 				toucanlog.RequestID, j.ID,
 				toucanlog.Route, j.route.Name,
 				toucanlog.Service, j.service.Name,
@@ -70,9 +75,10 @@
 				toucanlog.Cause, err.Error(),
 				toucanlog.Tokens, j.demand.Tokens(),
 				toucanlog.WaitMs, left.Milliseconds(),
-			)
+			}, s.rankArgs(j, until)...)...)
 		}
 		toucanwait.Signal(ctx, freed, min(left, recheckInterval))
+		s.leaveTurn(ctx, j, until)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -90,7 +96,7 @@
 	}
 	j.logged = true
 	choice := reservation.Choice
-	s.log.Info(toucanlog.MsgRequestPlaced,
+	s.log.Info(toucanlog.MsgRequestPlaced, append([]any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
 		toucanlog.Workspace, j.workspace,
@@ -102,7 +108,7 @@
 		toucanlog.Tokens, j.demand.Tokens(),
 		toucanlog.HeldMs, held.Milliseconds(),
 		toucanlog.SettingsVersion, j.version,
-	)
+	}, s.rankArgs(j, j.deadline)...)...)
 }
 
 // roundCost rounds a cost to three decimals for the log.
@@ -129,23 +135,29 @@
 // at most until a time. It returns ErrFull if too many queued requests precede this one.
 func (s *Server) tryPlace(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	now := time.Now()
-	if !s.queue.mayReserve(now, j) {
+	request := s.request(j, until)
+	room := s.reserveFor(j, now, until)
+	request.Reserve = room
+	if !s.queue.mayReserve(now, j, request) {
 		return nil, toucanplace.ErrFull
 	}
-	reservation, err := s.reserve(ctx, j, now)
+	reservation, err := s.reserve(ctx, j, now, room)
 	if errors.Is(err, toucanplace.ErrLimited) {
-		return s.reserve(ctx, j, until)
+		reservation, err = s.reserve(ctx, j, until, room)
+	}
+	if err != nil {
+		s.queue.setTried(now, j)
 	}
 	return reservation, err
 }
 
 // reserve reserves an endpoint and, if it has a limit, a slot there that begins until a time. After maxSlotAsks asks without a
-// slot, it considers only endpoints without a limit.
-func (s *Server) reserve(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
+// slot, it considers only endpoints without a limit. It leaves some memory, in tokens, of each endpoint free.
+func (s *Server) reserve(ctx context.Context, j *job, until time.Time, room int) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
 		patience := max(until.Sub(now), 0)
-		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience))
+		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience), toucanplace.WithReserve(room))
 		if err != nil {
 			return nil, err
 		}
@@ -158,7 +170,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited())
+	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited(), toucanplace.WithReserve(room))
 }
 
 // awaitSlot waits until a slot of an endpoint begins. It returns false if the endpoint takes no requests then.
--- a/toucanforward/queue.go
+++ b/toucanforward/queue.go
@@ -3,34 +3,38 @@
 import (
 	"sync"
 	"time"
-)
 
-// maxContenders is how many queued requests of a service may try to reserve an endpoint at the same time. With more
-// than one, a large request that does not fit yet does not block the smaller requests behind it.
-const maxContenders = 3
+	"toucanport/toucanrank"
+)
 
-// waitQueue holds the requests that wait for a free endpoint. Under overload, requests that can still meet their
-// route's goal go before those that can't, because serving in order of arrival would make all of them late. It is safe
+// waitQueue holds the requests that wait for a free endpoint, and lets them try in the order that toucanrank decides. It is safe
 // for concurrent use.
 type waitQueue struct {
+	// ranks learns how many requests of each rank wait.
+	ranks *toucanrank.Table
+
 	mu sync.Mutex
 	// jobs holds the queued requests by service name. A service without queued requests has no entry.
-	jobs map[string]map[*job]struct{}
+	jobs map[string]map[*job]*toucanrank.Request
 }
 
-// add puts a request into the queue of its service. Adding it twice has no effect.
-func (w *waitQueue) add(j *job) {
+// add puts a request into the queue of its service. Adding it again replaces what is decided by.
+func (w *waitQueue) add(j *job, r *toucanrank.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.jobs == nil {
-		w.jobs = make(map[string]map[*job]struct{})
+		w.jobs = make(map[string]map[*job]*toucanrank.Request)
 	}
 	jobs, ok := w.jobs[j.service.Name]
 	if !ok {
-		jobs = make(map[*job]struct{})
+		jobs = make(map[*job]*toucanrank.Request)
 		w.jobs[j.service.Name] = jobs
 	}
-	jobs[j] = struct{}{}
+	_, known := jobs[j]
+	jobs[j] = r
+	if !known {
+		w.recordWaiting(j)
+	}
 }
 
 // remove takes a request out of the queue. It has no effect on a request that is not queued.
@@ -38,37 +42,55 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	jobs := w.jobs[j.service.Name]
+	if _, queued := jobs[j]; !queued {
+		return
+	}
 	delete(jobs, j)
+	w.recordWaiting(j)
 	if len(jobs) == 0 {
 		delete(w.jobs, j.service.Name)
 	}
 }
 
-// mayReserve reports whether fewer than maxContenders queued requests precede j.
-func (w *waitQueue) mayReserve(now time.Time, j *job) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	ahead := 0
-	for other := range w.jobs[j.service.Name] {
-		if other != j && other.precedes(now, j) {
-			ahead++
+// recordWaiting updates what ranks knows of the waiting requests of the request's class. The caller holds w.mu.
+func (w *waitQueue) recordWaiting(j *job) {
+	if !j.ranked {
+		return
+	}
+	requests, tokens := 0, 0
+	var oldest time.Time
+	for other, r := range w.jobs[j.service.Name] {
+		if other.class() != j.class() {
+			continue
+		}
+		requests++
+		tokens += r.Tokens
+		if oldest.IsZero() || r.Arrived.Before(oldest) {
+			oldest = r.Arrived
 		}
 	}
-	return ahead < maxContenders
+	w.ranks.SetWaiting(j.class(), requests, tokens, oldest)
 }
 
-// missedGoal reports whether the request has been in progress for longer than its route's goal.
-func (j *job) missedGoal(now time.Time) bool {
-	return j.route.Goal > 0 && now.Sub(j.arrived) > j.route.Goal
+// triedFor is how long it counts that a request found no room. It tries again about as soon.
+const triedFor = recheckInterval
+
+// setTried records that a request found no room.
+func (w *waitQueue) setTried(now time.Time, j *job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j.triedAt = now
 }
 
-// precedes reports whether j gets an endpoint before k. Requests that can still meet their goal come first, ordered by
-// the time at which the goal ends; requests that missed their goal follow, ordered by deadline.
-func (j *job) precedes(now time.Time, k *job) bool {
-	if late := j.missedGoal(now); late != k.missedGoal(now) {
-		return !late
-	} else if late {
-		return j.deadline.Before(k.deadline)
-	}
-	return j.arrived.Add(j.route.Goal).Before(k.arrived.Add(k.route.Goal))
+// mayReserve reports whether the request may try to reserve an endpoint now, beside those in the queue.
+func (w *waitQueue) mayReserve(now time.Time, j *job, r *toucanrank.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return toucanrank.MayTry(now, r, func(yield func(*toucanrank.Request, bool) bool) {
+		for other, request := range w.jobs[j.service.Name] {
+			if other != j && !yield(request, now.Sub(other.triedAt) < triedFor) {
+				return
+			}
+		}
+	})
 }
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -13,6 +13,7 @@
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
+	"toucanport/toucanrank"
 	"toucanport/toucanrate"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
@@ -48,6 +49,7 @@
 	generations *toucangeneration.Registry
 	estimates   lengthEstimates
 	queue       waitQueue
+	ranks       *toucanrank.Table
 	quarantine  *toucanquarantine.Table
 	starting    startingRequests
 	limits      *toucanrate.Limits
@@ -61,7 +63,7 @@
 	lastBreak atomic.Int64
 }
 
-// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Bodies, Answers and Metrics are required.
+// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Bodies, Ranks, Answers and Metrics are required.
 type Config struct {
 	Codec   Codec
 	Mover   toucangeneration.Mover
@@ -77,6 +79,8 @@
 	Limits *toucanrate.Limits
 	// Bodies bounds the memory for long bodies of requests; nil for defaultBodyMemory.
 	Bodies *toucanbody.Memory
+	// Ranks learns the requests of each rank, and shares them with the other entries; nil for this entry's alone.
+	Ranks *toucanrank.Table
 	// Answers bounds the memory for long answers and events; nil for defaultAnswerMemory.
 	Answers *toucanbody.Memory
 	Metrics Metrics
@@ -91,6 +95,9 @@
 	if cfg.Limits == nil {
 		cfg.Limits = toucanrate.New("")
 	}
+	if cfg.Ranks == nil {
+		cfg.Ranks = toucanrank.NewTable()
+	}
 	if cfg.Bodies == nil {
 		cfg.Bodies = toucanbody.NewMemory(defaultBodyMemory)
 	}
@@ -109,6 +116,8 @@
 		quarantine: cfg.Quarantine,
 		limits:     cfg.Limits,
 		returns:    toucanrate.NewReturns(),
+		ranks:      cfg.Ranks,
+		queue:      waitQueue{ranks: cfg.Ranks},
 		bodies:     cfg.Bodies,
 		answers:    cfg.Answers,
 		metrics:    m,
@@ -141,6 +150,13 @@
 	placed   time.Time
 	deadline time.Time
 	demand   toucanplace.Demand
+	// rank is the request's urgency, 0 first; ranked is true if the requests of its service differ in rank.
+	rank   int
+	ranked bool
+	// triedAt is when the request last found no room. It is guarded by waitQueue.mu.
+	triedAt time.Time
+	// firstEventAt is the time of the stream's first event; zero before.
+	firstEventAt time.Time
 	// body tells whether the request can be sent again.
 	body *toucanbody.Body
 	// buffers is the memory for what is buffered of answers.
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -81,6 +81,7 @@
 	j.writeHead()
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.recordProven(j)
+	s.recordTimes(j)
 	s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens())
 	s.logAnswered(j, &answer{status: a.status, reservation: reservation, generation: g}, nil)
 }
@@ -182,6 +183,7 @@
 	}
 	if first, gap := g.Progress(seen.count); first {
 		reservation.MarkPromptRead()
+		j.firstEventAt = time.Now()
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	} else {
 		s.metrics.betweenEvents.RecordDuration(gap)
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -10,6 +10,7 @@
 	"toucanport/toucanmirror"
 	"toucanport/toucanmoveorder"
 	"toucanport/toucanplace"
+	"toucanport/toucanrank"
 )
 
 // reportTimeout is how long a peer's last report stays valid.
@@ -18,6 +19,8 @@
 // SharedState holds this entry's state for its peers and the latest report of each peer. It is safe for concurrent use.
 type SharedState struct {
 	placer *toucanplace.Placer
+	// ranks learns the requests of each rank at all entries; nil for none.
+	ranks *toucanrank.Table
 
 	mu sync.Mutex
 	// peers holds the newest report of each peer, by the peer's name.
@@ -113,8 +116,8 @@
 }
 
 // NewSharedState returns a SharedState without peer reports, which reports the load recorded in placer.
-func NewSharedState(placer *toucanplace.Placer) *SharedState {
-	return &SharedState{
+func NewSharedState(placer *toucanplace.Placer, opts ...StateOption) *SharedState {
+	s := &SharedState{
 		placer:          placer,
 		peers:           make(map[string]peerReport),
 		generations:     make(map[uint64][]toucanmoveorder.Generation),
@@ -126,6 +129,10 @@
 		changed:         make(chan struct{}),
 		sendNow:         make(chan struct{}, 1),
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Changed returns a channel that is closed when the next peer report is applied.
@@ -211,6 +218,7 @@
 		notify(r.GetSender(), r.GetSettingsVersion())
 	}
 	s.placer.Observe(now, r.GetSender(), usesByEndpoint(r))
+	s.applyRanks(now, r)
 	s.placer.MarkUnreachable(now, r.GetUnreachable())
 	s.placer.SetReportedLeaving(leaving)
 	return true
@@ -262,7 +270,7 @@
 
 // Report returns a report of this entry's current state, without sender, boot and serial.
 func (s *SharedState) Report() *Report {
-	r := &Report{Unreachable: s.placer.Unreachable(time.Now()), Leaving: s.placer.SaidLeaving()}
+	r := &Report{Unreachable: s.placer.Unreachable(time.Now()), Leaving: s.placer.SaidLeaving(), Ranks: s.rankRows(time.Now())}
 	for key, u := range s.placer.OwnUse() {
 		r.Uses = append(r.Uses, &EndpointUse{
 			Endpoint: key,
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -63,6 +63,22 @@
 // endpoint is chosen only if it may have a slot now.
 func WithPatience(d time.Duration) PlaceOption { return func(q *search) { q.patience = d } }
 
+// WithReserve leaves some memory, in tokens, of each endpoint free for other requests.
+func WithReserve(tokens int) PlaceOption { return func(q *search) { q.limits.reserve = tokens } }
+
+// Available returns the number of a service's endpoints that take new requests from this entry, regardless of their load.
+func (p *Placer) Available(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.services[service] {
+		if !s.isDraining() && !s.OtherCell {
+			n++
+		}
+	}
+	return n
+}
+
 // WithoutLimited leaves out all endpoints that take only so many requests a second.
 func WithoutLimited() PlaceOption { return func(q *search) { q.patience = -1 } }
 
--- a/toucantraffic/table.go
+++ b/toucantraffic/table.go
@@ -142,6 +142,8 @@
 	services   map[string]Service
 	workspaces map[string]Workspace
 	routes     int
+	// mixed holds the services whose requests differ in their goals or priorities.
+	mixed map[string]bool
 }
 
 // Key is one credential of a workspace.
@@ -159,6 +161,7 @@
 		services:   make(map[string]Service, len(services)),
 		workspaces: make(map[string]Workspace, len(keys)),
 		routes:     len(routes),
+		mixed:      mixedServices(routes, keys),
 	}
 	for _, r := range routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
