Limit on unread prompts by the time that is left to the goal

Change: toucanrank.MaxUnread: a request goes only where the prompts before its first event can be read in 0.8 of the time to its goal, and a long one where they take half of a brief request's goal, more as its own goal nears. The rate is learned from first events without other prompts before them. An endpoint without load takes a request whatever the reserve.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -54,7 +54,7 @@
 	}
 	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.estimates.estimate(route.Name, req, 0)}
 	j.deadline = deadline(j.arrived, req.Patience, route.Timeout)
-	j.ranked = j.service.Engine != nil && table.Mixed(j.service.Name)
+	j.mixed = j.service.Engine != nil && table.Mixed(j.service.Name)
 	s.recordArrival(j)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
 		toucanretry.WithMaxAttempts(route.MaxAttempts+unsentAttempts))
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -62,8 +62,7 @@
 		if !held && s.isHopeless(j, until) {
 			return nil, errors.Wrap(errHopeless, err.Error())
 		}
-		request := s.request(j, until)
-		request.Reserve = s.reserveFor(j, time.Now(), until)
+		request, _ := s.decideRoom(j, time.Now(), until)
 		s.queue.add(j, request)
 		if !held {
 			j.logged = true
@@ -89,6 +88,7 @@
 // chosen and at which cost. Of plain requests at their first attempt, only a sample is logged.
 func (s *Server) recordPlaced(j *job, reservation *toucanplace.Reservation, since time.Time) {
 	j.placed = time.Now()
+	j.unreadBefore = reservation.Choice.Unread
 	held := j.placed.Sub(since)
 	s.metrics.held.RecordDuration(held)
 	if j.route.Kind != toucantraffic.Stream && len(j.tried) == 0 && !j.sampled() {
@@ -135,9 +135,7 @@
 // at most until a time. It returns ErrFull if too many queued requests precede this one.
 func (s *Server) tryPlace(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	now := time.Now()
-	request := s.request(j, until)
-	room := s.reserveFor(j, now, until)
-	request.Reserve = room
+	request, room := s.decideRoom(j, now, until)
 	if !s.queue.mayReserve(now, j, request) {
 		return nil, toucanplace.ErrFull
 	}
@@ -152,12 +150,12 @@
 }
 
 // reserve reserves an endpoint and, if it has a limit, a slot there that begins until a time. After maxSlotAsks asks without a
-// slot, it considers only endpoints without a limit. It leaves some memory, in tokens, of each endpoint free.
-func (s *Server) reserve(ctx context.Context, j *job, until time.Time, room int) (*toucanplace.Reservation, error) {
+// slot, it considers only endpoints without a limit.
+func (s *Server) reserve(ctx context.Context, j *job, until time.Time, room roomLimits) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
 		patience := max(until.Sub(now), 0)
-		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience), toucanplace.WithReserve(room))
+		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience), toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
 		if err != nil {
 			return nil, err
 		}
@@ -170,7 +168,8 @@
 			return nil, ctx.Err()
 		}
 	}
-	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited(), toucanplace.WithReserve(room))
+	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited(),
+		toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
 }
 
 // awaitSlot waits until a slot of an endpoint begins. It returns false if the endpoint takes no requests then.
--- a/toucanforward/queue.go
+++ b/toucanforward/queue.go
@@ -54,7 +54,7 @@
 
 // recordWaiting updates what ranks knows of the waiting requests of the request's class. The caller holds w.mu.
 func (w *waitQueue) recordWaiting(j *job) {
-	if !j.ranked {
+	if !j.mixed {
 		return
 	}
 	requests, tokens := 0, 0
--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -17,7 +17,7 @@
 // request returns what toucanrank decides by. until is when the request is rejected if it still waits.
 func (s *Server) request(j *job, until time.Time) *toucanrank.Request {
 	r := &toucanrank.Request{Arrived: j.arrived, Goal: j.route.Goal, Deadline: j.deadline, Tokens: j.demand.Tokens()}
-	if !j.ranked {
+	if !j.mixed {
 		return r
 	}
 	times := s.ranks.Times(time.Now(), j.service.Name, j.route.Name)
@@ -35,18 +35,31 @@
 	return toucanrank.Class{Service: j.service.Name, Route: j.route.Name, Rank: j.rank}
 }
 
-// reserveFor returns the memory, in tokens, that the request leaves free at each endpoint for others. It is zero if the
-// requests of the service don't differ.
-func (s *Server) reserveFor(j *job, now, until time.Time) int {
-	if !j.ranked {
-		return 0
+// roomLimits are the limits on the room that a request may take at an endpoint. Both are zero if the requests of its service
+// don't differ.
+type roomLimits struct {
+	// reserve is the memory, in tokens, that it leaves free for others.
+	reserve int
+	// maxUnread is how many prompt tokens may be unread there, with its own.
+	maxUnread int
+}
+
+// decideRoom decides which room the request may take now, and returns what it is ordered by. until is when the request is
+// rejected if it still waits.
+func (s *Server) decideRoom(j *job, now, until time.Time) (*toucanrank.Request, roomLimits) {
+	r := s.request(j, until)
+	if !j.mixed {
+		return r, roomLimits{}
 	}
-	return toucanrank.Reserve(now, s.request(j, until), s.ranks.Flows(now, j.service.Name), s.size(j))
+	flows := s.ranks.Flows(now, j.service.Name)
+	r.Reserve = toucanrank.Reserve(now, r, flows, s.size(j))
+	rate := s.ranks.Times(now, j.service.Name, j.route.Name).ReadRate
+	return r, roomLimits{reserve: r.Reserve, maxUnread: toucanrank.MaxUnread(now, r, flows, rate)}
 }
 
 // isHopeless reports whether the waiting requests before this one need more room than becomes free until a time.
 func (s *Server) isHopeless(j *job, until time.Time) bool {
-	if !j.ranked {
+	if !j.mixed {
 		return false
 	}
 	return time.Now().Add(s.forecast(j)).After(until)
@@ -60,7 +73,7 @@
 
 // leaveTurn leaves freed room to the requests that wait at other entries and precede this one.
 func (s *Server) leaveTurn(ctx context.Context, j *job, until time.Time) {
-	if !j.ranked {
+	if !j.mixed {
 		return
 	}
 	now := time.Now()
@@ -68,40 +81,47 @@
 	toucanwait.Sleep(ctx, min(turn, max(until.Sub(now), 0)))
 }
 
-// rankArgs returns what is logged of the decisions by rank; nothing if the requests of the service don't differ in rank.
+// rankArgs returns what is logged of the decisions by rank; nothing if the requests of the service don't differ.
 func (s *Server) rankArgs(j *job, until time.Time) []any {
-	if !j.ranked {
+	if !j.mixed {
 		return nil
 	}
+	_, room := s.decideRoom(j, time.Now(), until)
 	return []any{
 		toucanlog.Rank, j.rank,
-		toucanlog.ReserveTokens, s.reserveFor(j, time.Now(), until),
+		toucanlog.ReserveTokens, room.reserve,
+		toucanlog.MaxUnread, room.maxUnread,
 		toucanlog.ExpectedWaitMs, s.forecast(j).Milliseconds(),
 	}
 }
 
 // recordArrival records the request among those of its rank.
 func (s *Server) recordArrival(j *job) {
-	if j.ranked {
+	if j.mixed {
 		s.ranks.Arrived(j.arrived, j.class(), s.request(j, j.deadline))
 	}
 }
 
+// minReadPrompt is the shortest prompt, in tokens, from which the rate of reading is learned.
+const minReadPrompt = 500
+
 // recordTimes records how long a finished stream took for its first event and held its room.
 func (s *Server) recordTimes(j *job) {
-	if !j.ranked || j.placed.IsZero() || j.firstEventAt.IsZero() {
+	if !j.mixed || j.placed.IsZero() || j.firstEventAt.IsZero() {
 		return
 	}
-	s.ranks.Ended(j.class(), toucanrank.Times{
-		Work: j.firstEventAt.Sub(j.placed),
-		Hold: time.Since(j.placed),
-	})
+	work := j.firstEventAt.Sub(j.placed)
+	rate := 0.0
+	if j.unreadBefore == 0 && j.Prompt >= minReadPrompt && work > 0 {
+		rate = float64(j.Prompt) / work.Seconds()
+	}
+	s.ranks.Ended(j.class(), toucanrank.Times{Work: work, Hold: time.Since(j.placed), ReadRate: rate})
 }
 
 // returnAfter returns when the caller of a request that got no room is to come back; zero if the requests of the service don't
-// differ in rank.
+// differ.
 func (s *Server) returnAfter(now time.Time, j *job) time.Duration {
-	if !j.ranked {
+	if !j.mixed {
 		return 0
 	}
 	return toucanrank.ReturnAfter(s.forecast(j), retryAfterFull, j.deadline.Sub(now))
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -150,11 +150,14 @@
 	placed   time.Time
 	deadline time.Time
 	demand   toucanplace.Demand
-	// rank is the request's urgency, 0 first; ranked is true if the requests of its service differ in rank.
-	rank   int
-	ranked bool
+	// rank is the request's urgency, 0 first.
+	rank int
+	// mixed is true if the requests of its service differ in goal or priority, so that toucanrank decides on their room.
+	mixed bool
 	// triedAt is when the request last found no room. It is guarded by waitQueue.mu.
 	triedAt time.Time
+	// unreadBefore is the number of unread prompt tokens at the endpoint of the last reservation before the request's own.
+	unreadBefore int
 	// firstEventAt is the time of the stream's first event; zero before.
 	firstEventAt time.Time
 	// body tells whether the request can be sent again.
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -117,6 +117,7 @@
 	LinesSummarised = "linesSummarised"
 	LongestGapMs    = "longestGapMs"
 	MadeTokens      = "madeTokens"
+	MaxUnread       = "maxUnread"
 	MayHaveRun      = "mayHaveRun"
 	MemoryBytes     = "memoryBytes"
 	Moves           = "moves"
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -66,6 +66,10 @@
 // WithReserve leaves some memory, in tokens, of each endpoint free for other requests.
 func WithReserve(tokens int) PlaceOption { return func(q *search) { q.limits.reserve = tokens } }
 
+// WithMaxUnread leaves out endpoints at which the unread prompt tokens would be more with those of the request, unless there
+// are none yet. Zero is no limit.
+func WithMaxUnread(tokens int) PlaceOption { return func(q *search) { q.limits.unread = tokens } }
+
 // Available returns the number of a service's endpoints that take new requests from this entry, regardless of their load.
 func (p *Placer) Available(service string) int {
 	p.mu.Lock()
@@ -226,6 +230,7 @@
 		}
 		if why.add(s.ID, bestID, s.cost(q.now, u)+q.extra(s)+slotWaitCost*wait.Seconds()) {
 			best, bestID = s, s.ID
+			why.Unread = u.Unread
 		}
 	}
 	switch {
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -213,8 +213,11 @@
 type memoryLimits struct {
 	// end limits the sum of the requests' estimated memory at their ends, taken the memory that they take now.
 	end, taken float64
-	// reserve is the memory, in tokens, that is left free for other requests.
+	// reserve is the memory, in tokens, that is left free for other requests, unless the endpoint holds none yet.
 	reserve int
+	// unread limits the prompt tokens that are not yet processed, with those of the request; zero for no limit. A request always
+	// fits where there are none.
+	unread int
 }
 
 // fits reports whether the endpoint has a free slot and memory for d in addition to the load u. An endpoint without a model
@@ -223,7 +226,13 @@
 	if s.MemoryTokens == 0 {
 		return u.Requests < plainOverload*s.Slots
 	}
-	memory := float64(max(s.MemoryTokens-limits.reserve, 0))
+	if limits.unread > 0 && u.Unread > 0 && u.Unread+d.Prompt > limits.unread {
+		return false
+	}
+	memory := float64(s.MemoryTokens)
+	if u.Requests > 0 {
+		memory = max(memory-float64(limits.reserve), 0)
+	}
 	return u.Requests < s.Slots && float64(u.Tokens+d.Tokens()) <= limits.end*memory && float64(u.taken()+d.held()) <= limits.taken*memory
 }
 
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -25,6 +25,8 @@
 	// candidate.
 	Next     string
 	NextCost float64
+	// Unread is the number of prompt tokens that were not yet processed at the endpoint.
+	Unread int
 }
 
 // add adds a candidate and reports whether it has the lowest cost so far. best is the ID of the previous best.
--- a/toucanplace/script_test.go
+++ b/toucanplace/script_test.go
@@ -96,7 +96,8 @@
 	return Endpoint{}
 }
 
-// place makes n placements. For example: place n=2 prompt=10 output=5 [made=3] [copyFrom=a] [backupOf=a].
+// place makes n placements. For example: place n=2 prompt=10 output=5 [made=3] [copyFrom=a] [backupOf=a] [reserve=100]
+// [maxUnread=100].
 func (sc *script) place(d *datadriven.TestData) string {
 	n, demand, from, of := 1, Demand{}, "", ""
 	d.MaybeScanArgs(sc.t, "n", &n)
@@ -105,9 +106,12 @@
 	d.MaybeScanArgs(sc.t, "made", &demand.Made)
 	d.MaybeScanArgs(sc.t, "copyFrom", &from)
 	d.MaybeScanArgs(sc.t, "backupOf", &of)
+	reserve, maxUnread := 0, 0
+	d.MaybeScanArgs(sc.t, "reserve", &reserve)
+	d.MaybeScanArgs(sc.t, "maxUnread", &maxUnread)
 	var got []string
 	for range n {
-		reservation, err := sc.placeOne(demand, from, of)
+		reservation, err := sc.placeOne(demand, from, of, WithReserve(reserve), WithMaxUnread(maxUnread))
 		if err != nil {
 			got = append(got, errorName(err))
 			continue
@@ -119,14 +123,14 @@
 	return strings.Join(got, ", ") + "\n"
 }
 
-func (sc *script) placeOne(d Demand, from, of string) (*Reservation, error) {
+func (sc *script) placeOne(d Demand, from, of string, opts ...PlaceOption) (*Reservation, error) {
 	switch {
 	case from != "":
 		return sc.placer.PlaceCopy(sc.now, sc.named(from), d, func(e Endpoint) bool { return e.ID != from })
 	case of != "":
 		return sc.placer.Backup(sc.now, sc.named(of), d)
 	}
-	return sc.placer.Place(sc.now, "s", d, nil)
+	return sc.placer.Place(sc.now, "s", d, nil, opts...)
 }
 
 func errorName(err error) string {
--- a/toucanrank/room.go
+++ b/toucanrank/room.go
@@ -68,6 +68,37 @@
 	return int(min(reserve, maxReserveShare*float64(size.Memory)))
 }
 
+const (
+	// briefReadShare is the share of a brief request's goal that the prompts before its own may take.
+	briefReadShare = 0.5
+	// ownReadShare is the share of the time left to its goal in which the prompts before a request's first event are to be read.
+	ownReadShare = 0.8
+	// minPatience bounds how far the limit on unread prompts grows.
+	minPatience = 0.25
+)
+
+// MaxUnread returns how many prompt tokens, with its own, may be unread at the endpoint that r goes to; zero for no limit. readRate
+// is how many an endpoint reads a second; zero if it is not known. It answers prompts that queue at the few endpoints
+// with free memory: a request that waits can still go to another one.
+func MaxUnread(now time.Time, r *Request, flows []Flow, readRate float64) int {
+	if r.Goal <= 0 || readRate <= 0 {
+		return 0
+	}
+	waited := now.Sub(r.Arrived)
+	seconds := r.Goal.Seconds()
+	if !r.missedGoal(waited) {
+		seconds = (r.Goal - waited).Seconds()
+	}
+	seconds *= ownReadShare
+	left := max(r.patienceLeft(now), minPatience)
+	for i := range flows {
+		if flows[i].isBrief(r) {
+			seconds = min(seconds, briefReadShare*flows[i].Goal.Seconds()/left)
+		}
+	}
+	return max(int(readRate*seconds), 1)
+}
+
 // briefShare is the largest time for which a request holds its room that is brief beside another, as a share of the other's.
 const briefShare = 0.25
 
--- a/toucanrank/table.go
+++ b/toucanrank/table.go
@@ -122,6 +122,8 @@
 
 // Times are the mean times of a route's requests. A time that is not known yet is zero.
 type Times struct {
+	// ReadRate is how many tokens of a prompt an engine reads a second if no other is before it.
+	ReadRate float64
 	// Work is the time from placement to the first event, Hold that for which a request holds its room.
 	Work, Hold time.Duration
 }
@@ -136,7 +138,11 @@
 	if !known && len(t.times) >= maxFlows {
 		clear(t.times)
 	}
-	t.times[c.Route] = Times{Work: learnTime(times.Work, observed.Work), Hold: learnTime(times.Hold, observed.Hold)}
+	if observed.ReadRate > 0 {
+		times.ReadRate = learn(times.ReadRate, observed.ReadRate)
+	}
+	times.Work, times.Hold = learnTime(times.Work, observed.Work), learnTime(times.Hold, observed.Hold)
+	t.times[c.Route] = times
 }
 
 // learnTime is learn for times. An observed time of zero is unknown.
