The reserve is kept whole for the first half of the wait; metrics by rank

The short ones that are late still find two endpoints with room (median), those on time 13.

Change: the reserve for requests as urgent or more stays whole until half of the time is over. Metrics by rank: held, expected wait, reserve, rejected by reason.

--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -158,6 +158,9 @@
 // refuse writes a refusal to the caller, and counts and logs it.
 func (s *Server) refuse(j *job, r refusal) {
 	s.metrics.refused(r.reason, j.workspace)
+	if j.mixed {
+		s.metrics.ranks.rejected(j.rank, r.reason)
+	}
 	args := []any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -45,6 +45,7 @@
 	firstEvent    tally.Histogram
 	betweenEvents tally.Histogram
 	held          tally.Histogram
+	ranks         *rankMetrics
 
 	// limitedSends counts, by kind, what was sent to endpoints that named a limit.
 	limitedSends map[sendKind]tally.Counter
@@ -98,6 +99,7 @@
 		firstEvent:         scope.Histogram("first_event", answerBuckets),
 		betweenEvents:      scope.Histogram("between_events", answerBuckets),
 		held:               scope.Histogram("request_held", answerBuckets),
+		ranks:              newRankMetrics(scope),
 		limitedSends:       limitedSendCounters(scope),
 		refusals:           make(map[reason]tally.Counter),
 		answers:            make(map[answerKey]tally.Counter),
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -91,6 +91,9 @@
 	j.unreadBefore = reservation.Choice.Unread
 	held := j.placed.Sub(since)
 	s.metrics.held.RecordDuration(held)
+	if j.mixed {
+		s.metrics.ranks.of(j.rank).held.RecordDuration(held)
+	}
 	if j.route.Kind != toucantraffic.Stream && len(j.tried) == 0 && !j.sampled() {
 		return
 	}
--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -81,17 +81,21 @@
 	toucanwait.Sleep(ctx, min(turn, max(until.Sub(now), 0)))
 }
 
-// rankArgs returns what is logged of the decisions by rank; nothing if the requests of the service don't differ.
+// rankArgs returns what is logged of the decisions on the request's room, and records it in the metrics; nothing if the requests of the service don't differ.
 func (s *Server) rankArgs(j *job, until time.Time) []any {
 	if !j.mixed {
 		return nil
 	}
 	_, room := s.decideRoom(j, time.Now(), until)
+	expected := s.forecast(j)
+	instruments := s.metrics.ranks.of(j.rank)
+	instruments.expected.RecordDuration(expected)
+	instruments.reserve.Update(float64(room.reserve))
 	return []any{
 		toucanlog.Rank, j.rank,
 		toucanlog.ReserveTokens, room.reserve,
 		toucanlog.MaxUnread, room.maxUnread,
-		toucanlog.ExpectedWaitMs, s.forecast(j).Milliseconds(),
+		toucanlog.ExpectedWaitMs, expected.Milliseconds(),
 	}
 }
 
--- a/toucanrank/room.go
+++ b/toucanrank/room.go
@@ -44,9 +44,10 @@
 // have to wait in the engines, behind long prompts, or preempt running streams. The memory is for as many of the brief
 // requests as run at an endpoint at the same time, but for one in twenty of them.
 //
-// While r waits, the reserve shrinks, to nothing when r has to be placed to meet its goal: being placed late costs its caller
-// more than a brief one that perhaps comes. It shrinks twice as fast for requests that are less urgent than r. A
-// request that missed its goal has less to lose by waiting and leaves all of it free again, until it would soon be rejected.
+// In the second half of the time in which r has to be placed to meet its goal, the reserve shrinks to nothing: being placed late
+// costs its caller more than a brief one that perhaps comes. What is left free for requests that are less urgent than r
+// shrinks from the beginning. A request that missed its goal has less to lose by waiting and leaves all of it
+// free again, until it would soon be rejected.
 func Reserve(now time.Time, r *Request, flows []Flow, size Endpoints) int {
 	if size.Count <= 0 || size.Memory <= 0 {
 		return 0
@@ -59,9 +60,9 @@
 			continue
 		}
 		running := f.PerSecond * f.Hold.Seconds() / float64(size.Count)
-		share := left
+		share := min(2*left, 1)
 		if f.Rank > r.Rank {
-			share = max(2*left-1, 0)
+			share = left
 		}
 		reserve += float64(poissonQuantile(running, roomQuantile)) * f.Tokens * share
 	}
