--- a/toucanrank/room.go
+++ b/toucanrank/room.go
@@ -78,11 +78,22 @@
 	minPatience = 0.25
 )
 
+// meetsOther reports whether the flows have brief requests beside r, or long ones beside which r is brief.
+func meetsOther(r *Request, flows []Flow) bool {
+	for i := range flows {
+		if flows[i].isBrief(r) || r.timing().isBrief(flows[i].timing()) {
+			return true
+		}
+	}
+	return false
+}
+
 // MaxUnread returns how many prompt tokens, with its own, may be unread at the endpoint that r goes to; zero for no limit. readRate
-// is how many an endpoint reads a second; zero if it is not known. It answers prompts that queue at the few endpoints
+// is how many an endpoint reads a second; zero if it is not known. There is no limit for a service without brief requests beside long
+// ones. It answers prompts that queue at the few endpoints
 // with free memory: a request that waits can still go to another one.
 func MaxUnread(now time.Time, r *Request, flows []Flow, readRate float64) int {
-	if r.Goal <= 0 || readRate <= 0 {
+	if r.Goal <= 0 || readRate <= 0 || !meetsOther(r, flows) {
 		return 0
 	}
 	waited := now.Sub(r.Arrived)
@@ -100,15 +111,30 @@
 	return max(int(readRate*seconds), 1)
 }
 
-// briefShare is the largest time for which a request holds its room that is brief beside another, as a share of the other's.
-const briefShare = 0.25
+const (
+	// briefShare is the largest time for which a request holds its room that is brief beside another, as a share of the other's.
+	briefShare = 0.25
+	// briefGoalShare is the longest goal of a request that can't wait as long as another, as a share of the other's.
+	briefGoalShare = 0.5
+)
+
+// timing is the goal of requests and how long they hold their room.
+type timing struct{ goal, hold time.Duration }
 
-// isBrief reports whether the requests of a flow are brief beside r, can't wait as long, and would not get the room back in time
-// that r takes.
-func (f *Flow) isBrief(r *Request) bool {
-	return f.Goal > 0 && r.Goal > f.Goal && r.Hold > f.Goal && float64(f.Hold) <= briefShare*float64(r.Hold)
+// isBrief reports whether requests with timing t are brief beside those with timing long: they have much less time, hold their room
+// briefly, and would not get back in time what a long one takes.
+func (t timing) isBrief(long timing) bool {
+	return t.goal > 0 && float64(t.goal) <= briefGoalShare*float64(long.goal) &&
+		long.hold > t.goal && float64(t.hold) <= briefShare*float64(long.hold)
 }
 
+func (r *Request) timing() timing { return timing{goal: r.Goal, hold: r.Hold} }
+
+func (f *Flow) timing() timing { return timing{goal: f.Goal, hold: f.Hold} }
+
+// isBrief reports whether the requests of a flow are brief beside r.
+func (f *Flow) isBrief(r *Request) bool { return f.timing().isBrief(r.timing()) }
+
 // patienceLeft returns which share of the time in which the request has to be placed for its goal is left, or of that until it
 // is rejected for one without a goal and one that has missed it.
 func (r *Request) patienceLeft(now time.Time) float64 {
--- a/toucanrank/table.go
+++ b/toucanrank/table.go
@@ -72,9 +72,8 @@
 	peers map[string]peerRows
 	// sums caches the flows of all entries, by service.
 	sums map[string]sum
-	// sentAt is when Rows last returned the rows, sentWaiting whether requests waited then.
-	sentAt      time.Time
-	sentWaiting bool
+	// sentAt is when Rows last returned the rows.
+	sentAt time.Time
 }
 
 // NewTable returns a table without flows.
@@ -199,7 +198,7 @@
 // minArrivals is the decayed number of arrivals below which a flow without waiting requests is not reported.
 const minArrivals = 0.02
 
-// rowInterval is the least time between two times that rows are returned for reports, unless requests begin or cease to wait.
+// rowInterval is the least time between two times that rows are returned for reports, which bounds what they add to them.
 const rowInterval = 500 * time.Millisecond
 
 // Rows returns the entry's rows for a report to its peers, at most one for each service, route and rank. There are none if the ones
@@ -207,11 +206,10 @@
 func (t *Table) Rows(now time.Time) []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	waiting := t.isWaiting()
-	if now.Sub(t.sentAt) < rowInterval && waiting == t.sentWaiting {
+	if now.Sub(t.sentAt) < rowInterval {
 		return nil
 	}
-	t.sentAt, t.sentWaiting = now, waiting
+	t.sentAt = now
 	var rows []Row
 	for key, f := range t.own {
 		if f.waiting == 0 && f.decayed(now) < minArrivals {
@@ -223,16 +221,6 @@
 	return rows[:min(len(rows), maxRows)]
 }
 
-// isWaiting reports whether any request of this entry waits. The caller holds t.mu.
-func (t *Table) isWaiting() bool {
-	for _, f := range t.own {
-		if f.waiting > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Observe replaces a peer's rows, and drops those of peers that are older than rowsTTL.
 func (t *Table) Observe(now time.Time, peer string, rows []Row) {
 	t.mu.Lock()
--- a/toucanrank/wait.go
+++ b/toucanrank/wait.go
@@ -32,7 +32,7 @@
 // and those that have waited longer of the same rank, but none that leave room free for r.
 func (f *Flow) shareAhead(r *Request, waited time.Duration) float64 {
 	switch {
-	case r.Goal > 0 && f.Goal > r.Goal && float64(r.Hold) <= briefShare*float64(f.Hold):
+	case r.timing().isBrief(f.timing()):
 		return 0
 	case f.Rank < r.Rank:
 		return 1
