--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -36,6 +36,7 @@
 	reasonFull        reason = "full"
 	reasonDeferred    reason = "deferred"
 	reasonLimited     reason = "limited"
+	reasonHopeless    reason = "noRoomInTime"
 	reasonTimeout     reason = "timeout"
 	reasonNotRun      reason = "notRun"
 	reasonUnreachable reason = "unreachable"
@@ -156,6 +157,8 @@
 		r.reason = reasonDeferred
 	case errors.Is(err, toucanplace.ErrLimited):
 		r.reason = reasonLimited
+	case errors.Is(err, errHopeless):
+		r.reason = reasonHopeless
 	}
 	return r
 }
@@ -163,6 +166,9 @@
 // refuse writes a refusal to the caller, and counts and logs it.
 func (s *Server) refuse(j *job, r refusal) {
 	s.metrics.refused(r.reason, j.workspace)
+	if j.mixed {
+		s.metrics.ranks.rejected(j.rank, r.reason)
+	}
 	args := []any{
 		toucanlog.RequestID, j.ID,
 		toucanlog.Route, j.route.Name,
--- a/toucanforward/pace.go
+++ b/toucanforward/pace.go
@@ -40,7 +40,7 @@
 	e := reservation.Endpoint
 	if j.firstEventAt.IsZero() {
 		j.firstEventAt = now
-		s.paces.ObserveRead(now, e.Key(), now.Sub(j.startedAt), reservation.Choice.Unread)
+		s.paces.ObserveRead(now, e.Key(), now.Sub(j.startedAt), reservation.Choice.Unread+j.Prompt)
 	}
 	load := s.placer.LoadOf(now, e.ID)
 	if gap := now.Sub(j.lastEventAt); !j.lastEventAt.IsZero() && gap > j.route.Gap && !j.pauseLogged {
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
@@ -59,10 +59,14 @@
 		if left <= 0 || s.deferredFor(j) > left {
 			return nil, err
 		}
-		s.queue.add(j)
+		if !held && s.isHopeless(j, until) {
+			return nil, errors.Wrap(errHopeless, err.Error())
+		}
+		request, _ := s.decideRoom(j, time.Now(), until)
+		s.queue.add(j, request)
 		if !held {
 			j.logged = true
-			s.log.Info(toucanlog.MsgRequestHeld,
+			s.log.Info(toucanlog.MsgRequestHeld, append([]any{
 				toucanlog.RequestID, j.ID,
 				toucanlog.Route, j.route.Name,
 				toucanlog.Service, j.service.Name,
@@ -70,9 +74,10 @@
 				toucanlog.Cause, err.Error(),
 				toucanlog.Tokens, j.demand.Tokens(),
 				toucanlog.WaitMs, left.Milliseconds(),
-			)
+			}, s.rankArgs(j, until)...)...)
 		}
 		toucanwait.Signal(ctx, freed, min(left, recheckInterval))
+		s.leaveTurn(ctx, j, until)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -83,8 +88,12 @@
 // chosen and at which cost. Of plain requests at their first attempt, only a sample is logged.
 func (s *Server) recordPlaced(j *job, reservation *toucanplace.Reservation, since time.Time) {
 	j.placed = time.Now()
+	j.unreadBefore = reservation.Choice.Unread
 	held := j.placed.Sub(since)
 	s.metrics.held.RecordDuration(held)
+	if j.mixed {
+		s.metrics.ranks.of(j.rank).held.RecordDuration(held)
+	}
 	if j.route.Kind != toucantraffic.Stream && len(j.tried) == 0 && !j.sampled() {
 		return
 	}
@@ -109,7 +118,7 @@
 	if choice.Cold > 0 {
 		args = append(args, toucanlog.ColdLeftOut, choice.Cold)
 	}
-	s.log.Info(toucanlog.MsgRequestPlaced, append(args, paceArgs(choice.Pace)...)...)
+	s.log.Info(toucanlog.MsgRequestPlaced, append(append(args, paceArgs(choice.Pace)...), s.rankArgs(j, j.deadline)...)...)
 }
 
 // roundCost rounds a cost to three decimals for the log.
@@ -136,24 +145,28 @@
 // at most until a time. It returns ErrFull if too many queued requests precede this one.
 func (s *Server) tryPlace(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	now := time.Now()
-	if !s.queue.mayReserve(now, j) {
+	request, room := s.decideRoom(j, now, until)
+	if !s.queue.mayReserve(now, j, request) {
 		return nil, toucanplace.ErrFull
 	}
-	reservation, err := s.reserve(ctx, j, now)
+	reservation, err := s.reserve(ctx, j, now, room)
 	if errors.Is(err, toucanplace.ErrLimited) {
-		return s.reserve(ctx, j, until)
+		reservation, err = s.reserve(ctx, j, until, room)
+	}
+	if err != nil {
+		s.queue.setTried(now, j)
 	}
 	return reservation, err
 }
 
 // reserve reserves an endpoint and, if it has a limit, a slot there that begins until a time. After maxSlotAsks asks without a
 // slot, it considers only endpoints without a limit.
-func (s *Server) reserve(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
+func (s *Server) reserve(ctx context.Context, j *job, until time.Time, room roomLimits) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
 		j.demand.Goal, j.demand.Movable = j.goalLeft(now), j.isMovable()
 		patience := max(until.Sub(now), 0)
-		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience))
+		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience), toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
 		if err != nil {
 			return nil, err
 		}
@@ -166,7 +179,8 @@
 			return nil, ctx.Err()
 		}
 	}
-	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited())
+	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited(),
+		toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
 }
 
 // awaitSlot waits until a slot of an endpoint begins. It returns false if the endpoint takes no requests then.
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -14,6 +14,7 @@
 	"toucanport/toucanpace"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
+	"toucanport/toucanrank"
 	"toucanport/toucanrate"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
@@ -49,6 +50,7 @@
 	generations *toucangeneration.Registry
 	estimates   lengthEstimates
 	queue       waitQueue
+	ranks       *toucanrank.Table
 	quarantine  *toucanquarantine.Table
 	starting    startingRequests
 	limits      *toucanrate.Limits
@@ -63,7 +65,8 @@
 	lastBreak atomic.Int64
 }
 
-// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Paces, Bodies, Answers and Metrics are required.
+// Config holds the dependencies of a Server. All fields but Quarantine, Limits, Paces, Bodies, Ranks, Answers and Metrics are
+// required.
 type Config struct {
 	Codec   Codec
 	Mover   toucangeneration.Mover
@@ -81,6 +84,8 @@
 	Paces *toucanpace.Learner
 	// Bodies bounds the memory for long bodies of requests; nil for defaultBodyMemory.
 	Bodies *toucanbody.Memory
+	// Ranks learns the requests of each rank, and shares them with the other entries; nil for this entry's alone.
+	Ranks *toucanrank.Table
 	// Answers bounds the memory for long answers and events; nil for defaultAnswerMemory.
 	Answers *toucanbody.Memory
 	Metrics Metrics
@@ -95,6 +100,9 @@
 	if cfg.Limits == nil {
 		cfg.Limits = toucanrate.New("")
 	}
+	if cfg.Ranks == nil {
+		cfg.Ranks = toucanrank.NewTable()
+	}
 	if cfg.Bodies == nil {
 		cfg.Bodies = toucanbody.NewMemory(defaultBodyMemory)
 	}
@@ -114,6 +122,8 @@
 		limits:     cfg.Limits,
 		paces:      newPaces(cfg.Paces),
 		returns:    toucanrate.NewReturns(),
+		ranks:      cfg.Ranks,
+		queue:      waitQueue{ranks: cfg.Ranks},
 		bodies:     cfg.Bodies,
 		answers:    cfg.Answers,
 		metrics:    m,
@@ -147,7 +157,7 @@
 	arrived time.Time
 	// timer measures the events of a stream.
 	timer eventTimer
-	// firstEventAt is the time of the first event of a stream with a bound on its pauses; zero before.
+	// firstEventAt is the time of a stream's first event; zero before.
 	firstEventAt time.Time
 	// lastEventAt is the time of its last event, and pauseLogged is true once a pause beyond its bound was logged.
 	lastEventAt time.Time
@@ -156,6 +166,14 @@
 	placed   time.Time
 	deadline time.Time
 	demand   toucanplace.Demand
+	// rank is the request's urgency, 0 first.
+	rank int
+	// mixed is true if the requests of its service differ in goal or priority, so that toucanrank decides on their room.
+	mixed bool
+	// triedAt is when the request last found no room. It is guarded by waitQueue.mu.
+	triedAt time.Time
+	// unreadBefore is the number of unread prompt tokens at the endpoint of the last reservation before the request's own.
+	unreadBefore int
 	// body tells whether the request can be sent again.
 	body *toucanbody.Body
 	// buffers is the memory for what is buffered of answers.
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -90,6 +90,7 @@
 	j.writeHead()
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.recordProven(j)
+	s.recordTimes(j)
 	if !j.callerResumed() {
 		s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens()) // Otherwise it made only the rest.
 	}
@@ -197,6 +198,9 @@
 	s.recordPace(j, reservation, seen.Count())
 	if first, gap := g.Progress(seen.Count()); first {
 		reservation.MarkPromptRead()
+		if j.firstEventAt.IsZero() {
+			j.firstEventAt = time.Now()
+		}
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	} else {
 		s.metrics.betweenEvents.RecordDuration(gap)
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -11,6 +11,7 @@
 	"toucanport/toucanmoveorder"
 	"toucanport/toucanpace"
 	"toucanport/toucanplace"
+	"toucanport/toucanrank"
 )
 
 // reportTimeout is how long a peer's last report stays valid.
@@ -19,6 +20,8 @@
 // SharedState holds this entry's state for its peers and the latest report of each peer. It is safe for concurrent use.
 type SharedState struct {
 	placer *toucanplace.Placer
+	// ranks learns the requests of each rank at all entries; nil for none.
+	ranks *toucanrank.Table
 
 	mu sync.Mutex
 	// peers holds the newest report of each peer, by the peer's name.
@@ -234,6 +237,7 @@
 	}
 	s.placer.Observe(now, r.GetSender(), usesByEndpoint(r))
 	s.applyPaces(now, r)
+	s.applyRanks(now, r)
 	s.placer.MarkUnreachable(now, r.GetUnreachable())
 	s.placer.SetReportedLeaving(leaving)
 	return true
@@ -286,7 +290,7 @@
 
 // Report returns a report of this entry's current state, without sender, boot and serial.
 func (s *SharedState) Report() *Report {
-	r := &Report{Unreachable: s.placer.Unreachable(time.Now()), Leaving: s.placer.SaidLeaving()}
+	r := &Report{Unreachable: s.placer.Unreachable(time.Now()), Leaving: s.placer.SaidLeaving(), Ranks: s.rankRows(time.Now())}
 	for key, u := range s.placer.OwnUse() {
 		r.Uses = append(r.Uses, &EndpointUse{
 			Endpoint: key,
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -67,6 +67,26 @@
 // endpoint is chosen only if it may have a slot now.
 func WithPatience(d time.Duration) PlaceOption { return func(q *search) { q.patience = d } }
 
+// WithReserve leaves some memory, in tokens, of each endpoint free for other requests.
+func WithReserve(tokens int) PlaceOption { return func(q *search) { q.limits.reserve = tokens } }
+
+// WithMaxUnread leaves out endpoints at which the unread prompt tokens would be more with those of the request, unless there
+// are none yet. Zero is no limit.
+func WithMaxUnread(tokens int) PlaceOption { return func(q *search) { q.limits.unread = tokens } }
+
+// Available returns the number of a service's endpoints that take new requests from this entry, regardless of their load.
+func (p *Placer) Available(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.services[service] {
+		if !s.isDraining() && !s.OtherCell {
+			n++
+		}
+	}
+	return n
+}
+
 // WithoutLimited leaves out all endpoints that take only so many requests a second.
 func WithoutLimited() PlaceOption { return func(q *search) { q.patience = -1 } }
 
@@ -234,7 +254,7 @@
 		}
 		if why.add(s.ID, bestID, c) {
 			best, bestID = s, s.ID
-			why.Unread = u.Unread + q.demand.Prompt
+			why.Unread = u.Unread
 			if uneven {
 				why.Pace = p.paceChoice(q, s, u)
 			}
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -27,7 +27,7 @@
 	// candidate.
 	Next     string
 	NextCost float64
-	// Unread is the number of prompt tokens that the endpoint has to read until the request's first event.
+	// Unread is the number of prompt tokens that were not yet processed at the endpoint.
 	Unread int
 	// Pace says how the pace of endpoints decided; zero if they are not uneven.
 	Pace PaceChoice
