--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -635,6 +635,7 @@
 //	events A B end   events A to B, then the stream's end
 //	events A B cutInside  the same, inside the event after B
 //	events A B keep  the same as end, and the connection stays open for another request
+//	rest B ...       the same as events A B, from the event after the one that the request names
 //	early ...        the step that follows, before the body was read
 //	drop             no answer on a connection that was kept; the connection is closed, and the request is not recorded
 //	events A B encoded       the same as end, with a Content-Encoding
@@ -872,6 +873,9 @@
 		<-e.beginHold()
 	case "events":
 		e.stream(rw, id, step)
+	case "rest":
+		last, _ := strconv.Atoi(r.Header.Get(headerLast))
+		e.stream(rw, id, []string{"events", strconv.Itoa(last + 1), step[1], step[2]})
 	}
 	return false
 }
