--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -175,7 +175,7 @@
 			break
 		}
 		tried[target.Endpoint.ID] = true
-		done, err := r.moveToTarget(ctx, g, source, target, func() bool { return true })
+		done, err := r.moveToTarget(ctx, g, source, target, func() bool { return r.awaitLastCopy(ctx, g, target.Endpoint) })
 		if done {
 			return
 		}
--- a/toucangeneration/pace.go
+++ b/toucangeneration/pace.go
@@ -149,3 +149,25 @@
 	defer g.mu.Unlock()
 	g.movedByPace = false
 }
+
+// lastCopyWait is how long a copied generation at a draining endpoint waits for an idle link of its target.
+const lastCopyWait = 120 * time.Millisecond
+
+// awaitLastCopy waits for a moment in which no other entry copies memory to the target, for at most lastCopyWait, so that the pause of
+// the generation stays short. It is for services whose endpoints are uneven, and returns true.
+func (r *Registry) awaitLastCopy(ctx context.Context, g *Generation, target toucanplace.Endpoint) bool {
+	until := time.Now().Add(lastCopyWait)
+	for g.isExposed() && r.placer.IsUneven(time.Now(), target.Service) && time.Now().Before(until) {
+		if !r.coordinator.CopyingByPeer(time.Now(), target.Key()) || !toucanwait.Sleep(ctx, idleCheck) {
+			break
+		}
+	}
+	return true
+}
+
+// isExposed reports whether a pause beyond its bound would make the generation late.
+func (g *Generation) isExposed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spec.MaxEventGap > 0 && !g.isLate()
+}
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -102,6 +102,13 @@
 	return sound > 0 && breaking > 0 && breaking*minBreakingPart >= breaking+sound
 }
 
+// IsUneven reports whether prompts make streams late at some endpoints of a service and not at others.
+func (p *Placer) IsUneven(now time.Time, service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isUneven(now, service)
+}
+
 // paceCost returns what a placement at an endpoint with the load u costs because endpoints are uneven: the streams there that its
 // prompt makes late, its own risk, and room that long streams need.
 func (s *endpointState) paceCost(u Use, d Demand) float64 {
