--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -65,6 +65,8 @@
 	alone, beside spans
 	// peers holds the last word of each peer, by name.
 	peers map[string]heard
+	// slow tells whether the endpoint is in a slow moment.
+	slow moment
 	// reads holds the last readings of prompts.
 	reads recentReads
 	// news is the time of the last event or word, newest the number of the last span with an event or a reading.
@@ -98,6 +100,8 @@
 type Forecast struct {
 	// Pause is the longest pause of a stream beside which the endpoint reads a prompt; zero if it is unknown.
 	Pause time.Duration
+	// Slow is true while events at the endpoint take longer than usual.
+	Slow bool
 	// ReadTime is the time in which it reads a thousand tokens of prompts; zero if it is unknown.
 	ReadTime time.Duration
 }
@@ -124,6 +128,7 @@
 	}
 	if usual > 0 && events == 1 {
 		l.slowdowns.add(float64(took) / float64(usual))
+		e.slow.observe(now, float64(took)/float64(usual))
 	}
 	s.add(now, took, events)
 }
@@ -198,10 +203,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	if f, known = l.view.forecasts[key]; known {
-		return f, true
+	f, known = l.view.forecasts[key]
+	if !known {
+		f = l.view.usual
 	}
-	return l.view.usual, false
+	if e, ok := l.endpoints[key]; ok {
+		f.Slow = e.slow.isSlow(now)
+	}
+	return f, known
 }
 
 // refresh evaluates what is known if the view is older than viewInterval. The caller holds l.mu.
--- a/toucanpeer/pace.go
+++ b/toucanpeer/pace.go
@@ -34,17 +34,29 @@
 			Beside: time.Duration(p.GetBesideMicros()) * time.Microsecond,
 		}})
 	}
+	slow := r.GetPaces().GetSlow()
+	s.paces.ObserveSlow(now, slow[:min(len(slow), maxPaces)])
 	s.paces.ObservePeer(now, r.GetSender(), learned)
 }
 
-// reportedPaces returns the paces for the next report; nil until paceInterval after the last ones. The caller must hold s.mu.
+// reportedPaces returns what the next report says of paces; nil for nothing. The paces themselves are paceInterval apart. The caller must
+// hold s.mu.
 func (s *SharedState) reportedPaces(now time.Time) *Paces {
-	if now.Sub(s.pacesSentAt) < paceInterval {
+	out := &Paces{Slow: s.paces.SlowNow(now, maxPaces)}
+	if now.Sub(s.pacesSentAt) >= paceInterval {
+		s.pacesSentAt = now
+		s.addPaces(now, out)
+	}
+	if len(out.GetEndpoints()) == 0 && len(out.GetSlowdowns()) == 0 && len(out.GetSlow()) == 0 {
 		return nil
 	}
-	s.pacesSentAt = now
+	return out
+}
+
+// addPaces adds the paces that this entry has learned.
+func (s *SharedState) addPaces(now time.Time, out *Paces) {
 	own := s.paces.Own(now, maxPaces)
-	out := &Paces{Slowdowns: own.Slowdowns}
+	out.Slowdowns = own.Slowdowns
 	for _, p := range own.Paces {
 		out.Endpoints = append(out.Endpoints, &EndpointPace{
 			Endpoint:     p.Endpoint,
@@ -52,8 +64,4 @@
 			BesideMicros: uint32(p.Pace.Beside.Microseconds()),
 		})
 	}
-	if len(out.GetEndpoints()) == 0 && len(out.GetSlowdowns()) == 0 {
-		return nil
-	}
-	return out
 }
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -34,8 +34,12 @@
 	// minBreakingPart is the number of endpoints of which one at least must break the bound: single ones are slow for other reasons,
 	// such as a recent start.
 	minBreakingPart = 8
-	// harmCost is the cost of a prompt that makes an exposed stream beside it late in a slow moment.
-	harmCost = 0.6
+	// harmCost is the cost of a prompt that makes an exposed stream beside it late if a slow moment comes, slowHarmCost that of one at an
+	// endpoint that is slow now.
+	harmCost     = 0.5
+	slowHarmCost = 1.5
+	// slowReadFactor is how much longer an endpoint that is slow now reads.
+	slowReadFactor = 2
 	// riskCost is the cost of an endpoint where the prompts of others make a stream late in a slow moment.
 	riskCost = 0.5
 	// moveCost is the cost of an endpoint from which a long stream is moved after its first event.
@@ -90,7 +94,10 @@
 	breaking, sound := 0, 0
 	for _, s := range p.services[service] {
 		forecast, known := p.paces.Forecast(now, s.key)
-		s.breaksGap, s.paceKnown, s.readTime = forecast.Pause > bound, known, forecast.ReadTime
+		s.breaksGap, s.paceKnown, s.readTime, s.harmCost = forecast.Pause > bound, known, forecast.ReadTime, harmCost
+		if forecast.Slow {
+			s.readTime, s.harmCost = slowReadFactor*forecast.ReadTime, slowHarmCost
+		}
 		switch {
 		case !known || s.isDraining():
 		case s.breaksGap:
@@ -121,14 +128,14 @@
 	}
 	switch {
 	case s.breaksGap && d.isExposed() && !d.Movable:
-		c += harmCost*float64(u.Exposed) + riskCost + orderCost*(1-s.order())
+		c += s.harmCost*float64(u.Exposed) + riskCost + orderCost*(1-s.order())
 	case s.breaksGap && d.isExposed():
-		c += harmCost*float64(u.Exposed) + moveCost + orderCost*s.order()
+		c += s.harmCost*float64(u.Exposed) + moveCost + orderCost*s.order()
 	case s.breaksGap && !s.paceKnown:
 		// A short request shows the pace of a new endpoint.
-		c += harmCost * float64(u.Exposed)
+		c += s.harmCost * float64(u.Exposed)
 	case s.breaksGap:
-		c += harmCost*float64(u.Exposed) + orderCost*s.order()
+		c += s.harmCost*float64(u.Exposed) + orderCost*s.order()
 	case !d.isExposed():
 		c += soundCost
 	}
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -196,6 +196,8 @@
 	// readTime is the forecast of the time in which the endpoint reads a thousand tokens of prompts; zero if it is unknown. isUneven
 	// sets it.
 	readTime time.Duration
+	// harmCost is the cost of a prompt for each exposed stream beside it. isUneven sets it.
+	harmCost float64
 }
 
 // suspect adds failureCost to the endpoint's cost for a time that doubles with each call in a row.
