--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -207,6 +207,8 @@
 	// sets it.
 	readTime time.Duration
 	cold     coldState
+	// harmCost is the cost of a prompt for each exposed stream beside it. isUneven sets it.
+	harmCost float64
 }
 
 // suspect adds failureCost to the endpoint's cost for a time that doubles with each call in a row.
