Heads and connections of callers are bounded before they are parsed

Cause: net/http bounds a head by its bytes and parses it into many times as much if its lines are short; connections, and heads at the readiness and metrics addresses, were bounded not at all. Change: package toucanhead, a thin connection below net/http's server. It counts bytes and lines of each head while it is read, takes memory for both from a share of all callers together until the request ends, refuses with 431 (over the operator's MaxHeaderBytes) or 503 (no memory left; it has not run), and closes the oldest connections without a whole request, then the longest idle ones. The handler says how long the body is, so that it never guesses; a chunked body is followed to its end, and its trailer takes memory too. Readers at the peers' port are at most 64 at once.

--- a/toucancopy/copy.go
+++ b/toucancopy/copy.go
@@ -41,19 +41,33 @@
 	Revision uint64
 }
 
+const (
+	// MaxReaders is the number of readers that are answered at once. Others wait.
+	MaxReaders = 64
+	// acceptPause is the time until another connection is accepted after one could not be.
+	acceptPause = 10 * time.Millisecond
+)
+
 // Serve sends the copy that read returns to each reader that connects, until the listener is closed. Each connection carries
 // one request and one copy, so no multiplexing is needed.
 func Serve(l net.Listener, log *slog.Logger, read func() Copy) {
+	readers := make(chan struct{}, MaxReaders)
 	for {
+		readers <- struct{}{}
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			log.Warn(toucanlog.MsgPeerNotAnswered, toucanlog.Cause, err.Error())
+			<-readers
+			time.Sleep(acceptPause)
 			continue
 		}
-		go answer(conn, log, read())
+		go func() {
+			defer func() { <-readers }()
+			answer(conn, log, read())
+		}()
 	}
 }
 
--- /dev/null
+++ b/toucanhead/conn.go
@@ -0,0 +1,259 @@
+package toucanhead
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanbody"
+)
+
+// phase is the part of the caller's bytes that comes next.
+type phase int
+
+const (
+	// phaseHead is the head of a request.
+	phaseHead phase = iota
+	// phaseUnknown follows a head until the server says how long the body is.
+	phaseUnknown
+	phaseSized
+	phaseChunked
+	// phaseRest is a body up to the end of the connection.
+	phaseRest
+	// phaseRefused means that the connection carries no more requests.
+	phaseRefused
+)
+
+// Conn is a caller's connection, whose bytes it counts before a server reads them. The bytes of one Read never belong to two requests.
+type Conn struct {
+	net.Conn
+	gate *Gate
+	// place is guarded by gate.mu.
+	place place
+
+	mu    sync.Mutex
+	phase phase
+	// head is the scan of the current or the next head, and headWeight the weight of the head of the request in service.
+	head       lineScan
+	headWeight int
+	chunks     chunkScan
+	// left is the number of bytes that are left of a body of known length.
+	left int64
+	// held is what the head and the trailer of the request hold of the gate's memory, until the request ends.
+	held *toucanbody.Reservation
+	// serving is true from the beginning of a request's service until its answer is sent.
+	serving bool
+	// early holds bytes that the server read before it said how long the body is.
+	early []byte
+	// pending holds bytes that were read from the caller and not yet passed on. They lie in buffer.
+	pending, buffer []byte
+}
+
+func newConn(raw net.Conn, g *Gate) *Conn {
+	return &Conn{Conn: raw, gate: g, head: newHeadScan(), held: g.memory.Reservation(freeWeight)}
+}
+
+// Read implements net.Conn. The server makes one call at a time.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n, again, err := c.fill(p)
+	if n == 0 {
+		return 0, err
+	}
+	c.mu.Lock()
+	k, why, err := c.count(p[:n])
+	if again {
+		c.pending = c.pending[k:]
+	} else {
+		c.keep(p[k:n])
+	}
+	head, serving := c.head, c.serving
+	c.mu.Unlock()
+	if why != "" {
+		c.refuse(why, head, serving, p)
+		return 0, io.EOF
+	}
+	return k, err
+}
+
+// fill copies bytes that are pending, which stay so, or else reads some. It returns true for pending ones.
+func (c *Conn) fill(p []byte) (n int, again bool, err error) {
+	c.mu.Lock()
+	switch {
+	case c.phase == phaseRefused, c.phase == phaseUnknown && len(p) > 1:
+		// A server that does not say how long the body is, and reads on, has answered the request on its own.
+		c.mu.Unlock()
+		return 0, false, io.EOF
+	case c.phase == phaseSized:
+		p = p[:min(int64(len(p)), c.left)]
+	}
+	n = copy(p, c.pending)
+	c.mu.Unlock()
+	if n > 0 {
+		return n, true, nil
+	}
+	n, err = c.Conn.Read(p)
+	return n, false, err
+}
+
+// keep keeps bytes that were read and may not be passed on yet. The caller holds c.mu.
+func (c *Conn) keep(p []byte) {
+	c.buffer = append(c.buffer[:0], p...)
+	c.pending = c.buffer
+}
+
+// count counts bytes that were read and returns how many of them may be passed on: those up to the end of the head or of the body, which
+// are at least one. The reason is not empty if the head is refused. The caller holds c.mu.
+func (c *Conn) count(p []byte) (n int, why Reason, err error) {
+	switch c.phase {
+	case phaseHead:
+		return c.countHead(p)
+	case phaseUnknown:
+		c.early = append(c.early, p...)
+	case phaseSized:
+		n = int(min(c.left, int64(len(p))))
+		c.left -= int64(n)
+		if c.left == 0 {
+			c.expectHead()
+		}
+		return n, "", nil
+	case phaseChunked:
+		return c.countChunks(p)
+	case phaseRefused:
+		return 0, "", io.EOF
+	}
+	return len(p), "", nil
+}
+
+// expectHead begins the head of the next request.
+func (c *Conn) expectHead() { c.phase, c.head = phaseHead, newHeadScan() }
+
+func (c *Conn) countHead(p []byte) (n int, why Reason, err error) {
+	if c.head.bytes == 0 && !c.serving && !c.gate.begin(c) {
+		return 0, "", net.ErrClosed
+	}
+	n, ended := c.head.scan(p)
+	switch {
+	case c.head.bytes > c.gate.limits.HeadBytes()+extraBytes:
+		why = ReasonTooLarge
+	case !c.held.Cover(weight(c.head.bytes, c.head.lines)):
+		why = ReasonNoMemory
+	}
+	if why == "" && ended {
+		c.phase, c.headWeight = phaseUnknown, weight(c.head.bytes, c.head.lines)
+		if err = c.gate.finish(c); errors.Is(err, errFull) {
+			why, err = ReasonConnections, nil
+		}
+	}
+	if why != "" {
+		c.phase = phaseRefused
+	}
+	return n, why, err
+}
+
+func (c *Conn) countChunks(p []byte) (n int, why Reason, err error) {
+	n, ended, err := c.chunks.scan(p)
+	if err != nil {
+		// The server sees that the body is malformed, and gets no more.
+		c.phase = phaseRefused
+		return len(p), "", nil
+	}
+	if !c.held.Cover(c.headWeight + weight(c.chunks.trailer.bytes, c.chunks.trailer.lines)) {
+		c.phase = phaseRefused
+		return 0, ReasonNoMemory, nil
+	}
+	if ended {
+		c.expectHead()
+	}
+	return n, "", nil
+}
+
+// serve records that the service of the request begins, whose body has a length, or is chunked, or ends with the connection if it is
+// neither.
+func (c *Conn) serve(length int64, chunked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseUnknown {
+		return
+	}
+	c.serving = true
+	switch {
+	case chunked:
+		c.phase, c.chunks = phaseChunked, chunkScan{}
+	case length < 0:
+		c.phase = phaseRest
+	case length > 0:
+		c.phase, c.left = phaseSized, length
+	default:
+		c.expectHead()
+	}
+	early := c.early
+	c.early = nil
+	if len(early) > 0 {
+		_, _, _ = c.count(early) // One byte can't be refused: the server reads no more before.
+	}
+}
+
+// rest records that the answer has been sent.
+func (c *Conn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = false
+	c.held.Release()
+	if c.phase == phaseHead && c.head.bytes > 0 {
+		c.gate.begin(c) // If the connection has been closed, the next Read fails.
+		return
+	}
+	c.gate.markIdle(c)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.gate.remove(c)
+	c.mu.Lock()
+	c.held.Release()
+	c.phase = phaseRefused
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+const (
+	// answerTooLarge and answerNoMemory are the answers to refused heads. Their requests have not run.
+	answerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	answerNoMemory = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// linger is how long what a refused caller still sends is read, so that it gets the answer and not a reset of its connection.
+	linger = 250 * time.Millisecond
+)
+
+// refuse answers a head that is refused, unless a request is still in service, and then reads what the caller still sends into p.
+func (c *Conn) refuse(why Reason, head lineScan, serving bool, p []byte) {
+	c.gate.tell(Event{Reason: why, Bytes: head.bytes, Lines: head.lines, Limit: c.gate.limits.HeadBytes()})
+	if serving {
+		return
+	}
+	c.mu.Lock()
+	c.held.Release()
+	c.pending, c.buffer = nil, nil
+	c.mu.Unlock()
+	answer := answerNoMemory
+	if why == ReasonTooLarge {
+		answer = answerTooLarge
+	}
+	_ = c.SetDeadline(time.Now().Add(linger)) // Without it, the server's deadline ends the reads.
+	if _, err := io.WriteString(c.Conn, answer); err != nil {
+		return
+	}
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite() // The caller may have closed the connection.
+	}
+	for {
+		if _, err := c.Conn.Read(p); err != nil {
+			return
+		}
+	}
+}
--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,9 @@
 	// endWait is how long HasEnded watches a connection that was accepted.
 	endWait time.Duration
 
+	// total is the number of all connections, including those being dialed.
+	total atomic.Int64
+
 	mu sync.Mutex
 	// peers has an entry for each address with an open connection.
 	peers map[string]*peer
@@ -134,6 +138,9 @@
 	return failed
 }
 
+// Open returns the number of all connections, including those being dialed.
+func (p *Pool) Open() int { return int(p.total.Load()) }
+
 // get returns an idle connection to address, or dials a new one if fewer than limit are open. The error wraps
 // ErrNotSent.
 func (p *Pool) get(ctx context.Context, address string, limit int) (*conn, error) {
@@ -234,6 +241,7 @@
 		return false
 	}
 	pr.open++
+	p.total.Add(1)
 	return true
 }
 
@@ -243,6 +251,7 @@
 	defer p.mu.Unlock()
 	pr := p.peers[address]
 	pr.open--
+	p.total.Add(-1)
 	if pr.open == 0 {
 		delete(p.peers, address)
 	}
