An answer whose status line is no status is none

Cause: net/http parses three characters as the status, also 000, 099, +99, 600 and 999. It was handed to WriteHeader, which panics below 100, so that the caller's connection ended without an answer; above 599 it was passed on. An answer after 101, which nobody asked for, and one of another major version were too. A write whose reply from the store had such a status counted as not carried out.

--- a/toucandispatch/call.go
+++ b/toucandispatch/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanupstream"
 	"toucanport/toucanwire"
 )
 
@@ -32,7 +33,7 @@
 func New(url string, transport http.RoundTripper, orders Orders, log *slog.Logger) *Dispatcher {
 	return &Dispatcher{
 		http: &http.Client{
-			Transport: transport,
+			Transport: toucanupstream.CheckStatus(transport),
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- a/toucanengine/client.go
+++ b/toucanengine/client.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"toucanport/toucanupstream"
 )
 
 var (
@@ -56,6 +58,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http.Transport = toucanupstream.CheckStatus(c.http.Transport)
 	return c
 }
 
--- a/toucanstore/client.go
+++ b/toucanstore/client.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
+	"toucanport/toucanupstream"
 	"toucanport/toucanwait"
 )
 
@@ -115,6 +116,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http.Transport = toucanupstream.CheckStatus(c.http.Transport)
 	return c
 }
 
--- a/toucanupstream/response.go
+++ b/toucanupstream/response.go
@@ -168,6 +168,12 @@
 		if err != nil {
 			return nil, readError(err)
 		}
+		if resp.ProtoMajor != 1 {
+			return nil, errMalformed
+		}
+		if err := checkStatus(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
