The product's entry, operators' listener and scrapes bound heads before they are parsed

Cause: their heads were bounded by bytes only (32 KB, 16 KB, and 1 MB for scrapes of a sidecar), and connections of operators and scrapes not at all.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"toucanport/toucanhead"
 	"toucanport/toucanlimit"
 	"toucanport/toucanlink"
 	"toucanport/toucanmetric"
@@ -35,8 +36,9 @@
 	readBodyTimeout = 30 * time.Second
 	// idleTimeout limits how long a connection can be idle between requests.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the size of a request's headers.
-	maxHeaderBytes = 32 << 10
+	// maxHeaderBytes limits the size of a request's headers, and headMemoryBytes the memory that the headers of all requests take.
+	maxHeaderBytes  = 32 << 10
+	headMemoryBytes = 32 << 20
 	// DefaultStartWithin is how long a request can wait for its first token, or for its service's answer, if the
 	// caller sets no timeout.
 	DefaultStartWithin = 30 * time.Second
@@ -84,6 +86,8 @@
 	links   *toucanlink.Pool
 	callers *toucanmetric.Callers
 	server  *http.Server
+	// gate limits the headers of requests before they are parsed.
+	gate *toucanhead.Gate
 	// connections and bodies limit the resources that callers can use.
 	connections *connections
 	bodies      *bodyPool
@@ -157,12 +161,16 @@
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       e.connections.withConnection,
 		ConnState:         e.connections.onStateChange,
 		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
+	e.gate = toucanhead.New(toucanhead.Limits{
+		HeadBytes:   func() int { return maxHeaderBytes },
+		MemoryBytes: headMemoryBytes,
+	}, toucanhead.NewObserver(cfg.Scope, e.log).Observe)
+	e.gate.Attach(e.server)
 	return e
 }
 
@@ -202,7 +210,7 @@
 	defer stop()
 	stopWatch := context.AfterFunc(e.accepting, func() { _ = ln.Close() }) // Serve reports the end.
 	defer stopWatch()
-	err := e.server.Serve(ln)
+	err := e.server.Serve(e.gate.Listen(ln))
 	if e.stopping.Load() {
 		e.awaitDrained(ctx)
 		return nil
--- a/toucaninstance/instance.go
+++ b/toucaninstance/instance.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanconfig"
+	"toucanport/toucanhead"
 	"toucanport/toucantls"
 )
 
@@ -107,14 +109,28 @@
 	return r, nil
 }
 
+const (
+	// scrapeHeadBytes limits the headers of a scrape, scrapeMemoryBytes the memory of those of all scrapes, and scrapeConnections the
+	// number of connections, of which a scrape in service takes two.
+	scrapeHeadBytes   = 16 << 10
+	scrapeMemoryBytes = 2 << 20
+	scrapeConnections = 64
+)
+
 // serveMetrics serves metric scrapes from ln until ctx is done.
-func serveMetrics(ctx context.Context, ln net.Listener, handler http.Handler) error {
+func serveMetrics(ctx context.Context, ln net.Listener, handler http.Handler, log *slog.Logger) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", handler)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: dialTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	gate := toucanhead.New(toucanhead.Limits{
+		HeadBytes:   func() int { return scrapeHeadBytes },
+		MemoryBytes: scrapeMemoryBytes,
+		Connections: scrapeConnections,
+	}, toucanhead.NewObserver(tally.NoopScope, log).Observe)
+	gate.Attach(server)
+	if err := server.Serve(gate.Listen(ln)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/toucaninstance/sidecar.go
+++ b/toucaninstance/sidecar.go
@@ -96,7 +96,7 @@
 	scope, scrape, closer := toucanmetric.New()
 	s.startTask("metrics", func() error {
 		defer closer.Close()
-		return serveMetrics(ctx, ln, scrape)
+		return serveMetrics(ctx, ln, scrape, s.log)
 	})
 	return scope, nil
 }
--- a/toucanoperate/server.go
+++ b/toucanoperate/server.go
@@ -10,8 +10,10 @@
 
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucanchange"
+	"toucanport/toucanhead"
 	"toucanport/toucanreplicate"
 	"toucanport/toucanrevision"
 	"toucanport/toucansettings"
@@ -22,6 +24,10 @@
 	readHeaderTimeout = 5 * time.Second
 	maxBodyBytes      = 2 << 20
 	maxHeaderBytes    = 16 << 10
+	// headMemoryBytes is the memory that the headers of all requests take, and maxConnections the number of connections, of which a
+	// request in service takes two.
+	headMemoryBytes = 4 << 20
+	maxConnections  = 256
 	// replicaWait is the maximum time that an accepted change waits until at least one sidecar holds it.
 	replicaWait = time.Second
 )
@@ -55,6 +61,8 @@
 type Server struct {
 	cfg  Config
 	http *http.Server
+	// gate limits the headers of requests before they are parsed.
+	gate *toucanhead.Gate
 }
 
 // NewServer returns a Server, which does nothing until Run is called.
@@ -63,9 +71,14 @@
 	s.http = &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug),
 	}
+	s.gate = toucanhead.New(toucanhead.Limits{
+		HeadBytes:   func() int { return maxHeaderBytes },
+		MemoryBytes: headMemoryBytes,
+		Connections: maxConnections,
+	}, toucanhead.NewObserver(tally.NoopScope, cfg.Log).Observe)
+	s.gate.Attach(s.http)
 	return s
 }
 
@@ -73,7 +86,7 @@
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	err := s.http.Serve(ln)
+	err := s.http.Serve(s.gate.Listen(ln))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
