preview: a command that explains where a request would go now, and why, without sending it

Cause: operators saw from the log where a request went, but could not ask beforehand; what an endpoint costs and why it is left out stood nowhere whole. Change: toucanplace says for each endpoint the cost by part or the reason that it is left out (assess.go); the choice itself goes by the same verdicts. toucanforward.Preview decides on a request as place does, reserves and learns nothing.

--- a/toucancmd/commands.go
+++ b/toucancmd/commands.go
@@ -10,6 +10,7 @@
 	"toucanport/toucancmd/failures"
 	"toucanport/toucancmd/load"
 	"toucanport/toucancmd/platform"
+	"toucanport/toucancmd/preview"
 	"toucanport/toucancmd/service"
 	"toucanport/toucancmd/settings"
 	"toucanport/toucancmd/sidecar"
@@ -32,6 +33,7 @@
 			failures.NewCmdFailures(f, nil),
 			load.NewCmdLoad(f, nil),
 			platform.NewCmdPlatform(f, nil),
+			preview.NewCmdPreview(f, nil),
 			service.NewCmdService(f),
 			settings.NewCmdSettings(f),
 			sidecar.NewCmdSidecar(f, nil),
--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -12,6 +12,7 @@
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanretry"
+	"toucanport/toucantraffic"
 )
 
 // retryAfterUnready is the Retry-After value while this entry has no settings, or none for the route's service.
@@ -38,7 +39,6 @@
 	}
 	j.route = route
 	workspace, ok := table.Workspace(req.Key)
-	j.rank = route.Rank(workspace)
 	if ok {
 		j.workspace = workspace.Name
 	} else if !route.Anonymous {
@@ -47,23 +47,33 @@
 	if err := s.acceptLastEvent(j); err != nil {
 		return j, &refusal{status: http.StatusBadRequest, reason: reasonLastEvent, err: err}
 	}
-	j.service, ok = table.Service(route.Service(req.ID))
-	if !ok {
-		return j, refuseLater(reasonNoService, retryAfterUnready)
+	if r := s.matchService(j, table, workspace); r != nil {
+		return j, r
 	}
 	j.maxBody = table.Limits.BodyBytes
 	if j.maxBody > 0 && r.ContentLength > j.maxBody {
 		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
-	j.demand = toucanplace.Demand{Prompt: req.Prompt, Output: s.estimates.estimate(route.Name, req, 0), MaxGap: route.Gap}
-	j.deadline = deadline(j.arrived, req.Patience, route.Timeout)
-	j.mixed = j.service.Engine != nil && table.Mixed(j.service.Name)
 	s.recordArrival(j)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
 		toucanretry.WithMaxAttempts(route.MaxAttempts+unsentAttempts))
 	return j, nil
 }
 
+// matchService fills in what follows from a request's route and workspace. It returns a refusal if the settings have no service for it.
+func (s *Server) matchService(j *job, table *toucantraffic.Table, workspace toucantraffic.Workspace) *refusal {
+	service, ok := table.Service(j.route.Service(j.ID))
+	if !ok {
+		return refuseLater(reasonNoService, retryAfterUnready)
+	}
+	j.service = service
+	j.rank = j.route.Rank(workspace)
+	j.mixed = service.Engine != nil && table.Mixed(service.Name)
+	j.demand = toucanplace.Demand{Prompt: j.Prompt, Output: s.estimates.estimate(j.route.Name, j.Request, 0), MaxGap: j.route.Gap}
+	j.deadline = deadline(j.arrived, j.Patience, j.route.Timeout)
+	return nil
+}
+
 // maxRequestTime bounds every request, also one without a timeout of its own or of its route.
 const maxRequestTime = 10 * time.Minute
 
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -27,7 +27,8 @@
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
 // too large for every endpoint, if it can't end before the server stops, if all endpoints have asked for no requests for
-// longer than it may wait or have no slot in that time, if all are in evacuated failure domains, or if an attempt has failed and no untried endpoint is left.
+// longer than it may wait or have no slot in that time, if all are in evacuated failure domains, or if an attempt has failed
+// and no untried endpoint is left.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
 	until := now.Add(j.maxWait(now))
@@ -49,7 +50,7 @@
 			s.recordPlaced(j, reservation, now)
 			return reservation, nil
 		}
-		if errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrLimited) || errors.Is(err, toucanplace.ErrEvacuated) {
+		if isFinal(err) {
 			return nil, err
 		}
 		if errors.Is(err, toucanplace.ErrNoEndpoint) && len(j.tried) > 0 {
@@ -84,6 +85,11 @@
 	}
 }
 
+// isFinal reports whether a request for which no endpoint was reserved gets none by waiting.
+func isFinal(err error) bool {
+	return errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrLimited) || errors.Is(err, toucanplace.ErrEvacuated)
+}
+
 // recordPlaced records how long the request waited for the reservation, counted from since, and logs which endpoint was
 // chosen and at which cost. Of plain requests at their first attempt, only a sample is logged.
 func (s *Server) recordPlaced(j *job, reservation *toucanplace.Reservation, since time.Time) {
--- /dev/null
+++ b/toucanforward/preview.go
@@ -0,0 +1,101 @@
+package toucanforward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanport/toucanbody"
+	"toucanport/toucanplace"
+	"toucanport/toucanpreview"
+)
+
+// Preview returns what the server would do with a request now. Nothing is sent, reserved or learned. A request that would be quarantined
+// is not recognised, since a preview has no prompt.
+func (s *Server) Preview(q toucanpreview.Query) toucanpreview.Preview {
+	now := time.Now()
+	j, r := s.previewJob(now, q)
+	p := toucanpreview.Preview{Route: j.route.Name, Service: j.service.Name, Workspace: j.workspace, SettingsVersion: j.version, Rank: j.rank}
+	if r != nil {
+		return rejected(p, *r)
+	}
+	until := now.Add(j.maxWait(now))
+	request, room := s.decideRoom(j, now, until)
+	p.Tokens, p.ReserveTokens, p.MaxUnread = j.demand.Tokens(), room.reserve, room.maxUnread
+	p.MaxWaitMs = until.Sub(now).Milliseconds()
+	list, err := s.placer.Survey(now, j.service.Name, j.demand, toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
+	for _, a := range list {
+		p.Endpoints = append(p.Endpoints, previewEndpoint(a))
+	}
+	if err == nil && s.queue.mayReserve(now, j, request) {
+		p.Decision = toucanpreview.DecisionSend
+		return p
+	}
+	if err == nil {
+		err = errors.Wrap(toucanplace.ErrFull, "requests that wait go first")
+	}
+	hopeless := s.isHopeless(j, until)
+	if hopeless {
+		err = errors.Wrap(errHopeless, err.Error())
+	}
+	if hopeless || isFinal(err) || !until.After(now) || s.deferredFor(j) > until.Sub(now) {
+		return rejected(p, placeRefusal(context.Background(), j, err, s.delayFor(j, err)))
+	}
+	p.Decision, p.Cause = toucanpreview.DecisionWait, err.Error()
+	if j.mixed {
+		p.ExpectedWaitMs = s.forecast(j).Milliseconds()
+	}
+	return p
+}
+
+// previewJob matches a query to a route, a workspace and a service, as accept does for a request.
+func (s *Server) previewJob(now time.Time, q toucanpreview.Query) (*job, *refusal) {
+	j := &job{arrived: now, body: &toucanbody.Body{}}
+	j.Prompt, j.MaxOutput, j.LengthHint, j.Patience = q.Prompt, q.MaxOutput, q.LengthHint, q.Patience
+	table := s.traffic.Table()
+	if table == nil {
+		return j, refuseLater(reasonNoSettings, retryAfterUnready)
+	}
+	j.version = table.Version
+	route, ok := table.Route(q.Host, q.Path)
+	if !ok {
+		return j, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+	}
+	j.route = route
+	workspace, ok := table.WorkspaceByName(q.Workspace)
+	if !ok && !route.Anonymous {
+		return j, &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
+	}
+	j.workspace = workspace.Name
+	return j, s.matchService(j, table, workspace)
+}
+
+// rejected adds a refusal to a preview.
+func rejected(p toucanpreview.Preview, r refusal) toucanpreview.Preview {
+	p.Decision = toucanpreview.DecisionReject
+	p.Status, p.Reason, p.RetryAfterMs = r.status, string(r.reason), r.retryAfter.Milliseconds()
+	if r.err != nil {
+		p.Cause = r.err.Error()
+	}
+	return p
+}
+
+func previewEndpoint(a toucanplace.Assessment) toucanpreview.Endpoint {
+	return toucanpreview.Endpoint{
+		ID:            a.Endpoint.ID,
+		FailureDomain: a.Endpoint.FailureDomain,
+		LeftOut:       a.LeftOut.String(),
+		Costs: toucanpreview.Costs{
+			Total:    roundCost(a.Costs.Total()),
+			Load:     roundCost(a.Costs.Load),
+			Distance: roundCost(a.Costs.Distance),
+			Slot:     roundCost(a.Costs.Slot),
+			Pace:     roundCost(a.Costs.Pace),
+		},
+		Requests: a.Use.Requests,
+		Tokens:   a.Use.Tokens,
+		Unread:   a.Use.Unread,
+	}
+}
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -94,10 +94,7 @@
 // allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrEvacuated, ErrFull,
 // ErrDeferred, ErrLimited or ErrTooLarge.
 func (p *Placer) Place(now time.Time, service string, d Demand, allowed Filter, opts ...PlaceOption) (*Reservation, error) {
-	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.domainCost(otherDomainCost)}
-	for _, opt := range opts {
-		opt(&q)
-	}
+	q := p.newSearch(now, service, d, allowed, opts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.learnGap(service, d.MaxGap)
@@ -110,6 +107,18 @@
 	return r, nil
 }
 
+// newSearch returns the search of Place.
+func (p *Placer) newSearch(now time.Time, service string, d Demand, allowed Filter, opts []PlaceOption) search {
+	if allowed == nil {
+		allowed = func(Endpoint) bool { return true }
+	}
+	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.domainCost(otherDomainCost)}
+	for _, opt := range opts {
+		opt(&q)
+	}
+	return q
+}
+
 // HasEndpoint reports whether a service has an endpoint that takes new requests and that allowed accepts. It ignores
 // load.
 func (p *Placer) HasEndpoint(service string, allowed Filter) bool {
@@ -214,70 +223,27 @@
 func (p *Placer) chooseAmong(q search, otherCells bool) (*endpointState, Choice, error) {
 	best, bestID := (*endpointState)(nil), ""
 	var why Choice
-	listed, evacuated, large, deferred, limited := false, false, true, true, true
+	var counts leftOutCounts
 	uneven := q.demand.Tokens() > 0 && p.isUneven(q.now, q.service)
 	for _, s := range p.services[q.service] {
-		if s.isDraining() || s.OtherCell && !otherCells || !q.allowed(s.Endpoint) {
-			continue
-		}
-		if s.Evacuated {
-			evacuated = true
-			continue
-		}
-		listed = true
-		if s.MemoryTokens > 0 && q.demand.Tokens() > s.MemoryTokens {
-			continue
-		}
-		large = false
-		if s.isDeferred(q.now) {
-			continue
-		}
-		deferred = false
-		wait, hasLimit := p.limits.Wait(q.now, s.key)
-		if hasLimit && (s.OtherCell || wait > q.patience) {
-			continue
-		}
-		limited = limited && hasLimit
-		if !p.coldAllows(q.now, s) {
-			limited = false
-			why.Cold++
-			continue
-		}
-		u := p.total(q.now, s)
-		if !s.fits(u, q.demand, q.limits) {
-			limited = false
-			continue
-		}
-		c := s.cost(q.now, u) + q.extra(s) + slotWaitCost*wait.Seconds()
-		if uneven {
-			c += q.paceCost(s, u)
-		}
-		if why.add(s.ID, bestID, c) {
+		v := p.assess(&q, s, otherCells, uneven)
+		counts[v.LeftOut]++
+		if v.LeftOut == LeftOutNone && why.add(s.ID, bestID, v.Costs.Total()) {
 			best, bestID = s, s.ID
-			why.Unread = u.Unread
+			why.Unread = v.Use.Unread
 			if uneven {
-				why.Pace = p.paceChoice(q, s, u)
+				why.Pace = p.paceChoice(q, s, v.Use)
 			}
 		}
 	}
+	why.Cold = counts[LeftOutCold]
 	if why.Cold > 0 {
 		p.cold.leftOut++
 	}
-	switch {
-	case best != nil:
-		return best, why, nil
-	case !listed && evacuated:
-		return nil, why, errors.Wrap(ErrEvacuated, q.service)
-	case !listed:
-		return nil, why, errors.Wrap(ErrNoEndpoint, q.service)
-	case large:
-		return nil, why, errors.Wrap(ErrTooLarge, q.service)
-	case deferred:
-		return nil, why, errors.Wrap(ErrDeferred, q.service)
-	case limited:
-		return nil, why, errors.Wrap(ErrLimited, q.service)
+	if best == nil {
+		return nil, why, counts.err(q.service)
 	}
-	return nil, why, errors.Wrap(ErrFull, q.service)
+	return best, why, nil
 }
 
 // paceCost returns what an endpoint costs because the endpoints of its service are uneven.
--- a/toucantraffic/table.go
+++ b/toucantraffic/table.go
@@ -228,3 +228,13 @@
 	w, ok := t.workspaces[key]
 	return w, ok
 }
+
+// WorkspaceByName returns the workspace with a name, and false if no key belongs to one.
+func (t *Table) WorkspaceByName(name string) (Workspace, bool) {
+	for _, w := range t.workspaces {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return Workspace{}, false
+}
