Resumable tests: read the command before the request runs, a deployment for each random case

go test -race reported that the script's command was read while the next one was parsed, and once a race in the property test, whose endpoints of an earlier case can still read its body.

--- a/toucanforward/resumable_test.go
+++ b/toucanforward/resumable_test.go
@@ -20,17 +20,19 @@
 // ignore the caller's last event, refuse, fail or are lost, and that tell different things when they are asked to stop. The caller gets
 // exactly the events after its last one, each once, or sees that the answer is not whole.
 func TestCallerGetsTheRestOrSeesTheBreak(t *testing.T) {
-	sc := &deployment{t: t, traffic: &toucantraffic.Current{}, log: &toucanlogtest.Log{}}
-	sc.settings(command("kind=stream", "resumable", "attempts=3", "timeout=1s"))
+	parent := t
 	outcomes := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
+		// Endpoints of an earlier case may still read its body.
+		sc := &deployment{t: parent, traffic: &toucantraffic.Current{}, log: &toucanlogtest.Log{}}
+		sc.settings(command("kind=stream", "resumable", "attempts=3", "timeout=1s"))
 		sc.startEndpoints(&datadriven.TestData{Input: "a b c"})
 		last := rapid.IntRange(0, streamEvents).Draw(t, "last")
 		for _, e := range sc.endpoints {
 			e.script(strings.Join(rapid.SliceOfN(rapid.Custom(drawStep), 2, 3).Draw(t, e.name), "\n"))
 		}
 		sc.mover.outcomes = rapid.SliceOfN(rapid.SampledFrom([]string{"ok", "notRunning", "ended", "noCapacityStopped", "lost"}), 1, 3).Draw(t, "moves")
-		got, _, _ := strings.Cut(sc.request(sc.t.Context(), command(fmt.Sprint("last=", last), "tokens=10")), "\n")
+		got, _, _ := strings.Cut(sc.request(parent.Context(), command(fmt.Sprint("last=", last), "tokens=10")), "\n")
 		sc.front.Close()
 		rest, answered := strings.CutPrefix(got, "200 ")
 		if !answered {
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -419,6 +419,7 @@
 	r.Header.Set(headerParts, parts)
 	d.MaybeScanArgs(sc.t, "last", &last)
 	r.Header.Set(headerLast, last)
+	showSignature := d.HasArg("signed") // The command changes when the request runs in the background.
 	r.Header.Set(headerPrivate, secretMark)
 	for _, e := range sc.endpoints {
 		e.reset()
@@ -446,7 +447,7 @@
 	text := strings.ReplaceAll(strings.TrimSpace(string(body)), "\n\n", " ")
 	text = strings.ReplaceAll(text, "\n", "|")
 	signed := ""
-	if d.HasArg("signed") {
+	if showSignature {
 		signed = " signed " + resp.Header.Get(headerGenuine)
 	}
 	return fmt.Sprintf("%d%s%s %s%s\n%s", resp.StatusCode, signed, later, text, end, sc.receivedRequests())
