--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -21,7 +21,7 @@
 		return r
 	}
 	times := s.ranks.Times(time.Now(), j.service.Name, j.route.Name)
-	r.Rank, r.MaxWait, r.Work, r.Hold = j.rank, until.Sub(j.arrived), times.Work, times.Hold
+	r.Rank, r.MaxWait, r.Work, r.Hold = j.rank, until.Sub(j.arrived), times.Work+times.Deviation, times.Hold
 	return r
 }
 
--- a/toucanrank/table.go
+++ b/toucanrank/table.go
@@ -125,6 +125,8 @@
 	ReadRate float64
 	// Work is the time from placement to the first event, Hold that for which a request holds its room.
 	Work, Hold time.Duration
+	// Deviation is the mean distance of the time to the first event from Work.
+	Deviation time.Duration
 }
 
 // Ended records the times of a request.
@@ -140,6 +142,9 @@
 	if observed.ReadRate > 0 {
 		times.ReadRate = learn(times.ReadRate, observed.ReadRate)
 	}
+	if times.Work > 0 && observed.Work > 0 {
+		times.Deviation = learnTime(times.Deviation, (observed.Work - times.Work).Abs())
+	}
 	times.Work, times.Hold = learnTime(times.Work, observed.Work), learnTime(times.Hold, observed.Hold)
 	t.times[c.Route] = times
 }
--- a/toucanrank/table_test.go
+++ b/toucanrank/table_test.go
@@ -75,3 +75,14 @@
 	assert.Check(t, len(table.own) <= maxFlows && len(table.times) <= maxFlows)
 	assert.Equal(t, len(table.Rows(start)), maxRows)
 }
+
+// TestTimesVary checks that the deviation of the time to the first event is learned.
+func TestTimesVary(t *testing.T) {
+	table := NewTable()
+	for i := range 400 {
+		table.Ended(shortClass, Times{Work: time.Second + time.Duration(i%2)*time.Second})
+	}
+	times := table.Times(start, "s", "short")
+	assert.Check(t, (times.Work-1500*time.Millisecond).Abs() < 100*time.Millisecond, "mean %v", times.Work)
+	assert.Check(t, (times.Deviation-500*time.Millisecond).Abs() < 100*time.Millisecond, "deviation %v", times.Deviation)
+}
