--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -58,7 +58,7 @@
 	// crowdCost is the cost of each long stream at an endpoint beyond crowdStreams, which is about as many as its link carries away
 	// while it drains.
 	crowdCost    = 0.25
-	crowdStreams = 4
+	crowdStreams = 6
 	// lateCost is the cost of an endpoint whose first event is forecast for the end of the time that it may take. It grows from half
 	// of that time on.
 	lateCost = 1.5
