--- a/toucanpace/pace_test.go
+++ b/toucanpace/pace_test.go
@@ -182,3 +182,24 @@
 	assert.Equal(t, len(own.Paces), 8)
 	assert.Assert(t, len(own.Slowdowns) <= 32)
 }
+
+// TestSlowMomentIsSeenAndEnds has an endpoint with a known pace become slow and usual again, as seen by its own entry and by a peer.
+func TestSlowMomentIsSeenAndEnds(t *testing.T) {
+	l, peer := toucanpace.New(), toucanpace.New()
+	feed(l, start, 6*time.Second, fast, fastAlone, fastAlone, never)
+	feed(peer, start, 6*time.Second, fast, fastAlone, fastAlone, never)
+	now := start.Add(6300 * time.Millisecond)
+	isSlow := func(l *toucanpace.Learner, now time.Time) bool {
+		f, _ := l.Forecast(now, fast)
+		return f.Slow
+	}
+	assert.Assert(t, !isSlow(l, now))
+	l.Observe(now, fast, 5*fastAlone/2, 1, false)
+	assert.Assert(t, isSlow(l, now))
+	peer.ObserveSlow(now, l.SlowNow(now, 8))
+	assert.Assert(t, isSlow(peer, now))
+	assert.Equal(t, len(peer.SlowNow(now, 8)), 0, "what a peer said is not passed on")
+	assert.Assert(t, !isSlow(peer, now.Add(time.Second)), "a report that is not repeated expires")
+	l.Observe(now.Add(20*time.Millisecond), fast, fastAlone, 1, false)
+	assert.Assert(t, !isSlow(l, now.Add(20*time.Millisecond)))
+}
--- a/toucanplace/pace_test.go
+++ b/toucanplace/pace_test.go
@@ -67,6 +67,28 @@
 	}
 }
 
+// TestPromptsAvoidSlowMoments has the same number of long streams at two slow endpoints, of which one is slow right now.
+func TestPromptsAvoidSlowMoments(t *testing.T) {
+	now := time.Now()
+	p, list := unevenPlacer(brokenPause, brokenPause, soundPause)
+	paces := p.paces.(fixedPaces)
+	for _, slow := range []int{0, 1} {
+		for i := range 2 {
+			f := paces[list[i].Key()]
+			f.Slow = i == slow
+			paces[list[i].Key()] = f
+		}
+		p.Observe(now, "peer", map[uint64]Use{
+			list[0].Key(): {Requests: 2, Tokens: 7000, Held: 7000, Exposed: 2},
+			list[1].Key(): {Requests: 2, Tokens: 7000, Held: 7000, Exposed: 2},
+		})
+		r, err := p.Place(now, "s", shortDemand, func(e Endpoint) bool { return e.ID != "e2" })
+		assert.NilError(t, err)
+		assert.Equal(t, r.Endpoint.ID, list[1-slow].ID)
+		r.Done(now, OutcomeNeutral)
+	}
+}
+
 // TestLateStreamsNeedNoProtection has a stream that is late already: it keeps no prompts away.
 func TestLateStreamsNeedNoProtection(t *testing.T) {
 	now := time.Now()
