--- a/toucangeneration/pace_test.go
+++ b/toucangeneration/pace_test.go
@@ -76,6 +76,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				go r.MoveByPace(ctx)
 				time.Sleep(paceInterval + 700*time.Millisecond)
+				synctest.Wait()
 				assert.Equal(t, mover.stopped, tc.moved)
 				cancel()
 				r.End(g)
