--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -1,5 +1,5 @@
-// Package toucangeneration tracks generations while their events are forwarded, and moves them off draining endpoints.
-// Moves are made one at a time, in an order on which all entries agree. A move copies the memory while the generation
+// Package toucangeneration tracks generations while their events are forwarded, and moves them off draining endpoints, and to
+// endpoints with a better pace. Moves off an endpoint are made one at a time, in an order on which all entries agree. A move copies the memory while the generation
 // continues, then stops the generation and copies the rest.
 package toucangeneration
 
--- a/toucanpace/pace.go
+++ b/toucanpace/pace.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// slotLength is the length of the spans over which event times are averaged. It is about as long as a slow moment, so that one
-	// falls into few spans.
+	// slotLength is the length of the spans over which event times are averaged. A slow moment fills few of them.
 	slotLength = 250 * time.Millisecond
 	// slotCount is the number of spans that are kept.
 	slotCount = 24
