--- a/toucanhead/gate_test.go
+++ b/toucanhead/gate_test.go
@@ -124,6 +124,7 @@
 			return list
 		}
 		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // It was read to its end.
 		list = append(list, fmt.Sprint(resp.StatusCode, string(body), err, resp.Close))
 		if resp.Close {
 			return list
