--- a/toucanpeer/ranks_test.go
+++ b/toucanpeer/ranks_test.go
@@ -56,6 +56,9 @@
 	reserve := toucanrank.Reserve(now, r, []toucanrank.Flow{f}, toucanrank.Endpoints{Count: 1, Memory: 1000})
 	assert.Assert(t, reserve >= 0 && reserve <= 400)
 	assert.Assert(t, toucanrank.Turn(now, r, []toucanrank.Flow{f}) >= 0)
+	r.Rank, r.Hold = math.MaxInt, time.Hour
+	forecast := toucanrank.Forecast(now, r, []toucanrank.Flow{f}, toucanrank.Endpoints{Count: 1, Memory: 1})
+	assert.Equal(t, forecast, time.Hour, "a forecast is bounded")
 }
 
 // TestRowSize checks the size of the rows that bounds what they add to reports.
--- a/toucanrank/wait.go
+++ b/toucanrank/wait.go
@@ -42,6 +42,9 @@
 	return float64(f.Oldest-waited) / float64(f.Oldest)
 }
 
+// maxForecast bounds a forecast. No request waits as long.
+const maxForecast = time.Hour
+
 // Forecast returns a lower bound of the time until r gets room: that in which the endpoints give back as much room as the waiting
 // requests that precede it need, if all their memory were held by requests that end at the known rate. It is zero if
 // nothing is known.
@@ -60,8 +63,8 @@
 	if load <= 0 || memory <= 0 {
 		return 0
 	}
-	hold := busy / load
-	return time.Duration(ahead / memory * hold * float64(time.Second))
+	seconds := ahead / memory * busy / load
+	return time.Duration(min(seconds, maxForecast.Seconds()) * float64(time.Second))
 }
 
 // maxReturnShare is the share of a caller's time left that it waits at most before it comes back.
