--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -27,7 +27,8 @@
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
 // too large for every endpoint, if it can't end before the server stops, if all endpoints have asked for no requests for
-// longer than it may wait or have no slot in that time, or if an attempt has failed and no untried endpoint is left.
+// longer than it may wait or have no slot in that time, if the requests that wait before it need longer, or if an attempt has
+// failed and no untried endpoint is left.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
 	until := now.Add(j.maxWait(now))
--- a/toucanforward/rankmetrics.go
+++ b/toucanforward/rankmetrics.go
@@ -21,7 +21,7 @@
 
 // rankInstruments are the instruments of one rank.
 type rankInstruments struct {
-	// held is how long requests waited for room, expected the wait that was expected when they began to.
+	// held is how long requests waited for room, expected the wait that was expected when they began to or were placed.
 	held, expected tally.Histogram
 	// reserve is the memory, in tokens, that the last request left free at each endpoint.
 	reserve tally.Gauge
--- a/toucanrank/table.go
+++ b/toucanrank/table.go
@@ -18,13 +18,13 @@
 	rowsTTL = 2 * time.Second
 	// maxRows bounds the rows of one entry. The least urgent ones are left out.
 	maxRows = 32
-	// maxFlows bounds the flows that are learned, by service and rank.
+	// maxFlows bounds the flows that are learned, by service, route and rank, and the routes whose times are.
 	maxFlows = 1024
 )
 
 // Row is what one entry reports of its requests of one route and rank at one service.
 type Row struct {
-	// Service is the hash of the service's name, ServiceKey.
+	// Service is the Key of the service's name.
 	Service uint64
 	Flow
 }
@@ -63,7 +63,7 @@
 	rows []Row
 }
 
-// Table learns the flows of requests by service and rank, of this entry from its requests and of the others from their
+// Table learns the flows of requests by service, route and rank, of this entry from its requests and of the others from their
 // reports. A lost report is replaced by the next; what a peer reported counts for rowsTTL. It is safe for concurrent use.
 type Table struct {
 	mu    sync.Mutex
