--- a/toucangeneration/pace_test.go
+++ b/toucangeneration/pace_test.go
@@ -85,3 +85,60 @@
 		})
 	}
 }
+
+// countingMover copies in copyTime and records how many copies were in progress at most.
+type countingMover struct {
+	copyTime     time.Duration
+	running, top int
+}
+
+func (m *countingMover) Copy(context.Context, string, string, string, bool) (string, error) {
+	m.running++
+	m.top = max(m.top, m.running)
+	time.Sleep(m.copyTime)
+	m.running--
+	return "handle", nil
+}
+
+func (m *countingMover) Drop(context.Context, string, string) error { return nil }
+
+// TestEndpointDrainsDuringAMoveByPace has the source begin to drain while a stream is copied for its pace. The stream leaves as any other
+// one, and its memory is never copied twice at a time, which the endpoint would refuse.
+func TestEndpointDrainsDuringAMoveByPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := []toucanplace.Endpoint{
+			{ID: "slow", Address: "slow", FailureDomain: "d", Service: "s", Slots: 8, MemoryTokens: 27000},
+			{ID: "quick", Address: "quick", FailureDomain: "d", Service: "s", Slots: 8, MemoryTokens: 27000},
+		}
+		placer := toucanplace.NewPlacer("d", toucanplace.WithPaces(twoPaces{list[1].Key()}))
+		placer.SetEndpoints(list)
+		mover := &countingMover{copyTime: 200 * time.Millisecond}
+		r := New(Config{Placer: placer, Moves: noPeers{}, Mover: mover, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		demand := toucanplace.Demand{Prompt: 3000, Output: 700, MaxGap: 180 * time.Millisecond}
+		atSlow := func(e toucanplace.Endpoint) bool { return e.ID == "slow" }
+		reservation, err := placer.Place(time.Now(), "s", demand, atSlow)
+		assert.NilError(t, err)
+		engine := &toucantraffic.Engine{Slots: 8, MemoryTokens: 27000, Moves: true, TokensPerEvent: 4}
+		g := r.Begin(Spec{ID: "g", Prompt: 3000, Estimate: 700, Engine: engine, MaxEventGap: demand.MaxGap, Arrived: time.Now()}, reservation)
+		reservation.MarkPromptRead()
+		g.Progress(1)
+		_, err = placer.Place(time.Now(), "s", demand, atSlow)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.MoveByPace(ctx)
+		go r.Move(ctx)
+		time.Sleep(paceInterval + 100*time.Millisecond)
+		leaving := []toucanplace.Endpoint{list[0], list[1]}
+		leaving[0].Leaving = true
+		placer.SetEndpoints(leaving)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		h, err := g.AwaitHandover(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, h.Reservation.Endpoint.ID, "quick")
+		assert.Equal(t, mover.top, 1)
+		cancel()
+		r.End(g)
+		synctest.Wait()
+	})
+}
