--- a/toucanentry/hostile_test.go
+++ b/toucanentry/hostile_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,6 +109,32 @@
 	})
 }
 
+// TestHeadersOfAllCallersAreBounded guards against callers whose headers of many short lines, each within its limit, take the memory of
+// the entry together.
+func TestHeadersOfAllCallersAreBounded(t *testing.T) {
+	const callers, headerBytes, most = 150, 30 << 10, 64 * mebibyte
+	withFakeClock(t, func(t *testing.T) {
+		p := startDeployment(t)
+		defer p.stop()
+		text := rawPost("")
+		text = text[:len(text)-len("\r\n")]
+		for i := 0; len(text) < headerBytes; i++ {
+			text += fmt.Sprintf("%d:\n", i)
+		}
+		for range callers {
+			conn := p.connect(t, entryAddr)
+			defer conn.Close()
+			go func() { _, _ = io.WriteString(conn, text) }() // The entry may close the connection.
+		}
+		synctest.Wait()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		assert.Check(t, m.HeapAlloc < most, "%d MB are in use", m.HeapAlloc/mebibyte)
+		p.assertServes(t)
+	})
+}
+
 func TestSlowBodyTimesOut(t *testing.T) {
 	withFakeClock(t, func(t *testing.T) {
 		p := startDeployment(t)
