--- a/toucanhead/observer.go
+++ b/toucanhead/observer.go
@@ -53,7 +53,7 @@
 		toucanlog.Lines, e.Lines,
 		toucanlog.LimitBytes, e.Limit,
 		toucanlog.MemoryBytes, e.Memory.Used,
-		toucanlog.MemoryLimitBytes, e.Memory.Limit,
+		toucanlog.AllowedBytes, e.Memory.Limit,
 		toucanlog.Open, e.Open,
 		toucanlog.Unfinished, e.Unfinished,
 	)
