--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -86,6 +86,7 @@
 const (
 	Address          = "address"
 	Admitted         = "admitted"
+	AllowedBytes     = "allowedBytes"
 	ArrivedMs        = "arrivedMs"
 	Asking           = "asking"
 	Attempts         = "attempts"
