toucanlatestop: late stops of broken streams in a package of their own

Two ways to go on begin them now, the backup and the resend. Moved out of toucanforward with their test, which needs no server any more; nothing else changes.

--- a/toucanforward/backup.go
+++ b/toucanforward/backup.go
@@ -9,7 +9,6 @@
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
-	"toucanport/toucanwait"
 )
 
 const (
@@ -20,10 +19,6 @@
 	// stopPatience is how long an endpoint that was reached is asked to stop a generation. Callers give a silent stream up
 	// soon after.
 	stopPatience = 3 * time.Second
-	// lateStopDelay is the first time between two calls to an endpoint that was not reached, after the generation has
-	// resumed elsewhere. It doubles up to maxLateStopDelay.
-	lateStopDelay    = 50 * time.Millisecond
-	maxLateStopDelay = time.Second
 )
 
 // minBackupOutput is the smallest estimated output, in tokens, for which a backup is kept. Shorter generations mostly
@@ -57,7 +52,7 @@
 		h.Source, h.Handle, h.Backup = source.Address, result.Handle, false
 	case toucangeneration.SourceKeepsMemory, toucangeneration.SourceIdle:
 	case toucangeneration.SourceUnreached:
-		j.lateStops = append(j.lateStops, s.beginLateStop(ctx, stop))
+		j.lateStops.Begin(ctx, stop, s.metrics.stopped, s.log)
 	default:
 		return toucangeneration.Handover{}, errors.Wrap(errSourceRuns, result.Err.Error())
 	}
@@ -97,64 +92,6 @@
 	s.log.Info(toucanlog.MsgSourceAsked, args...)
 }
 
-// lateStop is the background work that stops a generation at an endpoint that was not reached when the generation resumed
-// elsewhere.
-type lateStop struct {
-	address string
-	cancel  context.CancelFunc
-	// done is closed when no further call is made.
-	done chan struct{}
-}
-
-// beginLateStop begins a lateStop. It ends when the endpoint has been stopped, or with ctx, at the end of the request.
-func (s *Server) beginLateStop(ctx context.Context, stop toucangeneration.Stop) lateStop {
-	ctx, cancel := context.WithCancel(ctx)
-	l := lateStop{address: stop.Source, cancel: cancel, done: make(chan struct{})}
-	go func() {
-		defer close(l.done)
-		defer cancel()
-		s.stopLate(ctx, stop)
-	}()
-	return l
-}
-
-// endLateStops ends the lateStops at an address and waits for their last calls. It must be called before the generation
-// resumes there, since they would stop it again.
-func (j *job) endLateStops(address string) {
-	for _, l := range j.lateStops {
-		if l.address == address {
-			l.cancel()
-			<-l.done
-		}
-	}
-}
-
-// stopLate stops a generation as soon as its endpoint is reached, and frees the copy of its memory.
-func (s *Server) stopLate(ctx context.Context, stop toucangeneration.Stop) {
-	for delay := lateStopDelay; toucanwait.Sleep(ctx, delay); delay = min(2*delay, maxLateStopDelay) {
-		r := stop.Run(ctx)
-		s.metrics.stopped(r.State)
-		switch r.State {
-		case toucangeneration.SourceStopped, toucangeneration.SourceKeepsMemory:
-			s.dropLate(ctx, stop.Source, r.Handle)
-			return
-		case toucangeneration.SourceIdle:
-			return
-		}
-	}
-}
-
-// dropLate frees a copy that is not needed.
-func (s *Server) dropLate(ctx context.Context, source, handle string) {
-	if err := s.mover.Drop(ctx, source, handle); err != nil {
-		// The endpoints free an unused copy after a timeout.
-		s.log.Debug(toucanlog.MsgCopyNotDropped,
-			toucanlog.Address, source,
-			toucanlog.Cause, err.Error(),
-		)
-	}
-}
-
 // riskPeriod is how long new streams get backups after a stream broke at an endpoint that was not draining.
 const riskPeriod = 12 * time.Second
 
--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -9,6 +9,7 @@
 
 	"toucanport/toucanevent"
 	"toucanport/toucangeneration"
+	"toucanport/toucanlatestop"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanupstream"
@@ -156,10 +157,10 @@
 		return b.source.Address, result.Handle, nil
 	case toucangeneration.SourceKeepsMemory:
 		// The target has no room for the copy, and the prompt is read again.
-		s.dropLate(ctx, b.source.Address, result.Handle)
+		toucanlatestop.Drop(ctx, s.mover, b.source.Address, result.Handle, s.log)
 	case toucangeneration.SourceIdle:
 	case toucangeneration.SourceUnreached:
-		j.lateStops = append(j.lateStops, s.beginLateStop(ctx, stop))
+		j.lateStops.Begin(ctx, stop, s.metrics.stopped, s.log)
 	default:
 		return "", "", errors.Wrap(errSourceRuns, result.Err.Error())
 	}
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -10,6 +10,7 @@
 
 	"toucanport/toucanbody"
 	"toucanport/toucangeneration"
+	"toucanport/toucanlatestop"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
@@ -152,8 +153,8 @@
 	lastEvent string
 	// backup is the reservation for the generation's backup; nil for none.
 	backup *toucanplace.Reservation
-	// lateStops are those that were begun for this request.
-	lateStops []lateStop
+	// lateStops stop the request's generation at endpoints that were not reached.
+	lateStops toucanlatestop.Stops
 	// maybeRun counts the failed attempts that the endpoint may have run.
 	maybeRun int
 	// logged is true once a log line names the request. Its end is then logged too, whether or not it is sampled.
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -259,7 +259,7 @@
 // endpoint provably did not begin, so that the generation can be resumed at another one.
 func (s *Server) resumeAt(ctx context.Context, j *job, g *toucangeneration.Generation, h toucangeneration.Handover, seen *toucanevent.Parser) (*toucanupstream.Response, *toucanplace.Reservation, error) {
 	seen.NextEndpoint()
-	j.endLateStops(h.Reservation.Endpoint.Address)
+	j.lateStops.End(h.Reservation.Endpoint.Address)
 	sentAt := time.Now()
 	j.startedAt = sentAt
 	resp, err := s.send(ctx, j, h.Reservation, resumeFrom(h, seen))
--- a/toucanforward/backup_test.go
+++ b/toucanlatestop/stops_test.go
@@ -1,7 +1,8 @@
-package toucanforward
+package toucanlatestop
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,8 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucangeneration"
-	"toucanport/toucanlogtest"
-	"toucanport/toucantraffic"
 )
 
 // unreachedMover reaches no endpoint and counts the calls.
@@ -26,18 +25,16 @@
 // TestLateStopEndsBeforeTheGenerationReturns guards against a stream that is cut because an entry goes on to stop it at an endpoint to
 // which it has moved back.
 func TestLateStopEndsBeforeTheGenerationReturns(t *testing.T) {
-	sc := &deployment{t: t, traffic: &toucantraffic.Current{}, log: &toucanlogtest.Log{}}
-	sc.start()
 	m := &unreachedMover{}
 	stop := toucangeneration.Stop{Mover: m, Source: "a", ID: "id1", Target: "b", AttemptTimeout: time.Second, RetryDelay: time.Millisecond, Patience: time.Second}
-	j := &job{}
-	j.lateStops = append(j.lateStops, sc.server.beginLateStop(t.Context(), stop))
+	var s Stops
+	s.Begin(t.Context(), stop, func(toucangeneration.SourceState) {}, slog.New(slog.DiscardHandler))
 	for m.calls.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	j.endLateStops("elsewhere")
-	j.endLateStops("a")
+	s.End("elsewhere")
+	s.End("a")
 	calls := m.calls.Load()
-	time.Sleep(4 * lateStopDelay)
+	time.Sleep(4 * minDelay)
 	assert.Equal(t, m.calls.Load(), calls)
 }
