--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucantraffic"
@@ -89,7 +90,7 @@
 	if resume != nil {
 		lastEvent = ""
 	}
-	header := s.codec.Outgoing(endToEndHeaders(j.in.Header), Attempt{
+	header := s.codec.Outgoing(toucanheader.EndToEnd(j.in.Header), Attempt{
 		Request:   j.Request,
 		Workspace: j.workspace,
 		Left:      time.Until(j.deadline),
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"toucanport/toucangeneration"
+	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanupstream"
@@ -35,7 +36,7 @@
 		s.relay(ctx, j, a)
 		return
 	}
-	copyHeader(j.w.Header(), a.header)
+	toucanheader.Copy(j.w.Header(), a.header)
 	if a.rest != nil {
 		s.deliverLong(ctx, j, a)
 		return
@@ -113,14 +114,3 @@
 	}
 	s.log.Info(msg, append(args, s.stopArgs(j)...)...)
 }
-
-// copyHeader copies the end-to-end headers of from into to.
-func copyHeader(to, from http.Header) {
-	for name, values := range endToEndHeaders(from) {
-		to[name] = values
-	}
-	if _, ok := to["Content-Type"]; !ok {
-		// A nil value keeps net/http from sniffing the content type.
-		to["Content-Type"] = nil
-	}
-}
--- a/toucanforward/request.go
+++ b/toucanforward/request.go
@@ -94,23 +94,3 @@
 	// Answer parses the headers of an endpoint's answer to the request with this id.
 	Answer(status int, h http.Header, id string) Answer
 }
-
-// connectionHeaders are the hop-by-hop headers, which apply to one connection and are not forwarded.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
-// endToEndHeaders returns a copy of h without the hop-by-hop headers, including those that its Connection header lists.
-func endToEndHeaders(h http.Header) http.Header {
-	out := h.Clone()
-	for _, value := range h.Values("Connection") {
-		for _, name := range splitList(value) {
-			out.Del(name)
-		}
-	}
-	for _, name := range connectionHeaders {
-		out.Del(name)
-	}
-	return out
-}
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -928,16 +928,3 @@
 		}
 	}
 }
-
-// TestConnectionHeadersAreDropped checks that hop-by-hop headers are not forwarded, including those that Connection
-// lists.
-func TestConnectionHeadersAreDropped(t *testing.T) {
-	h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "X-End": {"2"}}
-	out := endToEndHeaders(h)
-	names := make([]string, 0, len(out))
-	for name := range out {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	assert.DeepEqual(t, names, []string{"X-End"})
-}
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -294,14 +293,3 @@
 	}
 	s.refuse(j, r)
 }
-
-// splitList returns the elements of a comma-separated header value, without spaces and empty elements.
-func splitList(value string) []string {
-	var names []string
-	for _, name := range strings.Split(value, ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			names = append(names, name)
-		}
-	}
-	return names
-}
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -10,6 +10,7 @@
 
 	"toucanport/toucanevent"
 	"toucanport/toucangeneration"
+	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanupstream"
@@ -101,7 +102,7 @@
 	if j.head == nil {
 		return
 	}
-	copyHeader(j.w.Header(), j.head.header)
+	toucanheader.Copy(j.w.Header(), j.head.header)
 	j.w.Header().Del("Content-Length")
 	j.w.WriteHeader(j.head.status)
 	j.head = nil
