--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -4,12 +4,12 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"toucanport/toucanbody"
 	"toucanport/toucangeneration"
+	"toucanport/toucanlatestop"
 	"toucanport/toucanlog"
 	"toucanport/toucanpace"
 	"toucanport/toucanplace"
@@ -185,8 +185,8 @@
 	lastEvent string
 	// backup is the reservation for the generation's backup; nil for none.
 	backup *toucanplace.Reservation
-	// lateStops are those that were begun for this request.
-	lateStops []lateStop
+	// lateStops stop the request's generation at endpoints that were not reached.
+	lateStops toucanlatestop.Stops
 	// maybeRun counts the failed attempts that the endpoint may have run.
 	maybeRun int
 	// logged is true once a log line names the request. Its end is then logged too, whether or not it is sampled.
@@ -326,14 +326,3 @@
 	}
 	s.refuse(j, r)
 }
-
-// splitList returns the elements of a comma-separated header value, without spaces and empty elements.
-func splitList(value string) []string {
-	var names []string
-	for _, name := range strings.Split(value, ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			names = append(names, name)
-		}
-	}
-	return names
-}
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -10,6 +10,7 @@
 
 	"toucanport/toucanevent"
 	"toucanport/toucangeneration"
+	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanupstream"
@@ -102,7 +103,7 @@
 	if j.head == nil {
 		return
 	}
-	copyHeader(j.w.Header(), j.head.header)
+	toucanheader.Copy(j.w.Header(), j.head.header)
 	j.w.Header().Del("Content-Length")
 	j.w.WriteHeader(j.head.status)
 	j.head = nil
@@ -269,7 +270,7 @@
 		return nil, nil, err
 	}
 	awaitColdTurn(ctx, h.Reservation)
-	j.endLateStops(h.Reservation.Endpoint.Address)
+	j.lateStops.End(h.Reservation.Endpoint.Address)
 	sentAt := time.Now()
 	j.startedAt = sentAt
 	j.timer = eventTimer{}
