toucanhead: a connection closed to make room passes on no end of a head; early answers end as without the gate

Cause (found by a reviewer who had not written it, read in the code): bytes of a head that had been read before its connection was closed to make room were passed on together with the error, so that the server served the request, and an engine could run an order whose caller had seen a close. The wrapper hid CloseWrite from the server, so that an early answer ended with a reset. A refused request counted as in service and refused the next. OPTIONS * passed the handler by and ended its connection. Change: the end of the head is withheld; CloseWrite is there; a refused request counts as unfinished; the linger is that of the server (500 ms); a pipelined head that is whole already keeps its memory; general OPTIONS go to the handler.

--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -150,10 +150,13 @@
 			why, err = ReasonConnections, nil
 		}
 	}
-	if why != "" {
+	if why != "" || err != nil {
 		c.phase = phaseRefused
 	}
-	return n, why, err
+	if err != nil {
+		return 0, "", err // The connection was closed to make room, so that the server must not see the end of the head.
+	}
+	return n, why, nil
 }
 
 func (c *Conn) countChunks(p []byte) (n int, why Reason, err error) {
@@ -204,6 +207,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	if c.phase == phaseUnknown {
+		return // The next head is whole already, and counts as in service.
+	}
 	c.held.Release()
 	if c.phase == phaseHead && c.head.bytes > 0 {
 		c.gate.begin(c) // If the connection has been closed, the next Read fails.
@@ -212,6 +218,14 @@
 	c.gate.markIdle(c)
 }
 
+// CloseWrite ends what is sent to the caller. The server uses it after an answer that is earlier than the end of the body.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.gate.remove(c)
@@ -227,7 +241,7 @@
 	answerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	answerNoMemory = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	// linger is how long what a refused caller still sends is read, so that it gets the answer and not a reset of its connection.
-	linger = 250 * time.Millisecond
+	linger = 500 * time.Millisecond
 )
 
 // refuse answers a head that is refused, unless a request is still in service, and then reads what the caller still sends into p.
@@ -248,9 +262,7 @@
 	if _, err := io.WriteString(c.Conn, answer); err != nil {
 		return
 	}
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = w.CloseWrite() // The caller may have closed the connection.
-	}
+	_ = c.CloseWrite() // The caller may have closed the connection.
 	for {
 		if _, err := c.Conn.Read(p); err != nil {
 			return
--- a/toucanhead/gate.go
+++ b/toucanhead/gate.go
@@ -39,7 +39,7 @@
 	// HeadBytes returns the limit in bytes on one head at this moment. It must be positive.
 	HeadBytes func() int
 	// MemoryBytes is the memory for all heads together while they are read and until their requests end, and once more for the
-	// connections whose request is not whole. The largest head with the shortest lines has room in any case.
+	// connections whose request is not whole. The largest head by the limit at the gate's creation has room in any case.
 	MemoryBytes int
 	// Connections is the number of connections, with one to another process for each request in service; zero means no limit.
 	Connections int
@@ -236,6 +236,9 @@
 	g.move(c, nil)
 	victims := g.makeRoom(others, nil)
 	full := g.isFull(others)
+	if full && !c.place.closed {
+		g.move(c, g.unfinished) // It is refused, and needs no other connection.
+	}
 	g.mu.Unlock()
 	g.evict(victims)
 	if full {
--- a/toucanhead/server.go
+++ b/toucanhead/server.go
@@ -19,6 +19,7 @@
 // server's other fields are set. Other connections of the server are not bounded.
 func (g *Gate) Attach(s *http.Server) {
 	s.MaxHeaderBytes = maxServerBytes
+	s.DisableGeneralOptionsHandler = true // It would pass the handler below by.
 	s.Handler = serveHead(s.Handler)
 	connContext, connState := s.ConnContext, s.ConnState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
