Faults where the parts meet: late moves, resent streams, evacuated endpoints as room, a verification that was forgotten

Cause (found by a reviewer who had not written the parts, read in the code): a move for the pace that took long acted on a stream which had broken and gone on elsewhere, so that it was taken for stopped, or the target's reservation was kept to the stream's end; a resent stream's prompt counted as unread to its end, and the broken endpoint's memory was held while it waited for room; evacuated endpoints counted as room and as uneven, and a stream there was moved though it could not go back; a watch's end cleared the complete read that a batch had asked for; doubts about evacuations outlived reports at other revisions; times learned from parts of streams. Change: a move names its source when it stops and hands over, and ContinueAt releases a late handover; the prompt counts as read with the first event of each endpoint, and the broken reservation is released before the resend waits; takesNew in Available, isUneven and PlaceBetter; the request for a complete read is kept; a report at another revision ends a doubt; only whole streams teach times.

--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -115,6 +115,9 @@
 		return
 	}
 	work := j.firstEventAt.Sub(j.placed)
+	if work <= 0 || j.callerResumed() {
+		return // The last endpoint made only a part of the stream.
+	}
 	rate := 0.0
 	if j.unreadBefore == 0 && j.Prompt >= minReadPrompt && work > 0 {
 		rate = float64(j.Prompt) / work.Seconds()
--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -113,6 +113,7 @@
 	if !j.route.CanResume() {
 		return nil, nil, b.cause
 	}
+	j.releaseBroken() // The request needs room at one endpoint only.
 	j.tried[g.Endpoint().ID] = true
 	if b.failure.notRun {
 		j.maybeRun++ // The endpoint whose stream broke has run it.
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -172,6 +172,8 @@
 	mixed bool
 	// triedAt is when the request last found no room. It is guarded by waitQueue.mu.
 	triedAt time.Time
+	// releaseBroken releases the reservation at the endpoint whose stream broke; nil before a stream breaks.
+	releaseBroken func()
 	// unreadBefore is the number of unread prompt tokens at the endpoint of the last reservation before the request's own.
 	unreadBefore int
 	// body tells whether the request can be sent again.
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -52,6 +52,11 @@
 		if ctx.Err() == nil && !g.StopRequested() {
 			s.recordBreak(j, reservation.Endpoint, seen.Count())
 		}
+		outcome := (&failure{err: err}).outcome(ctx)
+		if g.StopRequested() {
+			outcome = toucanplace.OutcomeNeutral
+		}
+		j.releaseBroken = func() { reservation.Done(time.Now(), outcome) }
 		next, nextReservation, resumeErr := s.resume(ctx, j, g, seen)
 		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && !seen.HasPartial() && s.checkEnd(ctx, resp, reservation.Endpoint) == nil {
 			s.recordFinished(j, a, reservation, g)
@@ -204,6 +209,7 @@
 		}
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	} else {
+		reservation.MarkPromptRead() // The endpoint of a stream that was sent again has read the prompt by its first event.
 		s.metrics.betweenEvents.RecordDuration(gap)
 	}
 	g.UpdateEstimate(func(made int) int { return s.estimates.estimate(j.route.Name, j.Request, made) })
--- a/toucangeneration/generation.go
+++ b/toucangeneration/generation.go
@@ -191,6 +191,14 @@
 func (g *Generation) ContinueAt(reservation *toucanplace.Reservation) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	select {
+	case late := <-g.handovers:
+		// The stream broke and went on elsewhere before its move was complete.
+		if late.Reservation != nil {
+			late.Reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
+		}
+	default:
+	}
 	g.reservation = reservation
 	g.moves++
 	g.announcedTokens = 0
@@ -264,12 +272,12 @@
 // memoryTokens returns the memory that the generation uses now, in tokens.
 func (g *Generation) memoryTokens() int { return g.spec.Prompt + g.GeneratedTokens() }
 
-// deliverHandover delivers h to the generation's stream. It returns false if the generation has ended or a Handover is
+// deliverHandover delivers h to the generation's stream. It returns false if the generation has ended, has gone on at another endpoint than source, or a Handover is
 // already pending; the caller then releases h's reservation.
-func (g *Generation) deliverHandover(h Handover) bool {
+func (g *Generation) deliverHandover(source string, h Handover) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended {
+	if g.ended || g.reservation.Endpoint.ID != source {
 		return false
 	}
 	select {
--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -241,7 +241,7 @@
 		r.dropCopy(ctx, source, first)
 		return false, ErrTargetEvacuated
 	}
-	if !g.markStopping() {
+	if !g.markStopping(source.ID) {
 		r.dropCopy(ctx, source, first)
 		return false, ErrNotRunning
 	}
@@ -261,7 +261,7 @@
 		// The generation may have stopped. If it has, only its backup can continue it.
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
 		r.reportMoveFailure(g, source, target.Endpoint.ID, stop.Err)
-		g.deliverHandover(Handover{err: stop.Err})
+		g.deliverHandover(source.ID, Handover{err: stop.Err})
 		return true, stop.Err
 	}
 	r.moves.Inc(1)
@@ -275,7 +275,7 @@
 		toucanlog.LeftMs, g.moveRequest(stoppedAt).Remaining.Milliseconds(),
 		toucanlog.SameDomain, source.FailureDomain == h.Reservation.Endpoint.FailureDomain,
 	)
-	if !g.deliverHandover(h) {
+	if !g.deliverHandover(source.ID, h) {
 		h.Reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
 	}
 	return true, nil
@@ -323,11 +323,11 @@
 }
 
 // markStopping records that the endpoint is about to be asked to stop the generation. It returns false if the
-// generation has ended.
-func (g *Generation) markStopping() bool {
+// generation has ended or gone on at another endpoint than source.
+func (g *Generation) markStopping(source string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended {
+	if g.ended || g.reservation.Endpoint.ID != source {
 		return false
 	}
 	g.stopping = true
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -288,7 +288,7 @@
 		written, removed := m.apply(changes, position)
 		apply(State{Values: m.values, Changed: written, Removed: removed, Origin: OriginWatch})
 	}
-	m.verifyNext = passedOver || m.lacksVersion()
+	m.verifyNext = m.verifyNext || passedOver || m.lacksVersion()
 	if !m.verifyNext && m.missingVersion() > 0 {
 		m.onLostVersion(ctx)
 	}
--- a/toucanpeer/evacuation.go
+++ b/toucanpeer/evacuation.go
@@ -42,7 +42,7 @@
 func (s *SharedState) compareEvacuations(now, since time.Time, r *Report) time.Time {
 	switch {
 	case r.GetCopyEra() != s.copy.Era || r.GetCopyRevision() != s.copy.Revision:
-		return since
+		return time.Time{}
 	case r.GetEvacuations() == s.evacuations:
 		return time.Time{}
 	case since.IsZero():
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -80,7 +80,7 @@
 	defer p.mu.Unlock()
 	n := 0
 	for _, s := range p.services[service] {
-		if !s.isDraining() && !s.OtherCell {
+		if s.takesNew() && !s.OtherCell {
 			n++
 		}
 	}
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -99,7 +99,7 @@
 			s.readTime, s.harmCost = slowReadFactor*forecast.ReadTime, slowHarmCost
 		}
 		switch {
-		case !known || s.isDraining():
+		case !known || !s.takesNew():
 		case s.breaksGap:
 			breaking++
 		default:
@@ -232,7 +232,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	source, ok := p.endpoints[from.ID]
-	if !ok || source.isDraining() || !p.isUneven(now, from.Service) {
+	if !ok || !source.takesNew() || !p.isUneven(now, from.Service) {
 		return nil
 	}
 	u := p.total(now, source).minus(Use{Requests: 1, Tokens: d.Tokens(), Held: d.held(), Exposed: 1})
