toucangeneration: the method that moves generations off an endpoint is no evacuation

Cause: evacuate stood for an endpoint that drains since before failure domains could be evacuated; the two had one name.

--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -41,7 +41,7 @@
 		for id, e := range r.drainingEndpoints() {
 			if !active[id] {
 				active[id] = true
-				go r.evacuate(ctx, e, done)
+				go r.clear(ctx, e, done)
 			}
 		}
 		timer := time.NewTimer(moveInterval)
@@ -79,9 +79,9 @@
 	return e != nil && e.Moves && !g.spec.SentOnce && !g.ended && !r.placer.IsAvailable(g.reservation.Endpoint.ID)
 }
 
-// evacuate moves this entry's generations off an endpoint one at a time. Before each move it waits, for up to
+// clear moves this entry's generations off an endpoint one at a time. Before each move it waits, for up to
 // maxTurnWait, until no generation of a peer is ahead in the order. It sends the endpoint's ID on done when it returns.
-func (r *Registry) evacuate(ctx context.Context, e toucanplace.Endpoint, done chan<- string) {
+func (r *Registry) clear(ctx context.Context, e toucanplace.Endpoint, done chan<- string) {
 	defer func() {
 		r.coordinator.Announce(e.Key(), nil)
 		select {
