Test of heads that share the memory: wait for the connection that was just made

The test took a gate without unfinished connections for one that had read the new head, also before it had accepted the connection; the refusal of that head was then counted while the next connection was asked for its answer, which is held. Change: it waits until the new connection is counted as well. What is asserted is unchanged.

--- a/toucanhead/gate_test.go
+++ b/toucanhead/gate_test.go
@@ -213,8 +213,8 @@
 		_, err := io.WriteString(c, lines("/held", headLimit)+"\r\n")
 		assert.NilError(t, err)
 		await(t, "the head is read", func() bool {
-			unfinished, _ := s.gate.counts()
-			return unfinished == 0 || s.count(ReasonNoMemory) > 0
+			unfinished, open := s.gate.counts()
+			return open == i+1 && unfinished == 0 || s.count(ReasonNoMemory) > 0
 		})
 		if s.count(ReasonNoMemory) > 0 {
 			assert.Equal(t, readStatus(c), http.StatusServiceUnavailable)
