toucanrelay: passing an endpoint's answer on leaves toucanforward

Ruled out: a relay that also resumes streams, as that needs the placer, the generations and the attempts. Change: buffering, whole and long answers, the held head of a stream, its events and the check of its end are toucanrelay's; the server keeps the loop over endpoints and what it learns at each event.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -11,6 +11,7 @@
 	"toucanport/toucanbody"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrelay"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
 )
@@ -21,7 +22,7 @@
 // accept parses a request and matches it to a route, a workspace and a service. It returns a refusal if the request is
 // malformed, not permitted or too large, or if the settings are missing. The job is never nil.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
-	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}, buffers: s.answers.Reservation(freeAnswer)}
+	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}, buffers: s.answers.Reservation(toucanrelay.FreeBytes), out: toucanrelay.NewWriter(w)}
 	req, err := s.codec.Request(r.Header)
 	j.Request = req
 	table := s.traffic.Table()
--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -3,20 +3,16 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrelay"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
 )
 
-// maxBufferedAnswer is the number of bytes of an answer that are read before the first byte is passed on, if there is memory for
-// them. An answer that is cut within them can still be retried or refused.
-const maxBufferedAnswer = 256 << 10
-
 // attempt sends the request to a reserved endpoint. It returns an answer to deliver or a failure. It has released the
 // reservation unless the answer is a stream or is not read to its end yet.
 func (s *Server) attempt(ctx context.Context, j *job, reservation *toucanplace.Reservation) (*answer, *failure) {
@@ -42,13 +38,14 @@
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
 		return nil, &failure{endpoint: reservation.Endpoint.ID, notRun: true, err: errNotRun}
 	}
-	if isEventStream(resp.Header) && isEncoded(resp.Header) {
+	head := toucanrelay.Answer{Status: resp.Status, Header: resp.Header}
+	if head.IsEventStream() && head.IsEncoded() {
 		resp.Close()
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
 		return nil, &failure{endpoint: reservation.Endpoint.ID, err: errEncoded}
 	}
-	if resp.Status == http.StatusOK && j.route.Kind == toucantraffic.Stream && headers.Genuine && isEventStream(resp.Header) {
-		return &answer{stream: resp, reservation: reservation, status: resp.Status, header: resp.Header}, nil
+	if resp.Status == http.StatusOK && j.route.Kind == toucantraffic.Stream && headers.Genuine && head.IsEventStream() {
+		return &answer{Answer: head, stream: resp, reservation: reservation}, nil
 	}
 	return s.readAnswer(ctx, j, reservation, resp, headers)
 }
@@ -76,15 +73,6 @@
 	}
 }
 
-// isEventStream reports whether the content type is that of server-sent events.
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
-// isEncoded reports whether an answer with these headers has a Content-Encoding. Its body is not the endpoint's, since no encoding is
-// asked for.
-func isEncoded(h http.Header) bool { return len(h.Values("Content-Encoding")) > 0 }
-
 // send sends the request to the reserved endpoint. If resume is not nil, the endpoint continues that generation instead
 // of beginning a new one.
 func (s *Server) send(ctx context.Context, j *job, reservation *toucanplace.Reservation, resume *Resume) (*toucanupstream.Response, error) {
@@ -143,9 +131,9 @@
 
 // readAnswer reads an answer as far as it is buffered and checks it.
 func (s *Server) readAnswer(ctx context.Context, j *job, reservation *toucanplace.Reservation, resp *toucanupstream.Response, headers Answer) (*answer, *failure) {
-	body, whole, err := bufferAnswer(resp.Body, j.buffers)
+	body, whole, err := toucanrelay.Buffer(resp.Body, j.buffers)
 	if err == nil && whole {
-		err = s.checkEnd(ctx, resp, reservation.Endpoint)
+		err = toucanrelay.CheckEnd(ctx, s.pool, resp, reservation.Endpoint.Address)
 	}
 	if err != nil {
 		resp.Close()
@@ -156,7 +144,7 @@
 		}
 		return nil, f
 	}
-	a := &answer{status: resp.Status, header: resp.Header, body: body, reservation: reservation}
+	a := &answer{Answer: toucanrelay.Answer{Status: resp.Status, Header: resp.Header}, body: body, reservation: reservation}
 	if whole {
 		resp.Close()
 	} else {
@@ -168,7 +156,7 @@
 		f.answer = nil // It can't be delivered whole any more.
 	}
 	if headers.Genuine && headers.Named {
-		s.recordWholeAnswer(j, a.status)
+		s.recordWholeAnswer(j, a.Status)
 	}
 	if f == nil && a.rest == nil {
 		reservation.Done(time.Now(), toucanplace.OutcomeGood)
@@ -188,10 +176,10 @@
 	case !headers.Genuine || !headers.Named:
 		f.err = errNotGenuine
 		return f
-	case isEncoded(a.header):
+	case a.IsEncoded():
 		f.err = errEncoded
 		return f
-	case a.status >= http.StatusInternalServerError:
+	case a.Status >= http.StatusInternalServerError:
 		f.err = errEndpointFailed
 		f.answer = a
 		return f
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -2,25 +2,22 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"toucanport/toucangeneration"
-	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrelay"
 	"toucanport/toucanupstream"
 )
 
 // answer is an endpoint's answer that is passed on to the caller.
 type answer struct {
-	status int
-	header http.Header
+	toucanrelay.Answer
 	// body is the whole body, or its first part if rest is set.
 	body []byte
-	// rest is the unread remainder of a body longer than maxBufferedAnswer; nil for other bodies.
+	// rest is the unread remainder of a body longer than toucanrelay.MaxBuffered; nil for other bodies.
 	rest *toucanupstream.Response
 	// stream is the response with an event stream; body and rest are then unset.
 	stream *toucanupstream.Response
@@ -36,33 +33,19 @@
 		s.relay(ctx, j, a)
 		return
 	}
-	toucanheader.Copy(j.w.Header(), a.header)
 	if a.rest != nil {
 		s.deliverLong(ctx, j, a)
 		return
 	}
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	j.w.WriteHeader(a.status)
-	_, err := j.w.Write(a.body)
-	s.logAnswered(j, a, err)
+	s.logAnswered(j, a, j.out.WriteWhole(a.Answer, a.body))
 }
 
-// deliverLong writes a body that is longer than maxBufferedAnswer. If the body ends early, it aborts the caller's
+// deliverLong writes a body that is longer than toucanrelay.MaxBuffered. If the body ends early, it aborts the caller's
 // connection, so that the answer does not look complete.
 func (s *Server) deliverLong(ctx context.Context, j *job, a *answer) {
-	if n := a.header.Get("Content-Length"); n != "" {
-		j.w.Header().Set("Content-Length", n)
-	}
-	j.w.WriteHeader(a.status)
-	n, err := j.w.Write(a.body)
-	j.written = int64(n)
-	if err == nil {
-		var rest int64
-		rest, err = io.Copy(j.w, a.rest.Body)
-		j.written += rest
-	}
+	err := j.out.WriteLong(a.Answer, a.body, a.rest.Body)
 	if err == nil {
-		err = s.checkEnd(ctx, a.rest, a.reservation.Endpoint)
+		err = toucanrelay.CheckEnd(ctx, s.pool, a.rest, a.reservation.Endpoint.Address)
 	}
 	a.rest.Close()
 	if err != nil {
@@ -83,17 +66,17 @@
 // logAnswered records the metrics of an answered request and logs it. Plain successes are sampled.
 func (s *Server) logAnswered(j *job, a *answer, err error) {
 	took := time.Since(j.arrived)
-	s.metrics.answered(j.route.Kind, j.workspace, a.status, took)
+	s.metrics.answered(j.route.Kind, j.workspace, a.Status, took)
 	late := a.generation != nil && a.generation.Late()
 	if late {
 		s.metrics.streamsLate.Inc(1)
 	}
-	plain := a.generation == nil && a.status < http.StatusInternalServerError && !j.logged
+	plain := a.generation == nil && a.Status < http.StatusInternalServerError && !j.logged
 	if err == nil && plain && !j.sampled() {
 		return
 	}
 	msg := toucanlog.MsgRequestAnswered
-	if a.status >= http.StatusInternalServerError {
+	if a.Status >= http.StatusInternalServerError {
 		msg = toucanlog.MsgRequestFailed
 	}
 	args := []any{
@@ -101,7 +84,7 @@
 		toucanlog.Route, j.route.Name,
 		toucanlog.Workspace, j.workspace,
 		toucanlog.Endpoint, a.reservation.Endpoint.ID,
-		toucanlog.Status, a.status,
+		toucanlog.Status, a.Status,
 		toucanlog.Attempts, j.plan.Attempts(),
 		toucanlog.TookMs, took.Milliseconds(),
 		toucanlog.SettingsVersion, j.version,
--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -12,15 +12,12 @@
 	"toucanport/toucanlatestop"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrelay"
 	"toucanport/toucanupstream"
 )
 
-var (
-	// errNotResent means that a broken stream is not sent again: its attempts, its time or the retry budget are used up.
-	errNotResent = errors.New("stream may not be sent again")
-	// errBehind means that a stream ended before the last event that the caller has.
-	errBehind = errors.New("stream ended before the caller's last event")
-)
+// errNotResent means that a broken stream is not sent again: its attempts, its time or the retry budget are used up.
+var errNotResent = errors.New("stream may not be sent again")
 
 // acceptLastEvent reads the id of the last event that the caller has, if the request's route lets callers resume streams. Other
 // requests begin at the first event, whatever their callers say. The error is toucanevent.ErrID.
@@ -49,7 +46,7 @@
 // isBeyondEnd reports whether a stream broke because its caller says that it has an event that the stream does not reach. Another
 // endpoint would not reach it either.
 func (j *job) isBeyondEnd(err error, seen *toucanevent.Parser) bool {
-	return errors.Is(err, errBehind) && seen.Count() == 0 && j.head != nil
+	return errors.Is(err, toucanrelay.ErrBehind) && seen.Count() == 0 && j.out.HoldsHead()
 }
 
 // brokenStream is a stream that no endpoint continues from memory.
@@ -174,7 +171,7 @@
 	if s.placer.HasEndpoint(j.service.Name, j.untried) {
 		return true
 	}
-	if j.written == 0 || !j.route.CanResume() || j.plan.Attempts() > 1 {
+	if j.out.Written() == 0 || !j.route.CanResume() || j.plan.Attempts() > 1 {
 		return false
 	}
 	clear(j.tried)
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -16,6 +16,7 @@
 	"toucanport/toucanquarantine"
 	"toucanport/toucanrank"
 	"toucanport/toucanrate"
+	"toucanport/toucanrelay"
 	"toucanport/toucanretry"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
@@ -208,10 +209,8 @@
 	startedAt time.Time
 	// admission is why the request was sent to an endpoint while the server stops; empty otherwise.
 	admission admission
-	// head is the answer of a stream whose head was not passed on to the caller yet; nil otherwise.
-	head *answer
-	// written is the number of bytes of an answer's body that were passed on to the caller.
-	written int64
+	// out is where endpoints' answers are passed on to the caller.
+	out toucanrelay.Writer
 	// reading is true while the body is read. It is guarded by activeRequests.mu.
 	reading bool
 	// cut is true once the caller's connection is to be aborted.
@@ -299,7 +298,7 @@
 	}
 	delay, ok := j.plan.Next(time.Now(), toucanretry.Failure{
 		NotRun:        f.notRun,
-		AnswerStarted: j.written > 0,
+		AnswerStarted: j.out.Written() > 0,
 		Resumable:     j.route.CanResume(),
 		Idempotent:    j.route.IsIdempotent(),
 		Unsent:        f.unsent,
--- a/toucanforward/stop.go
+++ b/toucanforward/stop.go
@@ -214,7 +214,7 @@
 	args := []any{
 		toucanlog.StopMs, time.Since(stop.began).Milliseconds(),
 		toucanlog.ArrivedMs, j.arrived.Sub(stop.began).Milliseconds(),
-		toucanlog.WrittenBytes, j.written,
+		toucanlog.WrittenBytes, j.out.Written(),
 	}
 	if !j.startedAt.IsZero() {
 		args = append(args, toucanlog.SentMs, j.startedAt.Sub(stop.began).Milliseconds())
--- a/toucanforward/stop_test.go
+++ b/toucanforward/stop_test.go
@@ -1,7 +1,6 @@
 package toucanforward
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,10 +11,13 @@
 
 	"toucanport/toucanlogtest"
 	"toucanport/toucanplace"
+	"toucanport/toucanrelay"
 	"toucanport/toucantraffic"
-	"toucanport/toucanupstream"
 )
 
+// maxBufferedAnswer is the longest answer, in bytes, that is passed on only when it is whole.
+const maxBufferedAnswer = toucanrelay.MaxBuffered
+
 // TestAdmitsWhileStopping checks which requests a server that stops sends to an endpoint: before callers can know of the stop, and after.
 func TestAdmitsWhileStopping(t *testing.T) {
 	now := time.Now()
@@ -44,18 +46,6 @@
 	}
 }
 
-// TestCutAnswerIsNotWholeIfItsCheckIsEnded guards against a cut answer without a length that passes as whole, because its request ended while the
-// entry asked whether the endpoint has (ORDER, MIXED).
-func TestCutAnswerIsNotWholeIfItsCheckIsEnded(t *testing.T) {
-	s := newWaitingScene(t)
-	ctx, cancel := context.WithCancelCause(t.Context())
-	cancel(errStopping)
-	address := strings.TrimPrefix(s.endpoint.URL, "http://")
-	s.endpoint.Close()
-	err := s.server.checkEnd(ctx, &toucanupstream.Response{}, toucanplace.Endpoint{Address: address})
-	assert.ErrorIs(t, err, context.Canceled)
-}
-
 // TestLongFailureOfAnEndpointGetsAnAnswer guards against a failure of an engine's own that is longer than what is buffered, and that its caller gets
 // cut (LOST).
 func TestLongFailureOfAnEndpointGetsAnAnswer(t *testing.T) {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -10,35 +10,26 @@
 
 	"toucanport/toucanevent"
 	"toucanport/toucangeneration"
-	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrelay"
 	"toucanport/toucanupstream"
 )
 
-const (
-	relayBuffer = 8 << 10
-)
-
-var (
-	errGap     = errors.New("events are missing")
-	errPartial = errors.New("stream ended inside an event")
-	errLong    = errors.New("event is too long")
-	errEmpty   = errors.New("stream without length ended before its first event")
-	// errSentOnce means that a generation can't resume, since the body of its request was not kept.
-	errSentOnce = errors.New("request can be sent only once")
-)
+// errSentOnce means that a generation can't resume, since the body of its request was not kept.
+var errSentOnce = errors.New("request can be sent only once")
 
 // relay passes events on to the caller as they arrive. When the stream breaks because the generation was moved or its
 // endpoint failed, relay resumes it at another endpoint. It panics with http.ErrAbortHandler if that is not possible.
 func (s *Server) relay(ctx context.Context, j *job, a *answer) {
 	g := s.generations.Begin(j.generationSpec(), a.reservation)
 	defer s.generations.End(g)
-	j.head = a
+	j.out.HoldHead(a.Answer)
 	seen := toucanevent.New(toucanevent.WithMemory(j.buffers), toucanevent.WithLast(j.lastEvent))
+	stream := toucanrelay.Stream{Writer: &j.out, Events: seen, Ends: s.pool, Resumable: j.route.CanResume()}
 	resp, reservation := a.stream, a.reservation
 	for {
-		err := s.relayFrom(ctx, j, g, reservation, resp, seen)
+		err := stream.Pass(ctx, resp, reservation.Endpoint.Address, &runningPart{server: s, job: j, Generation: g, reservation: reservation, seen: seen})
 		resp.Close()
 		if err == nil {
 			s.recordFinished(j, a, reservation, g)
@@ -58,7 +49,7 @@
 		}
 		j.releaseBroken = func() { reservation.Done(time.Now(), outcome) }
 		next, nextReservation, resumeErr := s.resume(ctx, j, g, seen)
-		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && !seen.HasPartial() && s.checkEnd(ctx, resp, reservation.Endpoint) == nil {
+		if errors.Is(resumeErr, toucangeneration.ErrNotStopped) && errors.Is(err, io.EOF) && !seen.HasPartial() && toucanrelay.CheckEnd(ctx, s.pool, resp, reservation.Endpoint.Address) == nil {
 			s.recordFinished(j, a, reservation, g)
 			return
 		}
@@ -93,25 +84,14 @@
 
 // recordFinished releases the reservation of a stream that completed, records its length and logs it.
 func (s *Server) recordFinished(j *job, a *answer, reservation *toucanplace.Reservation, g *toucangeneration.Generation) {
-	j.writeHead()
+	j.out.WriteHead()
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.recordProven(j)
 	s.recordTimes(j)
 	if !j.callerResumed() {
 		s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens()) // Otherwise it made only the rest.
 	}
-	s.logAnswered(j, &answer{status: a.status, reservation: reservation, generation: g}, nil)
-}
-
-// writeHead passes on the head of a stream, unless it was before. Until then, the caller can get another answer.
-func (j *job) writeHead() {
-	if j.head == nil {
-		return
-	}
-	toucanheader.Copy(j.w.Header(), j.head.header)
-	j.w.Header().Del("Content-Length")
-	j.w.WriteHeader(j.head.status)
-	j.head = nil
+	s.logAnswered(j, &answer{Answer: a.Answer, reservation: reservation, generation: g}, nil)
 }
 
 // cutStream logs a stream that can't be resumed. It aborts the caller's connection, so that the stream does not look complete, or
@@ -143,7 +123,7 @@
 		toucanlog.PromptParts, formatParts(j.SharedParts),
 	}
 	s.log.Warn(msg, append(args, s.stopArgs(j)...)...)
-	if j.head != nil && !callerLeft {
+	if j.out.HoldsHead() && !callerLeft {
 		f := &failure{endpoint: reservation.Endpoint.ID, err: cause}
 		s.refuse(j, f.refusal(ctx, j, 0))
 		return
@@ -152,74 +132,33 @@
 	panic(http.ErrAbortHandler)
 }
 
-// relayFrom passes on the part of a stream that comes from one endpoint. It returns nil if the stream is complete.
-func (s *Server) relayFrom(ctx context.Context, j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, resp *toucanupstream.Response, seen *toucanevent.Parser) error {
-	flusher := http.NewResponseController(j.w)
-	buf := make([]byte, relayBuffer)
-	for {
-		n, readErr := resp.Body.Read(buf)
-		if n > 0 {
-			whole, gap := seen.Parse(buf[:n])
-			if err := s.writeEvents(j, g, reservation, flusher, whole, seen); err != nil {
-				return err
-			}
-			if gap {
-				return errGap
-			}
-			if seen.TooLong() {
-				return errLong
-			}
-		}
-		if readErr == nil {
-			continue
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if !errors.Is(readErr, io.EOF) || !resp.Framed && g.StopRequested() {
-			return readErr
-		}
-		if seen.HasPartial() {
-			return errPartial
-		}
-		if seen.IsBehind() {
-			return errBehind
-		}
-		if !resp.Framed && (seen.Count() == 0 || j.route.CanResume() && seen.IsSilent()) {
-			// The end of the endpoint looks like this.
-			return errEmpty
-		}
-		return s.checkEnd(ctx, resp, reservation.Endpoint)
-	}
+// runningPart is a generation while one endpoint makes a part of its stream. It implements toucanrelay.Generation.
+type runningPart struct {
+	*toucangeneration.Generation
+	server      *Server
+	job         *job
+	reservation *toucanplace.Reservation
+	seen        *toucanevent.Parser
 }
 
-// writeEvents writes complete events to the caller and updates the progress and the estimate of the generation.
-func (s *Server) writeEvents(j *job, g *toucangeneration.Generation, reservation *toucanplace.Reservation, flusher *http.ResponseController, whole []byte, seen *toucanevent.Parser) error {
-	if len(whole) == 0 {
-		return nil
-	}
-	if seen.Count() >= provenEvents {
+// Passing updates the progress and the estimate of the generation.
+func (p *runningPart) Passing() {
+	s, j, events := p.server, p.job, p.seen.Count()
+	if events >= provenEvents {
 		s.recordProven(j)
 	}
-	s.recordPace(j, reservation, seen.Count())
-	if first, gap := g.Progress(seen.Count()); first {
-		reservation.MarkPromptRead()
+	s.recordPace(j, p.reservation, events)
+	if first, gap := p.Progress(events); first {
+		p.reservation.MarkPromptRead()
 		if j.firstEventAt.IsZero() {
 			j.firstEventAt = time.Now()
 		}
 		s.metrics.firstEvent.RecordDuration(time.Since(j.arrived))
 	} else {
-		reservation.MarkPromptRead() // The endpoint of a stream that was sent again has read the prompt by its first event.
+		p.reservation.MarkPromptRead() // The endpoint of a stream that was sent again has read the prompt by its first event.
 		s.metrics.betweenEvents.RecordDuration(gap)
 	}
-	g.UpdateEstimate(func(made int) int { return s.estimates.estimate(j.route.Name, j.Request, made) })
-	j.writeHead()
-	n, err := j.w.Write(whole)
-	j.written += int64(n)
-	if err != nil {
-		return errors.Wrap(err, "write to the caller")
-	}
-	return errors.Wrap(flusher.Flush(), "write to the caller")
+	p.UpdateEstimate(func(made int) int { return s.estimates.estimate(j.route.Name, j.Request, made) })
 }
 
 // resume opens the rest of a stream at the endpoint that the generation was moved to, or else at the one with its backup. If neither goes
@@ -291,7 +230,8 @@
 	}
 	headers := s.codec.Answer(resp.Status, resp.Header, j.ID)
 	s.recordHints(h.Reservation.Endpoint, sentAt, headers)
-	if resp.Status != http.StatusOK || !headers.Genuine || !headers.Named || !isEventStream(resp.Header) || isEncoded(resp.Header) {
+	head := toucanrelay.Answer{Status: resp.Status, Header: resp.Header}
+	if head.Status != http.StatusOK || !headers.Genuine || !headers.Named || !head.IsEventStream() || head.IsEncoded() {
 		resp.Close()
 		h.Reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
 		// After a second request, the refusal says nothing about the first one.
--- a/toucanforward/buffer_test.go
+++ b/toucanrelay/buffer_test.go
@@ -1,4 +1,4 @@
-package toucanforward
+package toucanrelay
 
 import (
 	"bytes"
@@ -17,13 +17,13 @@
 // left are passed on without a whole buffer, and a released buffer makes room.
 func TestAnswersShareTheMemoryOfBuffers(t *testing.T) {
 	const answers = 100
-	m := toucanbody.NewMemory(4 * maxBufferedAnswer)
-	long := bytes.Repeat([]byte("x"), maxBufferedAnswer-1)
+	m := toucanbody.NewMemory(4 * MaxBuffered)
+	long := bytes.Repeat([]byte("x"), MaxBuffered-1)
 	buffered, held := 0, make([]*toucanbody.Reservation, answers)
 	for i := range held {
-		held[i] = m.Reservation(freeAnswer)
+		held[i] = m.Reservation(FreeBytes)
 		r := bytes.NewReader(long)
-		body, whole, err := bufferAnswer(iotest.HalfReader(r), held[i])
+		body, whole, err := Buffer(iotest.HalfReader(r), held[i])
 		assert.NilError(t, err)
 		rest, err := io.ReadAll(r)
 		assert.NilError(t, err)
@@ -31,14 +31,14 @@
 		assert.Assert(t, whole == (len(rest) == 0))
 		buffered += cap(body)
 	}
-	assert.Assert(t, buffered <= m.Usage().Limit+2*answers*freeAnswer, "%d bytes are held", buffered)
-	small, whole, err := bufferAnswer(bytes.NewReader(long[:freeAnswer-1]), m.Reservation(freeAnswer))
-	assert.Assert(t, err == nil && whole && len(small) == freeAnswer-1)
+	assert.Assert(t, buffered <= m.Usage().Limit+2*answers*FreeBytes, "%d bytes are held", buffered)
+	small, whole, err := Buffer(bytes.NewReader(long[:FreeBytes-1]), m.Reservation(FreeBytes))
+	assert.Assert(t, err == nil && whole && len(small) == FreeBytes-1)
 	for _, r := range held {
 		r.Release()
 	}
 	assert.Equal(t, m.Usage().Used, 0)
-	_, whole, err = bufferAnswer(bytes.NewReader(long), held[0])
+	_, whole, err = Buffer(bytes.NewReader(long), held[0])
 	assert.Assert(t, err == nil && whole)
 }
 
@@ -47,14 +47,14 @@
 func TestEventsShareTheMemoryOfBuffers(t *testing.T) {
 	m := toucanbody.NewMemory(2 * toucanevent.MaxBytes)
 	assert.Assert(t, m.Reservation(0).Cover(2*toucanevent.MaxBytes-1))
-	long := toucanevent.New(toucanevent.WithMemory(m.Reservation(freeAnswer)))
-	for range 2 * freeAnswer / relayBuffer {
-		_, _ = long.Parse(bytes.Repeat([]byte("x"), relayBuffer))
+	long := toucanevent.New(toucanevent.WithMemory(m.Reservation(FreeBytes)))
+	for range 2 * FreeBytes / readBytes {
+		_, _ = long.Parse(bytes.Repeat([]byte("x"), readBytes))
 	}
 	assert.Assert(t, long.TooLong())
-	short := toucanevent.New(toucanevent.WithMemory(m.Reservation(freeAnswer)))
+	short := toucanevent.New(toucanevent.WithMemory(m.Reservation(FreeBytes)))
 	for id := range 100 {
-		whole, gap := short.Parse([]byte(fmt.Sprintf("id: %d\ndata: %s\n\n", id+1, bytes.Repeat([]byte("x"), relayBuffer))))
-		assert.Assert(t, len(whole) > relayBuffer && !gap && !short.TooLong())
+		whole, gap := short.Parse([]byte(fmt.Sprintf("id: %d\ndata: %s\n\n", id+1, bytes.Repeat([]byte("x"), readBytes))))
+		assert.Assert(t, len(whole) > readBytes && !gap && !short.TooLong())
 	}
 }
