Merge: passing answers on and the stop leave toucanforward

Cause: toucanforward (3,389 lines without tests) mixes what it decides with what it carries out. Change: toucanrelay (an answer on its way to the caller) and toucanstop (which requests a stopping server still sends) are packages of their own; the server keeps the loop over endpoints. No log line, metric, setting or byte on the wire changes.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -11,7 +11,9 @@
 	"toucanport/toucanbody"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrelay"
 	"toucanport/toucanretry"
+	"toucanport/toucanstop"
 	"toucanport/toucantraffic"
 )
 
@@ -21,7 +23,7 @@
 // accept parses a request and matches it to a route, a workspace and a service. It returns a refusal if the request is
 // malformed, not permitted or too large, or if the settings are missing. The job is never nil.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
-	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}, buffers: s.answers.Reservation(freeAnswer)}
+	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}, buffers: s.answers.Reservation(toucanrelay.FreeBytes), out: toucanrelay.NewWriter(w)}
 	req, err := s.codec.Request(r.Header)
 	j.Request = req
 	table := s.traffic.Table()
@@ -97,9 +99,9 @@
 	}
 	control := http.NewResponseController(j.w)
 	_ = control.SetReadDeadline(j.deadline) // Best effort: without it, a slow body is cut only later.
-	s.active.setReading(j, true)
+	s.active.SetReading(&j.progress, true)
 	body, err := toucanbody.Read(j.in.Body, j.maxBody, s.bodies)
-	s.active.setReading(j, false)
+	s.active.SetReading(&j.progress, false)
 	if err != nil {
 		return bodyRefusal(ctx, j, err)
 	}
@@ -116,7 +118,7 @@
 // bodyRefusal returns the refusal of a request whose body could not be read.
 func bodyRefusal(ctx context.Context, j *job, err error) *refusal {
 	switch {
-	case endedByStop(ctx):
+	case toucanstop.HasEnded(ctx):
 		r := stopRefusal(j, true)
 		return &r
 	case errors.Is(err, toucanbody.ErrTooLong):
