--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -30,7 +30,8 @@
 )
 
 const (
-	dialTimeout = 700 * time.Millisecond
+	// defaultDialTimeout is how long a host has to accept a connection.
+	defaultDialTimeout = 700 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the kernel drops the connection.
 	unackedTimeout    = 1500 * time.Millisecond
 	keepAliveIdle     = time.Second
@@ -103,13 +104,18 @@
 	return func(p *Pool) { p.endWait = d }
 }
 
+// WithDialTimeout sets how long a host has to accept a connection. The default is 700 ms.
+func WithDialTimeout(d time.Duration) Option {
+	return func(p *Pool) { p.dialer.Timeout = d }
+}
+
 // NewPool returns an empty pool.
 func NewPool(options ...Option) *Pool {
 	p := &Pool{
 		peers:   make(map[string]*peer),
 		endWait: defaultEndWait,
 		dialer: net.Dialer{
-			Timeout: dialTimeout,
+			Timeout: defaultDialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable:   true,
 				Idle:     keepAliveIdle,
