toucanrefusal: failures and what a refusal promises leave toucanforward

Ruled out: a package each for failures and refusals, as a refusal is decided by the failure and neither is used alone. Change: toucanrefusal has the reasons, the refusal, its delays and the failure of an attempt; whether an endpoint may have run the request is a parameter. An answer with a 5xx status is returned beside its failure, no more inside it. ErrQuarantined and the text of parts are toucanquarantine's. place.go, rank.go and rankmetrics.go change in names only.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -11,50 +11,48 @@
 	"toucanport/toucanbody"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanrelay"
 	"toucanport/toucanretry"
 	"toucanport/toucanstop"
 	"toucanport/toucantraffic"
 )
 
-// retryAfterUnready is the Retry-After value while this entry has no settings, or none for the route's service.
-const retryAfterUnready = 500 * time.Millisecond
-
 // accept parses a request and matches it to a route, a workspace and a service. It returns a refusal if the request is
 // malformed, not permitted or too large, or if the settings are missing. The job is never nil.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *toucanrefusal.Refusal) {
 	j := &job{in: r, w: w, arrived: time.Now(), tried: make(map[string]bool), body: &toucanbody.Body{}, buffers: s.answers.Reservation(toucanrelay.FreeBytes), out: toucanrelay.NewWriter(w)}
 	req, err := s.codec.Request(r.Header)
 	j.Request = req
 	table := s.traffic.Table()
 	if table == nil {
-		return j, refuseLater(reasonNoSettings, retryAfterUnready)
+		return j, toucanrefusal.Unready(toucanrefusal.ReasonNoSettings)
 	}
 	j.version = table.Version
 	if err != nil {
-		return j, &refusal{status: http.StatusBadRequest, reason: reasonMalformed, err: err}
+		return j, toucanrefusal.New(http.StatusBadRequest, toucanrefusal.ReasonMalformed, err)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := table.Route(r.Host, path)
 	if !ok {
-		return j, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+		return j, toucanrefusal.New(http.StatusNotFound, toucanrefusal.ReasonNoRoute, nil)
 	}
 	j.route = route
 	workspace, ok := table.Workspace(req.Key)
 	if ok {
 		j.workspace = workspace.Name
 	} else if !route.Anonymous {
-		return j, &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
+		return j, toucanrefusal.New(http.StatusUnauthorized, toucanrefusal.ReasonUnknownKey, nil)
 	}
 	if err := s.acceptLastEvent(j); err != nil {
-		return j, &refusal{status: http.StatusBadRequest, reason: reasonLastEvent, err: err}
+		return j, toucanrefusal.New(http.StatusBadRequest, toucanrefusal.ReasonLastEvent, err)
 	}
 	if r := s.matchService(j, table, workspace); r != nil {
 		return j, r
 	}
 	j.maxBody = table.Limits.BodyBytes
 	if j.maxBody > 0 && r.ContentLength > j.maxBody {
-		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
+		return j, toucanrefusal.New(http.StatusRequestEntityTooLarge, toucanrefusal.ReasonTooLarge, nil)
 	}
 	s.recordArrival(j)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
@@ -63,10 +61,10 @@
 }
 
 // matchService fills in what follows from a request's route and workspace. It returns a refusal if the settings have no service for it.
-func (s *Server) matchService(j *job, table *toucantraffic.Table, workspace toucantraffic.Workspace) *refusal {
+func (s *Server) matchService(j *job, table *toucantraffic.Table, workspace toucantraffic.Workspace) *toucanrefusal.Refusal {
 	service, ok := table.Service(j.route.Service(j.ID))
 	if !ok {
-		return refuseLater(reasonNoService, retryAfterUnready)
+		return toucanrefusal.Unready(toucanrefusal.ReasonNoService)
 	}
 	j.service = service
 	j.rank = j.route.Rank(workspace)
@@ -93,7 +91,7 @@
 }
 
 // readBody reads the body. If there is no memory to keep it whole, the remainder is passed on as it arrives.
-func (s *Server) readBody(ctx context.Context, j *job) *refusal {
+func (s *Server) readBody(ctx context.Context, j *job) *toucanrefusal.Refusal {
 	if j.in.Body == nil || j.in.Body == http.NoBody {
 		return nil
 	}
@@ -116,17 +114,17 @@
 }
 
 // bodyRefusal returns the refusal of a request whose body could not be read.
-func bodyRefusal(ctx context.Context, j *job, err error) *refusal {
+func bodyRefusal(ctx context.Context, j *job, err error) *toucanrefusal.Refusal {
 	switch {
 	case toucanstop.HasEnded(ctx):
-		r := stopRefusal(j, true)
+		r := toucanrefusal.Stopping(j.maybeRun == 0)
 		return &r
 	case errors.Is(err, toucanbody.ErrTooLong):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, err: err}
+		return toucanrefusal.New(http.StatusRequestEntityTooLarge, toucanrefusal.ReasonTooLarge, err)
 	case ctx.Err() != nil:
-		return &refusal{status: http.StatusRequestTimeout, reason: reasonCallerSlow, err: err}
+		return toucanrefusal.New(http.StatusRequestTimeout, toucanrefusal.ReasonCallerSlow, err)
 	}
-	return &refusal{status: http.StatusBadRequest, reason: reasonCallerLeft, err: err}
+	return toucanrefusal.New(http.StatusBadRequest, toucanrefusal.ReasonCallerLeft, err)
 }
 
 // recordNotKept counts and logs a request that can be sent only once.
--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -5,28 +5,40 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"toucanport/toucanheader"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanrelay"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
 )
 
-// attempt sends the request to a reserved endpoint. It returns an answer to deliver or a failure. It has released the
-// reservation unless the answer is a stream or is not read to its end yet.
-func (s *Server) attempt(ctx context.Context, j *job, reservation *toucanplace.Reservation) (*answer, *failure) {
+var (
+	errNotRun         = errors.New("endpoint did not run the request")
+	errNotGenuine     = errors.New("answer is not the endpoint's own")
+	errEncoded        = errors.New("answer has a Content-Encoding")
+	errEndpointFailed = errors.New("endpoint answered with a failure")
+)
+
+// attempt sends the request to a reserved endpoint. It returns an answer to deliver or a failure, or both if the endpoint answered with
+// a 5xx status: that answer is delivered if no retry succeeds. It has released the reservation unless the answer is a stream or is not
+// read to its end yet.
+func (s *Server) attempt(ctx context.Context, j *job, reservation *toucanplace.Reservation) (*answer, *toucanrefusal.Failure) {
 	if !s.beginStart(j) {
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
-		return nil, &failure{endpoint: reservation.Endpoint.ID, notRun: true, unsent: true, err: errQuarantined}
+		return nil, &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, NotRun: true, Unsent: true, Err: toucanquarantine.ErrQuarantined}
 	}
 	s.logTaken(j, reservation.Endpoint.ID)
 	sentAt := time.Now()
 	resp, err := s.send(ctx, j, reservation, nil)
 	if err != nil {
-		f := newFailure(reservation, err)
-		reservation.Done(time.Now(), f.outcome(ctx))
-		if !f.unsent && ctx.Err() == nil {
+		f := toucanrefusal.NewFailure(reservation.Endpoint.ID, err)
+		reservation.Done(time.Now(), f.Outcome(ctx))
+		if !f.Unsent && ctx.Err() == nil {
 			s.recordBreak(j, reservation.Endpoint, 0)
 		}
 		return nil, f
@@ -36,13 +48,13 @@
 	if headers.NotRun {
 		resp.Close()
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
-		return nil, &failure{endpoint: reservation.Endpoint.ID, notRun: true, err: errNotRun}
+		return nil, &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, NotRun: true, Err: errNotRun}
 	}
 	head := toucanrelay.Answer{Status: resp.Status, Header: resp.Header}
 	if head.IsEventStream() && head.IsEncoded() {
 		resp.Close()
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
-		return nil, &failure{endpoint: reservation.Endpoint.ID, err: errEncoded}
+		return nil, &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, Err: errEncoded}
 	}
 	if resp.Status == http.StatusOK && j.route.Kind == toucantraffic.Stream && headers.Genuine && head.IsEventStream() {
 		return &answer{Answer: head, stream: resp, reservation: reservation}, nil
@@ -130,15 +142,15 @@
 }
 
 // readAnswer reads an answer as far as it is buffered and checks it.
-func (s *Server) readAnswer(ctx context.Context, j *job, reservation *toucanplace.Reservation, resp *toucanupstream.Response, headers Answer) (*answer, *failure) {
+func (s *Server) readAnswer(ctx context.Context, j *job, reservation *toucanplace.Reservation, resp *toucanupstream.Response, headers Answer) (*answer, *toucanrefusal.Failure) {
 	body, whole, err := toucanrelay.Buffer(resp.Body, j.buffers)
 	if err == nil && whole {
 		err = toucanrelay.CheckEnd(ctx, s.pool, resp, reservation.Endpoint.Address)
 	}
 	if err != nil {
 		resp.Close()
-		f := &failure{endpoint: reservation.Endpoint.ID, err: err}
-		reservation.Done(time.Now(), f.outcome(ctx))
+		f := &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, Err: err}
+		reservation.Done(time.Now(), f.Outcome(ctx))
 		if ctx.Err() == nil {
 			s.recordBreak(j, reservation.Endpoint, 0)
 		}
@@ -150,38 +162,40 @@
 	} else {
 		a.rest = resp
 	}
-	f := s.checkAnswer(j, reservation, headers, a)
-	if f != nil && a.rest != nil {
-		resp.Close()
-		f.answer = nil // It can't be delivered whole any more.
-	}
 	if headers.Genuine && headers.Named {
 		s.recordWholeAnswer(j, a.Status)
 	}
-	if f == nil && a.rest == nil {
-		reservation.Done(time.Now(), toucanplace.OutcomeGood)
+	f := checkAnswer(reservation, headers, a)
+	if f == nil {
+		if whole {
+			reservation.Done(time.Now(), toucanplace.OutcomeGood)
+		}
+		return a, nil
 	}
-	if f != nil {
-		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
+	reservation.Done(time.Now(), toucanplace.OutcomeFailed)
+	if !whole {
+		resp.Close() // It can't be delivered whole any more.
+		return nil, f
+	}
+	if !errors.Is(f.Err, errEndpointFailed) {
+		return nil, f
 	}
 	return a, f
 }
 
 // checkAnswer returns nil if the answer can be delivered, or a failure if it does not come from the endpoint, does not
-// name this request, is encoded or has a 5xx status. The answer of a 5xx failure is kept, to be delivered if no retry
-// succeeds.
-func (s *Server) checkAnswer(j *job, reservation *toucanplace.Reservation, headers Answer, a *answer) *failure {
-	f := &failure{endpoint: reservation.Endpoint.ID}
+// name this request, is encoded or has a 5xx status.
+func checkAnswer(reservation *toucanplace.Reservation, headers Answer, a *answer) *toucanrefusal.Failure {
+	f := &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID}
 	switch {
 	case !headers.Genuine || !headers.Named:
-		f.err = errNotGenuine
+		f.Err = errNotGenuine
 		return f
 	case a.IsEncoded():
-		f.err = errEncoded
+		f.Err = errEncoded
 		return f
 	case a.Status >= http.StatusInternalServerError:
-		f.err = errEndpointFailed
-		f.answer = a
+		f.Err = errEndpointFailed
 		return f
 	}
 	return nil
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -8,6 +8,7 @@
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanrelay"
 	"toucanport/toucanupstream"
 )
@@ -49,7 +50,7 @@
 	}
 	a.rest.Close()
 	if err != nil {
-		a.reservation.Done(time.Now(), (&failure{err: err}).outcome(ctx))
+		a.reservation.Done(time.Now(), (&toucanrefusal.Failure{Err: err}).Outcome(ctx))
 		args := []any{
 			toucanlog.RequestID, j.ID,
 			toucanlog.Endpoint, a.reservation.Endpoint.ID,
--- a/toucanforward/metrics.go
+++ b/toucanforward/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"toucanport/toucangeneration"
+	"toucanport/toucanrefusal"
 	"toucanport/toucantraffic"
 )
 
@@ -57,7 +58,7 @@
 	limitedSends map[sendKind]tally.Counter
 
 	mu       sync.Mutex
-	refusals map[reason]tally.Counter
+	refusals map[toucanrefusal.Reason]tally.Counter
 	answers  map[answerKey]tally.Counter
 	took     map[toucantraffic.Kind]tally.Histogram
 	stops    map[toucangeneration.SourceState]tally.Counter
@@ -112,7 +113,7 @@
 		held:               scope.Histogram("request_held", answerBuckets),
 		ranks:              newRankMetrics(scope),
 		limitedSends:       limitedSendCounters(scope),
-		refusals:           make(map[reason]tally.Counter),
+		refusals:           make(map[toucanrefusal.Reason]tally.Counter),
 		answers:            make(map[answerKey]tally.Counter),
 		took:               make(map[toucantraffic.Kind]tally.Histogram),
 		stops:              make(map[toucangeneration.SourceState]tally.Counter),
@@ -146,7 +147,7 @@
 }
 
 // refused counts a refused request.
-func (m *metrics) refused(why reason, workspace string) {
+func (m *metrics) refused(why toucanrefusal.Reason, workspace string) {
 	m.workspace(workspace).refused.Inc(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/toucanforward/metrics_test.go
+++ b/toucanforward/metrics_test.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanrefusal"
 	"toucanport/toucantraffic"
 )
 
@@ -19,7 +20,7 @@
 	for i := range 2000 {
 		workspace := fmt.Sprint("w", i)
 		m.answered(kinds[i%len(kinds)], workspace, 100+i%500, time.Millisecond)
-		m.refused(reasonFull, workspace)
+		m.refused(toucanrefusal.ReasonFull, workspace)
 	}
 	snapshot := scope.Snapshot()
 	assert.Equal(t, len(m.workspaces), maxWorkspaces+1)
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -10,6 +10,8 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanstop"
 	"toucanport/toucantraffic"
 	"toucanport/toucanwait"
@@ -36,7 +38,7 @@
 	defer s.queue.remove(j)
 	for held := false; ; held = true {
 		if s.isQuarantined(j) {
-			return nil, errQuarantined
+			return nil, toucanquarantine.ErrQuarantined
 		}
 		freed := s.placer.Freed()
 		if !s.canEnd(j) {
@@ -62,7 +64,7 @@
 			return nil, err
 		}
 		if !held && s.isHopeless(j, until) {
-			return nil, errors.Wrap(errHopeless, err.Error())
+			return nil, errors.Wrap(toucanrefusal.ErrNoRoomInTime, err.Error())
 		}
 		request, _ := s.decideRoom(j, time.Now(), until)
 		s.queue.add(j, request)
--- a/toucanforward/preview.go
+++ b/toucanforward/preview.go
@@ -10,6 +10,7 @@
 	"toucanport/toucanbody"
 	"toucanport/toucanplace"
 	"toucanport/toucanpreview"
+	"toucanport/toucanrefusal"
 )
 
 // Preview returns what the server would do with a request now. Nothing is sent, reserved or learned. A request that would be quarantined
@@ -38,10 +39,10 @@
 	}
 	hopeless := s.isHopeless(j, until)
 	if hopeless {
-		err = errors.Wrap(errHopeless, err.Error())
+		err = errors.Wrap(toucanrefusal.ErrNoRoomInTime, err.Error())
 	}
 	if hopeless || isFinal(err) || !until.After(now) || s.deferredFor(j) > until.Sub(now) {
-		return rejected(p, placeRefusal(context.Background(), j, err, s.delayFor(j, err)))
+		return rejected(p, toucanrefusal.OfPlacement(context.Background(), err, j.maybeRun > 0, s.delayFor(j, err)))
 	}
 	p.Decision, p.Cause = toucanpreview.DecisionWait, err.Error()
 	if j.mixed {
@@ -51,33 +52,33 @@
 }
 
 // previewJob matches a query to a route, a workspace and a service, as accept does for a request.
-func (s *Server) previewJob(now time.Time, q toucanpreview.Query) (*job, *refusal) {
+func (s *Server) previewJob(now time.Time, q toucanpreview.Query) (*job, *toucanrefusal.Refusal) {
 	j := &job{arrived: now, body: &toucanbody.Body{}}
 	j.Prompt, j.MaxOutput, j.LengthHint, j.Patience = q.Prompt, q.MaxOutput, q.LengthHint, q.Patience
 	table := s.traffic.Table()
 	if table == nil {
-		return j, refuseLater(reasonNoSettings, retryAfterUnready)
+		return j, toucanrefusal.Unready(toucanrefusal.ReasonNoSettings)
 	}
 	j.version = table.Version
 	route, ok := table.Route(q.Host, q.Path)
 	if !ok {
-		return j, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+		return j, toucanrefusal.New(http.StatusNotFound, toucanrefusal.ReasonNoRoute, nil)
 	}
 	j.route = route
 	workspace, ok := table.WorkspaceByName(q.Workspace)
 	if !ok && !route.Anonymous {
-		return j, &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
+		return j, toucanrefusal.New(http.StatusUnauthorized, toucanrefusal.ReasonUnknownKey, nil)
 	}
 	j.workspace = workspace.Name
 	return j, s.matchService(j, table, workspace)
 }
 
 // rejected adds a refusal to a preview.
-func rejected(p toucanpreview.Preview, r refusal) toucanpreview.Preview {
+func rejected(p toucanpreview.Preview, r toucanrefusal.Refusal) toucanpreview.Preview {
 	p.Decision = toucanpreview.DecisionReject
-	p.Status, p.Reason, p.RetryAfterMs = r.status, string(r.reason), r.retryAfter.Milliseconds()
-	if r.err != nil {
-		p.Cause = r.err.Error()
+	p.Status, p.Reason, p.RetryAfterMs = r.Status, string(r.Reason), r.RetryAfter.Milliseconds()
+	if r.Err != nil {
+		p.Cause = r.Err.Error()
 	}
 	return p
 }
--- a/toucanforward/quarantine.go
+++ b/toucanforward/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,9 +24,6 @@
 	promptConfirmation = 20 * time.Millisecond
 )
 
-// errQuarantined means that a request, or a part of its prompt, ends engines.
-var errQuarantined = errors.New("engines end when they answer the request or on a part of its prompt")
-
 // startingRequests holds the requests that an endpoint has and has not answered far enough to rule them out. It is safe
 // for concurrent use.
 type startingRequests struct {
@@ -67,7 +63,7 @@
 func (s *Server) RunQuarantine(ctx context.Context) {
 	for {
 		changed := s.quarantine.Changed()
-		s.starting.cancelIf(s.isQuarantined, errQuarantined)
+		s.starting.cancelIf(s.isQuarantined, toucanquarantine.ErrQuarantined)
 		select {
 		case <-changed:
 			s.logVerdicts()
@@ -82,7 +78,7 @@
 	for _, v := range s.quarantine.Verdicts(now) {
 		args := []any{
 			toucanlog.Service, v.Service,
-			toucanlog.PromptParts, formatParts(v.Parts),
+			toucanlog.PromptParts, toucanquarantine.FormatParts(v.Parts),
 			toucanlog.Ends, v.Crashes,
 			toucanlog.LeftMs, v.Until.Sub(now).Milliseconds(),
 		}
@@ -176,8 +172,8 @@
 		toucanlog.Endpoint, b.endpoint.ID,
 		toucanlog.Service, b.endpoint.Service,
 		toucanlog.Workspace, b.run.Workspace,
-		toucanlog.PromptParts, formatParts(b.run.Parts[:whole]),
-		toucanlog.Fingerprint, formatParts(b.run.Parts[whole:]),
+		toucanlog.PromptParts, toucanquarantine.FormatParts(b.run.Parts[:whole]),
+		toucanlog.Fingerprint, toucanquarantine.FormatParts(b.run.Parts[whole:]),
 	)
 	s.quarantine.RecordCrash(b.at, b.endpoint.Key(), b.endpoint.Service, b.run)
 	return true
--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -4,16 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"toucanport/toucanlog"
 	"toucanport/toucanrank"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanwait"
 )
 
-// errHopeless means that a request would get room only after the time for which it may wait.
-var errHopeless = errors.New("no room in time")
-
 // request returns what toucanrank decides by. until is when the request is rejected if it still waits.
 func (s *Server) request(j *job, until time.Time) *toucanrank.Request {
 	r := &toucanrank.Request{Arrived: j.arrived, Goal: j.route.Goal, Deadline: j.deadline, Tokens: j.demand.Tokens()}
@@ -131,5 +127,5 @@
 	if !j.mixed {
 		return 0
 	}
-	return toucanrank.ReturnAfter(s.forecast(j), retryAfterFull, j.deadline.Sub(now))
+	return toucanrank.ReturnAfter(s.forecast(j), toucanrefusal.RetryAfterFull, j.deadline.Sub(now))
 }
--- a/toucanforward/rank_test.go
+++ b/toucanforward/rank_test.go
@@ -13,6 +13,7 @@
 	"toucanport/toucanbody"
 	"toucanport/toucanplace"
 	"toucanport/toucanrank"
+	"toucanport/toucanrefusal"
 	"toucanport/toucantraffic"
 )
 
@@ -87,12 +88,12 @@
 		time.Sleep(100 * time.Millisecond)
 		long := newRankJob(longRoute, 4000, 1000)
 		_, err := s.place(t.Context(), long)
-		assert.Assert(t, errors.Is(err, errHopeless), "%v", err)
+		assert.Assert(t, errors.Is(err, toucanrefusal.ErrNoRoomInTime), "%v", err)
 		assert.Equal(t, time.Since(long.arrived), time.Duration(0))
-		r := placeRefusal(t.Context(), long, err, s.delayFor(long, err))
-		assert.Equal(t, r.status, 503)
-		assert.Equal(t, r.reason, reasonHopeless)
-		assert.Assert(t, r.retryAfter > retryAfterFull && r.retryAfter <= 13*time.Second, "come back after %v", r.retryAfter)
+		r := toucanrefusal.OfPlacement(t.Context(), err, false, s.delayFor(long, err))
+		assert.Equal(t, r.Status, 503)
+		assert.Equal(t, r.Reason, toucanrefusal.ReasonHopeless)
+		assert.Assert(t, r.RetryAfter > toucanrefusal.RetryAfterFull && r.RetryAfter <= 13*time.Second, "come back after %v", r.RetryAfter)
 	})
 }
 
--- a/toucanforward/rankmetrics.go
+++ b/toucanforward/rankmetrics.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"sync"
 
+	"toucanport/toucanrefusal"
+
 	"github.com/uber-go/tally/v4"
 )
 
@@ -26,7 +28,7 @@
 	// reserve is the memory, in tokens, that the last request left free at each endpoint.
 	reserve tally.Gauge
 	// rejected counts those that got no room, by reason.
-	rejected map[reason]tally.Counter
+	rejected map[toucanrefusal.Reason]tally.Counter
 }
 
 func newRankMetrics(scope tally.Scope) *rankMetrics {
@@ -47,9 +49,9 @@
 		held:     scope.Histogram("rank_request_held", answerBuckets),
 		expected: scope.Histogram("rank_expected_wait", answerBuckets),
 		reserve:  scope.Gauge("rank_reserve_tokens"),
-		rejected: make(map[reason]tally.Counter),
+		rejected: make(map[toucanrefusal.Reason]tally.Counter),
 	}
-	for _, why := range []reason{reasonFull, reasonDeferred, reasonLimited, reasonHopeless} {
+	for _, why := range []toucanrefusal.Reason{toucanrefusal.ReasonFull, toucanrefusal.ReasonDeferred, toucanrefusal.ReasonLimited, toucanrefusal.ReasonHopeless} {
 		r.rejected[why] = scope.Tagged(map[string]string{"reason": string(why)}).Counter("rank_requests_rejected")
 	}
 	m.ranks[rank] = r
@@ -57,7 +59,7 @@
 }
 
 // rejected counts a rejected request if it is for want of room.
-func (m *rankMetrics) rejected(rank int, why reason) {
+func (m *rankMetrics) rejected(rank int, why toucanrefusal.Reason) {
 	if c, ok := m.of(rank).rejected[why]; ok {
 		c.Inc(1)
 	}
--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -12,6 +12,8 @@
 	"toucanport/toucanlatestop"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanrelay"
 	"toucanport/toucanupstream"
 )
@@ -57,18 +59,18 @@
 	// source is the endpoint that may still run it; nil if none does.
 	source *toucanplace.Endpoint
 	// failure is that of the last endpoint.
-	failure *failure
+	failure *toucanrefusal.Failure
 }
 
 // newBrokenStream returns the description of a stream after an endpoint did not go on with it.
 func newBrokenStream(brokenAt time.Time, last toucanplace.Endpoint, err error) brokenStream {
-	b := brokenStream{brokenAt: brokenAt, cause: err, failure: &failure{
-		endpoint: last.ID,
-		notRun:   errors.Is(err, errNotRun),
-		unsent:   errors.Is(err, toucanupstream.ErrNotSent),
-		err:      err,
+	b := brokenStream{brokenAt: brokenAt, cause: err, failure: &toucanrefusal.Failure{
+		Endpoint: last.ID,
+		NotRun:   errors.Is(err, errNotRun),
+		Unsent:   errors.Is(err, toucanupstream.ErrNotSent),
+		Err:      err,
 	}}
-	if !b.failure.notRun {
+	if !b.failure.NotRun {
 		b.source = &last
 	}
 	return b
@@ -112,7 +114,7 @@
 	}
 	j.releaseBroken() // The request needs room at one endpoint only.
 	j.tried[g.Endpoint().ID] = true
-	if b.failure.notRun {
+	if b.failure.NotRun {
 		j.maybeRun++ // The endpoint whose stream broke has run it.
 	}
 	return s.resend(ctx, j, g, seen, b)
@@ -128,7 +130,7 @@
 	h := toucangeneration.Handover{Reservation: reservation, StoppedAt: b.brokenAt}
 	h.Source, h.Handle, err = s.stopBroken(ctx, j, b, reservation.Endpoint)
 	if err == nil && !j.proven && !s.beginStart(j) {
-		err = errQuarantined
+		err = toucanquarantine.ErrQuarantined
 	}
 	if err != nil {
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
@@ -181,5 +183,5 @@
 // refuseBeyondEnd refuses a request whose caller has an event that its stream does not reach.
 func (s *Server) refuseBeyondEnd(j *job, reservation *toucanplace.Reservation, err error) {
 	j.maybeRun++
-	s.refuse(j, refusal{status: http.StatusBadRequest, reason: reasonLastEvent, endpoint: reservation.Endpoint.ID, err: err})
+	s.refuse(j, toucanrefusal.Refusal{Status: http.StatusBadRequest, Reason: toucanrefusal.ReasonLastEvent, Endpoint: reservation.Endpoint.ID, Err: err})
 }
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -16,6 +16,7 @@
 	"toucanport/toucanquarantine"
 	"toucanport/toucanrank"
 	"toucanport/toucanrate"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanrelay"
 	"toucanport/toucanretry"
 	"toucanport/toucanstop"
@@ -28,8 +29,6 @@
 	// unsentAttempts plus the route's MaxAttempts bounds all attempts of a request. MaxAttempts alone bounds those that
 	// may have run.
 	unsentAttempts = 8
-	// retryAfterFull is the Retry-After value when no endpoint could take the request.
-	retryAfterFull = 300 * time.Millisecond
 	// defaultBodyMemory is the memory in bytes for long bodies, unless one is configured.
 	defaultBodyMemory = 16 << 20
 	// defaultAnswerMemory is the memory in bytes for long answers and events, unless one is configured.
@@ -234,7 +233,7 @@
 		return
 	}
 	if !s.canEnd(j) {
-		s.refuse(j, stopRefusal(j, true))
+		s.refuse(j, toucanrefusal.Stopping(j.maybeRun == 0))
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
@@ -245,7 +244,7 @@
 	}
 	defer s.releaseBody(j)
 	if s.isQuarantined(j) {
-		s.refuse(j, quarantineRefusal())
+		s.refuse(j, toucanrefusal.Quarantined())
 		return
 	}
 	defer j.releaseBackup()
@@ -259,7 +258,7 @@
 	for {
 		reservation, err := s.place(ctx, j)
 		if err != nil {
-			s.deliverFailure(ctx, j, endpointAnswer, placeRefusal(ctx, j, err, s.delayFor(j, err)))
+			s.deliverFailure(ctx, j, endpointAnswer, toucanrefusal.OfPlacement(ctx, err, j.maybeRun > 0, s.delayFor(j, err)))
 			return
 		}
 		got, failure := s.attempt(ctx, j, reservation)
@@ -267,11 +266,11 @@
 			s.deliver(ctx, j, got)
 			return
 		}
-		if failure.answer != nil {
-			endpointAnswer = failure.answer
+		if got != nil {
+			endpointAnswer = got
 		}
 		if !s.waitForRetry(ctx, j, failure) {
-			s.deliverFailure(ctx, j, endpointAnswer, failure.refusal(ctx, j, s.deferredFor(j)))
+			s.deliverFailure(ctx, j, endpointAnswer, failure.Refusal(ctx, j.maybeRun > 0, s.deferredFor(j)))
 			return
 		}
 	}
@@ -284,9 +283,9 @@
 
 // waitForRetry waits until the next attempt is due. It returns false without waiting if none is allowed, and false if
 // ctx ends first.
-func (s *Server) waitForRetry(ctx context.Context, j *job, f *failure) bool {
-	j.tried[f.endpoint] = true
-	if !f.notRun {
+func (s *Server) waitForRetry(ctx context.Context, j *job, f *toucanrefusal.Failure) bool {
+	j.tried[f.Endpoint] = true
+	if !f.NotRun {
 		j.maybeRun++
 	}
 	if ctx.Err() != nil || !j.body.Repeatable() || j.maybeRun >= j.route.MaxAttempts || !s.mayStartAgain(j) {
@@ -296,11 +295,11 @@
 		return false
 	}
 	delay, ok := j.plan.Next(time.Now(), toucanretry.Failure{
-		NotRun:        f.notRun,
+		NotRun:        f.NotRun,
 		AnswerStarted: j.out.Written() > 0,
 		Resumable:     j.route.CanResume(),
 		Idempotent:    j.route.IsIdempotent(),
-		Unsent:        f.unsent,
+		Unsent:        f.Unsent,
 	})
 	if !ok {
 		return false
@@ -308,9 +307,9 @@
 	j.logged = true
 	s.log.Info(toucanlog.MsgRequestRetried,
 		toucanlog.RequestID, j.ID,
-		toucanlog.Endpoint, f.endpoint,
+		toucanlog.Endpoint, f.Endpoint,
 		toucanlog.Cause, f.Error(),
-		toucanlog.NotRun, f.notRun,
+		toucanlog.NotRun, f.NotRun,
 		toucanlog.Attempts, j.plan.Attempts(),
 		toucanlog.DelayMs, delay.Milliseconds(),
 	)
@@ -319,7 +318,7 @@
 }
 
 // deliverFailure delivers the endpoint's own 5xx answer if there is one, and a refusal otherwise.
-func (s *Server) deliverFailure(ctx context.Context, j *job, endpointAnswer *answer, r refusal) {
+func (s *Server) deliverFailure(ctx context.Context, j *job, endpointAnswer *answer, r toucanrefusal.Refusal) {
 	if endpointAnswer != nil {
 		s.deliver(ctx, j, endpointAnswer)
 		return
--- a/toucanforward/stop.go
+++ b/toucanforward/stop.go
@@ -1,17 +1,12 @@
 package toucanforward
 
 import (
-	"net/http"
 	"time"
 
 	"toucanport/toucanlog"
 	"toucanport/toucanstop"
 )
 
-// retryAfterStopping is the Retry-After value of an entry that stops. Callers come back on a new connection, which
-// reaches another entry.
-const retryAfterStopping = 100 * time.Millisecond
-
 // BeginStop makes the server close each caller's connection after its next answer and refuse the requests that can't end
 // before the end of the stop.
 func (s *Server) BeginStop(stop toucanstop.Stop) {
@@ -50,15 +45,6 @@
 	return toucanstop.Expected(j.route, j.service.Engine, j.demand.Output)
 }
 
-// stopRefusal returns the refusal of a request that can't end before the server stops. Only one that certainly did not run
-// may come back.
-func stopRefusal(j *job, notRun bool) refusal {
-	if notRun && j.maybeRun == 0 {
-		return refusal{status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping, err: toucanstop.ErrStopping}
-	}
-	return refusal{status: http.StatusBadGateway, reason: reasonStopping, err: toucanstop.ErrStopping}
-}
-
 // stopArgs returns the log fields of a request that place it in the server's stop, in time since the stop began: when it was read and
 // when it was sent to an endpoint. They are nil unless the server stops.
 func (s *Server) stopArgs(j *job) []any {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -12,6 +12,8 @@
 	"toucanport/toucangeneration"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanquarantine"
+	"toucanport/toucanrefusal"
 	"toucanport/toucanrelay"
 	"toucanport/toucanstop"
 	"toucanport/toucanupstream"
@@ -44,7 +46,7 @@
 		if ctx.Err() == nil && !g.StopRequested() {
 			s.recordBreak(j, reservation.Endpoint, seen.Count())
 		}
-		outcome := (&failure{err: err}).outcome(ctx)
+		outcome := (&toucanrefusal.Failure{Err: err}).Outcome(ctx)
 		if g.StopRequested() {
 			outcome = toucanplace.OutcomeNeutral
 		}
@@ -58,8 +60,8 @@
 			next, nextReservation, resumeErr = s.resendIfResumable(ctx, j, g, seen, newBrokenStream(time.Now(), reservation.Endpoint, err))
 		}
 		if resumeErr != nil {
-			f := &failure{err: err}
-			reservation.Done(time.Now(), f.outcome(ctx))
+			f := &toucanrefusal.Failure{Err: err}
+			reservation.Done(time.Now(), f.Outcome(ctx))
 			s.cutStream(ctx, j, reservation, seen, err, resumeErr)
 			return
 		}
@@ -99,7 +101,7 @@
 // refuses the request if nothing was passed on.
 func (s *Server) cutStream(ctx context.Context, j *job, reservation *toucanplace.Reservation, seen *toucanevent.Parser, cause, resumeErr error) {
 	msg := toucanlog.MsgStreamCut
-	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errQuarantined) && !toucanstop.HasEnded(ctx)
+	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), toucanquarantine.ErrQuarantined) && !toucanstop.HasEnded(ctx)
 	if callerLeft {
 		msg = toucanlog.MsgCallerLeft
 	}
@@ -121,12 +123,12 @@
 		toucanlog.NotResumed, resumeErr.Error(),
 		toucanlog.TookMs, time.Since(j.arrived).Milliseconds(),
 		toucanlog.Workspace, j.workspace,
-		toucanlog.PromptParts, formatParts(j.SharedParts),
+		toucanlog.PromptParts, toucanquarantine.FormatParts(j.SharedParts),
 	}
 	s.log.Warn(msg, append(args, s.stopArgs(j)...)...)
 	if j.out.HoldsHead() && !callerLeft {
-		f := &failure{endpoint: reservation.Endpoint.ID, err: cause}
-		s.refuse(j, f.refusal(ctx, j, 0))
+		f := &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, Err: cause}
+		s.refuse(j, f.Refusal(ctx, j.maybeRun > 0, 0))
 		return
 	}
 	j.cut = true
@@ -187,7 +189,7 @@
 		}
 	}
 	if !s.mayStartAgain(j) {
-		return nil, nil, errQuarantined
+		return nil, nil, toucanquarantine.ErrQuarantined
 	}
 	if s.placer.IsAvailable(g.Endpoint().ID) {
 		s.lastBreak.Store(int64(brokenAt.Sub(s.started)))
@@ -222,9 +224,9 @@
 	j.timer = eventTimer{}
 	resp, err := s.send(ctx, j, h.Reservation, resumeFrom(h, seen))
 	if err != nil {
-		f := newFailure(h.Reservation, err)
-		h.Reservation.Done(time.Now(), f.outcome(ctx))
-		if f.notRun {
+		f := toucanrefusal.NewFailure(h.Reservation.Endpoint.ID, err)
+		h.Reservation.Done(time.Now(), f.Outcome(ctx))
+		if f.NotRun {
 			err = notRunError{cause: err}
 		}
 		return nil, nil, err
