--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -64,7 +64,7 @@
 
 const (
 	// scripts is the directory of the scripts.
-	scripts = "testdata/scripts"
+	scripts       = "testdata/scripts"
 	headerID      = "X-Id"
 	headerGenuine = "X-Genuine"
 	headerNotRun  = "X-Unrun"
