Endpoints of an uneven service that drain together share out the targets of their copies

Five or six endpoints drain at one moment with about 1.5 s notice. Their entries announce, wait 12 ms and choose a target at the same instant: five copies went to the one that was fresh. They took 0.5 to 1.1 s in place of 0.1 to 0.2 s, and what waited for the source's link behind them was cut. Copies to another failure domain, at half the speed, cost the source the same time.

Ruled out: the order of moves (as designed, one at a time at a source but for late announcements), and targets without room (two of 51 failed moves).

--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -151,13 +151,17 @@
 
 // PlaceCopy is Place for a generation whose memory is copied from another endpoint. It prefers the source's failure
 // domain, where copies take half the time, and endpoints without a limit on requests a second. It varies the cost by source
-// and target, so that two endpoints that drain together don't copy to the same target. It can fill memory beyond the limit of
-// Place.
+// and target, so that two endpoints that drain together don't copy to the same target; uneven ones share the targets out. It can
+// fill memory beyond the limit of Place.
 func (p *Placer) PlaceCopy(now time.Time, from Endpoint, d Demand, allowed Filter) (*Reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	extra := p.copyCost(from)
+	if p.isUneven(now, from.Service) {
+		extra = p.drainCost(now, from, extra)
+	}
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: p.copyCost(from), copied: true,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: extra, copied: true,
 		limits: memoryLimits{end: copyShare, taken: copyTakenShare},
 	})
 	if err != nil {
--- /dev/null
+++ b/toucanplace/drain_test.go
@@ -0,0 +1,46 @@
+package toucanplace
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEndpointsThatDrainTogetherUseDifferentTargets has several slow endpoints of two failure domains drain at once. The entries choose
+// at the same moment, without a word of each other's choice. A fresh endpoint attracts all of them; only one of the sources copies
+// to it, and all copies stay in their failure domain.
+func TestEndpointsThatDrainTogetherUseDifferentTargets(t *testing.T) {
+	const count, draining = 36, 6
+	pauses := make([]time.Duration, count)
+	for i := range pauses {
+		pauses[i] = brokenPause
+		if i >= count-9 {
+			pauses[i] = soundPause
+		}
+	}
+	now := time.Now()
+	used := make(map[string]string)
+	for source := range draining {
+		p, list := unevenPlacer(pauses...)
+		uses := make(map[uint64]Use)
+		for i := range list {
+			list[i].FailureDomain, list[i].Leaving = fmt.Sprint("d", i%2), i < draining
+			if i != draining {
+				uses[list[i].Key()] = Use{Requests: 6, Tokens: 16000, Held: 14000, Exposed: 6}
+			}
+		}
+		p.SetEndpoints(list)
+		placeAt(t, p, now, longDemand, list[count-1].ID).Done(now, OutcomeNeutral)
+		p.Observe(now, "peer", uses)
+		d := longDemand
+		d.Made = 100
+		r, err := p.PlaceCopy(now, list[source], d, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, r.Endpoint.FailureDomain, list[source].FailureDomain)
+		other, taken := used[r.Endpoint.ID]
+		assert.Assert(t, !taken, "%s copies to %s, as %s does", list[source].ID, r.Endpoint.ID, other)
+		used[r.Endpoint.ID] = list[source].ID
+	}
+}
