Entries await their turn at a draining endpoint while peers' generations leave it

Change: the wait for a turn ends when no request has left the endpoint for 1.2 s, in place of 1.2 s after the own last move.

The test fails on the former code.

--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -24,7 +24,7 @@
 	// announceDelay is how long an entry waits for its peers to announce their generations before it moves the first
 	// one.
 	announceDelay = 12 * time.Millisecond
-	// maxTurnWait is how long a generation waits for generations of peers that are ahead of it in the order.
+	// maxTurnWait is how long a generation waits for generations of peers that are ahead of it in the order while none leaves.
 	maxTurnWait = 1200 * time.Millisecond
 	// stopRetryDelay is the time between two attempts to stop a generation for a move.
 	stopRetryDelay = 25 * time.Millisecond
@@ -79,8 +79,8 @@
 	return e != nil && e.Moves && !g.spec.SentOnce && !g.ended && !r.placer.IsAvailable(g.reservation.Endpoint.ID)
 }
 
-// clear moves this entry's generations off an endpoint one at a time. Before each move it waits, for up to
-// maxTurnWait, until no generation of a peer is ahead in the order. It sends the endpoint's ID on done when it returns.
+// clear moves this entry's generations off an endpoint one at a time. Before each move it waits until no generation of a peer is
+// ahead in the order, or none has left for maxTurnWait. It sends the endpoint's ID on done when it returns.
 func (r *Registry) clear(ctx context.Context, e toucanplace.Endpoint, done chan<- string) {
 	defer func() {
 		r.coordinator.Announce(e.Key(), nil)
@@ -91,7 +91,7 @@
 	}()
 	r.coordinator.Announce(e.Key(), moveRequests(r.movableGenerations(e)))
 	toucanwait.Sleep(ctx, announceDelay)
-	waitingSince := time.Now()
+	var wait turnWait
 	for ctx.Err() == nil {
 		changed := r.coordinator.Changed()
 		generations := r.movableGenerations(e)
@@ -100,15 +100,33 @@
 			return
 		}
 		now := time.Now()
-		if now.Sub(waitingSince) < maxTurnWait && r.coordinator.Ahead(now, e.Key(), generations[0].moveRequest(now)) {
+		if !wait.isOver(now, r.placer.LoadOf(now, e.ID).Requests) && r.coordinator.Ahead(now, e.Key(), generations[0].moveRequest(now)) {
 			toucanwait.Signal(ctx, changed, moveInterval/4)
 			continue
 		}
 		r.moveGeneration(ctx, generations[0])
-		waitingSince = time.Now()
+		wait = turnWait{}
 	}
 }
 
+// turnWait tells how long an entry has waited for its turn at an endpoint without progress. Two copies that share the endpoint's link
+// take twice as long, and may both be too late.
+type turnWait struct {
+	// since is the time of the last progress; zero before the first call of isOver.
+	since time.Time
+	// requests is the number of requests at the endpoint.
+	requests int
+}
+
+// isOver reports whether no request has left the endpoint for maxTurnWait. requests is the number that is left.
+func (w *turnWait) isOver(now time.Time, requests int) bool {
+	if w.since.IsZero() || requests < w.requests {
+		w.since = now
+	}
+	w.requests = requests
+	return now.Sub(w.since) >= maxTurnWait
+}
+
 // movableGenerations returns this entry's generations at an endpoint that can be moved now, in the order of their
 // moves.
 func (r *Registry) movableGenerations(e toucanplace.Endpoint) []*Generation {
--- a/toucangeneration/order_test.go
+++ b/toucangeneration/order_test.go
@@ -1,10 +1,14 @@
 package toucangeneration
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"toucanport/toucanmoveorder"
@@ -43,3 +47,41 @@
 	generations[0].ContinueAt(&toucanplace.Reservation{Endpoint: toucanplace.Endpoint{ID: "next"}})
 	assert.Equal(t, generations[0].moveRequest(began.Add(time.Second)).Tokens, 23)
 }
+
+// peersAhead is a MoveCoordinator whose peers always have generations that precede the own ones.
+type peersAhead struct{ noPeers }
+
+func (peersAhead) Ahead(time.Time, uint64, toucanmoveorder.Generation) bool { return true }
+
+// TestTurnIsAwaitedWhilePeersMakeProgress has a peer move its generations off a draining endpoint for longer than maxTurnWait. The own one
+// waits for as long as they leave, so that no two copies share the link, and then for maxTurnWait.
+func TestTurnIsAwaitedWhilePeersMakeProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, ahead = maxTurnWait * 2 / 3, 5
+		list := []toucanplace.Endpoint{{ID: "a", Address: "a", Service: "s", Slots: 8, MemoryTokens: 27000}, {ID: "b", Address: "b", Service: "s", Slots: 8, MemoryTokens: 27000}}
+		placer := toucanplace.NewPlacer("d")
+		placer.SetEndpoints(list)
+		mover := &countingMover{}
+		r := New(Config{Placer: placer, Moves: peersAhead{}, Mover: mover, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		reservation, err := placer.Place(time.Now(), "s", toucanplace.Demand{Prompt: 3000, Output: 700}, func(e toucanplace.Endpoint) bool { return e.ID == "a" })
+		assert.NilError(t, err)
+		g := r.Begin(Spec{ID: "g", Prompt: 3000, Estimate: 700, Engine: &toucantraffic.Engine{Moves: true}, Arrived: time.Now()}, reservation)
+		list = append([]toucanplace.Endpoint(nil), list...)
+		list[0].Leaving = true
+		placer.SetEndpoints(list)
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.Move(ctx)
+		for left := ahead; left > 0; left-- {
+			placer.Observe(time.Now(), "peer", map[uint64]toucanplace.Use{list[0].Key(): {Requests: left}})
+			time.Sleep(interval)
+			synctest.Wait()
+			assert.Equal(t, mover.top, 0)
+		}
+		time.Sleep(maxTurnWait)
+		synctest.Wait()
+		assert.Equal(t, mover.top, 1)
+		cancel()
+		r.End(g)
+		synctest.Wait()
+	})
+}
