Endpoints that the list has lost keep their load, and their streams leave as from those that drain

The placer forgot such an endpoint at once: its copies got no share of the targets, went to other failure domains at half the speed, and progress at it was not seen.

Change: an endpoint that the list has lost keeps its load for 10 s, of this entry and of peers, and counts as draining. If the list has it again, its load goes on; it counts as having appeared, as before.

TestLostEndpointKeepsItsLoad and the second half of TestEndpointsThatDrainTogetherUseDifferentTargets fail on the former code.

--- a/toucanplace/drain.go
+++ b/toucanplace/drain.go
@@ -9,13 +9,44 @@
 	maxWaitingCopies = 5
 	// targetMix spreads the targets of copies over sources.
 	targetMix = 0x9E3779B97F4A7C15
+	// departingMemory is how long the load of an endpoint is kept after the list has lost it. Most are listed as draining first; those
+	// that are not still serve their generations for a while.
+	departingMemory = 10 * time.Second
 )
 
+// known returns an endpoint that is listed, or was until lately. The caller holds p.mu.
+func (p *Placer) known(id string) (*endpointState, bool) {
+	if s, ok := p.endpoints[id]; ok {
+		return s, true
+	}
+	s, ok := p.departing[id]
+	return s, ok
+}
+
+// returned takes back an endpoint that the list has lost and has again. The caller holds p.mu.
+func (p *Placer) returned(e Endpoint) (*endpointState, bool) {
+	s, ok := p.departing[e.ID]
+	delete(p.departing, e.ID)
+	return s, ok
+}
+
+// keepDeparting adds the endpoints that the list has lost to byKey, and forgets those that have been gone for departingMemory. The caller
+// holds p.mu.
+func (p *Placer) keepDeparting(now time.Time, byKey map[uint64]*endpointState) {
+	for id, s := range p.departing {
+		if now.Sub(s.goneAt) > departingMemory {
+			delete(p.departing, id)
+			continue
+		}
+		byKey[s.key] = s
+	}
+}
+
 // drainCost returns copyCost with what a target costs the other generations that leave draining endpoints: those at the same source wait
 // while a copy to another failure domain takes twice as long, and those of other sources need their own targets. The caller holds
 // p.mu.
 func (p *Placer) drainCost(now time.Time, from Endpoint, copyCost func(*endpointState) float64) func(*endpointState) float64 {
-	source, ok := p.endpoints[from.ID]
+	source, ok := p.known(from.ID)
 	if !ok || !source.isDraining() {
 		return copyCost
 	}
@@ -36,8 +67,8 @@
 // drainingSources returns the draining endpoints of a service that requests still run at. The caller holds p.mu.
 func (p *Placer) drainingSources(now time.Time, service string) []*endpointState {
 	var sources []*endpointState
-	for _, s := range p.services[service] {
-		if s.isDraining() && p.total(now, s).Requests > 0 {
+	for _, s := range p.byKey {
+		if s.Service == service && s.isDraining() && p.total(now, s).Requests > 0 {
 			sources = append(sources, s)
 		}
 	}
--- a/toucanplace/drain_test.go
+++ b/toucanplace/drain_test.go
@@ -8,10 +8,17 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestEndpointsThatDrainTogetherUseDifferentTargets has several slow endpoints of two failure domains drain at once. The entries choose
+// TestEndpointsThatDrainTogetherUseDifferentTargets lists the endpoints as draining, or no longer at all.
+func TestEndpointsThatDrainTogetherUseDifferentTargets(t *testing.T) {
+	t.Run("listed", func(t *testing.T) { checkTargetsDiffer(t, true) })
+	t.Run("lost by the list", func(t *testing.T) { checkTargetsDiffer(t, false) })
+}
+
+// checkTargetsDiffer has several slow endpoints of two failure domains drain at once. The entries choose
 // at the same moment, without a word of each other's choice. A fresh endpoint attracts all of them; only one of the sources copies
 // to it, and all copies stay in their failure domain.
-func TestEndpointsThatDrainTogetherUseDifferentTargets(t *testing.T) {
+func checkTargetsDiffer(t *testing.T, listed bool) {
+	t.Helper()
 	const count, draining = 36, 6
 	pauses := make([]time.Duration, count)
 	for i := range pauses {
@@ -32,6 +39,9 @@
 			}
 		}
 		p.SetEndpoints(list)
+		if !listed {
+			p.SetEndpoints(list[draining:])
+		}
 		placeAt(t, p, now, longDemand, list[count-1].ID).Done(now, OutcomeNeutral)
 		p.Observe(now, "peer", uses)
 		d := longDemand
@@ -44,3 +54,21 @@
 		used[r.Endpoint.ID] = list[source].ID
 	}
 }
+
+// TestLostEndpointKeepsItsLoad has the list lose an endpoint and find it again: its load is that of the requests that run there, of this
+// entry and of a peer.
+func TestLostEndpointKeepsItsLoad(t *testing.T) {
+	now := time.Now()
+	p, list := unevenPlacer(soundPause, soundPause)
+	r := placeAt(t, p, now, longDemand, "e0")
+	p.SetEndpoints(list[1:])
+	p.Observe(now, "peer", map[uint64]Use{list[0].Key(): {Requests: 2}})
+	assert.Equal(t, p.LoadOf(now, "e0").Requests, 3)
+	assert.Equal(t, p.OwnUse()[list[0].Key()].Requests, 1)
+	assert.Assert(t, !p.IsAvailable("e0"))
+	p.SetEndpoints(list)
+	assert.Assert(t, p.IsAvailable("e0"))
+	assert.Equal(t, p.LoadOf(now, "e0").Requests, 3)
+	r.Done(now, OutcomeGood)
+	assert.Equal(t, p.LoadOf(now, "e0").Requests, 2)
+}
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -186,11 +186,11 @@
 	return c + readerCost
 }
 
-// LoadOf returns the load of an endpoint, of all entries; zero for one that is not listed.
+// LoadOf returns the load of an endpoint, of all entries; zero for one that is not listed and was not until lately.
 func (p *Placer) LoadOf(now time.Time, id string) Use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.endpoints[id]
+	s, ok := p.known(id)
 	if !ok {
 		return Use{}
 	}
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -184,6 +184,8 @@
 	reportedLeaving bool
 	// saidLeaving is true once the endpoint said in an answer that it drains.
 	saidLeaving bool
+	// goneAt is when the list lost the endpoint; zero while it is listed.
+	goneAt time.Time
 	// own is the load that this entry has placed.
 	own Use
 	// reported is the load that peers have reported within peerUsesTTL.
@@ -242,7 +244,9 @@
 func (s *endpointState) isDeferred(now time.Time) bool { return now.Before(s.deferredUntil) }
 
 // isDraining reports whether the platform, a peer or the endpoint itself says that it is draining.
-func (s *endpointState) isDraining() bool { return s.Leaving || s.reportedLeaving || s.saidLeaving }
+func (s *endpointState) isDraining() bool {
+	return s.Leaving || s.reportedLeaving || s.saidLeaving || !s.goneAt.IsZero()
+}
 
 // memoryLimits are limits on an endpoint's memory, as shares of it.
 type memoryLimits struct {
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -16,7 +16,9 @@
 	endpoints map[string]*endpointState
 	// services holds the endpoints of each service, sorted by ID.
 	services map[string][]*endpointState
-	// byKey holds endpoints by Key.
+	// departing holds endpoints that the list no longer has, by ID, for departingMemory: generations may still run there.
+	departing map[string]*endpointState
+	// byKey holds the endpoints of both by Key.
 	byKey map[uint64]*endpointState
 	peers map[string]peerUses
 	// nextExpiry is when the first of the peers' reports expires; zero without reports.
@@ -62,6 +64,7 @@
 	p := &Placer{
 		domain:      domain,
 		endpoints:   make(map[string]*endpointState),
+		departing:   make(map[string]*endpointState),
 		services:    make(map[string][]*endpointState),
 		byKey:       make(map[uint64]*endpointState),
 		peers:       make(map[string]peerUses),
@@ -91,23 +94,32 @@
 	anyDeparted := false
 	for _, e := range list {
 		s, known := p.endpoints[e.ID]
+		if !known {
+			s, known = p.returned(e)
+		}
 		if !known || s.StartMillis != e.StartMillis {
 			_, saidLeaving := p.saidLeaving[e.Key()]
 			s = &endpointState{saidLeaving: saidLeaving, reported: p.sumReports(e.Key())}
 		}
 		anyDeparted = anyDeparted || e.Leaving && !s.Leaving
 		previous := s.Endpoint
+		if !s.goneAt.IsZero() {
+			previous, s.goneAt = Endpoint{}, time.Time{}
+		}
 		s.Endpoint, s.key = e, e.Key()
 		p.observeListed(now, s, previous)
 		next[e.ID] = s
 		byKey[s.key] = s
 		services[e.Service] = append(services[e.Service], s)
 	}
-	for id := range p.endpoints {
+	for id, s := range p.endpoints {
 		if _, stays := next[id]; !stays {
 			anyDeparted = true
+			s.goneAt = now
+			p.departing[id] = s
 		}
 	}
+	p.keepDeparting(now, byKey)
 	for _, states := range services {
 		sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
 	}
@@ -183,14 +195,14 @@
 	return list
 }
 
-// OwnUse returns this entry's own load, by the endpoint's Key.
+// OwnUse returns this entry's own load, by the endpoint's Key, with that of endpoints that were listed until lately.
 func (p *Placer) OwnUse() map[uint64]Use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	uses := make(map[uint64]Use)
-	for _, s := range p.endpoints {
+	for key, s := range p.byKey {
 		if s.own != (Use{}) {
-			uses[s.key] = s.own
+			uses[key] = s.own
 		}
 	}
 	return uses
