The bound on pauses by which endpoints count as uneven ages

Cause: a service's shortest bound on pauses was kept for ever, so a single stream with a short one made its endpoints uneven for as long as the process lived.

TestBoundOfFormerStreamsIsForgotten fails on the former code.

--- /dev/null
+++ b/toucanpace/bound_test.go
@@ -0,0 +1,45 @@
+package toucanpace
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestBoundAges compares the bound with the list of all streams: one of the last boundLife counts, one before twice that time does not.
+func TestBoundAges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type stream struct {
+			at    time.Time
+			bound time.Duration
+		}
+		var b Bound
+		var streams []stream
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 40).Draw(t, "streams") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+			bound := time.Duration(rapid.IntRange(0, 300).Draw(t, "bound")) * time.Millisecond
+			b.Observe(now, bound)
+			streams = append(streams, stream{now, bound})
+			later := now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "later")) * time.Second)
+			var least, allowed time.Duration
+			for _, s := range streams {
+				age := later.Sub(s.at)
+				if age < boundLife {
+					least = shorter(least, s.bound)
+				}
+				if age < 2*boundLife {
+					allowed = shorter(allowed, s.bound)
+				}
+			}
+			got := b.Shortest(later)
+			if least > 0 {
+				assert.Assert(t, got > 0 && got <= least, "%s, least %s", got, least)
+			}
+			assert.Assert(t, got >= allowed, "%s, allowed %s", got, allowed)
+			now = later
+		}
+	})
+}
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -97,7 +97,7 @@
 	q := p.newSearch(now, service, d, allowed, opts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.learnGap(service, d.MaxGap)
+	p.learnGap(now, service, d.MaxGap)
 	best, why, err := p.choose(q)
 	if err != nil {
 		return nil, err
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -76,18 +76,33 @@
 	return 0
 }
 
-// learnGap keeps the shortest bound on pauses of a service's streams. The caller holds p.mu.
-func (p *Placer) learnGap(service string, gap time.Duration) {
-	if shortest, ok := p.gaps[service]; gap > 0 && (!ok || gap < shortest) {
-		p.gaps[service] = gap
+// learnGap records a bound on pauses among a service's streams; zero is none. The caller holds p.mu.
+func (p *Placer) learnGap(now time.Time, service string, gap time.Duration) {
+	if gap <= 0 {
+		return
 	}
+	b, ok := p.gaps[service]
+	if !ok {
+		b = &toucanpace.Bound{}
+		p.gaps[service] = b
+	}
+	b.Observe(now, gap)
+}
+
+// shortestGap returns the shortest bound on pauses among a service's streams of lately; zero if there is none. The caller holds p.mu.
+func (p *Placer) shortestGap(now time.Time, service string) time.Duration {
+	b, ok := p.gaps[service]
+	if !ok {
+		return 0
+	}
+	return b.Shortest(now)
 }
 
 // isUneven marks the endpoints of a service at which a prompt makes streams beside it late in slow moments, and reports whether
 // there are some and others at which it does not. The caller holds p.mu.
 func (p *Placer) isUneven(now time.Time, service string) bool {
-	gap, ok := p.gaps[service]
-	if !ok {
+	gap := p.shortestGap(now, service)
+	if gap == 0 {
 		return false
 	}
 	bound := time.Duration(pauseMargin * float64(gap))
@@ -219,7 +234,7 @@
 func (p *Placer) paceChoice(q search, s *endpointState, u Use) PaceChoice {
 	forecast, _ := p.paces.Forecast(q.now, s.key)
 	harms := s.breaksGap && u.Exposed > 0 && !q.copied
-	return PaceChoice{Uneven: true, Harms: harms, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.gaps[q.service], Exposed: u.Exposed, Cost: q.paceCost(s, u)}
+	return PaceChoice{Uneven: true, Harms: harms, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.shortestGap(q.now, q.service), Exposed: u.Exposed, Cost: q.paceCost(s, u)}
 }
 
 // PlaceBetter is PlaceCopy for a stream that runs at an endpoint that takes further requests, for its pace: because the prompts of
--- a/toucanplace/pace_test.go
+++ b/toucanplace/pace_test.go
@@ -184,6 +184,20 @@
 	assert.Equal(t, r.Endpoint.ID, "e0")
 }
 
+// TestBoundOfFormerStreamsIsForgotten has streams with a bound that endpoints break, and an hour later only such with a longer one, which
+// none breaks.
+func TestBoundOfFormerStreamsIsForgotten(t *testing.T) {
+	now := time.Now()
+	p, _ := unevenPlacer(brokenPause, soundPause)
+	placeAt(t, p, now, longDemand, "e0").Done(now, OutcomeGood)
+	assert.Assert(t, p.IsUneven(now, "s"))
+	now = now.Add(time.Hour)
+	patient := longDemand
+	patient.MaxGap = time.Second
+	placeAt(t, p, now, patient, "e0").Done(now, OutcomeGood)
+	assert.Assert(t, !p.IsUneven(now, "s"))
+}
+
 // TestStreamsMoveAwayFromPrompts has a long stream at a slow endpoint that begins to read a prompt, and another one that reads none.
 func TestStreamsMoveAwayFromPrompts(t *testing.T) {
 	now := time.Now()
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"toucanport/toucanpace"
 )
 
 // Placer tracks the load of all endpoints and reserves capacity on them. It is safe for concurrent use.
@@ -35,7 +37,7 @@
 	limits RateLimits
 	// paces forecasts pauses, and gaps holds the shortest bound on pauses among the streams of each service.
 	paces Paces
-	gaps  map[string]time.Duration
+	gaps  map[string]*toucanpace.Bound
 	cold  coldGuard
 }
 
@@ -74,7 +76,7 @@
 		changed:     make(chan struct{}),
 		limits:      unlimited{},
 		paces:       noPaces{},
-		gaps:        make(map[string]time.Duration),
+		gaps:        make(map[string]*toucanpace.Bound),
 	}
 	for _, opt := range opts {
 		opt(p)
