--- a/toucanpace/bound.go
+++ b/toucanpace/bound.go
@@ -9,8 +9,8 @@
 // Bound is the shortest bound on pauses among the streams of lately. The zero value knows of no stream. It is not safe for concurrent
 // use.
 type Bound struct {
-	// began is the start of the current span of boundLife.
-	began time.Time
+	// span is the number of the current span of boundLife.
+	span int64
 	// current and previous are the shortest bounds of the two spans; zero for none.
 	current, previous time.Duration
 }
@@ -30,17 +30,18 @@
 	return shorter(b.current, b.previous)
 }
 
-// advance begins a new span when the current one is over.
+// advance moves on to the span of now.
 func (b *Bound) advance(now time.Time) {
-	age := now.Sub(b.began)
-	if age < boundLife {
+	span := now.UnixNano() / int64(boundLife)
+	switch {
+	case span <= b.span:
 		return
+	case span == b.span+1:
+		b.previous, b.current = b.current, 0
+	default:
+		b.previous, b.current = 0, 0
 	}
-	b.previous, b.current = b.current, 0
-	if age >= 2*boundLife {
-		b.previous = 0
-	}
-	b.began = now
+	b.span = span
 }
 
 // shorter returns the shorter one of two bounds, of which zero is none.
