--- a/toucanpace/bound.go
+++ b/toucanpace/bound.go
@@ -11,7 +11,7 @@
 type Bound struct {
 	// span is the number of the current span of boundLife.
 	span int64
-	// current and previous are the shortest bounds of the two spans; zero for none.
+	// current and previous are the shortest bounds of this span and of the one before; zero for none.
 	current, previous time.Duration
 }
 
