One peer's word makes no endpoint cold that others reach

Cause: an endpoint that one peer couldn't reach counted as maybe cold at every entry, for its cold time and 2.5 s. So a single entry with a broken link held back all others at every endpoint with a limit for cold ones.

Change: an entry counts the peers that report the endpoint as unreachable against those that have requests there, and itself, if it has requests there or got an answer within 0.5 s. Only if more miss it than reach it, or nobody reaches it, can the endpoint have started again without notice. Peers repeat their word in each report, so a word that comes before the others' requests have failed counts again. The cost of such an endpoint is as before.

Weighed: a majority of all entries; most have no request at an endpoint in a given second, so it would never be reached, and the limit would not hold after an unlisted start. Three cases of TestOnePeerAloneMakesNoEndpointCold fail on the former rule.

--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -238,7 +238,7 @@
 	s.placer.Observe(now, r.GetSender(), usesByEndpoint(r))
 	s.applyPaces(now, r)
 	s.applyRanks(now, r)
-	s.placer.MarkUnreachable(now, r.GetUnreachable())
+	s.placer.MarkUnreachable(now, r.GetSender(), r.GetUnreachable())
 	s.placer.SetReportedLeaving(leaving)
 	return true
 }
--- a/toucanplace/avoid.go
+++ b/toucanplace/avoid.go
@@ -61,21 +61,47 @@
 	return keys
 }
 
-// MarkUnreachable adds a cost for a short time to endpoints that a peer reports as unreachable, given their Keys.
-func (p *Placer) MarkUnreachable(now time.Time, keys []uint64) {
+// MarkUnreachable adds a cost for a short time to endpoints that a peer reports as unreachable, given their Keys. It is called after
+// Observe with the same report.
+func (p *Placer) MarkUnreachable(now time.Time, peer string, keys []uint64) {
 	if len(keys) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	reported := p.peers[peer]
+	reported.unreachable = keys
+	p.peers[peer] = reported
 	for _, s := range p.endpoints {
-		if slices.Contains(keys, s.key) {
-			s.peerSuspectUntil = now.Add(peerSuspectDuration)
+		if !slices.Contains(keys, s.key) {
+			continue
+		}
+		s.peerSuspectUntil = now.Add(peerSuspectDuration)
+		if !p.mostReach(now, s) {
 			s.suspectCold(now)
 		}
 	}
 }
 
+// mostReach reports whether at least half of the entries that have requests at an endpoint, or can't reach it, do reach it. This entry
+// also reaches it if it got an answer within reachedMemory. The caller holds p.mu.
+func (p *Placer) mostReach(now time.Time, s *endpointState) bool {
+	p.expirePeers(now)
+	reach, miss := 0, 0
+	if s.own.Requests > 0 || now.Sub(s.answeredAt) < reachedMemory {
+		reach++
+	}
+	for _, reported := range p.peers {
+		switch {
+		case slices.Contains(reported.unreachable, s.key):
+			miss++
+		case reported.uses[s.key].Requests > 0:
+			reach++
+		}
+	}
+	return reach >= miss && reach > 0
+}
+
 // Suspect adds a high cost for a time to an endpoint that does not answer.
 func (p *Placer) Suspect(now time.Time, id string) {
 	p.mu.Lock()
--- a/toucanplace/cold_test.go
+++ b/toucanplace/cold_test.go
@@ -109,6 +109,53 @@
 	})
 }
 
+// TestOnePeerAloneMakesNoEndpointCold has peers report an endpoint as unreachable while others have requests there: only if they are most,
+// or nobody reaches it, can the endpoint have started again without notice.
+func TestOnePeerAloneMakesNoEndpointCold(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		missing, using  int
+		answered, isOwn bool
+		limited         bool
+	}{
+		{"one peer is cut off", 1, 2, false, false, false},
+		{"one peer, and an answer", 1, 0, true, false, false},
+		{"one peer, and an own request", 1, 0, false, true, false},
+		{"most peers", 2, 1, false, false, true},
+		{"nobody else uses it", 1, 0, false, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				placers := newColdPlacers()
+				p := placers[0]
+				e := Endpoint{ID: "e", Service: "s", Slots: 500, ColdLimit: coldTestLimit, ColdTime: time.Second}
+				p.SetEndpoints([]Endpoint{e})
+				time.Sleep(2 * newcomerTime)
+				r, err := p.Place(time.Now(), "s", Demand{}, nil)
+				assert.NilError(t, err)
+				if !tc.isOwn {
+					r.Done(time.Now(), OutcomeNeutral)
+				}
+				if tc.answered {
+					answered, err := p.Place(time.Now(), "s", Demand{}, nil)
+					assert.NilError(t, err)
+					answered.Done(time.Now(), OutcomeGood)
+				}
+				for i := range tc.using {
+					p.Observe(time.Now(), fmt.Sprint("using", i), map[uint64]Use{e.Key(): {Requests: 1}})
+				}
+				for i := range tc.missing {
+					peer := fmt.Sprint("missing", i)
+					p.Observe(time.Now(), peer, map[uint64]Use{e.Key(): {Requests: 1}})
+					p.MarkUnreachable(time.Now(), peer, []uint64{e.Key()})
+				}
+				n := sendAll(t, placers[:1])
+				assert.Equal(t, n <= coldTestLimit, tc.limited, "%d requests", n)
+			})
+		})
+	}
+}
+
 // TestNewcomerSendsNothingToColdEndpoints checks that an entry that has started leaves endpoints out that say that they are cold, and
 // uses them afterwards, and that those of other cells stay left out.
 func TestNewcomerSendsNothingToColdEndpoints(t *testing.T) {
--- a/toucanplace/peers.go
+++ b/toucanplace/peers.go
@@ -6,6 +6,8 @@
 type peerUses struct {
 	at   time.Time
 	uses map[uint64]Use
+	// unreachable holds the Keys of the endpoints that the peer can't reach.
+	unreachable []uint64
 }
 
 // Observe replaces a peer's load with its newest report, and drops reports older than peerUsesTTL.
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -154,6 +154,8 @@
 	peerSuspectCost = 1
 	// peerSuspectDuration is how long peerSuspectCost applies after a peer's report.
 	peerSuspectDuration = 500 * time.Millisecond
+	// reachedMemory is how long an answer shows that an endpoint can be reached.
+	reachedMemory = 500 * time.Millisecond
 	// limitedCopyCost is the cost of an endpoint with a limit on requests a second as the target of a copy. The request that
 	// resumes the generation there exceeds the limit for a while.
 	limitedCopyCost = 3
@@ -199,6 +201,8 @@
 	peerSuspectUntil time.Time
 	// deferredUntil is the time until which the endpoint has asked this entry for no requests.
 	deferredUntil time.Time
+	// answeredAt is when the endpoint last answered this entry without a failure.
+	answeredAt time.Time
 	// unreachableInARow counts the failures to reach the endpoint since its last success.
 	unreachableInARow int
 	// breaksGap is true if a prompt makes streams beside it late in slow moments. isUneven sets it.
@@ -235,6 +239,7 @@
 		outcome = 1
 	} else {
 		s.unreachableInARow = 0
+		s.answeredAt = now
 	}
 	s.failures = s.failureShare(now)*(1-failureGain) + outcome*failureGain
 	s.failuresAt = now
