A choice drops expired reports once, and describes only the endpoint that it ends with

Cause: BenchmarkPlaceUneven (130 endpoints) was to take 20 µs. The profile had copies of the search and of the verdict for each endpoint, a check for expired reports for each, and a description with a forecast for each best so far.

Change: these are passed by pointer, made once, or left to the end.

--- a/toucanplace/assess.go
+++ b/toucanplace/assess.go
@@ -82,7 +82,7 @@
 		return LeftOutDraining, 0
 	case s.OtherCell && !otherCells:
 		return LeftOutOtherCell, 0
-	case !q.allowed(s.Endpoint):
+	case q.allowed != nil && !q.allowed(s.Endpoint):
 		return LeftOutTried, 0
 	case s.Evacuated:
 		return LeftOutEvacuated, 0
@@ -101,22 +101,22 @@
 	return LeftOutNone, wait
 }
 
-// assess returns the verdict on one endpoint. uneven is the result of isUneven. The caller holds p.mu.
-func (p *Placer) assess(q *search, s *endpointState, otherCells, uneven bool) Verdict {
-	leftOut, wait := p.leftOut(q, s, otherCells)
-	if leftOut != LeftOutNone {
-		return Verdict{LeftOut: leftOut}
+// assess sets v to the verdict on one endpoint. uneven is the result of isUneven. The caller holds p.mu and has dropped the reports that
+// have expired.
+func (p *Placer) assess(q *search, s *endpointState, otherCells, uneven bool, v *Verdict) {
+	*v = Verdict{}
+	if v.LeftOut, v.SlotWait = p.leftOut(q, s, otherCells); v.LeftOut != LeftOutNone {
+		return
 	}
-	u := p.total(q.now, s)
-	if !s.fits(u, q.demand, q.limits) {
-		return Verdict{LeftOut: LeftOutFull, Use: u}
+	v.Use = s.load()
+	if !s.fits(v.Use, q.demand, q.limits) {
+		v.LeftOut, v.SlotWait = LeftOutFull, 0
+		return
 	}
-	v := Verdict{Use: u, SlotWait: wait}
-	v.Costs = Costs{Load: s.cost(q.now, u), Distance: q.extra(s), Slot: slotWaitCost * wait.Seconds()}
+	v.Costs = Costs{Load: s.cost(q.now, v.Use), Distance: q.extra(s), Slot: slotWaitCost * v.SlotWait.Seconds()}
 	if uneven {
-		v.Costs.Pace = q.paceCost(s, u)
+		v.Costs.Pace = q.paceCost(s, v.Use)
 	}
-	return v
 }
 
 // leftOutCounts counts the endpoints of a service that are left out, by reason.
@@ -168,10 +168,12 @@
 // surveyAmong is Survey with or without the endpoints of other cells. The caller holds p.mu.
 func (p *Placer) surveyAmong(q search, otherCells bool) ([]Assessment, error) {
 	uneven := q.demand.Tokens() > 0 && p.isUneven(q.now, q.service)
+	p.expirePeers(q.now)
 	var counts leftOutCounts
 	list := make([]Assessment, 0, len(p.services[q.service]))
 	for _, s := range p.services[q.service] {
-		v := p.assess(&q, s, otherCells, uneven)
+		var v Verdict
+		p.assess(&q, s, otherCells, uneven, &v)
 		counts[v.LeftOut]++
 		list = append(list, Assessment{Endpoint: s.Endpoint, Verdict: v})
 	}
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -46,7 +46,7 @@
 	now     time.Time
 	service string
 	demand  Demand
-	// allowed accepts the eligible endpoints.
+	// allowed accepts the eligible endpoints; nil accepts all.
 	allowed Filter
 	// limits are those of fits.
 	limits memoryLimits
@@ -109,9 +109,6 @@
 
 // newSearch returns the search of Place.
 func (p *Placer) newSearch(now time.Time, service string, d Demand, allowed Filter, opts []PlaceOption) search {
-	if allowed == nil {
-		allowed = func(Endpoint) bool { return true }
-	}
 	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.domainCost(otherDomainCost)}
 	for _, opt := range opts {
 		opt(&q)
@@ -203,9 +200,6 @@
 // choose selects the endpoint with the lowest cost. It considers endpoints of other entries only if this entry's own
 // endpoints are full, draining or not allowed, and not if the request is too large for them.
 func (p *Placer) choose(q search) (*endpointState, Choice, error) {
-	if q.allowed == nil {
-		q.allowed = func(Endpoint) bool { return true }
-	}
 	best, why, err := p.chooseAmong(q, false)
 	if err == nil || errors.Is(err, ErrTooLarge) || !p.hasOtherCell(q.service) {
 		return best, why, err
@@ -228,16 +222,15 @@
 	best, bestID := (*endpointState)(nil), ""
 	var why Choice
 	var counts leftOutCounts
+	var v Verdict
+	var load Use
 	uneven := q.demand.Tokens() > 0 && p.isUneven(q.now, q.service)
+	p.expirePeers(q.now)
 	for _, s := range p.services[q.service] {
-		v := p.assess(&q, s, otherCells, uneven)
+		p.assess(&q, s, otherCells, uneven, &v)
 		counts[v.LeftOut]++
 		if v.LeftOut == LeftOutNone && why.add(s.ID, bestID, v.Costs.Total()) {
-			best, bestID = s, s.ID
-			why.Unread = v.Use.Unread
-			if uneven {
-				why.Pace = p.paceChoice(q, s, v.Use)
-			}
+			best, bestID, load = s, s.ID, v.Use
 		}
 	}
 	why.Cold = counts[LeftOutCold]
@@ -247,11 +240,15 @@
 	if best == nil {
 		return nil, why, counts.err(q.service)
 	}
+	why.Unread = load.Unread
+	if uneven {
+		why.Pace = p.paceChoice(&q, best, load)
+	}
 	return best, why, nil
 }
 
 // paceCost returns what an endpoint costs because the endpoints of its service are uneven.
-func (q search) paceCost(s *endpointState, u Use) float64 {
+func (q *search) paceCost(s *endpointState, u Use) float64 {
 	if q.chosen {
 		return s.paceMoveCost(u, q.demand)
 	}
@@ -264,5 +261,8 @@
 // total returns the load of an endpoint: this entry's own and what its peers reported within peerUsesTTL.
 func (p *Placer) total(now time.Time, s *endpointState) Use {
 	p.expirePeers(now)
-	return s.own.plus(s.reported)
+	return s.load()
 }
+
+// load returns the load of the endpoint if no report has expired.
+func (s *endpointState) load() Use { return s.own.plus(s.reported) }
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -231,7 +231,7 @@
 }
 
 // paceChoice describes the selection of an endpoint with the load u. The caller holds p.mu.
-func (p *Placer) paceChoice(q search, s *endpointState, u Use) PaceChoice {
+func (p *Placer) paceChoice(q *search, s *endpointState, u Use) PaceChoice {
 	forecast, _ := p.paces.Forecast(q.now, s.key)
 	harms := s.breaksGap && u.Exposed > 0 && !q.copied
 	return PaceChoice{Uneven: true, Harms: harms, Pause: forecast.Pause, FirstEvent: s.firstEventTime(u, q.demand), Bound: p.shortestGap(q.now, q.service), Exposed: u.Exposed, Cost: q.paceCost(s, u)}
