Merge: streams at endpoints that drain together, bounds and doubts that age, costs of uneven endpoints apart

Change: draining endpoints share out the targets of their copies; entries wait for their turn while generations leave; a lost endpoint keeps its load for 10 s. The bound on pauses ages; one peer's word makes no endpoint cold; the choice describes only where it ends.

--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -46,7 +46,7 @@
 	now     time.Time
 	service string
 	demand  Demand
-	// allowed accepts the eligible endpoints.
+	// allowed accepts the eligible endpoints; nil accepts all.
 	allowed Filter
 	// limits are those of fits.
 	limits memoryLimits
@@ -97,7 +97,7 @@
 	q := p.newSearch(now, service, d, allowed, opts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.learnGap(service, d.MaxGap)
+	p.learnGap(now, service, d.MaxGap)
 	best, why, err := p.choose(q)
 	if err != nil {
 		return nil, err
@@ -109,9 +109,6 @@
 
 // newSearch returns the search of Place.
 func (p *Placer) newSearch(now time.Time, service string, d Demand, allowed Filter, opts []PlaceOption) search {
-	if allowed == nil {
-		allowed = func(Endpoint) bool { return true }
-	}
 	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.domainCost(otherDomainCost)}
 	for _, opt := range opts {
 		opt(&q)
@@ -151,13 +148,17 @@
 
 // PlaceCopy is Place for a generation whose memory is copied from another endpoint. It prefers the source's failure
 // domain, where copies take half the time, and endpoints without a limit on requests a second. It varies the cost by source
-// and target, so that two endpoints that drain together don't copy to the same target. It can fill memory beyond the limit of
-// Place.
+// and target, so that two endpoints that drain together don't copy to the same target; uneven ones share the targets out. It can
+// fill memory beyond the limit of Place.
 func (p *Placer) PlaceCopy(now time.Time, from Endpoint, d Demand, allowed Filter) (*Reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	extra := p.copyCost(from)
+	if p.isUneven(now, from.Service) {
+		extra = p.drainCost(now, from, extra)
+	}
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: p.copyCost(from), copied: true,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: extra, copied: true,
 		limits: memoryLimits{end: copyShare, taken: copyTakenShare},
 	})
 	if err != nil {
@@ -199,9 +200,6 @@
 // choose selects the endpoint with the lowest cost. It considers endpoints of other entries only if this entry's own
 // endpoints are full, draining or not allowed, and not if the request is too large for them.
 func (p *Placer) choose(q search) (*endpointState, Choice, error) {
-	if q.allowed == nil {
-		q.allowed = func(Endpoint) bool { return true }
-	}
 	best, why, err := p.chooseAmong(q, false)
 	if err == nil || errors.Is(err, ErrTooLarge) || !p.hasOtherCell(q.service) {
 		return best, why, err
@@ -224,16 +222,15 @@
 	best, bestID := (*endpointState)(nil), ""
 	var why Choice
 	var counts leftOutCounts
+	var v Verdict
+	var load Use
 	uneven := q.demand.Tokens() > 0 && p.isUneven(q.now, q.service)
+	p.expirePeers(q.now)
 	for _, s := range p.services[q.service] {
-		v := p.assess(&q, s, otherCells, uneven)
+		p.assess(&q, s, otherCells, uneven, &v)
 		counts[v.LeftOut]++
 		if v.LeftOut == LeftOutNone && why.add(s.ID, bestID, v.Costs.Total()) {
-			best, bestID = s, s.ID
-			why.Unread = v.Use.Unread
-			if uneven {
-				why.Pace = p.paceChoice(q, s, v.Use)
-			}
+			best, bestID, load = s, s.ID, v.Use
 		}
 	}
 	why.Cold = counts[LeftOutCold]
@@ -243,22 +240,30 @@
 	if best == nil {
 		return nil, why, counts.err(q.service)
 	}
+	why.Unread = load.Unread
+	if uneven {
+		why.Pace = p.paceChoice(&q, best, load)
+	}
 	return best, why, nil
 }
 
 // paceCost returns what an endpoint costs because the endpoints of its service are uneven.
-func (q search) paceCost(s *endpointState, u Use) float64 {
+func (q *search) paceCost(s *endpointState, u Use) float64 {
+	load, stream := u.paceLoad(), q.demand.stream()
 	if q.chosen {
-		return s.paceMoveCost(u, q.demand)
+		return s.pace.MoveCost(load, stream)
 	}
 	if q.copied {
-		return s.paceCopyCost(u, q.demand)
+		return s.pace.CopyCost(load, stream)
 	}
-	return s.paceCost(u, q.demand)
+	return s.pace.PlaceCost(load, stream)
 }
 
 // total returns the load of an endpoint: this entry's own and what its peers reported within peerUsesTTL.
 func (p *Placer) total(now time.Time, s *endpointState) Use {
 	p.expirePeers(now)
-	return s.own.plus(s.reported)
+	return s.load()
 }
+
+// load returns the load of the endpoint if no report has expired.
+func (s *endpointState) load() Use { return s.own.plus(s.reported) }
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -10,6 +10,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"toucanport/toucanuneven"
 )
 
 var (
@@ -154,6 +156,8 @@
 	peerSuspectCost = 1
 	// peerSuspectDuration is how long peerSuspectCost applies after a peer's report.
 	peerSuspectDuration = 500 * time.Millisecond
+	// reachedMemory is how long an answer shows that an endpoint can be reached.
+	reachedMemory = 500 * time.Millisecond
 	// limitedCopyCost is the cost of an endpoint with a limit on requests a second as the target of a copy. The request that
 	// resumes the generation there exceeds the limit for a while.
 	limitedCopyCost = 3
@@ -184,6 +188,8 @@
 	reportedLeaving bool
 	// saidLeaving is true once the endpoint said in an answer that it drains.
 	saidLeaving bool
+	// goneAt is when the list lost the endpoint; zero while it is listed.
+	goneAt time.Time
 	// own is the load that this entry has placed.
 	own Use
 	// reported is the load that peers have reported within peerUsesTTL.
@@ -197,18 +203,13 @@
 	peerSuspectUntil time.Time
 	// deferredUntil is the time until which the endpoint has asked this entry for no requests.
 	deferredUntil time.Time
+	// answeredAt is when the endpoint last answered this entry without a failure.
+	answeredAt time.Time
 	// unreachableInARow counts the failures to reach the endpoint since its last success.
 	unreachableInARow int
-	// breaksGap is true if a prompt makes streams beside it late in slow moments. isUneven sets it.
-	breaksGap bool
-	// paceKnown is false if breaksGap follows from the pace of most endpoints. isUneven sets it.
-	paceKnown bool
-	// readTime is the forecast of the time in which the endpoint reads a thousand tokens of prompts; zero if it is unknown. isUneven
-	// sets it.
-	readTime time.Duration
-	cold     coldState
-	// harmCost is the cost of a prompt for each exposed stream beside it. isUneven sets it.
-	harmCost float64
+	// pace compares the endpoint with the shortest bound on pauses. isUneven sets it.
+	pace toucanuneven.Endpoint
+	cold coldState
 }
 
 // suspect adds failureCost to the endpoint's cost for a time that doubles with each call in a row.
@@ -233,6 +234,7 @@
 		outcome = 1
 	} else {
 		s.unreachableInARow = 0
+		s.answeredAt = now
 	}
 	s.failures = s.failureShare(now)*(1-failureGain) + outcome*failureGain
 	s.failuresAt = now
@@ -242,7 +244,9 @@
 func (s *endpointState) isDeferred(now time.Time) bool { return now.Before(s.deferredUntil) }
 
 // isDraining reports whether the platform, a peer or the endpoint itself says that it is draining.
-func (s *endpointState) isDraining() bool { return s.Leaving || s.reportedLeaving || s.saidLeaving }
+func (s *endpointState) isDraining() bool {
+	return s.Leaving || s.reportedLeaving || s.saidLeaving || !s.goneAt.IsZero()
+}
 
 // memoryLimits are limits on an endpoint's memory, as shares of it.
 type memoryLimits struct {
