toucancrash: the requests that may end engines leave toucanforward

Ruled out: adding it to toucanquarantine, which decides on evidence and is pure; this one probes endpoints and ends requests. Change: toucancrash watches the requests that engines have begun; the server tells it of starts, breaks, events and answers. place.go changes in one call. The part of a stream that is being relayed is held by value in the request, so that the relay adds no allocation.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -28,7 +28,7 @@
 // a 5xx status: that answer is delivered if no retry succeeds. It has released the reservation unless the answer is a stream or is not
 // read to its end yet.
 func (s *Server) attempt(ctx context.Context, j *job, reservation *toucanplace.Reservation) (*answer, *toucanrefusal.Failure) {
-	if !s.beginStart(j) {
+	if !s.begin(j) {
 		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
 		return nil, &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, NotRun: true, Unsent: true, Err: toucanquarantine.ErrQuarantined}
 	}
@@ -39,7 +39,7 @@
 		f := toucanrefusal.NewFailure(reservation.Endpoint.ID, err)
 		reservation.Done(time.Now(), f.Outcome(ctx))
 		if !f.Unsent && ctx.Err() == nil {
-			s.recordBreak(j, reservation.Endpoint, 0)
+			s.watch.RecordBreak(&j.started, reservation.Endpoint, j.startedAt, 0)
 		}
 		return nil, f
 	}
@@ -62,6 +62,12 @@
 	return s.readAnswer(ctx, j, reservation, resp, headers)
 }
 
+// begin records that an attempt begins. It returns false if the request must not be sent to an engine.
+func (s *Server) begin(j *job) bool {
+	j.startedAt = time.Now()
+	return s.watch.Begin(&j.started)
+}
+
 // recordHints applies what an endpoint's answer to a request that was sent at sentAt says about further requests: how long
 // it wants none, that it drains, and how many a second it takes.
 func (s *Server) recordHints(e toucanplace.Endpoint, sentAt time.Time, headers Answer) {
@@ -152,7 +158,7 @@
 		f := &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, Err: err}
 		reservation.Done(time.Now(), f.Outcome(ctx))
 		if ctx.Err() == nil {
-			s.recordBreak(j, reservation.Endpoint, 0)
+			s.watch.RecordBreak(&j.started, reservation.Endpoint, j.startedAt, 0)
 		}
 		return nil, f
 	}
@@ -163,7 +169,7 @@
 		a.rest = resp
 	}
 	if headers.Genuine && headers.Named {
-		s.recordWholeAnswer(j, a.Status)
+		s.watch.RecordWhole(&j.started, a.Status)
 	}
 	f := checkAnswer(reservation, headers, a)
 	if f == nil {
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -37,7 +37,7 @@
 	until := now.Add(j.maxWait(now))
 	defer s.queue.remove(j)
 	for held := false; ; held = true {
-		if s.isQuarantined(j) {
+		if s.watch.IsQuarantined(&j.started) {
 			return nil, toucanquarantine.ErrQuarantined
 		}
 		freed := s.placer.Freed()
--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -102,7 +102,7 @@
 		}
 		b = newBrokenStream(b.brokenAt, next, err)
 		if errors.Is(err, toucanupstream.ErrLost) {
-			s.recordBreak(j, next, seen.Count())
+			s.watch.RecordBreak(&j.started, next, j.startedAt, seen.Count())
 		}
 	}
 }
@@ -129,7 +129,7 @@
 	}
 	h := toucangeneration.Handover{Reservation: reservation, StoppedAt: b.brokenAt}
 	h.Source, h.Handle, err = s.stopBroken(ctx, j, b, reservation.Endpoint)
-	if err == nil && !j.proven && !s.beginStart(j) {
+	if err == nil && !j.started.IsProven() && !s.begin(j) {
 		err = toucanquarantine.ErrQuarantined
 	}
 	if err != nil {
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"toucanport/toucanbody"
+	"toucanport/toucancrash"
 	"toucanport/toucangeneration"
 	"toucanport/toucanlatestop"
 	"toucanport/toucanlog"
@@ -53,7 +54,7 @@
 	queue       waitQueue
 	ranks       *toucanrank.Table
 	quarantine  *toucanquarantine.Table
-	starting    startingRequests
+	watch       *toucancrash.Watch
 	limits      *toucanrate.Limits
 	paces       *toucanpace.Learner
 	returns     *toucanrate.Returns
@@ -120,6 +121,7 @@
 		budget:     cfg.Budget,
 		log:        cfg.Log,
 		quarantine: cfg.Quarantine,
+		watch:      toucancrash.New(cfg.Quarantine, cfg.Pool, cfg.Log),
 		limits:     cfg.Limits,
 		paces:      newPaces(cfg.Paces),
 		returns:    toucanrate.NewReturns(),
@@ -145,6 +147,9 @@
 	s.generations.Move(ctx)
 }
 
+// RunQuarantine ends the requests that fall under a new quarantine. It returns when ctx ends.
+func (s *Server) RunQuarantine(ctx context.Context) { s.watch.Run(ctx) }
+
 // job is the state of one caller's request. Only the request's own goroutine changes it.
 type job struct {
 	Request
@@ -198,23 +203,18 @@
 	tried map[string]bool
 	// progress ends the request when the server stops, and when it is quarantined.
 	progress toucanstop.Handle
-	// brokenStarts counts the connections to endpoints that broke before the request was proven. Without shared parts, only
-	// those to endpoints that have ended count.
-	brokenStarts int
-	// wholePart caches fingerprint; zero until it was needed.
-	wholePart toucanquarantine.Part
-	// allParts caches parts; nil until it was needed.
-	allParts []toucanquarantine.Part
+	// started tells whether the request may be what ends engines. It is set once the body was read.
+	started toucancrash.Request
 	// startedAt is when the last attempt began.
 	startedAt time.Time
 	// admission is why the request was sent to an endpoint while the server stops; empty otherwise.
 	admission toucanstop.Admission
+	// part is the generation while an endpoint makes a part of the stream.
+	part runningPart
 	// out is where endpoints' answers are passed on to the caller.
 	out toucanrelay.Writer
 	// cut is true once the caller's connection is to be aborted.
 	cut bool
-	// proven is true once an engine has answered so far that the request can't be what ends engines.
-	proven bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -243,15 +243,32 @@
 		return
 	}
 	defer s.releaseBody(j)
-	if s.isQuarantined(j) {
+	j.started = toucancrash.NewRequest(j.crashSpec())
+	if s.watch.IsQuarantined(&j.started) {
 		s.refuse(j, toucanrefusal.Quarantined())
 		return
 	}
 	defer j.releaseBackup()
-	defer s.starting.remove(j)
+	defer s.watch.End(&j.started)
 	s.runAttempts(ctx, j)
 }
 
+// crashSpec returns the request's description for toucancrash, which finds the requests that end engines.
+func (j *job) crashSpec() toucancrash.Spec {
+	return toucancrash.Spec{
+		ID:          j.ID,
+		Route:       j.route.Name,
+		Service:     j.service.Name,
+		Workspace:   j.workspace,
+		Key:         j.Key,
+		PromptParts: j.PromptParts,
+		SharedParts: j.SharedParts,
+		In:          j.in,
+		Body:        j.body,
+		Ender:       &j.progress,
+	}
+}
+
 // runAttempts makes attempts until one succeeds or no further one is allowed, and delivers the result.
 func (s *Server) runAttempts(ctx context.Context, j *job) {
 	var endpointAnswer *answer
@@ -288,7 +305,7 @@
 	if !f.NotRun {
 		j.maybeRun++
 	}
-	if ctx.Err() != nil || !j.body.Repeatable() || j.maybeRun >= j.route.MaxAttempts || !s.mayStartAgain(j) {
+	if ctx.Err() != nil || !j.body.Repeatable() || j.maybeRun >= j.route.MaxAttempts || !s.watch.MayStartAgain(&j.started) {
 		return false
 	}
 	if !s.hasEndpointFor(j) {
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -32,7 +32,8 @@
 	stream := toucanrelay.Stream{Writer: &j.out, Events: seen, Ends: s.pool, Resumable: j.route.CanResume()}
 	resp, reservation := a.stream, a.reservation
 	for {
-		err := stream.Pass(ctx, resp, reservation.Endpoint.Address, &runningPart{server: s, job: j, Generation: g, reservation: reservation, seen: seen})
+		j.part = runningPart{server: s, job: j, Generation: g, reservation: reservation, seen: seen}
+		err := stream.Pass(ctx, resp, reservation.Endpoint.Address, &j.part)
 		resp.Close()
 		if err == nil {
 			s.recordFinished(j, a, reservation, g)
@@ -44,7 +45,7 @@
 			return
 		}
 		if ctx.Err() == nil && !g.StopRequested() {
-			s.recordBreak(j, reservation.Endpoint, seen.Count())
+			s.watch.RecordBreak(&j.started, reservation.Endpoint, j.startedAt, seen.Count())
 		}
 		outcome := (&toucanrefusal.Failure{Err: err}).Outcome(ctx)
 		if g.StopRequested() {
@@ -89,7 +90,7 @@
 func (s *Server) recordFinished(j *job, a *answer, reservation *toucanplace.Reservation, g *toucangeneration.Generation) {
 	j.out.WriteHead()
 	reservation.Done(time.Now(), toucanplace.OutcomeGood)
-	s.recordProven(j)
+	s.watch.RecordProven(&j.started)
 	s.recordTimes(j)
 	if !j.callerResumed() {
 		s.estimates.observe(j.route.Name, j.Request, g.GeneratedTokens()) // Otherwise it made only the rest.
@@ -147,9 +148,7 @@
 // Passing updates the progress and the estimate of the generation.
 func (p *runningPart) Passing() {
 	s, j, events := p.server, p.job, p.seen.Count()
-	if events >= provenEvents {
-		s.recordProven(j)
-	}
+	s.watch.RecordEvents(&j.started, events)
 	s.recordPace(j, p.reservation, events)
 	if first, gap := p.Progress(events); first {
 		p.reservation.MarkPromptRead()
@@ -188,7 +187,7 @@
 			return s.resendIfResumable(ctx, j, g, seen, newBrokenStream(brokenAt, h.Reservation.Endpoint, err))
 		}
 	}
-	if !s.mayStartAgain(j) {
+	if !s.watch.MayStartAgain(&j.started) {
 		return nil, nil, toucanquarantine.ErrQuarantined
 	}
 	if s.placer.IsAvailable(g.Endpoint().ID) {
