toucanmesh, toucanregister: the sessions between entries and their list leave toucanpeer

Cause: toucanpeer (1,754 lines without tests and generated code) held what entries know of each other, how it is sent, and their list in the store. Ruled out: moving the messages into a package of their own, which changes the generated descriptor and every row of ranks and paces. Change: toucanpeer keeps the state, its reports and the messages; toucanmesh has the datagrams, the evidence, asks and grants of slots, shared changes of the store and copies; toucanregister keeps the list. ranks.go and pace.go are untouched, as are the messages. 25 tests before and after, each beside what it tests.

--- a/toucanpeer/evidence.go
+++ b/toucanmesh/evidence.go
@@ -1,4 +1,4 @@
-package toucanpeer
+package toucanmesh
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"toucanport/toucanpeer"
 	"toucanport/toucanquarantine"
 )
 
@@ -89,14 +90,14 @@
 }
 
 // evidenceReports returns evidence as reports that fit into datagrams.
-func evidenceReports(now time.Time, e toucanquarantine.Evidence, newest time.Duration) []*Report {
+func evidenceReports(now time.Time, e toucanquarantine.Evidence, newest time.Duration) []*toucanpeer.Report {
 	isOld := func(at time.Time) bool { return newest > 0 && now.Sub(at) > newest }
-	var reports []*Report
-	r := &Report{}
+	var reports []*toucanpeer.Report
+	r := &toucanpeer.Report{}
 	flush := func() {
 		if len(r.GetCrashes())+len(r.GetSounds()) > 0 {
 			reports = append(reports, r)
-			r = &Report{}
+			r = &toucanpeer.Report{}
 		}
 	}
 	for _, c := range e.Crashes {
@@ -112,7 +113,7 @@
 		if isOld(s.At) {
 			continue
 		}
-		r.Sounds = append(r.Sounds, &Sound{Service: s.Service, Part: uint64(s.Part), AgeMillis: ageMillis(now, s.At)})
+		r.Sounds = append(r.Sounds, &toucanpeer.Sound{Service: s.Service, Part: uint64(s.Part), AgeMillis: ageMillis(now, s.At)})
 		if len(r.GetSounds()) == soundsPerReport {
 			flush()
 		}
@@ -123,10 +124,10 @@
 
 func ageMillis(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
 
-func encodeCrash(now time.Time, c toucanquarantine.Crash) *Crash {
-	out := &Crash{Endpoint: c.Endpoint, Service: c.Service, AgeMillis: ageMillis(now, c.At)}
+func encodeCrash(now time.Time, c toucanquarantine.Crash) *toucanpeer.Crash {
+	out := &toucanpeer.Crash{Endpoint: c.Endpoint, Service: c.Service, AgeMillis: ageMillis(now, c.At)}
 	for _, run := range c.Runs {
-		encoded := &CrashRun{Workspace: run.Workspace, LastedMillis: uint32(min(run.Lasted.Milliseconds(), math.MaxUint32))}
+		encoded := &toucanpeer.CrashRun{Workspace: run.Workspace, LastedMillis: uint32(min(run.Lasted.Milliseconds(), math.MaxUint32))}
 		for _, p := range run.Parts {
 			encoded.Parts = append(encoded.Parts, uint64(p))
 		}
@@ -136,7 +137,7 @@
 }
 
 // decodeEvidence returns the evidence in a report that was received at now.
-func decodeEvidence(now time.Time, r *Report) toucanquarantine.Evidence {
+func decodeEvidence(now time.Time, r *toucanpeer.Report) toucanquarantine.Evidence {
 	at := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	var e toucanquarantine.Evidence
 	for _, c := range r.GetCrashes() {
--- a/toucanpeer/evidence_test.go
+++ b/toucanmesh/evidence_test.go
@@ -1,4 +1,4 @@
-package toucanpeer
+package toucanmesh
 
 import (
 	"context"
--- a/toucanpeer/limit.go
+++ b/toucanmesh/limit.go
@@ -1,4 +1,4 @@
-package toucanpeer
+package toucanmesh
 
 import (
 	"math"
@@ -7,6 +7,7 @@
 	"time"
 
 	"toucanport/toucanmember"
+	"toucanport/toucanpeer"
 	"toucanport/toucanplace"
 	"toucanport/toucanrate"
 )
@@ -36,8 +37,8 @@
 
 // Members implements toucanrate.Peers.
 func (m *Mesh) Members(now time.Time) []string {
-	members := m.state.activeWithin(now, memberTimeout)
-	if len(members) == 0 || !m.state.isStopping() {
+	members := m.state.ActiveWithin(now, memberTimeout)
+	if len(members) == 0 || !m.state.IsStopping() {
 		members = append(members, m.name)
 	}
 	slices.Sort(members)
@@ -75,11 +76,11 @@
 }
 
 // ReportSoon implements toucanrate.Peers.
-func (m *Mesh) ReportSoon() { m.state.requestReport() }
+func (m *Mesh) ReportSoon() { m.state.RequestReport() }
 
 // Ask implements toucanrate.Peers.
 func (m *Mesh) Ask(peer string, a toucanrate.Ask) {
-	m.sendSlotMessage(peer, &Report{Ask: &SlotAsk{
+	m.sendSlotMessage(peer, &toucanpeer.Report{Ask: &toucanpeer.SlotAsk{
 		Serial:         a.Serial,
 		PatienceMicros: micros(a.Patience),
 		Limit:          encodeWord(time.Now(), a.Word),
@@ -88,7 +89,7 @@
 }
 
 // sendSlotMessage sends a report with an ask or a grant to a peer, if it is known.
-func (m *Mesh) sendSlotMessage(peer string, r *Report) {
+func (m *Mesh) sendSlotMessage(peer string, r *toucanpeer.Report) {
 	m.mu.Lock()
 	address, ok := m.peers[peer]
 	m.mu.Unlock()
@@ -100,7 +101,7 @@
 }
 
 // applySlotMessage handles the ask or the grant in a report, and reports whether there was one.
-func (m *Mesh) applySlotMessage(now time.Time, r *Report) bool {
+func (m *Mesh) applySlotMessage(now time.Time, r *toucanpeer.Report) bool {
 	if m.limits == nil || r.GetAsk() == nil && r.GetGrant() == nil {
 		return false
 	}
@@ -115,7 +116,7 @@
 		Serial: a.GetSerial(), Patience: fromMicros(a.GetPatienceMicros()), Word: decodeWord(now, a.GetLimit()), Spent: a.GetSpent(),
 	})
 	if ok {
-		m.sendSlotMessage(r.GetSender(), &Report{Grant: &SlotGrant{
+		m.sendSlotMessage(r.GetSender(), &toucanpeer.Report{Grant: &toucanpeer.SlotGrant{
 			Serial: g.Serial, Granted: g.Granted, WaitMicros: micros(g.Wait), NextMicros: micros(g.Next),
 		}})
 	}
@@ -126,19 +127,19 @@
 
 func fromMicros(n uint32) time.Duration { return time.Duration(n) * time.Microsecond }
 
-func encodeWords(now time.Time, words []toucanrate.Word) []*EndpointLimit {
-	list := make([]*EndpointLimit, 0, len(words))
+func encodeWords(now time.Time, words []toucanrate.Word) []*toucanpeer.EndpointLimit {
+	list := make([]*toucanpeer.EndpointLimit, 0, len(words))
 	for _, w := range words {
 		list = append(list, encodeWord(now, w))
 	}
 	return list
 }
 
-func encodeWord(now time.Time, w toucanrate.Word) *EndpointLimit {
-	return &EndpointLimit{Endpoint: w.Endpoint, Limited: w.Limited, PerSecond: w.PerSecond, AgeMillis: ageMillis(now, w.At)}
+func encodeWord(now time.Time, w toucanrate.Word) *toucanpeer.EndpointLimit {
+	return &toucanpeer.EndpointLimit{Endpoint: w.Endpoint, Limited: w.Limited, PerSecond: w.PerSecond, AgeMillis: ageMillis(now, w.At)}
 }
 
-func decodeWords(now time.Time, list []*EndpointLimit) []toucanrate.Word {
+func decodeWords(now time.Time, list []*toucanpeer.EndpointLimit) []toucanrate.Word {
 	words := make([]toucanrate.Word, 0, len(list))
 	for _, l := range list {
 		words = append(words, decodeWord(now, l))
@@ -147,7 +148,7 @@
 }
 
 // decodeWord returns a word in a report that was received at now.
-func decodeWord(now time.Time, l *EndpointLimit) toucanrate.Word {
+func decodeWord(now time.Time, l *toucanpeer.EndpointLimit) toucanrate.Word {
 	at := now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond)
 	return toucanrate.Word{Endpoint: l.GetEndpoint(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(), At: at}
 }
--- a/toucanpeer/mesh.go
+++ b/toucanmesh/mesh.go
@@ -1,4 +1,7 @@
-package toucanpeer
+// Package toucanmesh carries what entries tell each other: reports of their state, evidence, asks for slots and changes of the store by
+// datagram, and copies of the store over connections. Reports are UDP datagrams and each replaces the previous one, so a lost report is
+// repaired by the next. A TCP stream would delay new reports behind the retransmission of stale ones.
+package toucanmesh
 
 import (
 	"context"
@@ -13,13 +16,12 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanmember"
+	"toucanport/toucanpeer"
 )
 
 const (
 	// maxDatagram is the maximum size of a report, in bytes.
 	maxDatagram = 60 << 10
-	// ReportInterval is the time between two reports while nothing changes.
-	ReportInterval = 250 * time.Millisecond
 	// reportGap, multiplied by the number of peers, is the minimum time between two reports. It does not apply to
 	// reports that are requested without delay.
 	reportGap = time.Millisecond
@@ -30,7 +32,7 @@
 	name string
 	// boot is when this process started, in Unix nanoseconds.
 	boot  uint64
-	state *SharedState
+	state *toucanpeer.SharedState
 	conn  *net.UDPConn
 	// snapshotListener accepts connections of peers that fetch this entry's copy of the store.
 	snapshotListener net.Listener
@@ -51,7 +53,7 @@
 }
 
 // Listen returns the mesh of the entry name. It listens at address, with UDP for reports and with TCP for snapshots.
-func Listen(name, address string, state *SharedState, log *slog.Logger, opts ...MeshOption) (*Mesh, error) {
+func Listen(name, address string, state *toucanpeer.SharedState, log *slog.Logger, opts ...MeshOption) (*Mesh, error) {
 	conn, listener, err := listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
@@ -176,7 +178,7 @@
 			// A datagram refused by a peer without a listener can surface here as an error.
 			continue
 		}
-		r := &Report{}
+		r := &toucanpeer.Report{}
 		if err := proto.Unmarshal(buf[:n], r); err != nil || !m.acceptSender(r.GetSender(), from) {
 			continue
 		}
@@ -198,7 +200,7 @@
 }
 
 // apply applies a report of a peer, or the evidence, the ask or the grant in it.
-func (m *Mesh) apply(now time.Time, r *Report) {
+func (m *Mesh) apply(now time.Time, r *toucanpeer.Report) {
 	if r.GetSerial() > 0 {
 		if m.state.Apply(now, r) && m.limits != nil {
 			m.limits.Apply(now, decodeWords(now, r.GetLimits()))
@@ -209,7 +211,7 @@
 		return
 	}
 	if r.GetChanges() != nil {
-		m.state.deliverChanges(decodeBatch(r.GetChanges()))
+		m.state.DeliverChanges(decodeBatch(r.GetChanges()))
 		return
 	}
 	if m.evidence != nil {
@@ -231,7 +233,7 @@
 
 func (m *Mesh) send(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := m.state.placer.Changed()
+		changed := m.state.LoadChanged()
 		peers := m.cellAddresses()
 		m.sendTo(peers)
 		m.state.Expire(time.Now())
@@ -239,16 +241,16 @@
 		timer := time.NewTimer(gap)
 		select {
 		case <-timer.C:
-		case <-m.state.sendNow:
+		case <-m.state.Urgent():
 			timer.Stop()
 			continue
 		case <-ctx.Done():
 		}
-		timer.Reset(max(ReportInterval-gap, gap))
+		timer.Reset(max(toucanpeer.ReportInterval-gap, gap))
 		select {
 		case <-timer.C:
 		case <-changed:
-		case <-m.state.sendNow:
+		case <-m.state.Urgent():
 		case <-ctx.Done():
 		}
 		timer.Stop()
@@ -287,7 +289,7 @@
 var errReportTooLong = errors.New("report does not fit into a datagram")
 
 // sendReport sends a report to peers, or logs why it can't be sent.
-func (m *Mesh) sendReport(peers []netip.AddrPort, r *Report) {
+func (m *Mesh) sendReport(peers []netip.AddrPort, r *toucanpeer.Report) {
 	encoded, err := proto.Marshal(r)
 	if err == nil && len(encoded) > maxDatagram {
 		err = errReportTooLong
--- a/toucanpeer/evacuation.go
+++ b/toucanpeer/evacuation.go
@@ -25,7 +25,7 @@
 	s.evacuations = digest
 	s.mu.Unlock()
 	if changed {
-		s.requestReport()
+		s.RequestReport()
 	}
 }
 
--- a/toucanpeer/movestate.go
+++ b/toucanpeer/movestate.go
@@ -19,7 +19,7 @@
 	}
 	s.mu.Unlock()
 	if !same {
-		s.requestReport()
+		s.RequestReport()
 	}
 }
 
@@ -55,14 +55,14 @@
 	s.mu.Lock()
 	s.copying[endpoint]++
 	s.mu.Unlock()
-	s.requestReport()
+	s.RequestReport()
 	return func() {
 		s.mu.Lock()
 		if s.copying[endpoint]--; s.copying[endpoint] == 0 {
 			delete(s.copying, endpoint)
 		}
 		s.mu.Unlock()
-		s.requestReport()
+		s.RequestReport()
 	}
 }
 
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -1,6 +1,6 @@
-// Package toucanpeer exchanges state between entries: the load that each has placed on endpoints, the endpoints that
-// are draining and the generations being moved. Reports are UDP datagrams and each replaces the previous one, so a lost
-// report is repaired by the next. A TCP stream would delay new reports behind the retransmission of stale ones.
+// Package toucanpeer holds what entries know of each other's state: the load that each has placed on endpoints, the endpoints that
+// are draining, the generations being moved, and what each has of the store. It makes this entry's reports and applies those of its
+// peers; toucanmesh sends them.
 package toucanpeer
 
 import (
@@ -14,8 +14,12 @@
 	"toucanport/toucanrank"
 )
 
-// reportTimeout is how long a peer's last report stays valid.
-const reportTimeout = 2 * time.Second
+const (
+	// ReportInterval is the time between two reports while nothing changes.
+	ReportInterval = 250 * time.Millisecond
+	// reportTimeout is how long a peer's last report stays valid.
+	reportTimeout = 2 * time.Second
+)
 
 // SharedState holds this entry's state for its peers and the latest report of each peer. It is safe for concurrent use.
 type SharedState struct {
@@ -96,13 +100,13 @@
 	return s.filterPeers(now, func(r *Report) bool { return !r.GetStopping() })
 }
 
-// activeWithin returns the names of the peers whose last report is no older than an age and that are not shutting down.
-func (s *SharedState) activeWithin(now time.Time, age time.Duration) []string {
+// ActiveWithin returns the names of the peers whose last report is no older than an age and that are not shutting down.
+func (s *SharedState) ActiveWithin(now time.Time, age time.Duration) []string {
 	return s.filterPeersWithin(now, age, func(r *Report) bool { return !r.GetStopping() })
 }
 
-// isStopping reports whether this entry is shutting down.
-func (s *SharedState) isStopping() bool {
+// IsStopping reports whether this entry is shutting down.
+func (s *SharedState) IsStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.stopping
@@ -161,14 +165,20 @@
 	s.changed = make(chan struct{})
 }
 
-// requestReport makes the mesh send the next report without delay.
-func (s *SharedState) requestReport() {
+// RequestReport makes Urgent deliver, so that the next report is sent without delay.
+func (s *SharedState) RequestReport() {
 	select {
 	case s.sendNow <- struct{}{}:
 	default:
 	}
 }
 
+// Urgent returns a channel that delivers a value when the next report must be sent without waiting for the interval.
+func (s *SharedState) Urgent() <-chan struct{} { return s.sendNow }
+
+// LoadChanged returns a channel that is closed when the load that this entry has placed on endpoints changes.
+func (s *SharedState) LoadChanged() <-chan struct{} { return s.placer.Changed() }
+
 // SetLeaving replaces the set of endpoints that this entry itself found to be draining or recently removed. An added
 // endpoint is reported at once.
 func (s *SharedState) SetLeaving(keys []uint64) {
@@ -182,7 +192,7 @@
 	s.leaving = next
 	s.mu.Unlock()
 	if added {
-		s.requestReport()
+		s.RequestReport()
 	}
 }
 
@@ -191,7 +201,7 @@
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
-	s.requestReport()
+	s.RequestReport()
 }
 
 // probeValidity is how long an endpoint counts as draining after a probe found it so.
@@ -208,7 +218,7 @@
 		return
 	}
 	s.placer.SetReportedLeaving(leaving)
-	s.requestReport()
+	s.RequestReport()
 }
 
 // Apply replaces the sender's previous report with r. It returns false and ignores r if r is older than the previous
--- a/toucanpeer/storestate.go
+++ b/toucanpeer/storestate.go
@@ -17,7 +17,7 @@
 	s.mu.Lock()
 	s.settings = version
 	s.mu.Unlock()
-	s.requestReport()
+	s.RequestReport()
 }
 
 // reportedAge returns the time since t in milliseconds, at least 1, or zero if t is zero.
@@ -82,7 +82,7 @@
 	}
 	s.mu.Unlock()
 	// Other entries must read the store in place of this one.
-	s.requestReport()
+	s.RequestReport()
 }
 
 // snapshotDelay is how long the store must have been available to an entry before the entry serves snapshots to peers.
--- a/toucanpeer/register.go
+++ b/toucanregister/register.go
@@ -1,4 +1,5 @@
-package toucanpeer
+// Package toucanregister keeps the list of entries in the store: each registers its address under a lease.
+package toucanregister
 
 import (
 	"context"
@@ -42,8 +43,8 @@
 	return peers
 }
 
-// Register keeps this entry registered in the store until ctx is done, and then revokes its lease.
-func Register(ctx context.Context, store toucanstore.Store, name, address string, log *slog.Logger) {
+// Keep keeps this entry registered in the store until ctx is done, and then revokes its lease.
+func Keep(ctx context.Context, store toucanstore.Store, name, address string, log *slog.Logger) {
 	var lease toucanstore.Lease
 	registered := false
 	for {
