toucanaccept: whom a request is for, and who is refused at once, leave toucanforward

Ruled out: moving the parsing of headers and of the body too, which are I/O, and the log line of a caller that resumes, which comes between the match of the workspace and that of the service and stays there. Change: toucanaccept matches by key or by name, and decides on target, rank, deadline and length; toucanrefusal has the refusal of a body that can't be read. Its tests need no server.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -6,15 +6,13 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"toucanport/toucanaccept"
 	"toucanport/toucanbody"
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanrefusal"
 	"toucanport/toucanrelay"
 	"toucanport/toucanretry"
-	"toucanport/toucanstop"
 	"toucanport/toucantraffic"
 )
 
@@ -33,63 +31,38 @@
 		return j, toucanrefusal.New(http.StatusBadRequest, toucanrefusal.ReasonMalformed, err)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route, ok := table.Route(r.Host, path)
-	if !ok {
-		return j, toucanrefusal.New(http.StatusNotFound, toucanrefusal.ReasonNoRoute, nil)
-	}
-	j.route = route
-	workspace, ok := table.Workspace(req.Key)
-	if ok {
-		j.workspace = workspace.Name
-	} else if !route.Anonymous {
-		return j, toucanrefusal.New(http.StatusUnauthorized, toucanrefusal.ReasonUnknownKey, nil)
+	caller, refusal := toucanaccept.ByKey(table, r.Host, path, req.Key)
+	j.route, j.workspace = caller.Route, caller.Workspace.Name
+	if refusal != nil {
+		return j, refusal
 	}
 	if err := s.acceptLastEvent(j); err != nil {
 		return j, toucanrefusal.New(http.StatusBadRequest, toucanrefusal.ReasonLastEvent, err)
 	}
-	if r := s.matchService(j, table, workspace); r != nil {
-		return j, r
+	if refusal := s.aim(j, table, caller); refusal != nil {
+		return j, refusal
 	}
 	j.maxBody = table.Limits.BodyBytes
-	if j.maxBody > 0 && r.ContentLength > j.maxBody {
-		return j, toucanrefusal.New(http.StatusRequestEntityTooLarge, toucanrefusal.ReasonTooLarge, nil)
+	if refusal := toucanaccept.CheckLength(j.maxBody, r.ContentLength); refusal != nil {
+		return j, refusal
 	}
 	s.recordArrival(j)
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
-		toucanretry.WithMaxAttempts(route.MaxAttempts+unsentAttempts))
+		toucanretry.WithMaxAttempts(j.route.MaxAttempts+unsentAttempts))
 	return j, nil
 }
 
-// matchService fills in what follows from a request's route and workspace. It returns a refusal if the settings have no service for it.
-func (s *Server) matchService(j *job, table *toucantraffic.Table, workspace toucantraffic.Workspace) *toucanrefusal.Refusal {
-	service, ok := table.Service(j.route.Service(j.ID))
-	if !ok {
-		return toucanrefusal.Unready(toucanrefusal.ReasonNoService)
+// aim fills in the target of a request and what is expected of its answer. It returns a refusal if the settings have no service for it.
+func (s *Server) aim(j *job, table *toucantraffic.Table, caller toucanaccept.Caller) *toucanrefusal.Refusal {
+	target, refusal := caller.Target(table, j.ID, j.arrived, j.Patience)
+	if refusal != nil {
+		return refusal
 	}
-	j.service = service
-	j.rank = j.route.Rank(workspace)
-	j.mixed = service.Engine != nil && table.Mixed(service.Name)
+	j.service, j.rank, j.mixed, j.deadline = target.Service, target.Rank, target.Mixed, target.Deadline
 	j.demand = toucanplace.Demand{Prompt: j.Prompt, Output: s.estimates.estimate(j.route.Name, j.Request, 0), MaxGap: j.route.Gap}
-	j.deadline = deadline(j.arrived, j.Patience, j.route.Timeout)
 	return nil
 }
 
-// maxRequestTime bounds every request, also one without a timeout of its own or of its route.
-const maxRequestTime = 10 * time.Minute
-
-// deadline returns the earliest end of the caller's patience, the route's timeout and maxRequestTime. A patience or
-// timeout of zero is no bound.
-func deadline(arrived time.Time, patience, timeout time.Duration) time.Time {
-	left := maxRequestTime
-	if patience > 0 {
-		left = min(left, patience)
-	}
-	if timeout > 0 {
-		left = min(left, timeout)
-	}
-	return arrived.Add(left)
-}
-
 // readBody reads the body. If there is no memory to keep it whole, the remainder is passed on as it arrives.
 func (s *Server) readBody(ctx context.Context, j *job) *toucanrefusal.Refusal {
 	if j.in.Body == nil || j.in.Body == http.NoBody {
@@ -101,7 +74,7 @@
 	body, err := toucanbody.Read(j.in.Body, j.maxBody, s.bodies)
 	s.active.SetReading(&j.progress, false)
 	if err != nil {
-		return bodyRefusal(ctx, j, err)
+		return toucanrefusal.OfBody(ctx, err)
 	}
 	j.body = body
 	_ = control.SetReadDeadline(time.Time{}) // Best effort, as above.
@@ -113,20 +86,6 @@
 	return nil
 }
 
-// bodyRefusal returns the refusal of a request whose body could not be read.
-func bodyRefusal(ctx context.Context, j *job, err error) *toucanrefusal.Refusal {
-	switch {
-	case toucanstop.HasEnded(ctx):
-		r := toucanrefusal.Stopping(j.maybeRun == 0)
-		return &r
-	case errors.Is(err, toucanbody.ErrTooLong):
-		return toucanrefusal.New(http.StatusRequestEntityTooLarge, toucanrefusal.ReasonTooLarge, err)
-	case ctx.Err() != nil:
-		return toucanrefusal.New(http.StatusRequestTimeout, toucanrefusal.ReasonCallerSlow, err)
-	}
-	return toucanrefusal.New(http.StatusBadRequest, toucanrefusal.ReasonCallerLeft, err)
-}
-
 // recordNotKept counts and logs a request that can be sent only once.
 func (s *Server) recordNotKept(j *job) {
 	j.logged = true
--- a/toucanforward/preview.go
+++ b/toucanforward/preview.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanaccept"
 	"toucanport/toucanbody"
 	"toucanport/toucanplace"
 	"toucanport/toucanpreview"
@@ -60,17 +60,12 @@
 		return j, toucanrefusal.Unready(toucanrefusal.ReasonNoSettings)
 	}
 	j.version = table.Version
-	route, ok := table.Route(q.Host, q.Path)
-	if !ok {
-		return j, toucanrefusal.New(http.StatusNotFound, toucanrefusal.ReasonNoRoute, nil)
+	caller, refusal := toucanaccept.ByWorkspace(table, q.Host, q.Path, q.Workspace)
+	j.route, j.workspace = caller.Route, caller.Workspace.Name
+	if refusal != nil {
+		return j, refusal
 	}
-	j.route = route
-	workspace, ok := table.WorkspaceByName(q.Workspace)
-	if !ok && !route.Anonymous {
-		return j, toucanrefusal.New(http.StatusUnauthorized, toucanrefusal.ReasonUnknownKey, nil)
-	}
-	j.workspace = workspace.Name
-	return j, s.matchService(j, table, workspace)
+	return j, s.aim(j, table, caller)
 }
 
 // rejected adds a refusal to a preview.
--- a/toucanrefusal/refusal.go
+++ b/toucanrefusal/refusal.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanport/toucanbody"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
 	"toucanport/toucanstop"
@@ -95,6 +96,20 @@
 	return Refusal{Status: http.StatusBadGateway, Reason: ReasonStopping, Err: toucanstop.ErrStopping}
 }
 
+// OfBody returns the refusal of a request whose body could not be read.
+func OfBody(ctx context.Context, err error) *Refusal {
+	switch {
+	case toucanstop.HasEnded(ctx):
+		r := Stopping(true)
+		return &r
+	case errors.Is(err, toucanbody.ErrTooLong):
+		return New(http.StatusRequestEntityTooLarge, ReasonTooLarge, err)
+	case ctx.Err() != nil:
+		return New(http.StatusRequestTimeout, ReasonCallerSlow, err)
+	}
+	return New(http.StatusBadRequest, ReasonCallerLeft, err)
+}
+
 // OfPlacement returns the refusal for a request for which no endpoint could be reserved. mayHaveRun is true if an endpoint may have run
 // an attempt. delay is the time after which the caller is to come back; zero if nothing is known of it.
 func OfPlacement(ctx context.Context, err error, mayHaveRun bool, delay time.Duration) Refusal {
