--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -63,7 +63,7 @@
 
 const (
 	// scripts is the directory of the scripts.
-	scripts = "testdata/scripts"
+	scripts       = "testdata/scripts"
 	headerID      = "X-Id"
 	headerGenuine = "X-Genuine"
 	headerNotRun  = "X-Unrun"
@@ -177,6 +177,9 @@
 func (sc *deployment) start() {
 	limits := toucanrate.New("entry")
 	sc.placer = toucanplace.NewPlacer("d1", toucanplace.WithRateLimits(limits))
+	if sc.mover != nil {
+		sc.mover.retire()
+	}
 	sc.mover = &scriptedMover{deployment: sc}
 	sc.endpoints, sc.evacuated = nil, nil
 	sc.server = New(Config{
@@ -222,14 +225,14 @@
 	case "answers":
 		sc.endpoint(d.CmdArgs[0].Key).script(d.Input)
 	case "evacuateTargets":
-		sc.evacuateTargets, sc.resumable = d.CmdArgs[0].Key, d.HasArg("resumable")
+		sc.mover.locked(func() { sc.evacuateTargets, sc.resumable = d.CmdArgs[0].Key, d.HasArg("resumable") })
 	case "moves":
-		sc.mover.outcomes = strings.Fields(d.Input)
+		sc.mover.locked(func() { sc.mover.outcomes = strings.Fields(d.Input) })
 	case "request":
 		return sc.request(t.Context(), d)
 	case "begin":
 		sc.pending, sc.answered = make(chan string, 1), make(chan struct{})
-		sc.mover.setLateDrops(d.HasArg("lateDrops"))
+		sc.mover.locked(func() { sc.mover.lateDrops = d.HasArg("lateDrops") })
 		began := sc.endpoint(d.CmdArgs[1].Key).expectHold()
 		ctx, abandon := context.WithCancel(t.Context())
 		t.Cleanup(abandon)
@@ -272,9 +275,9 @@
 		d.ScanArgs(t, "ms", &ms)
 		time.Sleep(time.Duration(ms) * time.Millisecond)
 	case "evacuate":
-		sc.evacuate(d)
+		sc.mover.locked(func() { sc.evacuate(d) })
 	case "drain":
-		sc.publishEndpoints(d.CmdArgs[0].Key)
+		sc.mover.locked(func() { sc.publishEndpoints(d.CmdArgs[0].Key) })
 	case "lines":
 		n := 0
 		d.MaybeScanArgs(t, "n", &n)
@@ -404,7 +407,10 @@
 		sc.t.Cleanup(e.kill)
 		sc.endpoints = append(sc.endpoints, e)
 	}
-	sc.publishEndpoints("")
+	sc.mover.locked(func() {
+		sc.mover.endpoints = slices.Clone(sc.endpoints)
+		sc.publishEndpoints("")
+	})
 }
 
 // publishEndpoints sets all endpoints in the placer. If leaving is not empty, the endpoint of that name drains.
@@ -433,7 +439,7 @@
 	sc.publishEndpoints(sc.draining)
 }
 
-// evacuateTarget evacuates the target of a copy once, if evacuateTargets asks for it.
+// evacuateTarget evacuates the target of a copy once, if evacuateTargets asks for it. The caller holds sc.mover.mu.
 func (sc *deployment) evacuateTarget(target string, last bool) {
 	if sc.evacuateTargets == "first" && !last || sc.evacuateTargets == "last" && last {
 		sc.evacuateTargets = ""
@@ -591,8 +597,13 @@
 // applies to all further copies; without a script every copy succeeds.
 type scriptedMover struct {
 	deployment *deployment
-	mu         sync.Mutex
-	outcomes   []string
+	// mu also guards what evacuateTarget uses of the deployment.
+	mu sync.Mutex
+	// endpoints are those of the deployment when the mover was current. A move can outlast that.
+	endpoints []*endpoint
+	// retired is true once the deployment has another mover.
+	retired  bool
+	outcomes []string
 	// shown bounds the copies that are shown, since the number of retries of failed moves varies; zero shows all.
 	shown int
 	seen  []string
@@ -608,12 +619,16 @@
 	m.seen, m.drops, m.shown = nil, nil, 0
 }
 
-func (m *scriptedMover) setLateDrops(late bool) {
+// locked calls f under m.mu.
+func (m *scriptedMover) locked(f func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lateDrops = late
+	f()
 }
 
+// retire keeps the moves that still go on from the deployment, whose endpoints are replaced.
+func (m *scriptedMover) retire() { m.locked(func() { m.retired = true }) }
+
 // await waits until n copies were requested and drops copies were dropped. Copies after the n-th are not shown.
 func (m *scriptedMover) await(t *testing.T, n, drops int) {
 	t.Helper()
@@ -641,8 +656,10 @@
 
 func (m *scriptedMover) Copy(ctx context.Context, source, _, target string, last bool) (string, error) {
 	from, to := m.name(source), m.name(target)
-	m.deployment.evacuateTarget(to.name, last)
 	m.mu.Lock()
+	if !m.retired {
+		m.deployment.evacuateTarget(to.name, last)
+	}
 	outcome := "ok"
 	if len(m.outcomes) > 0 {
 		outcome = m.outcomes[0]
@@ -680,20 +697,20 @@
 }
 
 func (m *scriptedMover) Drop(_ context.Context, source, handle string) error {
-	m.mu.Lock()
-	late := m.lateDrops
-	m.mu.Unlock()
+	dropped := fmt.Sprintf("drop %s at %s", handle, m.name(source).name)
+	late := false
+	m.locked(func() { late = m.lateDrops })
 	if late {
 		<-m.deployment.answered
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.drops = append(m.drops, fmt.Sprintf("drop %s at %s", handle, m.name(source).name))
+	m.locked(func() { m.drops = append(m.drops, dropped) })
 	return nil
 }
 
 func (m *scriptedMover) name(address string) *endpoint {
-	for _, e := range m.deployment.endpoints {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.endpoints {
 		if e.address() == address {
 			return e
 		}
