toucanmirror: a complete read that a batch overtook gets the batch's changes, and is no restored store

Cause: while the store is read as a whole, batches of peers go on bringing the copy forward. The read's position was compared with the position of the copy at its end; a read that was one revision older was taken for a store that came back from an older copy, and replaced the newer copy: written keys went back, removed ones came back, until the next call. With a position of zero (after a failed watch) the copy went back even without the log line. Ruled out: dropping such a read, which loses what it verifies (a change that a watch left out); reading again, which on a busy store is overtaken again. Change: what batches bring from the read's beginning is kept, and changes of later revisions than the read's are put on top of it; the copy's position stays. They are all that the store changed from the copy's position at the read's beginning on, so nothing is missing. Only a read of another era, or of an earlier revision than the copy had when it began, is a restored store; batches are then left out. What watches left out is looked for in the result, so that a batch's removal or write does not count as left out. TestOlderStoreIsLogged passes the last position as an argument; its checks are the same.

--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -107,6 +107,8 @@
 	// holds mu.
 	values map[string]toucanstore.Value
 	copied Position
+	// meanwhile holds what batches bring while a snapshot is read; nil at other times.
+	meanwhile *overtaking
 	// borrowed is true while the values are those of a peer, whose revisions can be of an earlier era.
 	borrowed bool
 
@@ -300,6 +302,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.copied = to
+	m.meanwhile.record(changes, to)
 	written = make([]string, 0, len(changes))
 	for _, c := range changes {
 		held, ok := m.values[c.Key]
@@ -318,16 +321,20 @@
 }
 
 func (m *Mirror) snapshot(ctx context.Context, apply func(State)) error {
-	held := m.held()
+	held, last := m.held(), m.lastPosition
+	meanwhile := m.beginRead()
 	var values []toucanstore.Value
 	var position Position
 	var err error
 	m.whileReceiving(apply, func() { values, position, err = m.source.Snapshot(ctx, held, m.onAnswer) })
+	m.meanwhile = nil
 	if err != nil {
 		return err
 	}
-	restored := m.recordRestore(position)
+	bytes := snapshotBytes(values, held)
+	restored := m.recordRestore(last, position)
 	if !restored {
+		values, position = meanwhile.addTo(values, position)
 		omitted := m.recordOmitted(values)
 		m.shareSnapshot(values, position, omitted > 0 || m.hasRemoved(values))
 	}
@@ -335,7 +342,7 @@
 	m.borrowed = false
 	m.setPosition(position)
 	m.lastSnapshot = time.Now()
-	m.verifyNext, m.copyBytes = false, snapshotBytes(values, held)
+	m.verifyNext, m.copyBytes = false, bytes
 	m.scheduleVerify()
 	m.onSnapshot()
 	apply(State{Values: m.values, Removed: removed, Resumed: m.recordAnswer(), Restored: restored, Origin: OriginSnapshot})
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -207,11 +207,11 @@
 func TestOlderStoreIsLogged(t *testing.T) {
 	log := &toucanlogtest.Log{}
 	m := New(newFakeSource(), log.Logger())
-	m.recordRestore(Position{Era: 1, Revision: 9})
-	m.lastPosition = Position{Era: 1, Revision: 9}
-	m.recordRestore(Position{Era: 1, Revision: 9})
-	m.recordRestore(Position{Era: 2, Revision: 12})
-	m.recordRestore(Position{Era: 1, Revision: 8})
+	last := Position{Era: 1, Revision: 9}
+	m.recordRestore(Position{}, last)
+	m.recordRestore(last, last)
+	m.recordRestore(last, Position{Era: 2, Revision: 12})
+	m.recordRestore(last, Position{Era: 1, Revision: 8})
 	assert.Equal(t, m.Stats(), Stats{Restores: 2, Era: 1})
 	assert.Equal(t, log.Next(t, 0), "WARN store came back from an older copy: era=2 eraBefore=1 revision=12 revisionBefore=9\n"+
 		"WARN store came back from an older copy: era=1 eraBefore=1 revision=8 revisionBefore=9\n")
--- a/toucanmirror/record.go
+++ b/toucanmirror/record.go
@@ -24,9 +24,9 @@
 	return Stats{Omitted: m.omitted.Load(), Restores: m.restores.Load(), Era: m.era.Load()}
 }
 
-// recordRestore reports whether a snapshot shows that the store came back from an older copy, and counts and logs it.
-func (m *Mirror) recordRestore(position Position) bool {
-	last := m.lastPosition
+// recordRestore reports whether a snapshot shows that the store came back from an older copy, and counts and logs it. last is the
+// position that the store had at least when the read began. One that batches brought later says nothing of the read.
+func (m *Mirror) recordRestore(last, position Position) bool {
 	m.era.Store(position.Era)
 	if last == (Position{}) || position.Era == last.Era && position.Revision >= last.Revision {
 		return false
