toucanlatestop: stopping the source of a broken stream leaves toucanforward

Ruled out: a package of its own, as toucanlatestop already goes on with the same calls when the source was not reached. Change: toucanlatestop.Stopper asks the source, records the result and decides whether the generation may go on elsewhere; from which memory it goes on stays with the handover.

--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -140,7 +140,7 @@
 }
 
 // stopBroken stops a broken stream at the endpoint that may still run it. It returns the source and the handle of the memory that was
-// copied to the target, or an empty handle. The error is errSourceRuns if the endpoint was reached and does not tell. Engines without
+// copied to the target, or an empty handle. The error is toucanlatestop.ErrSourceRuns if the endpoint was reached and does not tell. Engines without
 // moves are not asked; they end a generation when its connection is closed.
 func (s *Server) stopBroken(ctx context.Context, j *job, b brokenStream, target toucanplace.Endpoint) (source, handle string, err error) {
 	if b.source == nil {
@@ -149,20 +149,16 @@
 	if e := j.service.Engine; e == nil || !e.Moves {
 		return b.source.Address, "", nil
 	}
-	stop := s.stopAt(*b.source, j.ID, target)
-	result := stop.Run(ctx)
-	s.recordStop(j, *b.source, result, b.brokenAt)
+	result, err := s.stopper.Stop(ctx, &j.lateStops, toucanlatestop.Broken{ID: j.ID, Source: *b.source, At: b.brokenAt}, target)
+	if err != nil {
+		return "", "", err
+	}
 	switch result.State {
 	case toucangeneration.SourceStopped:
 		return b.source.Address, result.Handle, nil
 	case toucangeneration.SourceKeepsMemory:
 		// The target has no room for the copy, and the prompt is read again.
 		toucanlatestop.Drop(ctx, s.mover, b.source.Address, result.Handle, s.log)
-	case toucangeneration.SourceIdle:
-	case toucangeneration.SourceUnreached:
-		j.lateStops.Begin(ctx, stop, s.metrics.stopped, s.log)
-	default:
-		return "", "", errors.Wrap(errSourceRuns, result.Err.Error())
 	}
 	return b.source.Address, "", nil
 }
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -42,6 +42,7 @@
 type Server struct {
 	codec       Codec
 	mover       toucangeneration.Mover
+	stopper     toucanlatestop.Stopper
 	moves       toucangeneration.MoveCoordinator
 	traffic     *toucantraffic.Current
 	placer      *toucanplace.Placer
@@ -114,6 +115,7 @@
 	return &Server{
 		codec:      cfg.Codec,
 		mover:      cfg.Mover,
+		stopper:    toucanlatestop.Stopper{Mover: cfg.Mover, Log: cfg.Log, Observe: m.stopped},
 		moves:      cfg.Moves,
 		traffic:    cfg.Traffic,
 		placer:     cfg.Placer,
--- a/toucanlatestop/stops.go
+++ b/toucanlatestop/stops.go
@@ -1,5 +1,5 @@
-// Package toucanlatestop stops generations at endpoints that were not reached when their streams went on elsewhere, so that no generation
-// runs at two endpoints for longer than the first one is cut off.
+// Package toucanlatestop stops generations at endpoints whose streams broke: before they go on elsewhere and, at endpoints that were not
+// reached then, after it, so that no generation runs at two endpoints for longer than the first one is cut off.
 package toucanlatestop
 
 import (
