--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -22,8 +22,8 @@
 	// moveInterval is the longest time between two checks for draining endpoints.
 	moveInterval = 200 * time.Millisecond
 	// announceDelay is how long an entry waits for its peers to announce their generations before it moves the first
-	// one.
-	announceDelay = 12 * time.Millisecond
+	// one. Entries learn at different times that an endpoint drains, and many announce several endpoints at once.
+	announceDelay = 25 * time.Millisecond
 	// maxTurnWait is how long a generation waits for generations of peers that are ahead of it in the order while none leaves.
 	maxTurnWait = 1200 * time.Millisecond
 	// stopRetryDelay is the time between two attempts to stop a generation for a move.
--- a/toucangeneration/pace.go
+++ b/toucangeneration/pace.go
@@ -20,6 +20,8 @@
 	paceDwell = time.Second
 	// maxPaceMoves limits the moves for the pace that an entry makes at a time.
 	maxPaceMoves = 3
+	// copyAnnounceDelay is how long an entry waits for its peers to announce their copies before it begins its own.
+	copyAnnounceDelay = 12 * time.Millisecond
 	// idleWait is how long a copied generation waits for an idle link before it is stopped, idleCheck the time between two checks.
 	idleWait  = 400 * time.Millisecond
 	idleCheck = 20 * time.Millisecond
@@ -80,7 +82,7 @@
 		defer endSource()
 		defer endTarget()
 		defer g.endMoveByPace()
-		toucanwait.Sleep(ctx, announceDelay)
+		toucanwait.Sleep(ctx, copyAnnounceDelay)
 		if !r.isIdle(source, target.Endpoint) {
 			target.Done(time.Now(), toucanplace.OutcomeNeutral)
 			return
