--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -12,6 +12,7 @@
 	"toucanport/toucanlatestop"
 	"toucanport/toucanlog"
 	"toucanport/toucanpace"
+	"toucanport/toucanpacemove"
 	"toucanport/toucanplace"
 	"toucanport/toucanquarantine"
 	"toucanport/toucanrank"
@@ -48,6 +49,7 @@
 	log         *slog.Logger
 	metrics     *metrics
 	generations *toucangeneration.Registry
+	paceMoves   *toucanpacemove.Mover
 	estimates   lengthEstimates
 	queue       waitQueue
 	ranks       *toucanrank.Table
@@ -109,6 +111,8 @@
 	if cfg.Answers == nil {
 		cfg.Answers = toucanbody.NewMemory(defaultAnswerMemory)
 	}
+	moves := toucangeneration.Config{Placer: cfg.Placer, Moves: cfg.Moves, Mover: cfg.Mover, Log: cfg.Log, Scope: m.scope}
+	generations := toucangeneration.New(moves)
 	return &Server{
 		codec:      cfg.Codec,
 		mover:      cfg.Mover,
@@ -127,20 +131,16 @@
 		bodies:     cfg.Bodies,
 		answers:    cfg.Answers,
 		metrics:    m,
-		generations: toucangeneration.New(toucangeneration.Config{
-			Placer: cfg.Placer,
-			Moves:  cfg.Moves,
-			Mover:  cfg.Mover,
-			Log:    cfg.Log,
-			Scope:  m.scope,
-		}),
-		started: time.Now(),
+
+		generations: generations,
+		paceMoves:   toucanpacemove.New(moves, generations),
+		started:     time.Now(),
 	}
 }
 
 // RunMoves moves generations off draining endpoints, and to endpoints with a better pace. It returns when ctx ends.
 func (s *Server) RunMoves(ctx context.Context) {
-	go s.generations.MoveByPace(ctx)
+	go s.paceMoves.Run(ctx)
 	s.generations.Move(ctx)
 }
 
--- a/toucangeneration/generation.go
+++ b/toucangeneration/generation.go
@@ -88,6 +88,9 @@
 	handovers chan Handover
 }
 
+// ID returns the ID of the request.
+func (g *Generation) ID() string { return g.spec.ID }
+
 // Progress records the total number of events forwarded so far. first is true if none had been forwarded before;
 // otherwise gap is the time since the previous call.
 func (g *Generation) Progress(events int) (first bool, gap time.Duration) {
--- a/toucangeneration/order_test.go
+++ b/toucangeneration/order_test.go
@@ -85,3 +85,19 @@
 		synctest.Wait()
 	})
 }
+
+// countingMover copies in copyTime and records how many copies were in progress at most.
+type countingMover struct {
+	copyTime     time.Duration
+	running, top int
+}
+
+func (m *countingMover) Copy(context.Context, string, string, string, bool) (string, error) {
+	m.running++
+	m.top = max(m.top, m.running)
+	time.Sleep(m.copyTime)
+	m.running--
+	return "handle", nil
+}
+
+func (m *countingMover) Drop(context.Context, string, string) error { return nil }
--- a/toucangeneration/pace.go
+++ b/toucangeneration/pace.go
@@ -7,130 +7,41 @@
 
 	"github.com/pkg/errors"
 
-	"toucanport/toucanlog"
 	"toucanport/toucanplace"
 	"toucanport/toucanwait"
 )
 
 const (
-	// paceInterval is the time between two checks for generations that are better off elsewhere.
-	paceInterval = 100 * time.Millisecond
 	// paceDwell bounds the time between two attempts to move a generation for its pace. It is at least half of that, at random, so that
 	// entries whose moves met don't meet again.
 	paceDwell = time.Second
-	// maxPaceMoves limits the moves for the pace that an entry makes at a time.
-	maxPaceMoves = 3
-	// copyAnnounceDelay is how long an entry waits for its peers to announce their copies before it begins its own.
-	copyAnnounceDelay = 12 * time.Millisecond
-	// idleWait is how long a copied generation waits for an idle link before it is stopped, idleCheck the time between two checks.
-	idleWait  = 400 * time.Millisecond
+	// idleCheck is the time between two checks whether a link is idle.
 	idleCheck = 20 * time.Millisecond
 )
 
 // errLinkBusy means that a generation is not stopped for a move because another copy would delay it.
 var errLinkBusy = errors.New("another copy is on the link")
 
-// MoveByPace moves generations whose pauses would grow too long at their endpoint, or that take room there in which prompts can be
-// read without harm, until ctx is done. Of all entries, mostly one moves a generation from or to an endpoint at a time.
-func (r *Registry) MoveByPace(ctx context.Context) {
-	ticker := time.NewTicker(paceInterval)
-	defer ticker.Stop()
-	slots := make(chan struct{}, maxPaceMoves)
-	for {
-		select {
-		case now := <-ticker.C:
-			r.beginPaceMoves(ctx, now, slots)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// beginPaceMoves begins as many moves as there are free slots.
-func (r *Registry) beginPaceMoves(ctx context.Context, now time.Time, slots chan struct{}) {
+// MovableByPace returns the generations that can be moved for their pace now; none shortly before all end.
+func (r *Registry) MovableByPace(now time.Time) []*Generation {
 	if !r.canStop(now) {
-		return
-	}
-	for _, g := range r.filter(func(g *Generation) bool { return g.mayMoveByPace(now) }) {
-		select {
-		case slots <- struct{}{}:
-		default:
-			return
-		}
-		if !r.beginPaceMove(ctx, now, g, func() { <-slots }) {
-			<-slots
-		}
-	}
-}
-
-// beginPaceMove begins to move a generation if it is better off elsewhere. It calls done when the move has ended, and returns false
-// if there is none.
-func (r *Registry) beginPaceMove(ctx context.Context, now time.Time, g *Generation, done func()) bool {
-	source := g.Endpoint()
-	idle := func(e toucanplace.Endpoint) bool { return e.ID != source.ID && !r.coordinator.Copying(now, e.Key()) }
-	if r.coordinator.Copying(now, source.Key()) {
-		return false
-	}
-	target := r.placer.PlaceBetter(now, source, g.Demand(), idle)
-	if target == nil {
-		return false
+		return nil
 	}
-	g.beginMoveByPace(now)
-	endSource, endTarget := r.coordinator.BeginCopy(source.Key()), r.coordinator.BeginCopy(target.Endpoint.Key())
-	go func() {
-		defer done()
-		defer endSource()
-		defer endTarget()
-		defer g.endMoveByPace()
-		toucanwait.Sleep(ctx, copyAnnounceDelay)
-		if !r.isIdle(source, target.Endpoint) {
-			target.Done(time.Now(), toucanplace.OutcomeNeutral)
-			return
-		}
-		r.paceMoves.Inc(1)
-		pace := target.Choice.Pace
-		r.log.Info(toucanlog.MsgMoveByPace,
-			toucanlog.RequestID, g.spec.ID,
-			toucanlog.Endpoint, source.ID,
-			toucanlog.Target, target.Endpoint.ID,
-			toucanlog.Cost, target.Choice.Cost,
-			toucanlog.StayCost, pace.Stay,
-			toucanlog.PauseForecastMs, pace.Pause.Milliseconds(),
-			toucanlog.PauseBoundMs, pace.Bound.Milliseconds(),
-			toucanlog.Exposed, pace.Exposed,
-		)
-		moved, err := r.moveToTarget(ctx, g, source, target, func() bool { return r.awaitIdle(ctx, source, target.Endpoint) })
-		if moved {
-			return
-		}
-		target.Done(time.Now(), toucanplace.OutcomeNeutral)
-		r.reportMoveFailure(g, source, target.Endpoint.ID, err)
-	}()
-	return true
+	return r.filter(func(g *Generation) bool { return g.mayMoveByPace(now) })
 }
 
-// isIdle reports whether no other entry copies memory to or from two endpoints, as far as is known.
-func (r *Registry) isIdle(source, target toucanplace.Endpoint) bool {
-	now := time.Now()
-	return !r.coordinator.CopyingByPeer(now, source.Key()) && !r.coordinator.CopyingByPeer(now, target.Key())
-}
-
-// awaitIdle waits for isIdle, for at most idleWait. It returns false if the source drains meanwhile: its generations are then moved
-// in the order of all entries.
-func (r *Registry) awaitIdle(ctx context.Context, source, target toucanplace.Endpoint) bool {
-	until := time.Now().Add(idleWait)
-	for r.placer.IsAvailable(source.ID) && r.placer.IsAvailable(target.ID) {
-		if r.isIdle(source, target) {
-			return true
-		}
-		if !time.Now().Before(until) || !toucanwait.Sleep(ctx, idleCheck) {
-			return false
-		}
+// MoveTo moves a generation from its endpoint to a target that is reserved for it, unless mayStop returns false when its memory has been
+// copied.
+func (r *Registry) MoveTo(ctx context.Context, g *Generation, source toucanplace.Endpoint, target *toucanplace.Reservation, mayStop func() bool) {
+	moved, err := r.moveToTarget(ctx, g, source, target, mayStop)
+	if moved {
+		return
 	}
-	return false
+	target.Done(time.Now(), toucanplace.OutcomeNeutral)
+	r.reportMoveFailure(g, source, target.Endpoint.ID, err)
 }
 
-// mayMoveByPace reports whether the generation can be moved for its pace now: it runs, and has done so for paceDwell.
+// mayMoveByPace reports whether the generation can be moved for its pace now: it runs, and the last attempt is paceDwell ago.
 func (g *Generation) mayMoveByPace(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -139,14 +50,15 @@
 		g.events > 0 && !now.Before(g.retryMoveAt) && !now.Before(g.paceMoveAt)
 }
 
-// beginMoveByPace keeps the generation from other moves until endMoveByPace, and from further ones for its pace for paceDwell.
-func (g *Generation) beginMoveByPace(now time.Time) {
+// BeginMoveByPace keeps the generation from other moves until EndMoveByPace, and from further ones for its pace for paceDwell.
+func (g *Generation) BeginMoveByPace(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.movedByPace, g.paceMoveAt = true, now.Add(paceDwell/2+rand.N(paceDwell/2))
 }
 
-func (g *Generation) endMoveByPace() {
+// EndMoveByPace ends what BeginMoveByPace began.
+func (g *Generation) EndMoveByPace() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.movedByPace = false
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -1,5 +1,4 @@
-// Package toucangeneration tracks generations while their events are forwarded, and moves them off draining endpoints, and to
-// endpoints with a better pace. Moves off an endpoint are made one at a time, in an order on which all entries agree. A move copies the memory while the generation
+// Package toucangeneration tracks generations while their events are forwarded, and moves them off draining endpoints. Moves off an endpoint are made one at a time, in an order on which all entries agree. A move copies the memory while the generation
 // continues, then stops the generation and copies the rest.
 package toucangeneration
 
@@ -70,7 +69,6 @@
 
 	moves     tally.Counter
 	moveFails tally.Counter
-	paceMoves tally.Counter
 
 	mu          sync.Mutex
 	generations map[*Generation]struct{}
@@ -96,7 +94,6 @@
 		log:         cfg.Log,
 		moves:       cfg.Scope.Counter("generations_moved"),
 		moveFails:   cfg.Scope.Counter("generation_moves_failed"),
-		paceMoves:   cfg.Scope.Counter("generation_moves_by_pace"),
 		generations: make(map[*Generation]struct{}),
 	}
 }
--- a/toucangeneration/pace_test.go
+++ b/toucanpacemove/move_test.go
@@ -1,4 +1,4 @@
-package toucangeneration
+package toucanpacemove
 
 import (
 	"context"
@@ -10,11 +10,46 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucangeneration"
+	"toucanport/toucanmoveorder"
 	"toucanport/toucanpace"
 	"toucanport/toucanplace"
 	"toucanport/toucantraffic"
 )
 
+// slowMover copies in copyTime and records whether a generation was stopped.
+type slowMover struct {
+	copyTime time.Duration
+	stopped  bool
+}
+
+func (m *slowMover) Copy(ctx context.Context, _, _, _ string, last bool) (string, error) {
+	m.stopped = m.stopped || last
+	select {
+	case <-time.After(m.copyTime):
+		return "handle", nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+func (m *slowMover) Drop(context.Context, string, string) error { return nil }
+
+// noPeers is a MoveCoordinator of the only entry.
+type noPeers struct{}
+
+func (noPeers) Announce(uint64, []toucanmoveorder.Generation) {}
+func (noPeers) Ahead(time.Time, uint64, toucanmoveorder.Generation) bool {
+	return false
+}
+func (noPeers) BeginCopy(uint64) func()        { return func() {} }
+func (noPeers) Copying(time.Time, uint64) bool { return false }
+func (noPeers) CopyingByPeer(time.Time, uint64) bool {
+	return false
+}
+func (noPeers) StoreUnreachable(time.Time) bool { return false }
+func (noPeers) Changed() <-chan struct{}        { return nil }
+
 // twoPaces forecasts pauses beyond a bound of 180 ms everywhere but at the endpoint quick.
 type twoPaces struct{ quick uint64 }
 
@@ -47,7 +82,7 @@
 	}{
 		{"idle link", 0, true},
 		{"busy before the first copy", time.Nanosecond, false},
-		{"busy before the stop", paceInterval + 150*time.Millisecond, false},
+		{"busy before the stop", interval + 150*time.Millisecond, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -62,20 +97,21 @@
 					peers.from = time.Now().Add(tc.busyAfter)
 				}
 				mover := &slowMover{copyTime: 200 * time.Millisecond}
-				r := New(Config{Placer: placer, Moves: peers, Mover: mover, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+				cfg := toucangeneration.Config{Placer: placer, Moves: peers, Mover: mover, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope}
+				r := toucangeneration.New(cfg)
 				demand := toucanplace.Demand{Prompt: 3000, Output: 700, MaxGap: 180 * time.Millisecond}
 				atSlow := func(e toucanplace.Endpoint) bool { return e.ID == "slow" }
 				reservation, err := placer.Place(time.Now(), "s", demand, atSlow)
 				assert.NilError(t, err)
 				engine := &toucantraffic.Engine{Slots: 8, MemoryTokens: 27000, Moves: true, TokensPerEvent: 4}
-				g := r.Begin(Spec{ID: "g", Prompt: 3000, Estimate: 700, Engine: engine, MaxEventGap: demand.MaxGap, Arrived: time.Now()}, reservation)
+				g := r.Begin(toucangeneration.Spec{ID: "g", Prompt: 3000, Estimate: 700, Engine: engine, MaxEventGap: demand.MaxGap, Arrived: time.Now()}, reservation)
 				reservation.MarkPromptRead()
 				g.Progress(1)
 				_, err = placer.Place(time.Now(), "s", demand, atSlow)
 				assert.NilError(t, err)
 				ctx, cancel := context.WithCancel(t.Context())
-				go r.MoveByPace(ctx)
-				time.Sleep(paceInterval + 700*time.Millisecond)
+				go New(cfg, r).Run(ctx)
+				time.Sleep(interval + 700*time.Millisecond)
 				synctest.Wait()
 				assert.Equal(t, mover.stopped, tc.moved)
 				cancel()
@@ -113,21 +149,22 @@
 		placer := toucanplace.NewPlacer("d", toucanplace.WithPaces(twoPaces{list[1].Key()}))
 		placer.SetEndpoints(list)
 		mover := &countingMover{copyTime: 200 * time.Millisecond}
-		r := New(Config{Placer: placer, Moves: noPeers{}, Mover: mover, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		cfg := toucangeneration.Config{Placer: placer, Moves: noPeers{}, Mover: mover, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope}
+		r := toucangeneration.New(cfg)
 		demand := toucanplace.Demand{Prompt: 3000, Output: 700, MaxGap: 180 * time.Millisecond}
 		atSlow := func(e toucanplace.Endpoint) bool { return e.ID == "slow" }
 		reservation, err := placer.Place(time.Now(), "s", demand, atSlow)
 		assert.NilError(t, err)
 		engine := &toucantraffic.Engine{Slots: 8, MemoryTokens: 27000, Moves: true, TokensPerEvent: 4}
-		g := r.Begin(Spec{ID: "g", Prompt: 3000, Estimate: 700, Engine: engine, MaxEventGap: demand.MaxGap, Arrived: time.Now()}, reservation)
+		g := r.Begin(toucangeneration.Spec{ID: "g", Prompt: 3000, Estimate: 700, Engine: engine, MaxEventGap: demand.MaxGap, Arrived: time.Now()}, reservation)
 		reservation.MarkPromptRead()
 		g.Progress(1)
 		_, err = placer.Place(time.Now(), "s", demand, atSlow)
 		assert.NilError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
-		go r.MoveByPace(ctx)
+		go New(cfg, r).Run(ctx)
 		go r.Move(ctx)
-		time.Sleep(paceInterval + 100*time.Millisecond)
+		time.Sleep(interval + 100*time.Millisecond)
 		leaving := []toucanplace.Endpoint{list[0], list[1]}
 		leaving[0].Leaving = true
 		placer.SetEndpoints(leaving)
