toucanheader: an answer without a content type gets none that the entry guessed

A caller got a Content-Type that its endpoint had not sent. Change: the lines are back in Copy, with a test that fails without them.

--- a/toucanheader/header.go
+++ b/toucanheader/header.go
@@ -26,11 +26,14 @@
 	return out
 }
 
-// Copy copies the end-to-end headers of from into to.
+// Copy copies the end-to-end headers of an answer into to, and keeps net/http from guessing a content type that the answer does not have.
 func Copy(to, from http.Header) {
 	for name, values := range EndToEnd(from) {
 		to[name] = values
 	}
+	if _, ok := to["Content-Type"]; !ok {
+		to["Content-Type"] = nil
+	}
 }
 
 // splitList returns the elements of a comma-separated header value, without spaces and empty elements.
--- a/toucanheader/header_test.go
+++ b/toucanheader/header_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"testing"
 
@@ -20,3 +21,14 @@
 	sort.Strings(names)
 	assert.DeepEqual(t, names, []string{"X-End"})
 }
+
+// TestAnswerGetsNoContentTypeOfItsOwn guards against an answer that says what its endpoint did not: net/http guesses a missing content type.
+func TestAnswerGetsNoContentTypeOfItsOwn(t *testing.T) {
+	for _, from := range []http.Header{{}, {"Content-Type": {"text/x-made"}}} {
+		w := httptest.NewRecorder()
+		Copy(w.Header(), from)
+		_, err := w.WriteString("<html>")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, w.Result().Header.Values("Content-Type"), from.Values("Content-Type"))
+	}
+}
