preview: the product's own entry answers where a request would go

Cause: toucanport preview could ask an entry of the users' platform only. Ruled out: code in toucanentry (it would grow; it gives away the names of its answers' codes and keys instead, 2 lines more); an answer at the operators' address without a credential, as scrapes have (it names workspaces and services). Tests, without a network: each decision and its reason; the survey against Pick under random calls (TestPickProperties), Check against Acquire (TestAdmittedTotalStaysBounded); who may ask.

--- a/toucancmd/preview/preview.go
+++ b/toucancmd/preview/preview.go
@@ -29,10 +29,12 @@
 // Options holds the parsed flags and the dependencies of the command.
 type Options struct {
 	IO *toucanio.Streams
-	// Address is the entry's metrics address, as IP:PORT.
+	// Address is the metrics address of an entry of the platform, or the operators' address of one of the product's own, as IP:PORT.
 	Address string
-	Query   toucanpreview.Query
-	JSON    bool
+	// Credential is an operator's or a team's, which the product's own entry asks for; empty for none.
+	Credential string
+	Query      toucanpreview.Query
+	JSON       bool
 }
 
 // NewCmdPreview returns the preview command. If runF is not nil, it replaces the command's
@@ -43,10 +45,12 @@
 		Name:  "preview",
 		Short: "show where a request would go now, and why, without sending it",
 		Bind: func(p *flaggy.Parser) {
-			p.AddPositionalValue(&opts.Address, "ADDRESS", 1, true, "the metrics address of a running entry, as IP:PORT")
+			p.AddPositionalValue(&opts.Address, "ADDRESS", 1, true, "the metrics address of a running entry, or the operators' address of the product's own, as IP:PORT")
 			p.String(&opts.Query.Host, "", "host", "the request's host")
 			p.String(&opts.Query.Path, "", "path", "the request's path")
 			p.String(&opts.Query.Workspace, "w", "workspace", "the workspace that sends it; none for a request without a key")
+			p.String(&opts.Query.Model, "m", "model", "the model of a generation, for the product's own entry")
+			p.String(&opts.Credential, "c", "credential", "an operator's or a team's credential, for the product's own entry ("+factory.EnvCredential+")")
 			p.Int(&opts.Query.Prompt, "", "prompt", "the length of the prompt in tokens")
 			p.Int(&opts.Query.MaxOutput, "", "output", "the limit of the output in tokens")
 			p.Int(&opts.Query.LengthHint, "", "hint", "the caller's estimate of the output in tokens")
@@ -56,12 +60,16 @@
 				Examples:
 				  toucanport preview 10.1.0.19:9464 --host shop.example --path /status/ --workspace acme
 				  toucanport preview 10.1.0.19:9464 --host ai.example --path /chat/ --prompt 2200 --output 40 --patience 6s --json
+				  toucanport preview 10.1.0.20:7101 --host ai.example --path /v1/chat/completions --model m1 --workspace blue/shop --prompt 300
 			`)
 		},
 		Run: func() error {
 			if opts.Query.Host == "" || opts.Query.Path == "" {
 				return errors.Wrap(factory.ErrUsage, "pass the request's host with --host and its path with --path")
 			}
+			if opts.Credential == "" {
+				opts.Credential = f.Getenv(factory.EnvCredential)
+			}
 			if runF != nil {
 				return runF(opts)
 			}
@@ -90,9 +98,12 @@
 	if err != nil {
 		return p, errors.Wrapf(err, "preview at %s; is it IP:PORT?", opts.Address)
 	}
+	if opts.Credential != "" {
+		req.Header.Set("Authorization", "Bearer "+opts.Credential)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return p, errors.Wrapf(err, "preview at %s; is it the metrics address of a running entry?", opts.Address)
+		return p, errors.Wrapf(err, "preview at %s; is it the metrics address of a running entry, or the operators' address of the product's own?", opts.Address)
 	}
 	defer func() { _ = resp.Body.Close() }() // It was read or is of no use.
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
--- a/toucancontrol/control.go
+++ b/toucancontrol/control.go
@@ -33,6 +33,8 @@
 	BootstrapHash string
 	// Metrics handles the scrape path of the operators' interface; nil disables it.
 	Metrics http.Handler
+	// Preview handles questions where a request would go now; nil disables them.
+	Preview http.Handler
 	Log     *slog.Logger
 	// Transport sends requests to the other entries; nil means http.DefaultTransport.
 	Transport http.RoundTripper
@@ -85,6 +87,7 @@
 		Entries:       cfg.otherEntries,
 		BootstrapHash: cfg.BootstrapHash,
 		Metrics:       cfg.Metrics,
+		Preview:       cfg.Preview,
 		Log:           cfg.Log,
 		Transport:     cfg.Transport,
 	})
--- a/toucanentry/auth.go
+++ b/toucanentry/auth.go
@@ -20,13 +20,13 @@
 // Error codes of the entry itself. Callers also receive the refusal codes of toucanwire.
 const (
 	codeBadRequest     = "badRequest"
-	codeBadKey         = "invalidKey"
-	codeUnknownModel   = "unknownModel"
-	codeUnknownService = "unknownService"
-	codeNotFound       = "notFound"
+	CodeBadKey         = "invalidKey"
+	CodeUnknownModel   = "unknownModel"
+	CodeUnknownService = "unknownService"
+	CodeNotFound       = "notFound"
 	codeTooLarge       = "bodyTooLarge"
-	codeLimited        = "workspaceLimit"
-	codeNoEndpoint     = "noEndpoint"
+	CodeLimited        = "workspaceLimit"
+	CodeNoEndpoint     = "noEndpoint"
 	codeInternal       = "internal"
 )
 
@@ -75,14 +75,14 @@
 	return func(c *echo.Context) error {
 		key, ok := toucanapi.BearerKey(c.Request().Header.Get("Authorization"))
 		if !ok {
-			return newFailure(http.StatusUnauthorized, codeBadKey, "send a workspace key as 'Authorization: Bearer KEY'")
+			return newFailure(http.StatusUnauthorized, CodeBadKey, "send a workspace key as 'Authorization: Bearer KEY'")
 		}
 		w, ok := e.cfg.Settings.Tree().WorkspaceByKey(key)
 		if !ok {
-			return newFailure(http.StatusUnauthorized, codeBadKey, "the workspace key is not valid")
+			return newFailure(http.StatusUnauthorized, CodeBadKey, "the workspace key is not valid")
 		}
 		e.connections.markServing(c.Request().Context())
-		defer e.poolBody(c, workspaceKey(w))()
+		defer e.poolBody(c, WorkspaceKey(w))()
 		defer clearWriteDeadline(c)
 		return next(c, w)
 	}
@@ -119,11 +119,11 @@
 	case errors.Is(err, toucanapi.ErrBodyTooLarge):
 		return newFailure(http.StatusRequestEntityTooLarge, codeTooLarge, err.Error())
 	case errors.As(err, &limited):
-		f := newFailure(http.StatusTooManyRequests, codeLimited, limited.Error())
+		f := newFailure(http.StatusTooManyRequests, CodeLimited, limited.Error())
 		f.retryAfter, f.body.Retryable = limited.RetryAfter, true
 		return f
 	case errors.As(err, &none):
-		f := newFailure(http.StatusServiceUnavailable, codeNoEndpoint, none.Error())
+		f := newFailure(http.StatusServiceUnavailable, CodeNoEndpoint, none.Error())
 		f.retryAfter, f.body.Retryable = none.RetryAfter, true
 		return f
 	}
@@ -135,7 +135,7 @@
 	if errors.As(err, &coder) {
 		switch coder.StatusCode() {
 		case http.StatusNotFound:
-			return newFailure(http.StatusNotFound, codeNotFound, "there is nothing at this path")
+			return newFailure(http.StatusNotFound, CodeNotFound, "there is nothing at this path")
 		case http.StatusMethodNotAllowed:
 			return newFailure(http.StatusMethodNotAllowed, "methodNotAllowed", "the path does not take this method")
 		}
--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	release, err := e.cfg.Limiter.Acquire(time.Now(), limitsOf(w), 0)
+	release, err := e.cfg.Limiter.Acquire(time.Now(), LimitsOf(w), 0)
 	if err != nil {
 		return e.correctOrderFailure(call, err)
 	}
@@ -88,7 +88,7 @@
 func (e *Entry) plainService(w toucansettings.Workspace, name string) (toucansettings.Service, error) {
 	s, ok := e.cfg.Settings.Tree().Service(w.Team, name)
 	if !ok || s.Kind != toucansettings.KindPlain || !slices.Contains(w.Services, name) {
-		return s, newFailure(http.StatusNotFound, codeUnknownService, "there is no service "+strconv.Quote(name)+" for this workspace")
+		return s, newFailure(http.StatusNotFound, CodeUnknownService, "there is no service "+strconv.Quote(name)+" for this workspace")
 	}
 	return s, nil
 }
@@ -111,8 +111,8 @@
 	}
 	return &toucanwire.Call{
 		RequestId:          requestID(c),
-		Workspace:          workspaceKey(w),
-		Service:            serviceKey(s),
+		Workspace:          WorkspaceKey(w),
+		Service:            ServiceKey(s),
 		Method:             c.Request().Method,
 		Path:               callPath(c, s.Name),
 		Headers:            callHeaders(c.Request().Header),
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -253,10 +253,10 @@
 	for _, team := range tree.Teams() {
 		for _, s := range team.Services {
 			all := tree.Endpoints(s.Team, s.Name)
-			own := pickSubset(serviceKey(s), all)
-			e.cfg.Router.SetEndpoints(time.Now(), serviceKey(s), e.assignable(s, own, all))
+			own := pickSubset(ServiceKey(s), all)
+			e.cfg.Router.SetEndpoints(time.Now(), ServiceKey(s), e.assignable(s, own, all))
 			e.setPolicy(s)
-			services[serviceKey(s)] = true
+			services[ServiceKey(s)] = true
 			for _, ep := range own {
 				wanted[ep.Address.String()] = true
 			}
@@ -286,12 +286,12 @@
 
 func (e *Entry) setPolicy(s toucansettings.Service) {
 	if r, ok := e.cfg.Router.(policySetter); ok {
-		r.SetPolicy(serviceKey(s), s.Policy)
+		r.SetPolicy(ServiceKey(s), s.Policy)
 	}
 }
 
-// serviceKey returns a name of the service that is unique across teams.
-func serviceKey(s toucansettings.Service) string { return s.Team + "/" + s.Name }
+// ServiceKey returns a name of the service that is unique across teams.
+func ServiceKey(s toucansettings.Service) string { return s.Team + "/" + s.Name }
 
 // endpointKey returns a name of the endpoint that is unique across teams. Sidecars use the same name in their
 // reports.
--- a/toucanentry/generate.go
+++ b/toucanentry/generate.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	release, err := e.cfg.Limiter.Acquire(time.Now(), limitsOf(w), r.PromptTokens)
+	release, err := e.cfg.Limiter.Acquire(time.Now(), LimitsOf(w), r.PromptTokens)
 	if err != nil {
 		return err
 	}
@@ -122,7 +122,7 @@
 func (e *Entry) generationService(w toucansettings.Workspace, model string) (toucansettings.Service, error) {
 	s, ok := e.cfg.Settings.Tree().Service(w.Team, model)
 	if !ok || s.Kind != toucansettings.KindGeneration || !slices.Contains(w.Services, model) {
-		return s, newFailure(http.StatusNotFound, codeUnknownModel, "model: there is no model "+strconv.Quote(model)+" for this workspace; see /v1/models")
+		return s, newFailure(http.StatusNotFound, CodeUnknownModel, "model: there is no model "+strconv.Quote(model)+" for this workspace; see /v1/models")
 	}
 	return s, nil
 }
@@ -139,8 +139,8 @@
 	return &generationRequest{
 		message: &toucanwire.Generate{
 			RequestId:          requestID(c),
-			Workspace:          workspaceKey(w),
-			Service:            serviceKey(s),
+			Workspace:          WorkspaceKey(w),
+			Service:            ServiceKey(s),
 			Model:              s.Model,
 			Class:              class,
 			Prompt:             r.Prompt,
@@ -152,9 +152,9 @@
 			PrefixHash:         r.PrefixHash,
 			Parameters:         r.Parameters,
 		},
-		workspace: workspaceKey(w),
+		workspace: WorkspaceKey(w),
 		query: toucanroute.Query{
-			Service:      serviceKey(s),
+			Service:      ServiceKey(s),
 			PrefixHash:   r.PrefixHash,
 			PromptTokens: r.PromptTokens,
 			MaxTokens:    r.MaxTokens,
@@ -164,12 +164,13 @@
 	}, nil
 }
 
-// workspaceKey returns a name of the workspace that is unique across teams.
-func workspaceKey(w toucansettings.Workspace) string { return w.Team + "/" + w.Name }
+// WorkspaceKey returns a name of the workspace that is unique across teams.
+func WorkspaceKey(w toucansettings.Workspace) string { return w.Team + "/" + w.Name }
 
-func limitsOf(w toucansettings.Workspace) toucanlimit.Workspace {
+// LimitsOf returns the limits of a workspace.
+func LimitsOf(w toucansettings.Workspace) toucanlimit.Workspace {
 	return toucanlimit.Workspace{
-		Name:               workspaceKey(w),
+		Name:               WorkspaceKey(w),
 		ConcurrentRequests: w.ConcurrentRequests,
 		TokensPerMinute:    w.TokensPerMinute,
 	}
@@ -204,7 +205,7 @@
 // resumeGeneration streams a generation to the caller, starting after the event of Last-Event-ID.
 func (e *Entry) resumeGeneration(c *echo.Context, w toucansettings.Workspace) error {
 	text := c.Param("id")
-	id, err := e.cfg.Signer.Verify(text, workspaceKey(w))
+	id, err := e.cfg.Signer.Verify(text, WorkspaceKey(w))
 	if err != nil {
 		return unknownGeneration()
 	}
@@ -219,7 +220,7 @@
 	a := &attempt{
 		entry:     e,
 		id:        text,
-		workspace: workspaceKey(w),
+		workspace: WorkspaceKey(w),
 		address:   id.Address,
 		readerID:  e.newReaderID(),
 		takeover:  true,
@@ -276,13 +277,13 @@
 
 func (e *Entry) cancelGeneration(c *echo.Context, w toucansettings.Workspace) error {
 	text := c.Param("id")
-	id, err := e.cfg.Signer.Verify(text, workspaceKey(w))
+	id, err := e.cfg.Signer.Verify(text, WorkspaceKey(w))
 	if err != nil {
 		return unknownGeneration()
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), cancelWindow)
 	defer cancel()
-	if err := e.tryCancel(ctx, id.Address, &toucanwire.Cancel{GenerationId: text, Workspace: workspaceKey(w)}); err != nil {
+	if err := e.tryCancel(ctx, id.Address, &toucanwire.Cancel{GenerationId: text, Workspace: WorkspaceKey(w)}); err != nil {
 		f := newFailure(http.StatusBadGateway, toucanwire.CodeEndpointFailed, "the cancel did not reach the endpoint; it may still run")
 		f.body.Ran, f.body.Retryable = toucanwire.RanUnknown, true
 		return f
--- a/toucanentry/members.go
+++ b/toucanentry/members.go
@@ -50,7 +50,7 @@
 		}
 		out = append(out, toucanroute.Endpoint{
 			Name:          endpointKey(ep.Team, ep.Name),
-			Service:       serviceKey(s),
+			Service:       ServiceKey(s),
 			FailureDomain: ep.FailureDomain,
 			Address:       ep.Address,
 		})
--- a/toucaninstance/entry.go
+++ b/toucaninstance/entry.go
@@ -9,6 +9,7 @@
 	"toucanport/toucanconfig"
 	"toucanport/toucancontrol"
 	"toucanport/toucanentry"
+	"toucanport/toucanentrypreview"
 	"toucanport/toucanlimit"
 	"toucanport/toucanlink"
 	"toucanport/toucanlisting"
@@ -69,6 +70,8 @@
 		toucanstore.WithTransport(transport(storeConnections)), toucanstore.WithScope(scope))
 	members := toucanlisting.NewView(toucanlisting.New("http://"+cfg.InstanceList.String(),
 		toucanlisting.WithTransport(transport(listConnections))))
+	router := toucanroute.NewPerService(toucanroute.Config{FailureDomain: cfg.FailureDomain})
+	limiter := toucanlimit.NewShared(1)
 	e.entry = toucanentry.New(toucanentry.Config{
 		Instance:      cfg.Instance,
 		FailureDomain: cfg.FailureDomain,
@@ -76,8 +79,8 @@
 		Members:       members,
 		Signer:        toucanstream.NewSigner([]byte(cfg.GenerationSecret)),
 		Dial:          entryDial(reloader),
-		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: cfg.FailureDomain}),
-		Limiter:       toucanlimit.NewShared(1),
+		Router:        router,
+		Limiter:       limiter,
 		Scope:         scope,
 	}, toucanentry.WithLogger(e.log))
 	control := toucancontrol.New(toucancontrol.Config{
@@ -88,6 +91,7 @@
 		Local:         e.entry,
 		BootstrapHash: cfg.BootstrapCredentialHash,
 		Metrics:       scrape,
+		Preview:       toucanentrypreview.New(holder, router, limiter),
 		Log:           e.log,
 	})
 	e.startTask("callers", func() error {
--- a/toucanlimit/limit_test.go
+++ b/toucanlimit/limit_test.go
@@ -119,7 +119,10 @@
 			"acquire": func(t *rapid.T) {
 				// At most the capacity of any entry's bucket, so that the estimate is charged in full.
 				size := rapid.IntRange(0, w.TokensPerMinute/6/n).Draw(t, "tokens")
-				release, err := s.entries[rapid.IntRange(0, n-1).Draw(t, "entry")].Acquire(s.now, w, size)
+				entry := s.entries[rapid.IntRange(0, n-1).Draw(t, "entry")]
+				checked := entry.Check(s.now, w, size)
+				release, err := entry.Acquire(s.now, w, size)
+				assert.DeepEqual(t, checked, err)
 				if err != nil {
 					assert.Assert(t, errors.Is(err, ErrLimited))
 					return
--- a/toucanlimit/shared.go
+++ b/toucanlimit/shared.go
@@ -144,15 +144,40 @@
 	s.sweep(now)
 	s.removeStalePeers(now)
 	u := s.usageOf(now, w.Name)
+	taken, err := s.admit(now, w, u, tokens)
+	if err != nil {
+		return nil, err
+	}
+	u.running++
+	return s.release(u, taken), nil
+}
+
+// Check returns the error that Acquire would return now, and acquires nothing.
+func (s *Shared) Check(now time.Time, w Workspace, tokens int) error {
+	if w.ConcurrentRequests <= 0 && w.TokensPerMinute <= 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeStalePeers(now)
+	u := workspaceUsage{decayed: now}
+	if known, ok := s.workspaces[w.Name]; ok {
+		u = *known
+	}
+	_, err := s.admit(now, w, &u, tokens)
+	return err
+}
+
+// admit takes tokens from the use of a workspace and returns how many, or an *Error if a limit does not allow the request.
+func (s *Shared) admit(now time.Time, w Workspace, u *workspaceUsage, tokens int) (taken float64, err error) {
 	if !s.admitsConcurrent(w, u) {
-		return nil, &Error{Workspace: w.Name, Kind: ConcurrentRequests, RetryAfter: concurrentRetryAfter}
+		return 0, &Error{Workspace: w.Name, Kind: ConcurrentRequests, RetryAfter: concurrentRetryAfter}
 	}
 	taken, wait := s.takeTokens(now, w, u, float64(tokens))
 	if wait > 0 {
-		return nil, &Error{Workspace: w.Name, Kind: TokensPerMinute, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+		return 0, &Error{Workspace: w.Name, Kind: TokensPerMinute, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 	}
-	u.running++
-	return s.release(u, taken), nil
+	return taken, nil
 }
 
 func (s *Shared) usageOf(now time.Time, name string) *workspaceUsage {
--- a/toucanoperate/server.go
+++ b/toucanoperate/server.go
@@ -14,6 +14,7 @@
 
 	"toucanport/toucanchange"
 	"toucanport/toucanhead"
+	"toucanport/toucanpreview"
 	"toucanport/toucanreplicate"
 	"toucanport/toucanrevision"
 	"toucanport/toucansettings"
@@ -52,6 +53,8 @@
 	BootstrapHash string
 	// Metrics handles the scrape path, which requires no credential; nil disables it.
 	Metrics http.Handler
+	// Preview handles questions where a request would go now; nil disables them.
+	Preview http.Handler
 	Log     *slog.Logger
 	// Transport sends requests to the other entries; nil means http.DefaultTransport.
 	Transport http.RoundTripper
@@ -107,9 +110,22 @@
 	if s.cfg.Metrics != nil {
 		e.GET(PathMetrics, echo.WrapHandler(s.cfg.Metrics))
 	}
+	if s.cfg.Preview != nil {
+		e.GET(toucanpreview.Path, s.requireCredential(s.getPreview))
+	}
 	return e
 }
 
+// getPreview lets a team ask for its own workspaces only.
+func (s *Server) getPreview(c *echo.Context, sender principal) error {
+	team, _, _ := strings.Cut(c.QueryParam("workspace"), "/")
+	if sender.bootstrap || !sender.Operator && team != sender.Name {
+		return errors.Wrap(errForbidden, c.QueryParam("workspace"))
+	}
+	s.cfg.Preview.ServeHTTP(c.Response(), c.Request())
+	return nil
+}
+
 // principal is the authenticated sender of a request.
 type principal struct {
 	toucansettings.Identity
--- a/toucanpreview/preview.go
+++ b/toucanpreview/preview.go
@@ -17,8 +17,10 @@
 type Query struct {
 	// Host and Path are those of the request.
 	Host, Path string
-	// Workspace is the name of the workspace; empty for a request without a key.
+	// Workspace is the name of the workspace, at the product's own entry TEAM/NAME; empty for a request without a key.
 	Workspace string
+	// Model is the model that a generation names, which only the product's own entry needs.
+	Model string
 	// Prompt and MaxOutput are the length of the prompt and the limit of the output, in tokens; zero for requests that generate
 	// nothing. LengthHint is the caller's estimate of the output.
 	Prompt, MaxOutput, LengthHint int
@@ -68,7 +70,8 @@
 	Endpoints []Endpoint `json:"endpoints,omitempty"`
 }
 
-// Endpoint is what a placement on one endpoint would cost, or why it is not possible. Costs have no unit.
+// Endpoint is what a placement on one endpoint would cost, or why it is not possible. Costs have no unit; those of the product's own entry
+// are in seconds.
 type Endpoint struct {
 	ID            string `json:"id"`
 	FailureDomain string `json:"failureDomain"`
@@ -93,7 +96,7 @@
 
 // ParseQuery reads a query from the parameters of a URL. The error is ErrQuery.
 func ParseQuery(v url.Values) (Query, error) {
-	q := Query{Host: v.Get("host"), Path: v.Get("path"), Workspace: v.Get("workspace")}
+	q := Query{Host: v.Get("host"), Path: v.Get("path"), Workspace: v.Get("workspace"), Model: v.Get("model")}
 	if q.Host == "" || q.Path == "" {
 		return q, errors.Wrap(ErrQuery, "host and path are needed")
 	}
@@ -116,8 +119,10 @@
 // Values returns the query as parameters of a URL.
 func (q Query) Values() url.Values {
 	v := url.Values{"host": {q.Host}, "path": {q.Path}}
-	if q.Workspace != "" {
-		v.Set("workspace", q.Workspace)
+	for name, text := range map[string]string{"workspace": q.Workspace, "model": q.Model} {
+		if text != "" {
+			v.Set(name, text)
+		}
 	}
 	for name, n := range map[string]int64{
 		"prompt": int64(q.Prompt), "output": int64(q.MaxOutput), "hint": int64(q.LengthHint), "patienceMs": q.Patience.Milliseconds(),
@@ -129,10 +134,11 @@
 	return v
 }
 
-// Path is the path of previews at an entry's metrics address.
+// Path is the path of previews at the metrics address of an entry of the platform, and at the operators' address of one of the product's
+// own.
 const Path = "/preview"
 
-// URL returns the address of a preview at an entry, whose metrics address is IP:PORT.
+// URL returns the address of a preview at an entry, whose address for previews is IP:PORT.
 func (q Query) URL(address string) string {
 	u := url.URL{Scheme: "http", Host: address, Path: Path, RawQuery: q.Values().Encode()}
 	return u.String()
--- a/toucanpreview/preview_test.go
+++ b/toucanpreview/preview_test.go
@@ -9,7 +9,7 @@
 
 // TestQueryIsReadAsItWasWritten checks that the parameters of a URL carry a query whole, and that others are refused.
 func TestQueryIsReadAsItWasWritten(t *testing.T) {
-	q := Query{Host: "h.example", Path: "/a b/?x", Workspace: "w&v", Prompt: 2200, MaxOutput: 40, LengthHint: 12, Patience: 6 * time.Second}
+	q := Query{Host: "h.example", Path: "/a b/?x", Workspace: "w&v", Model: "m/1", Prompt: 2200, MaxOutput: 40, LengthHint: 12, Patience: 6 * time.Second}
 	got, err := ParseQuery(q.Values())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, q)
--- a/toucanroute/perservice.go
+++ b/toucanroute/perservice.go
@@ -47,13 +47,17 @@
 
 // Pick implements Router.
 func (p *PerService) Pick(now time.Time, q Query) (Endpoint, error) {
+	return p.router(q.Service).Pick(now, q)
+}
+
+// router returns the router of a service's policy.
+func (p *PerService) router(service string) Router {
 	p.mu.RLock()
-	naive := p.naiveServices[q.Service]
-	p.mu.RUnlock()
-	if naive {
-		return p.naive.Pick(now, q)
+	defer p.mu.RUnlock()
+	if p.naiveServices[service] {
+		return p.naive
 	}
-	return p.toucan.Pick(now, q)
+	return p.toucan
 }
 
 // RecordSent implements Router.
--- a/toucanroute/property_test.go
+++ b/toucanroute/property_test.go
@@ -46,7 +46,8 @@
 
 // TestPickProperties makes the same random calls to toucan and naive. Neither may choose an endpoint that is
 // excluded, not listed, or leaving or unhealthy by its newest report. While no outcome has ejected an endpoint,
-// toucan must find one whenever naive does.
+// toucan must find one whenever naive does. A survey just before must say whether there is an endpoint, and not leave out the
+// chosen one.
 func TestPickProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(0, 0)
@@ -92,8 +93,11 @@
 				}
 				var found [2]bool
 				for i, r := range routers {
+					survey, surveyErr := r.(Surveyor).Survey(now, q)
 					e, err := r.Pick(now, q)
 					found[i] = err == nil
+					assert.DeepEqual(t, surveyErr, err)
+					assert.Equal(t, found[i], slices.ContainsFunc(survey, func(a Assessment) bool { return a.Endpoint == e && a.LeftOut == LeftOutNone }))
 					if err != nil {
 						assertNoEndpoint(t, err)
 						continue
--- a/toucanroute/score.go
+++ b/toucanroute/score.go
@@ -89,18 +89,29 @@
 
 // score returns the expected cost, in seconds, of sending the query to s. Lower is better.
 func (c *choice) score(s *endpointState, random float64) float64 {
+	score := c.loadCost(s)
+	score += c.distanceCost(s, score)
+	score += random * (tieSeconds + (tieFactor+(1-c.trust(s))*staleTieFactor)*score)
+	return score - c.prefixSaving(s)
+}
+
+// loadCost returns the part of the score for the load of s.
+func (c *choice) loadCost(s *endpointState) float64 {
 	trust := c.trust(s)
 	step := max(s.step, minStepSeconds)
 	wait := s.estimatedWait()
-	score := trust*wait + (1-trust)*max(wait, c.meanFirstToken)
-	score += float64(s.unreported) * unreportedSteps * step
-	score += activeRequestSeconds * float64(s.activeRequests()+1) * c.relativeStepTime(s)
-	score += c.memoryCost(s)
-	if s.endpoint.FailureDomain != c.cfg.FailureDomain {
-		score += remoteDomainSeconds + remoteDomainFactor*score
+	cost := trust*wait + (1-trust)*max(wait, c.meanFirstToken)
+	cost += float64(s.unreported) * unreportedSteps * step
+	cost += activeRequestSeconds * float64(s.activeRequests()+1) * c.relativeStepTime(s)
+	return cost + c.memoryCost(s)
+}
+
+// distanceCost returns the part of the score for another failure domain, beside the part for the load.
+func (c *choice) distanceCost(s *endpointState, load float64) float64 {
+	if s.endpoint.FailureDomain == c.cfg.FailureDomain {
+		return 0
 	}
-	score += random * (tieSeconds + (tieFactor+(1-trust)*staleTieFactor)*score)
-	return score - c.prefixSaving(s)
+	return remoteDomainSeconds + remoteDomainFactor*load
 }
 
 // relativeStepTime returns the ratio of the endpoint's step time to the service's median, less normal variation; at
