toucanbody: bodies are written without buffers of 32 KB

Ruled out: a pool of buffers (the bytes need no copy). Change: a reader of the blocks that writes them as they are. The tests of bodies now read prefixes across blocks too.

--- a/toucanbody/body.go
+++ b/toucanbody/body.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -133,22 +134,18 @@
 	if b.rest != nil {
 		return &onceReader{body: b}
 	}
-	return b.kept()
+	return b.kept(int64(b.length))
 }
 
-// kept returns a reader of the blocks.
-func (b *Body) kept() io.Reader {
+// kept returns a reader of up to n bytes of the blocks.
+func (b *Body) kept(n int64) io.Reader {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	readers := make([]io.Reader, len(b.blocks))
-	for i, block := range b.blocks {
-		readers[i] = bytes.NewReader(block)
-	}
-	return io.MultiReader(readers...)
+	return &blockReader{blocks: slices.Clone(b.blocks), left: n}
 }
 
 // Prefix returns a reader of up to n of the bytes that are kept and were not sent yet.
-func (b *Body) Prefix(n int64) io.Reader { return io.LimitReader(b.kept(), n) }
+func (b *Body) Prefix(n int64) io.Reader { return b.kept(n) }
 
 // Release returns the reserved memory. Readers that are still in use keep their bytes.
 func (b *Body) Release() {
@@ -168,6 +165,52 @@
 	return b.rest != nil && !b.ended
 }
 
+// blockReader reads the first bytes of some blocks. It writes them without a buffer of its own.
+type blockReader struct {
+	blocks [][]byte
+	// left is the number of bytes that may still be read.
+	left int64
+}
+
+// next returns what may be read of the first block that is left; empty at the end.
+func (r *blockReader) next() []byte {
+	for len(r.blocks) > 0 && len(r.blocks[0]) == 0 {
+		r.blocks = r.blocks[1:]
+	}
+	if len(r.blocks) == 0 {
+		return nil
+	}
+	return r.blocks[0][:min(r.left, int64(len(r.blocks[0])))]
+}
+
+// take records that n bytes of the first block were read.
+func (r *blockReader) take(n int) {
+	r.blocks[0] = r.blocks[0][n:]
+	r.left -= int64(n)
+}
+
+// Read implements io.Reader.
+func (r *blockReader) Read(p []byte) (int, error) {
+	block := r.next()
+	if len(block) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, block)
+	r.take(n)
+	return n, nil
+}
+
+// WriteTo implements io.WriterTo.
+func (r *blockReader) WriteTo(w io.Writer) (written int64, err error) {
+	for block := r.next(); len(block) > 0 && err == nil; block = r.next() {
+		var n int
+		n, err = w.Write(block)
+		r.take(n)
+		written += int64(n)
+	}
+	return written, err
+}
+
 // onceReader reads a body with a rest. It frees each block that it has read.
 type onceReader struct {
 	body *Body
--- a/toucanbody/body_test.go
+++ b/toucanbody/body_test.go
@@ -38,6 +38,12 @@
 			assert.NilError(t, err)
 			assert.Assert(t, bytes.Equal(got, want), "%d bytes", n)
 		}
+		for _, prefix := range sizes {
+			var got bytes.Buffer
+			_, err := io.Copy(&got, b.Prefix(int64(prefix)))
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(got.Bytes(), want[:min(prefix, n)]), "%d of %d bytes", prefix, n)
+		}
 		b.Release()
 		b.Release()
 		assert.Equal(t, m.Usage().Used, 0)
