--- a/toucanforward/queue.go
+++ b/toucanforward/queue.go
@@ -86,8 +86,12 @@
 func (w *waitQueue) mayReserve(now time.Time, j *job, r *toucanrank.Request) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	jobs := w.jobs[j.service.Name]
+	if len(jobs) == 0 {
+		return true
+	}
 	return toucanrank.MayTry(now, r, func(yield func(*toucanrank.Request, bool) bool) {
-		for other, request := range w.jobs[j.service.Name] {
+		for other, request := range jobs {
 			if other != j && !yield(request, now.Sub(other.triedAt) < triedFor) {
 				return
 			}
