toucandev: its entries answer previews

Cause: found by asking a running toucanport dev: its entries are put together apart from toucaninstance's and had no preview (404). Change: wired as there. Asked by hand afterwards: a model and a plain service as text and as JSON, an unknown model, no credential, and a credential of a team for another's workspace.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -18,6 +18,7 @@
 	"toucanport/toucandeploy"
 	"toucanport/toucanengine"
 	"toucanport/toucanentry"
+	"toucanport/toucanentrypreview"
 	"toucanport/toucanfake"
 	"toucanport/toucanfakemember"
 	"toucanport/toucanfakestore"
@@ -248,6 +249,8 @@
 		return err
 	}
 	scope, scrape, metrics := toucanmetric.New()
+	router := toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain})
+	limiter := toucanlimit.NewShared(s.cfg.Entries)
 	entry := toucanentry.New(toucanentry.Config{
 		Instance:      instance,
 		FailureDomain: domain,
@@ -255,12 +258,12 @@
 		Members:       members,
 		Signer:        s.signer,
 		Dial:          toucanlink.Dialer(protected),
-		Router:        toucanroute.NewPerService(toucanroute.Config{FailureDomain: domain}),
-		Limiter:       toucanlimit.NewShared(s.cfg.Entries),
+		Router:        router,
+		Limiter:       limiter,
 		Scope:         scope,
 	}, toucanentry.WithLogger(s.cfg.Log.With("entry", index+1)))
 	s.entries = append(s.entries, entry)
-	s.startOperatorInterface(ctx, index, entry, settings, members, operatorLn, scrape)
+	s.startOperatorInterface(ctx, index, entry, settings, members, operatorLn, scrape, toucanentrypreview.New(settings, router, limiter))
 	s.wg.Go(func() {
 		defer metrics.Close()
 		s.logError("entry", entry.Run(ctx, ln))
--- a/toucandev/settings.go
+++ b/toucandev/settings.go
@@ -117,7 +117,7 @@
 }
 
 // startOperatorInterface starts an entry's operators' interface and its refresh of the instance list.
-func (s *System) startOperatorInterface(ctx context.Context, index int, entry *toucanentry.Entry, h *toucanreplicate.Holder, members *toucanlisting.View, ln net.Listener, scrape http.Handler) {
+func (s *System) startOperatorInterface(ctx context.Context, index int, entry *toucanentry.Entry, h *toucanreplicate.Holder, members *toucanlisting.View, ln net.Listener, scrape, preview http.Handler) {
 	control := toucancontrol.New(toucancontrol.Config{
 		Store:    s.store,
 		Holder:   h,
@@ -125,6 +125,7 @@
 		Local:    entry,
 		Members:  members,
 		Metrics:  scrape,
+		Preview:  preview,
 		Log:      s.cfg.Log.With("entry", index+1),
 	})
 	s.wg.Go(func() { s.logError("control", control.Run(ctx, ln)) })
