toucanspread: entries that choose at the same time divide their requests among endpoints

Cause: entries learn of each other's placements some milliseconds late.

Change: a placement among several endpoints is drawn so that the expected cost of what the entries place at the same time is lowest. With nothing unseen, it is the cheapest endpoint, as before. Only where toucanrank decides on room.

--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -172,7 +172,7 @@
 		now := time.Now()
 		j.demand.Goal, j.demand.Movable = j.goalLeft(now), j.isMovable()
 		patience := max(until.Sub(now), 0)
-		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, toucanplace.WithPatience(patience), toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
+		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, room.options(toucanplace.WithPatience(patience))...)
 		if err != nil {
 			return nil, err
 		}
@@ -185,8 +185,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, toucanplace.WithoutLimited(),
-		toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
+	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, room.options(toucanplace.WithoutLimited())...)
 }
 
 // awaitSlot waits until a slot of an endpoint begins. It returns false if the endpoint takes no requests then.
--- a/toucanforward/preview.go
+++ b/toucanforward/preview.go
@@ -25,7 +25,7 @@
 	request, room := s.decideRoom(j, now, until)
 	p.Tokens, p.ReserveTokens, p.MaxUnread = j.demand.Tokens(), room.reserve, room.maxUnread
 	p.MaxWaitMs = until.Sub(now).Milliseconds()
-	list, err := s.placer.Survey(now, j.service.Name, j.demand, toucanplace.WithReserve(room.reserve), toucanplace.WithMaxUnread(room.maxUnread))
+	list, err := s.placer.Survey(now, j.service.Name, j.demand, room.options()...)
 	for _, a := range list {
 		p.Endpoints = append(p.Endpoints, previewEndpoint(a))
 	}
--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanlog"
+	"toucanport/toucanplace"
 	"toucanport/toucanrank"
 	"toucanport/toucanwait"
 )
@@ -35,13 +36,20 @@
 	return toucanrank.Class{Service: j.service.Name, Route: j.route.Name, Rank: j.rank}
 }
 
-// roomLimits are the limits on the room that a request may take at an endpoint. Both are zero if the requests of its service
+// roomLimits are the limits on the room that a request may take at an endpoint. All are zero if the requests of its service
 // don't differ.
 type roomLimits struct {
 	// reserve is the memory, in tokens, that it leaves free for others.
 	reserve int
 	// maxUnread is how many prompt tokens may be unread there, with its own.
 	maxUnread int
+	// unseen is how many requests other entries are expected to place at the same time.
+	unseen float64
+}
+
+// options returns the limits as options of Place.
+func (l roomLimits) options(opts ...toucanplace.PlaceOption) []toucanplace.PlaceOption {
+	return append(opts, toucanplace.WithReserve(l.reserve), toucanplace.WithMaxUnread(l.maxUnread), toucanplace.WithUnseen(l.unseen))
 }
 
 // decideRoom decides which room the request may take now, and returns what it is ordered by. until is when the request is
@@ -54,7 +62,11 @@
 	flows := s.ranks.Flows(now, j.service.Name)
 	r.Reserve = toucanrank.Reserve(now, r, flows, s.size(j))
 	rate := s.ranks.Times(now, j.service.Name, j.route.Name).ReadRate
-	return r, roomLimits{reserve: r.Reserve, maxUnread: toucanrank.MaxUnread(now, r, flows, rate)}
+	return r, roomLimits{
+		reserve:   r.Reserve,
+		maxUnread: toucanrank.MaxUnread(now, r, flows, rate),
+		unseen:    s.ranks.Unseen(now, j.service.Name, !j.triedAt.IsZero()),
+	}
 }
 
 // isHopeless reports whether the waiting requests before this one need more room than becomes free until a time.
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"toucanport/toucanspread"
 )
 
 // Backup reserves memory for a backup of a generation that runs at the endpoint at. The backup is placed on another
@@ -54,6 +56,8 @@
 	patience time.Duration
 	// extra is added to the cost of an endpoint.
 	extra func(*endpointState) float64
+	// unseen is how many requests other entries are expected to place at the same time; zero to take the lowest cost.
+	unseen float64
 	// copied is true if the request's prompt was read at another endpoint.
 	copied bool
 	// chosen is true for a copy of a generation that could stay where it is.
@@ -74,6 +78,10 @@
 // are none yet. Zero is no limit.
 func WithMaxUnread(tokens int) PlaceOption { return func(q *search) { q.limits.unread = tokens } }
 
+// WithUnseen divides requests among endpoints of similar cost. unseen is the expected number of requests that other entries place
+// at the same time, before this entry learns of them.
+func WithUnseen(unseen float64) PlaceOption { return func(q *search) { q.unseen = unseen } }
+
 // Available returns the number of a service's endpoints that take new requests from this entry, regardless of their load.
 func (p *Placer) Available(service string) int {
 	p.mu.Lock()
@@ -219,31 +227,67 @@
 	return false
 }
 
-// chooseAmong selects the endpoint with the lowest cost, with or without those of other cells.
+// candidate is an endpoint that can take a request.
+type candidate struct {
+	state *endpointState
+	use   Use
+	cost  float64
+}
+
+// chooseAmong selects the endpoint with the lowest cost, with or without those of other cells, or one of similar cost if requests
+// are divided.
 func (p *Placer) chooseAmong(q search, otherCells bool) (*endpointState, Choice, error) {
-	best, bestID := (*endpointState)(nil), ""
+	var best candidate
+	var all []candidate
+	bestID := ""
 	var why Choice
 	var counts leftOutCounts
 	uneven := q.demand.Tokens() > 0 && p.isUneven(q.now, q.service)
 	for _, s := range p.services[q.service] {
 		v := p.assess(&q, s, otherCells, uneven)
 		counts[v.LeftOut]++
-		if v.LeftOut == LeftOutNone && why.add(s.ID, bestID, v.Costs.Total()) {
-			best, bestID = s, s.ID
-			why.Unread = v.Use.Unread
-			if uneven {
-				why.Pace = p.paceChoice(q, s, v.Use)
-			}
+		if v.LeftOut != LeftOutNone {
+			continue
+		}
+		c := candidate{state: s, use: v.Use, cost: v.Costs.Total()}
+		if q.unseen > 0 {
+			all = append(all, c)
+		}
+		if why.add(s.ID, bestID, c.cost) {
+			best, bestID = c, s.ID
 		}
 	}
 	why.Cold = counts[LeftOutCold]
 	if why.Cold > 0 {
 		p.cold.leftOut++
 	}
-	if best == nil {
+	if best.state == nil {
 		return nil, why, counts.err(q.service)
 	}
-	return best, why, nil
+	if divided := q.divide(best, all); divided.state != best.state {
+		why.Next, why.NextCost, why.Cost = bestID, best.cost, divided.cost
+		best = divided
+	}
+	why.Unread = best.use.Unread
+	if uneven {
+		why.Pace = p.paceChoice(q, best.state, best.use)
+	}
+	return best.state, why, nil
+}
+
+// divide returns the best candidate, or one of all that are divided among the requests that are placed at the same time.
+func (q *search) divide(best candidate, all []candidate) candidate {
+	if len(all) < 2 {
+		return best
+	}
+	d := q.demand
+	with := best.use.plus(Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt})
+	added := best.state.cost(q.now, with) - best.state.cost(q.now, best.use)
+	costs := make([]float64, len(all))
+	for i, c := range all {
+		costs[i] = c.cost
+	}
+	return all[toucanspread.Pick(costs, q.unseen, added)]
 }
 
 // paceCost returns what an endpoint costs because the endpoints of its service are uneven.
