toucanplace: endpoints that drain together divide the targets of their copies

Change: PlaceCopy divides targets by toucanspread while other endpoints of the service drain; a second copy to a target costs 0.5. With one draining endpoint nothing changes.

The part of the pauses is not shown to be smaller by this.

--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -58,6 +58,8 @@
 	extra func(*endpointState) float64
 	// unseen is how many requests other entries are expected to place at the same time; zero to take the lowest cost.
 	unseen float64
+	// shared is the further cost of two of these requests at one endpoint.
+	shared float64
 	// copied is true if the request's prompt was read at another endpoint.
 	copied bool
 	// chosen is true for a copy of a generation that could stay where it is.
@@ -166,7 +168,7 @@
 	defer p.mu.Unlock()
 	best, why, err := p.choose(search{
 		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: p.copyCost(from), copied: true,
-		limits: memoryLimits{end: copyShare, taken: copyTakenShare},
+		limits: memoryLimits{end: copyShare, taken: copyTakenShare}, unseen: float64(p.otherSources(from)), shared: sharedLinkCost,
 	})
 	if err != nil {
 		return nil, err
@@ -177,6 +179,18 @@
 	return r, nil
 }
 
+// otherSources returns how many other endpoints of the same service drain and hold generations. Their first copies begin in the same
+// moments, before entries learn of each other's targets.
+func (p *Placer) otherSources(from Endpoint) int {
+	n := 0
+	for _, s := range p.services[from.Service] {
+		if s.ID != from.ID && s.isDraining() && s.own.Held+s.reported.Held > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // limitedCost returns the additional cost of an endpoint with a limit as the target of a copy.
 func (p *Placer) limitedCost(s *endpointState) float64 {
 	if _, limited := p.limits.Limit(s.key); limited {
@@ -282,7 +296,7 @@
 	}
 	d := q.demand
 	with := best.use.plus(Use{Requests: 1, Tokens: d.Tokens(), Unread: d.Prompt})
-	added := best.state.cost(q.now, with) - best.state.cost(q.now, best.use)
+	added := best.state.cost(q.now, with) - best.state.cost(q.now, best.use) + q.shared
 	costs := make([]float64, len(all))
 	for i, c := range all {
 		costs[i] = c.cost
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -145,6 +145,9 @@
 	// steps. It makes sources prefer different targets.
 	copySpreadCost  = 0.12
 	copySpreadSteps = 16
+	// sharedLinkCost is the cost of two copies to one target at a time. The second waits for the first, and the pause of its generation
+	// with it.
+	sharedLinkCost = 0.5
 	// warmupCost is the cost of an endpoint that is not yet warm.
 	warmupCost = 0.3
 	// failureCost is the cost of an endpoint that fails every request, and of one that this entry suspects.
