toucanplace: requests that can't be sent again avoid endpoints that could not be reached; copies stay near

They hold nothing, so that in a burst, with every other engine full, they are the cheapest or the only candidates, at a cost of 4 to 5 as well as at 1.

Change: such a request waits for another endpoint while its patience lasts (toucanrank.AvoidsDoubt), if at most 0.3 of the endpoints are doubted; requests that can be sent again go on finding out.

The smaller share of copies is not measured yet.

--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -22,6 +22,7 @@
 		return r
 	}
 	times := s.ranks.Times(time.Now(), j.service.Name, j.route.Name)
+	r.Once = !j.route.IsIdempotent()
 	r.Rank, r.MaxWait, r.Work, r.Hold = j.rank, until.Sub(j.arrived), times.Work+times.Deviation, times.Hold
 	return r
 }
@@ -45,11 +46,17 @@
 	maxUnread int
 	// unseen is how many requests other entries are expected to place at the same time.
 	unseen float64
+	// sound is true if the request avoids endpoints at which others have just failed.
+	sound bool
 }
 
 // options returns the limits as options of Place.
 func (l roomLimits) options(opts ...toucanplace.PlaceOption) []toucanplace.PlaceOption {
-	return append(opts, toucanplace.WithReserve(l.reserve), toucanplace.WithMaxUnread(l.maxUnread), toucanplace.WithUnseen(l.unseen))
+	opts = append(opts, toucanplace.WithReserve(l.reserve), toucanplace.WithMaxUnread(l.maxUnread), toucanplace.WithUnseen(l.unseen))
+	if l.sound {
+		opts = append(opts, toucanplace.WithoutDoubtful())
+	}
+	return opts
 }
 
 // decideRoom decides which room the request may take now, and returns what it is ordered by. until is when the request is
@@ -66,6 +73,7 @@
 		reserve:   r.Reserve,
 		maxUnread: toucanrank.MaxUnread(now, r, flows, rate),
 		unseen:    s.ranks.Unseen(now, j.service.Name, !j.triedAt.IsZero()),
+		sound:     r.AvoidsDoubt(now),
 	}
 }
 
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -60,6 +60,8 @@
 	unseen float64
 	// shared is the further cost of two of these requests at one endpoint.
 	shared float64
+	// sound is true if endpoints that could not be reached lately are left out.
+	sound bool
 	// copied is true if the request's prompt was read at another endpoint.
 	copied bool
 	// chosen is true for a copy of a generation that could stay where it is.
@@ -84,6 +86,10 @@
 // at the same time, before this entry learns of them.
 func WithUnseen(unseen float64) PlaceOption { return func(q *search) { q.unseen = unseen } }
 
+// WithoutDoubtful leaves out endpoints that this entry or a peer could not reach lately, unless these are more than maxDoubtfulShare of
+// the endpoints that take requests: then the fault may be elsewhere.
+func WithoutDoubtful() PlaceOption { return func(q *search) { q.sound = true } }
+
 // Available returns the number of a service's endpoints that take new requests from this entry, regardless of their load.
 func (p *Placer) Available(service string) int {
 	p.mu.Lock()
@@ -108,6 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.learnGap(service, d.MaxGap)
+	q.sound = q.sound && p.doubtIsCredible(now, service)
 	best, why, err := p.choose(q)
 	if err != nil {
 		return nil, err
@@ -168,7 +175,7 @@
 	defer p.mu.Unlock()
 	best, why, err := p.choose(search{
 		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: p.copyCost(from), copied: true,
-		limits: memoryLimits{end: copyShare, taken: copyTakenShare}, unseen: float64(p.otherSources(from)), shared: sharedLinkCost,
+		limits: memoryLimits{end: copyShare, taken: copyTakenShare}, unseen: unseenCopyShare * float64(p.otherSources(from)), shared: sharedLinkCost,
 	})
 	if err != nil {
 		return nil, err
@@ -179,6 +186,21 @@
 	return r, nil
 }
 
+// doubtIsCredible reports whether some endpoints of a service could not be reached lately, but at most maxDoubtfulShare of them.
+func (p *Placer) doubtIsCredible(now time.Time, service string) bool {
+	doubtful, all := 0, 0
+	for _, s := range p.services[service] {
+		if !s.takesNew() {
+			continue
+		}
+		all++
+		if s.isDoubtful(now) {
+			doubtful++
+		}
+	}
+	return doubtful > 0 && float64(doubtful) <= maxDoubtfulShare*float64(all)
+}
+
 // otherSources returns how many other endpoints of the same service drain and hold generations. Their first copies begin in the same
 // moments, before entries learn of each other's targets.
 func (p *Placer) otherSources(from Endpoint) int {
