--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -44,15 +44,13 @@
 	reserve int
 	// maxUnread is how many prompt tokens may be unread there, with its own.
 	maxUnread int
-	// unseen is how many requests other entries are expected to place at the same time.
-	unseen float64
 	// sound is true if the request avoids endpoints at which others have just failed.
 	sound bool
 }
 
 // options returns the limits as options of Place.
 func (l roomLimits) options(opts ...toucanplace.PlaceOption) []toucanplace.PlaceOption {
-	opts = append(opts, toucanplace.WithReserve(l.reserve), toucanplace.WithMaxUnread(l.maxUnread), toucanplace.WithUnseen(l.unseen))
+	opts = append(opts, toucanplace.WithReserve(l.reserve), toucanplace.WithMaxUnread(l.maxUnread))
 	if l.sound {
 		opts = append(opts, toucanplace.WithoutDoubtful())
 	}
@@ -72,7 +70,6 @@
 	return r, roomLimits{
 		reserve:   r.Reserve,
 		maxUnread: toucanrank.MaxUnread(now, r, flows, rate),
-		unseen:    s.ranks.Unseen(now, j.service.Name, !j.triedAt.IsZero()),
 		sound:     r.AvoidsDoubt(now),
 	}
 }
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -82,10 +82,6 @@
 // are none yet. Zero is no limit.
 func WithMaxUnread(tokens int) PlaceOption { return func(q *search) { q.limits.unread = tokens } }
 
-// WithUnseen divides requests among endpoints of similar cost. unseen is the expected number of requests that other entries place
-// at the same time, before this entry learns of them.
-func WithUnseen(unseen float64) PlaceOption { return func(q *search) { q.unseen = unseen } }
-
 // WithoutDoubtful leaves out endpoints that this entry or a peer could not reach lately, unless these are more than maxDoubtfulShare of
 // the endpoints that take requests: then the fault may be elsewhere.
 func WithoutDoubtful() PlaceOption { return func(q *search) { q.sound = true } }
--- a/toucanrank/table.go
+++ b/toucanrank/table.go
@@ -302,39 +302,6 @@
 	return flows
 }
 
-const (
-	// unseenTime is the time within which two entries place requests without knowing of each other's: the way of a report, and its
-	// wait for the processor at both ends.
-	unseenTime = 8 * time.Millisecond
-	// unseenWaiting bounds the waiting requests of other entries that try to take freed room within unseenTime.
-	unseenWaiting = float64(unseenTime / turnStep)
-)
-
-// Unseen returns how many requests the other entries are expected to place at a service at the same time as this one, before the entries
-// learn of each other's choices. freed is true if the request waited: then those that wait elsewhere try as well.
-func (t *Table) Unseen(now time.Time, service string, freed bool) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	key := Key(service)
-	perSecond, waiting := 0.0, 0
-	for _, p := range t.peers {
-		if now.Sub(p.at) >= rowsTTL {
-			continue
-		}
-		for i := range p.rows {
-			if p.rows[i].Service == key {
-				perSecond += p.rows[i].PerSecond
-				waiting += p.rows[i].Waiting
-			}
-		}
-	}
-	unseen := perSecond * unseenTime.Seconds()
-	if freed {
-		unseen += min(float64(waiting), unseenWaiting)
-	}
-	return unseen
-}
-
 // weighted returns the mean of two averages by their rates. An average of zero is unknown and does not count.
 func weighted(a, rateA, b, rateB float64) float64 {
 	if a == 0 || rateA <= 0 {
