toucanplain: the bound of plain requests at an endpoint follows their time left and its service time

Cause: an endpoint without a model engine took twice its slots whatever the time that a request had left. With 15 ms of work, 6 slots and 600 ms to live, a request beyond 12 waited at its entry, which looks again every 0.1 s (the goal is 0.1 s), though it would have been served within 60 ms; and where an endpoint has become slow, one was sent that could not end in time.

Change: the entry learns the service time of each endpoint from answers (those that waited are divided by the rounds they waited). A request is sent if it is expected to end within 0.8 of its time left, at most 4 times the slots; it is rejected at once, as not run, if it would end too late at every endpoint, with a Retry-After between the least expected time there and twice that, within a third of its time. A free slot is always used.

--- a/toucanforward/failure.go
+++ b/toucanforward/failure.go
@@ -19,6 +19,9 @@
 // changes that.
 const retryAfterEvacuated = time.Second
 
+// minReturn is the least Retry-After value of a request that has too little time left for its service.
+const minReturn = 10 * time.Millisecond
+
 // reason is the cause of a refusal as it appears in logs and metrics.
 type reason string
 
@@ -148,6 +151,8 @@
 		return refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, err: err}
 	case errors.Is(err, toucanplace.ErrEvacuated):
 		return refusal{status: http.StatusServiceUnavailable, reason: reasonEvacuated, retryAfter: retryAfterEvacuated, err: err}
+	case errors.Is(err, toucanplace.ErrNoTime):
+		return refusal{status: http.StatusServiceUnavailable, reason: reasonHopeless, retryAfter: max(delay, minReturn), err: err}
 	case errors.Is(err, toucanplace.ErrNoEndpoint):
 		return refusal{status: http.StatusServiceUnavailable, reason: reasonNoEndpoint, retryAfter: retryAfterFull, err: err}
 	}
--- a/toucanforward/limit.go
+++ b/toucanforward/limit.go
@@ -8,6 +8,7 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrank"
 	"toucanport/toucanrate"
 )
 
@@ -33,6 +34,9 @@
 func (s *Server) delayFor(j *job, err error) time.Duration {
 	perSecond, limited := s.placer.RateLimit(j.service.Name)
 	now := time.Now()
+	if errors.Is(err, toucanplace.ErrNoTime) {
+		return toucanrank.ReturnAfter(s.placer.PlainEnd(now, j.service.Name), 0, j.deadline.Sub(now))
+	}
 	if !limited || !errors.Is(err, toucanplace.ErrLimited) {
 		return max(s.deferredFor(j), s.returnAfter(now, j))
 	}
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -27,7 +27,7 @@
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
 // too large for every endpoint, if it can't end before the server stops, if all endpoints have asked for no requests for
-// longer than it may wait or have no slot in that time, if all are in evacuated failure domains, if the requests that wait
+// longer than it may wait or have no slot in that time, if it would end too late at all of them, if all are in evacuated failure domains, if the requests that wait
 // before it need longer, or if an attempt has failed and no untried endpoint is left.
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
@@ -85,9 +85,17 @@
 	}
 }
 
+// plainLeft returns the time left to the deadline of a request without a model engine; zero for others.
+func (j *job) plainLeft(now time.Time) time.Duration {
+	if j.service.Engine != nil {
+		return 0
+	}
+	return max(j.deadline.Sub(now), time.Nanosecond)
+}
+
 // isFinal reports whether a request for which no endpoint was reserved gets none by waiting.
 func isFinal(err error) bool {
-	return errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrLimited) || errors.Is(err, toucanplace.ErrEvacuated)
+	return errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrNoTime) || errors.Is(err, toucanplace.ErrLimited) || errors.Is(err, toucanplace.ErrEvacuated)
 }
 
 // recordPlaced records how long the request waited for the reservation, counted from since, and logs which endpoint was
@@ -170,7 +178,7 @@
 func (s *Server) reserve(ctx context.Context, j *job, until time.Time, room roomLimits) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
-		j.demand.Goal, j.demand.Movable = j.goalLeft(now), j.isMovable()
+		j.demand.Goal, j.demand.Movable, j.demand.Left = j.goalLeft(now), j.isMovable(), j.plainLeft(now)
 		patience := max(until.Sub(now), 0)
 		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, room.options(toucanplace.WithPatience(patience))...)
 		if err != nil {
--- /dev/null
+++ b/toucanforward/plain_test.go
@@ -0,0 +1,51 @@
+package toucanforward
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"toucanport/toucanbody"
+	"toucanport/toucanplace"
+	"toucanport/toucantraffic"
+)
+
+// TestPlainRequestWithoutTimeIsRejected checks that a plain request that would end after its deadline behind those at the endpoint is
+// rejected at once as not run, and that one with more time is placed behind them.
+func TestPlainRequestWithoutTimeIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Placer: toucanplace.NewPlacer("d1"), Log: slog.New(slog.DiscardHandler)})
+		s.placer.SetEndpoints([]toucanplace.Endpoint{{ID: "a", Service: "s", Slots: 1}})
+		first, err := s.placer.Place(time.Now(), "s", toucanplace.Demand{}, nil)
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		first.Done(time.Now(), toucanplace.OutcomeGood)
+		newJob := func(left time.Duration) *job {
+			now := time.Now()
+			return &job{
+				route: toucantraffic.Route{Name: "r", Goal: 100 * time.Millisecond}, service: toucantraffic.Service{Name: "s"},
+				arrived: now, deadline: now.Add(left), body: &toucanbody.Body{},
+			}
+		}
+		for range 3 {
+			_, err := s.place(t.Context(), newJob(2*time.Second))
+			assert.NilError(t, err)
+		}
+		short := newJob(300 * time.Millisecond)
+		_, err = s.place(t.Context(), short)
+		assert.Assert(t, errors.Is(err, toucanplace.ErrNoTime), "%v", err)
+		assert.Equal(t, time.Since(short.arrived), time.Duration(0))
+		r := placeRefusal(t.Context(), short, err, s.delayFor(short, err))
+		assert.Equal(t, r.status, 503)
+		assert.Equal(t, r.reason, reasonHopeless)
+		assert.Assert(t, r.retryAfter >= minReturn && r.retryAfter <= 100*time.Millisecond, "come back after %v", r.retryAfter)
+		short.maybeRun = 1
+		assert.Equal(t, placeRefusal(t.Context(), short, err, 0).status, 504, "a request that may have run is not said not to have")
+		_, err = s.place(t.Context(), newJob(2*time.Second))
+		assert.NilError(t, err)
+	})
+}
--- a/toucanforward/preview.go
+++ b/toucanforward/preview.go
@@ -22,6 +22,7 @@
 		return rejected(p, *r)
 	}
 	until := now.Add(j.maxWait(now))
+	j.demand.Left = j.plainLeft(now)
 	request, room := s.decideRoom(j, now, until)
 	p.Tokens, p.ReserveTokens, p.MaxUnread = j.demand.Tokens(), room.reserve, room.maxUnread
 	p.MaxWaitMs = until.Sub(now).Milliseconds()
--- a/toucanplace/assess.go
+++ b/toucanplace/assess.go
@@ -33,13 +33,15 @@
 	LeftOutCold
 	// LeftOutFull means that it has no free slot, memory or room for unread prompts.
 	LeftOutFull
+	// LeftOutLate means that the request would end too late there.
+	LeftOutLate
 
 	leftOutReasons
 )
 
 // String returns the reason as it appears in the output of commands; empty for LeftOutNone.
 func (l LeftOut) String() string {
-	return [leftOutReasons]string{"", "draining", "otherCell", "tried", "evacuated", "tooSmall", "deferred", "limited", "cold", "full"}[l]
+	return [leftOutReasons]string{"", "draining", "otherCell", "tried", "evacuated", "tooSmall", "deferred", "limited", "cold", "full", "late"}[l]
 }
 
 // Costs are the parts of the cost of a placement. They have no unit.
@@ -108,8 +110,8 @@
 		return Verdict{LeftOut: leftOut}
 	}
 	u := p.total(q.now, s)
-	if !s.fits(u, q.demand, q.limits) {
-		return Verdict{LeftOut: LeftOutFull, Use: u}
+	if why := s.room(u, q.demand, q.limits); why != LeftOutNone {
+		return Verdict{LeftOut: why, Use: u}
 	}
 	v := Verdict{Use: u, SlotWait: wait}
 	v.Costs = Costs{Load: s.cost(q.now, u), Distance: q.extra(s), Slot: slotWaitCost * wait.Seconds()}
@@ -124,7 +126,7 @@
 
 // err returns the error of a placement for which all endpoints are left out.
 func (n *leftOutCounts) err(service string) error {
-	listed := n[LeftOutTooSmall] + n[LeftOutDeferred] + n[LeftOutLimited] + n[LeftOutCold] + n[LeftOutFull]
+	listed := n[LeftOutTooSmall] + n[LeftOutDeferred] + n[LeftOutLimited] + n[LeftOutCold] + n[LeftOutFull] + n[LeftOutLate]
 	err := ErrFull
 	switch {
 	case listed == 0 && n[LeftOutEvacuated] > 0:
@@ -133,9 +135,11 @@
 		err = ErrNoEndpoint
 	case n[LeftOutTooSmall] == listed:
 		err = ErrTooLarge
+	case n[LeftOutLate] > 0 && n[LeftOutTooSmall]+n[LeftOutLate] == listed:
+		err = ErrNoTime
 	case n[LeftOutTooSmall]+n[LeftOutDeferred] == listed:
 		err = ErrDeferred
-	case n[LeftOutCold]+n[LeftOutFull] == 0:
+	case n[LeftOutCold]+n[LeftOutFull]+n[LeftOutLate] == 0:
 		err = ErrLimited
 	}
 	return errors.Wrap(err, service)
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -112,6 +112,9 @@
 	}
 	r := p.reserve(best, d)
 	r.Choice = why
+	if best.MemoryTokens == 0 {
+		r.placedAt, r.ahead = now, p.total(now, best).Requests-1
+	}
 	return r, nil
 }
 
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -10,6 +10,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"toucanport/toucanplain"
 )
 
 var (
@@ -25,6 +27,8 @@
 	ErrLimited = errors.Wrap(ErrFull, "every endpoint takes no more requests a second")
 	// ErrTooLarge means that a request needs more memory than any endpoint has.
 	ErrTooLarge = errors.New("request is larger than an endpoint's memory")
+	// ErrNoTime means that a request would end too late at every endpoint of a service. It wraps ErrFull.
+	ErrNoTime = errors.Wrap(ErrFull, "the request would end too late at every endpoint")
 )
 
 // Endpoint describes an endpoint from the platform's list. It is immutable.
@@ -82,6 +86,8 @@
 	Movable bool
 	// Goal is the time that is left for the first event to be on time; zero for no such bound.
 	Goal time.Duration
+	// Left is the time that is left to the deadline of a request that generates nothing; zero for no such bound.
+	Left time.Duration
 }
 
 // Tokens returns the estimated memory, in tokens, at the end of the output.
@@ -130,9 +136,6 @@
 	// backupShare limits the estimated memory of requests and backups, as a share of the engine's memory, when a backup
 	// of another engine's generation is placed.
 	backupShare = 0.5
-	// plainOverload limits the requests at an endpoint without a model engine, as a multiple of its slots. Requests
-	// beyond the slots are queued at the endpoint.
-	plainOverload = 2
 	// unreadScale is the number of unread prompt tokens that cost as much as a full memory.
 	unreadScale = 12000
 	// slotWeight is the cost of an endpoint whose slots are all used, where a full memory costs 1.
@@ -207,6 +210,8 @@
 	// sets it.
 	readTime time.Duration
 	cold     coldState
+	// service is how long an endpoint without a model engine takes for a request.
+	service toucanplain.ServiceTime
 	// harmCost is the cost of a prompt for each exposed stream beside it. isUneven sets it.
 	harmCost float64
 }
@@ -255,12 +260,30 @@
 	unread int
 }
 
-// fits reports whether the endpoint has a free slot and memory for d in addition to the load u. An endpoint without a model
-// engine only has a limit on requests.
-func (s *endpointState) fits(u Use, d Demand, limits memoryLimits) bool {
+// room returns why the endpoint has no room for d in addition to the load u; LeftOutNone if it has.
+func (s *endpointState) room(u Use, d Demand, limits memoryLimits) LeftOut {
 	if s.MemoryTokens == 0 {
-		return u.Requests < plainOverload*s.Slots
+		return s.plainRoom(u, d)
+	}
+	if !s.fits(u, d, limits) {
+		return LeftOutFull
 	}
+	return LeftOutNone
+}
+
+// plainRoom is room for an endpoint without a model engine, which only has a limit on requests.
+func (s *endpointState) plainRoom(u Use, d Demand) LeftOut {
+	switch s.service.Decide(u.Requests, s.Slots, d.Left) {
+	case toucanplain.Full:
+		return LeftOutFull
+	case toucanplain.Late:
+		return LeftOutLate
+	}
+	return LeftOutNone
+}
+
+// fits reports whether the endpoint, one with a model engine, has a free slot and memory for d in addition to the load u.
+func (s *endpointState) fits(u Use, d Demand, limits memoryLimits) bool {
 	if limits.unread > 0 && u.Unread > 0 && u.Unread+d.Prompt > limits.unread {
 		return false
 	}
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -196,6 +196,20 @@
 	return uses
 }
 
+// PlainEnd returns how long a plain request takes at the least at an endpoint of a service; zero if it is unknown.
+func (p *Placer) PlainEnd(now time.Time, service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least := time.Duration(0)
+	for _, s := range p.services[service] {
+		end := s.service.End(p.total(now, s).Requests, s.Slots)
+		if s.takesNew() && end > 0 && (least == 0 || end < least) {
+			least = end
+		}
+	}
+	return least
+}
+
 // Load describes an endpoint and its load, as known to this entry.
 type Load struct {
 	Endpoint
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -14,6 +14,9 @@
 	state  *endpointState
 	use    Use
 	done   bool
+	// placedAt is when the request was placed, and ahead how many requests were at the endpoint then.
+	placedAt time.Time
+	ahead    int
 	// toSend is true while the request is in the endpoint's window and was not sent.
 	toSend bool
 }
@@ -141,6 +144,9 @@
 	switch o {
 	case OutcomeGood:
 		r.state.recordOutcome(now, false)
+		if !r.placedAt.IsZero() {
+			r.state.service = r.state.service.With(now.Sub(r.placedAt), r.ahead, r.state.Slots)
+		}
 	case OutcomeFailed:
 		r.state.recordOutcome(now, true)
 	case OutcomeUnreachable:
