toucanroom: what waits, in which order and what is rejected, out of toucanforward

toucanforward held the requests that wait, the order in which they try, the bounds of a wait, the forecast and the return of callers beside what carries them out. They are a package of their own now, which needs neither a server nor a network: toucanforward asks it, reserves, waits and answers. No behaviour changed. Tests of toucanforward stay; they reach the same decisions through toucanroom.

--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -54,7 +54,7 @@
 	if j.maxBody > 0 && r.ContentLength > j.maxBody {
 		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
-	s.recordArrival(j)
+	s.rooms.Arrived(j.room())
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
 		toucanretry.WithMaxAttempts(route.MaxAttempts+unsentAttempts))
 	return j, nil
--- a/toucanforward/limit.go
+++ b/toucanforward/limit.go
@@ -38,7 +38,7 @@
 		return toucanrank.ReturnAfter(s.placer.PlainEnd(now, j.service.Name), 0, j.deadline.Sub(now))
 	}
 	if !limited || !errors.Is(err, toucanplace.ErrLimited) {
-		return max(s.deferredFor(j), s.returnAfter(now, j))
+		return max(s.deferredFor(j), s.rooms.ReturnAfter(now, j.room(), retryAfterFull))
 	}
 	return s.returns.After(now, j.service.Name, s.limits.Share(now, perSecond))
 }
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -10,20 +10,13 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanroom"
 	"toucanport/toucantraffic"
 	"toucanport/toucanwait"
 )
 
-const (
-	// maxWaitShare bounds how long a request waits for a free endpoint, as a share of the time to its deadline.
-	maxWaitShare = 0.3
-	// maxWaitGoals bounds how long a request waits for a free endpoint, as a multiple of its route's goal.
-	maxWaitGoals = 2
-	// recheckInterval is the longest time between two attempts to reserve an endpoint while a request waits.
-	recheckInterval = 100 * time.Millisecond
-	// maxSlotAsks is how many endpoints a request asks for a slot before it looks for one without a limit.
-	maxSlotAsks = 2
-)
+// maxSlotAsks is how many endpoints a request asks for a slot before it looks for one without a limit.
+const maxSlotAsks = 2
 
 // place reserves an endpoint for the request and waits up to job.maxWait for one. It does not wait if the request is
 // too large for every endpoint, if it can't end before the server stops, if all endpoints have asked for no requests for
@@ -32,7 +25,7 @@
 func (s *Server) place(ctx context.Context, j *job) (*toucanplace.Reservation, error) {
 	now := time.Now()
 	until := now.Add(j.maxWait(now))
-	defer s.queue.remove(j)
+	defer s.rooms.Leave(j.room())
 	for held := false; ; held = true {
 		if s.isQuarantined(j) {
 			return nil, errQuarantined
@@ -60,11 +53,10 @@
 		if left <= 0 || s.deferredFor(j) > left {
 			return nil, err
 		}
-		if !held && s.isHopeless(j, until) {
+		if !held && s.rooms.Hopeless(time.Now(), j.room(), until) {
 			return nil, errors.Wrap(errHopeless, err.Error())
 		}
-		request, _ := s.decideRoom(j, time.Now(), until)
-		s.queue.add(j, request)
+		s.rooms.Wait(time.Now(), j.room(), until)
 		if !held {
 			j.logged = true
 			s.log.Info(toucanlog.MsgRequestHeld, append([]any{
@@ -77,7 +69,7 @@
 				toucanlog.WaitMs, left.Milliseconds(),
 			}, s.rankArgs(j, until)...)...)
 		}
-		toucanwait.Signal(ctx, freed, min(left, recheckInterval))
+		toucanwait.Signal(ctx, freed, min(left, toucanroom.RecheckInterval))
 		s.leaveTurn(ctx, j, until)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -141,46 +133,41 @@
 // sampled reports whether a request is in the sample, one in successSampleRate by request id, whose success is logged.
 func (j *job) sampled() bool { return xxhash.Sum64String(j.ID)%successSampleRate == 0 }
 
-// maxWait returns how long a request may wait for a free endpoint: maxWaitShare of the time to its deadline, and at
-// most maxWaitGoals times the route's goal if it has one. One whose body is not kept does not wait, since its caller's
+// maxWait returns how long a request may wait for a free endpoint. One whose body is not kept does not wait, since its caller's
 // leaving is noticed only when the body has been read.
 func (j *job) maxWait(now time.Time) time.Duration {
 	if !j.body.Whole() {
 		return 0
 	}
-	wait := time.Duration(float64(j.deadline.Sub(now)) * maxWaitShare)
-	if j.route.Goal > 0 {
-		wait = min(wait, maxWaitGoals*j.route.Goal)
-	}
-	return wait
+	return j.room().Patience(now)
 }
 
 // tryPlace reserves an endpoint. Only if every endpoint has a limit on requests a second, it waits for a slot at one of them,
 // at most until a time. It returns ErrFull if too many queued requests precede this one.
 func (s *Server) tryPlace(ctx context.Context, j *job, until time.Time) (*toucanplace.Reservation, error) {
 	now := time.Now()
-	request, room := s.decideRoom(j, now, until)
-	if !s.queue.mayReserve(now, j, request) {
+	limits, may := s.rooms.Try(now, j.room(), until)
+	if !may {
 		return nil, toucanplace.ErrFull
 	}
-	reservation, err := s.reserve(ctx, j, now, room)
+	reservation, err := s.reserve(ctx, j, now, limits)
 	if errors.Is(err, toucanplace.ErrLimited) {
-		reservation, err = s.reserve(ctx, j, until, room)
+		reservation, err = s.reserve(ctx, j, until, limits)
 	}
 	if err != nil {
-		s.queue.setTried(now, j)
+		s.rooms.Tried(now, j.room())
 	}
 	return reservation, err
 }
 
 // reserve reserves an endpoint and, if it has a limit, a slot there that begins until a time. After maxSlotAsks asks without a
 // slot, it considers only endpoints without a limit.
-func (s *Server) reserve(ctx context.Context, j *job, until time.Time, room roomLimits) (*toucanplace.Reservation, error) {
+func (s *Server) reserve(ctx context.Context, j *job, until time.Time, limits toucanroom.Limits) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
 		j.demand.Goal, j.demand.Movable, j.demand.Left = j.goalLeft(now), j.isMovable(), j.plainLeft(now)
 		patience := max(until.Sub(now), 0)
-		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, room.options(toucanplace.WithPatience(patience))...)
+		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, roomOptions(limits, toucanplace.WithPatience(patience))...)
 		if err != nil {
 			return nil, err
 		}
@@ -193,7 +180,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, room.options(toucanplace.WithoutLimited())...)
+	return s.placer.Place(time.Now(), j.service.Name, j.demand, j.untried, roomOptions(limits, toucanplace.WithoutLimited())...)
 }
 
 // awaitSlot waits until a slot of an endpoint begins. It returns false if the endpoint takes no requests then.
--- a/toucanforward/preview.go
+++ b/toucanforward/preview.go
@@ -23,21 +23,21 @@
 	}
 	until := now.Add(j.maxWait(now))
 	j.demand.Left = j.plainLeft(now)
-	request, room := s.decideRoom(j, now, until)
-	p.Tokens, p.ReserveTokens, p.MaxUnread = j.demand.Tokens(), room.reserve, room.maxUnread
+	limits, may := s.rooms.Try(now, j.room(), until)
+	p.Tokens, p.ReserveTokens, p.MaxUnread = j.demand.Tokens(), limits.Reserve, limits.MaxUnread
 	p.MaxWaitMs = until.Sub(now).Milliseconds()
-	list, err := s.placer.Survey(now, j.service.Name, j.demand, room.options()...)
+	list, err := s.placer.Survey(now, j.service.Name, j.demand, roomOptions(limits)...)
 	for _, a := range list {
 		p.Endpoints = append(p.Endpoints, previewEndpoint(a))
 	}
-	if err == nil && s.queue.mayReserve(now, j, request) {
+	if err == nil && may {
 		p.Decision = toucanpreview.DecisionSend
 		return p
 	}
 	if err == nil {
 		err = errors.Wrap(toucanplace.ErrFull, "requests that wait go first")
 	}
-	hopeless := s.isHopeless(j, until)
+	hopeless := s.rooms.Hopeless(now, j.room(), until)
 	if hopeless {
 		err = errors.Wrap(errHopeless, err.Error())
 	}
@@ -46,7 +46,7 @@
 	}
 	p.Decision, p.Cause = toucanpreview.DecisionWait, err.Error()
 	if j.mixed {
-		p.ExpectedWaitMs = s.forecast(j).Milliseconds()
+		p.ExpectedWaitMs = s.rooms.Forecast(now, j.room()).Milliseconds()
 	}
 	return p
 }
--- a/toucanforward/rank_test.go
+++ b/toucanforward/rank_test.go
@@ -24,8 +24,9 @@
 
 // newRankServer returns a server with one endpoint, of whose memory 4,000 tokens are taken, that knows of 1 short request a second
 // and of long ones.
-func newRankServer() *Server {
-	s := New(Config{Placer: toucanplace.NewPlacer("d1"), Log: slog.New(slog.DiscardHandler)})
+func newRankServer() (*Server, *toucanrank.Table) {
+	ranks := toucanrank.NewTable()
+	s := New(Config{Placer: toucanplace.NewPlacer("d1"), Log: slog.New(slog.DiscardHandler), Ranks: ranks})
 	s.placer.SetEndpoints([]toucanplace.Endpoint{{ID: "a", Service: "s", Slots: 24, MemoryTokens: 10000}})
 	running, err := s.placer.Place(time.Now(), "s", toucanplace.Demand{Prompt: 2000, Output: 2000}, nil)
 	if err != nil {
@@ -33,15 +34,14 @@
 	}
 	running.MarkPromptRead()
 	short, long := newRankJob(shortRoute, 2000, 10), newRankJob(longRoute, 3000, 1000)
-	now := time.Now()
 	for range 2 {
-		s.ranks.Arrived(now, short.class(), s.request(short, now))
+		s.rooms.Arrived(short.room())
 	}
-	s.ranks.Ended(short.class(), toucanrank.Times{Work: 300 * time.Millisecond, Hold: 500 * time.Millisecond})
-	s.ranks.Arrived(now, long.class(), s.request(long, now))
-	s.ranks.Ended(long.class(), toucanrank.Times{Work: time.Second, Hold: 8 * time.Second})
+	s.rooms.Ended(short.room(), toucanrank.Times{Work: 300 * time.Millisecond, Hold: 500 * time.Millisecond})
+	s.rooms.Arrived(long.room())
+	s.rooms.Ended(long.room(), toucanrank.Times{Work: time.Second, Hold: 8 * time.Second})
 	time.Sleep(100 * time.Millisecond) // The sums of flows are some ms old.
-	return s
+	return s, ranks
 }
 
 func newRankJob(route toucantraffic.Route, prompt, output int) *job {
@@ -55,7 +55,7 @@
 // TestLongRequestLeavesRoom checks that a long request waits while a short one gets the room, and is placed in time for its goal.
 func TestLongRequestLeavesRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newRankServer()
+		s, _ := newRankServer()
 		long := newRankJob(longRoute, 4000, 1000)
 		placed := make(chan error, 1)
 		go func() {
@@ -79,8 +79,8 @@
 // wait, and that its caller is told to come back within a third of its time.
 func TestHopelessRequestIsRejected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newRankServer()
-		s.ranks.Observe(time.Now(), "peer", []toucanrank.Row{{Service: toucanrank.Key("s"), Flow: toucanrank.Flow{
+		s, ranks := newRankServer()
+		ranks.Observe(time.Now(), "peer", []toucanrank.Row{{Service: toucanrank.Key("s"), Flow: toucanrank.Flow{
 			Route: toucanrank.Key("long"), PerSecond: 10, Tokens: 5000, Hold: 8 * time.Second, Goal: 4 * time.Second,
 			Waiting: 40, WaitingTokens: 200000, Oldest: 5 * time.Second,
 		}}})
@@ -100,7 +100,7 @@
 // differ.
 func TestRequestsOfOneKindAreServedAsBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newRankServer()
+		s, _ := newRankServer()
 		long := newRankJob(longRoute, 4000, 1000)
 		long.mixed = false
 		_, err := s.place(t.Context(), long)
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -17,6 +17,7 @@
 	"toucanport/toucanrank"
 	"toucanport/toucanrate"
 	"toucanport/toucanretry"
+	"toucanport/toucanroom"
 	"toucanport/toucantraffic"
 	"toucanport/toucanupstream"
 	"toucanport/toucanwait"
@@ -49,8 +50,7 @@
 	metrics     *metrics
 	generations *toucangeneration.Registry
 	estimates   lengthEstimates
-	queue       waitQueue
-	ranks       *toucanrank.Table
+	rooms       *toucanroom.Decider
 	quarantine  *toucanquarantine.Table
 	starting    startingRequests
 	limits      *toucanrate.Limits
@@ -122,8 +122,7 @@
 		limits:     cfg.Limits,
 		paces:      newPaces(cfg.Paces),
 		returns:    toucanrate.NewReturns(),
-		ranks:      cfg.Ranks,
-		queue:      waitQueue{ranks: cfg.Ranks},
+		rooms:      toucanroom.New(cfg.Ranks, cfg.Placer),
 		bodies:     cfg.Bodies,
 		answers:    cfg.Answers,
 		metrics:    m,
@@ -170,8 +169,8 @@
 	rank int
 	// mixed is true if the requests of its service differ in goal or priority, so that toucanrank decides on their room.
 	mixed bool
-	// triedAt is when the request last found no room. It is guarded by waitQueue.mu.
-	triedAt time.Time
+	// waiting caches room; nil until it was needed.
+	waiting *toucanroom.Request
 	// releaseBroken releases the reservation at the endpoint whose stream broke; nil before a stream breaks.
 	releaseBroken func()
 	// unreadBefore is the number of unread prompt tokens at the endpoint of the last reservation before the request's own.
