--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -56,9 +56,9 @@
 	patience time.Duration
 	// extra is added to the cost of an endpoint.
 	extra func(*endpointState) float64
-	// unseen is how many requests other entries are expected to place at the same time; zero to take the lowest cost.
+	// unseen is how many copies other entries are expected to place at the same time; zero to take the lowest cost.
 	unseen float64
-	// shared is the further cost of two of these requests at one endpoint.
+	// shared is the further cost of two copies to one endpoint.
 	shared float64
 	// sound is true if endpoints that could not be reached lately are left out.
 	sound bool
@@ -269,7 +269,7 @@
 	cost  float64
 }
 
-// chooseAmong selects the endpoint with the lowest cost, with or without those of other cells, or one of similar cost if requests
+// chooseAmong selects the endpoint with the lowest cost, with or without those of other cells, or one of similar cost if copies
 // are divided.
 func (p *Placer) chooseAmong(q search, otherCells bool) (*endpointState, Choice, error) {
 	var best candidate
@@ -310,7 +310,7 @@
 	return best.state, why, nil
 }
 
-// divide returns the best candidate, or one of all that are divided among the requests that are placed at the same time.
+// divide returns the best candidate, or one of all that are divided among the copies that are placed at the same time.
 func (q *search) divide(best candidate, all []candidate) candidate {
 	if len(all) < 2 {
 		return best
--- a/toucanspread/spread.go
+++ b/toucanspread/spread.go
@@ -1,18 +1,18 @@
-// Package toucanspread decides how several entries that choose among the same endpoints at the same time divide their
-// requests. An entry learns of the others' choices some milliseconds late. If each took the endpoint with the lowest cost,
-// all would take the same one, such as the one that has just joined or been freed, and their prompts would be read there one
-// after the other. It performs no I/O.
+// Package toucanspread decides how several entries that choose among the same endpoints at the same time divide what they
+// place there. An entry learns of the others' choices some milliseconds late. If each took the endpoint with the lowest cost,
+// all would take the same one. The load that it answers is several endpoints that leave together: the generations of all are
+// copied at once, and copies to one target queue on its link, with the pause of their streams. It performs no I/O.
 package toucanspread
 
 import "math/rand/v2"
 
-// bothLose is how often the cost of two requests at one endpoint counts: each of the two makes the other wait.
+// bothLose is how often the cost of two choices of one endpoint counts: each of the two makes the other wait.
 const bothLose = 2
 
-// Shares returns, for each candidate, the probability with which it is chosen, so that the expected cost of all requests is
-// lowest. costs are those that the entry knows of; unseen is the expected number of requests that other entries place at
-// the same time by the same rule, and each of them costs another one at the same endpoint as much as added. With no unseen
-// requests, the cheapest candidate has all.
+// Shares returns, for each candidate, the probability with which it is chosen, so that the expected cost of all choices is
+// lowest. costs are those that the entry knows of; unseen is the expected number of choices that other entries make at
+// the same time by the same rule, and each of them costs another one of the same endpoint as much as added. With none
+// unseen, the cheapest candidate has all.
 //
 // A candidate at cost c with share p has the marginal cost c + 2·unseen·added·p. Shares make it the same at all candidates
 // with a share, and lower than the cost of the others.
--- a/toucanspread/spread_test.go
+++ b/toucanspread/spread_test.go
@@ -53,8 +53,8 @@
 }
 
 // TestEntriesChooseAtOnce plays the load that the package answers: entries that choose an engine in the same moments, some
-// ms before they learn of each other's choices, while engines that have just joined are empty. Prompts are read one after the other.
-// With shares, requests wait less than half as long for the prompts of others.
+// ms before they learn of each other's choices, while engines that have just joined are empty. What is placed at one engine is done one
+// after the other. With shares, it waits less than half as long for what others have placed.
 func TestEntriesChooseAtOnce(t *testing.T) {
 	const engines, rounds, added = 30, 4000, 0.3
 	play := func(unseen float64) (waited float64) {
