toucanplace, toucanrank: requests go to endpoints that could not be reached again

The requests that are saved need room that the fleet does not have, and engines that work again stay out of use while any entry suspects them. That entries which are cut off spread suspicion was not ruled out.

Change: taken back.

--- a/toucanforward/rank.go
+++ b/toucanforward/rank.go
@@ -22,7 +22,6 @@
 		r := &toucanroom.Request{
 			Class:   toucanrank.Class{Service: j.service.Name, Route: j.route.Name, Rank: j.rank},
 			Mixed:   j.mixed,
-			Once:    !j.route.IsIdempotent(),
 			Arrived: j.arrived, Deadline: j.deadline,
 			Goal: j.route.Goal,
 		}
@@ -37,11 +36,7 @@
 
 // roomOptions returns limits as options of Place.
 func roomOptions(l toucanroom.Limits, opts ...toucanplace.PlaceOption) []toucanplace.PlaceOption {
-	opts = append(opts, toucanplace.WithReserve(l.Reserve), toucanplace.WithMaxUnread(l.MaxUnread))
-	if l.Sound {
-		opts = append(opts, toucanplace.WithoutDoubtful())
-	}
-	return opts
+	return append(opts, toucanplace.WithReserve(l.Reserve), toucanplace.WithMaxUnread(l.MaxUnread))
 }
 
 // leaveTurn leaves freed room to the requests that wait at other entries and precede this one.
--- a/toucanplace/assess.go
+++ b/toucanplace/assess.go
@@ -31,8 +31,6 @@
 	LeftOutLimited
 	// LeftOutCold means that it may be cold and has got this entry's share of requests.
 	LeftOutCold
-	// LeftOutDoubtful means that it could not be reached lately, and the request can't be sent again.
-	LeftOutDoubtful
 	// LeftOutFull means that it has no free slot, memory or room for unread prompts.
 	LeftOutFull
 	// LeftOutLate means that the request would end too late there.
@@ -43,7 +41,7 @@
 
 // String returns the reason as it appears in the output of commands; empty for LeftOutNone.
 func (l LeftOut) String() string {
-	return [leftOutReasons]string{"", "draining", "otherCell", "tried", "evacuated", "tooSmall", "deferred", "limited", "cold", "doubtful", "full", "late"}[l]
+	return [leftOutReasons]string{"", "draining", "otherCell", "tried", "evacuated", "tooSmall", "deferred", "limited", "cold", "full", "late"}[l]
 }
 
 // Costs are the parts of the cost of a placement. They have no unit.
@@ -95,9 +93,6 @@
 	case s.isDeferred(q.now):
 		return LeftOutDeferred, 0
 	}
-	if q.sound && s.isDoubtful(q.now) {
-		return LeftOutDoubtful, 0
-	}
 	wait, hasLimit := p.limits.Wait(q.now, s.key)
 	switch {
 	case hasLimit && (s.OtherCell || wait > q.patience):
@@ -131,7 +126,7 @@
 
 // err returns the error of a placement for which all endpoints are left out.
 func (n *leftOutCounts) err(service string) error {
-	listed := n[LeftOutTooSmall] + n[LeftOutDeferred] + n[LeftOutLimited] + n[LeftOutCold] + n[LeftOutDoubtful] + n[LeftOutFull] + n[LeftOutLate]
+	listed := n[LeftOutTooSmall] + n[LeftOutDeferred] + n[LeftOutLimited] + n[LeftOutCold] + n[LeftOutFull] + n[LeftOutLate]
 	err := ErrFull
 	switch {
 	case listed == 0 && n[LeftOutEvacuated] > 0:
@@ -144,7 +139,7 @@
 		err = ErrNoTime
 	case n[LeftOutTooSmall]+n[LeftOutDeferred] == listed:
 		err = ErrDeferred
-	case n[LeftOutCold]+n[LeftOutDoubtful]+n[LeftOutFull]+n[LeftOutLate] == 0:
+	case n[LeftOutCold]+n[LeftOutFull]+n[LeftOutLate] == 0:
 		err = ErrLimited
 	}
 	return errors.Wrap(err, service)
@@ -156,7 +151,6 @@
 	q := p.newSearch(now, service, d, nil, opts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q.sound = q.sound && p.doubtIsCredible(now, service)
 	list, err := p.surveyAmong(q, false)
 	if err != nil && !errors.Is(err, ErrTooLarge) && p.hasOtherCell(service) {
 		list, err = p.surveyAmong(q, true)
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -60,8 +60,6 @@
 	unseen float64
 	// shared is the further cost of two copies to one endpoint.
 	shared float64
-	// sound is true if endpoints that could not be reached lately are left out.
-	sound bool
 	// copied is true if the request's prompt was read at another endpoint.
 	copied bool
 	// chosen is true for a copy of a generation that could stay where it is.
@@ -82,10 +80,6 @@
 // are none yet. Zero is no limit.
 func WithMaxUnread(tokens int) PlaceOption { return func(q *search) { q.limits.unread = tokens } }
 
-// WithoutDoubtful leaves out endpoints that this entry or a peer could not reach lately, unless these are more than maxDoubtfulShare of
-// the endpoints that take requests: then the fault may be elsewhere.
-func WithoutDoubtful() PlaceOption { return func(q *search) { q.sound = true } }
-
 // Available returns the number of a service's endpoints that take new requests from this entry, regardless of their load.
 func (p *Placer) Available(service string) int {
 	p.mu.Lock()
@@ -110,7 +104,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.learnGap(service, d.MaxGap)
-	q.sound = q.sound && p.doubtIsCredible(now, service)
 	best, why, err := p.choose(q)
 	if err != nil {
 		return nil, err
@@ -185,21 +178,6 @@
 	return r, nil
 }
 
-// doubtIsCredible reports whether some endpoints of a service could not be reached lately, but at most maxDoubtfulShare of them.
-func (p *Placer) doubtIsCredible(now time.Time, service string) bool {
-	doubtful, all := 0, 0
-	for _, s := range p.services[service] {
-		if !s.takesNew() {
-			continue
-		}
-		all++
-		if s.isDoubtful(now) {
-			doubtful++
-		}
-	}
-	return doubtful > 0 && float64(doubtful) <= maxDoubtfulShare*float64(all)
-}
-
 // otherSources returns how many other endpoints of the same service drain and hold generations. Their first copies begin in the same
 // moments, before entries learn of each other's targets.
 func (p *Placer) otherSources(from Endpoint) int {
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -160,8 +160,6 @@
 	// peerSuspectCost is the cost of an endpoint that a peer could not reach. It is below failureCost because the fault
 	// can be the peer's.
 	peerSuspectCost = 1
-	// maxDoubtfulShare is the share of a service's endpoints up to which requests avoid those that could not be reached.
-	maxDoubtfulShare = 0.3
 	// peerSuspectDuration is how long peerSuspectCost applies after a peer's report.
 	peerSuspectDuration = 500 * time.Millisecond
 	// limitedCopyCost is the cost of an endpoint with a limit on requests a second as the target of a copy. The request that
@@ -253,11 +251,6 @@
 // isDeferred reports whether the endpoint has asked for no requests now.
 func (s *endpointState) isDeferred(now time.Time) bool { return now.Before(s.deferredUntil) }
 
-// isDoubtful reports whether this entry or a peer could not reach the endpoint lately.
-func (s *endpointState) isDoubtful(now time.Time) bool {
-	return now.Before(s.suspectUntil) || now.Before(s.peerSuspectUntil)
-}
-
 // isDraining reports whether the platform, a peer or the endpoint itself says that it is draining.
 func (s *endpointState) isDraining() bool { return s.Leaving || s.reportedLeaving || s.saidLeaving }
 
--- a/toucanrank/rank.go
+++ b/toucanrank/rank.go
@@ -23,8 +23,6 @@
 	// Tokens is the memory that the request takes until its end, and Hold for how long it is expected to take it.
 	Tokens int
 	Hold   time.Duration
-	// Once is true for a request that can't be sent again after it may have run.
-	Once bool
 	// Reserve is the memory that it leaves free for others, as decided when it last tried.
 	Reserve int
 }
@@ -87,14 +85,6 @@
 	return r.place(now).precedes(s.place(now))
 }
 
-// AvoidsDoubt reports whether r waits for a sound endpoint rather than take one at which requests have just failed. A request that
-// can't be sent again is lost there, and a fleet with little room makes such an endpoint attractive: it holds nothing, as all that it is sent fails. It answers
-// engines that reset connections during a burst. Requests that can be sent again find out when the endpoint is sound, and one that would soon be
-// rejected takes the risk.
-func (r *Request) AvoidsDoubt(now time.Time) bool {
-	return r.Once && r.MaxWait > 0 && r.aged(now.Sub(r.Arrived)) == 0
-}
-
 // Waiters calls yield with each waiting request but one, until yield returns false. tried is true if the request has just found
 // no room.
 type Waiters func(yield func(r *Request, tried bool) bool)
--- a/toucanrank/rank_test.go
+++ b/toucanrank/rank_test.go
@@ -185,14 +185,3 @@
 		})
 	})
 }
-
-// TestAvoidsDoubt checks that only a request that can't be sent again avoids endpoints at which others have just failed, and not at
-// the end of its patience.
-func TestAvoidsDoubt(t *testing.T) {
-	r := Request{Arrived: start, MaxWait: 8 * time.Second, Once: true}
-	assert.Check(t, r.AvoidsDoubt(start))
-	assert.Check(t, r.AvoidsDoubt(start.Add(5*time.Second)))
-	assert.Check(t, !r.AvoidsDoubt(start.Add(7*time.Second)))
-	r.Once = false
-	assert.Check(t, !r.AvoidsDoubt(start))
-}
--- a/toucanroom/room.go
+++ b/toucanroom/room.go
@@ -33,9 +33,7 @@
 	toucanrank.Class
 	// Mixed is true if the requests of its service differ in goal or priority. Otherwise it leaves nothing free, and goes by its
 	// goal.
-	Mixed bool
-	// Once is true if it can't be sent again after it may have run.
-	Once              bool
+	Mixed             bool
 	Arrived, Deadline time.Time
 	// Goal is the time from arrival within which the first event is on time; zero for none.
 	Goal time.Duration
@@ -61,8 +59,6 @@
 	Reserve int
 	// MaxUnread is how many prompt tokens may be unread there, with its own; zero for any number.
 	MaxUnread int
-	// Sound is true if it avoids endpoints that could not be reached lately.
-	Sound bool
 }
 
 // Decider decides on the requests of one entry. It is safe for concurrent use.
@@ -87,7 +83,6 @@
 		return ranked
 	}
 	times := d.ranks.Times(now, r.Service, r.Route)
-	ranked.Once = r.Once
 	ranked.Rank, ranked.MaxWait, ranked.Work, ranked.Hold = r.Rank, until.Sub(r.Arrived), times.Work+times.Deviation, times.Hold
 	return ranked
 }
@@ -109,7 +104,6 @@
 	return ranked, Limits{
 		Reserve:   ranked.Reserve,
 		MaxUnread: toucanrank.MaxUnread(now, ranked, flows, rate),
-		Sound:     ranked.AvoidsDoubt(now),
 	}
 }
 
