--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -46,7 +46,7 @@
 	if refusal := toucanaccept.CheckLength(j.maxBody, r.ContentLength); refusal != nil {
 		return j, refusal
 	}
-	s.recordArrival(j)
+	s.rooms.Arrived(j.room())
 	j.plan = toucanretry.NewPlan(j.arrived, s.budget, j.service.Name, j.deadline,
 		toucanretry.WithMaxAttempts(j.route.MaxAttempts+unsentAttempts))
 	return j, nil
--- a/toucanforward/limit.go
+++ b/toucanforward/limit.go
@@ -8,7 +8,9 @@
 
 	"toucanport/toucanlog"
 	"toucanport/toucanplace"
+	"toucanport/toucanrank"
 	"toucanport/toucanrate"
+	"toucanport/toucanrefusal"
 )
 
 // sendKind is the occasion on which a request is sent to an endpoint, as it appears in metrics.
@@ -33,8 +35,11 @@
 func (s *Server) delayFor(j *job, err error) time.Duration {
 	perSecond, limited := s.placer.RateLimit(j.service.Name)
 	now := time.Now()
+	if errors.Is(err, toucanplace.ErrNoTime) {
+		return toucanrank.ReturnAfter(s.placer.PlainEnd(now, j.service.Name), 0, j.deadline.Sub(now))
+	}
 	if !limited || !errors.Is(err, toucanplace.ErrLimited) {
-		return max(s.deferredFor(j), s.returnAfter(now, j))
+		return max(s.deferredFor(j), s.rooms.ReturnAfter(now, j.room(), toucanrefusal.RetryAfterFull))
 	}
 	return s.returns.After(now, j.service.Name, s.limits.Share(now, perSecond))
 }
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -92,7 +92,7 @@
 
 // Place reserves capacity for d on the endpoint of a service with the lowest cost. It considers only endpoints that
 // allowed accepts; nil accepts all. The error is ErrNoEndpoint, ErrEvacuated, ErrFull,
-// ErrDeferred, ErrLimited or ErrTooLarge.
+// ErrDeferred, ErrLimited, ErrNoTime or ErrTooLarge.
 func (p *Placer) Place(now time.Time, service string, d Demand, allowed Filter, opts ...PlaceOption) (*Reservation, error) {
 	q := p.newSearch(now, service, d, allowed, opts)
 	p.mu.Lock()
@@ -104,6 +104,9 @@
 	}
 	r := p.reserve(best, d)
 	r.Choice = why
+	if best.MemoryTokens == 0 {
+		r.placedAt, r.ahead = now, p.total(now, best).Requests-1
+	}
 	return r, nil
 }
 
--- a/toucanrefusal/refusal.go
+++ b/toucanrefusal/refusal.go
@@ -27,6 +27,8 @@
 	// retryAfterEvacuated is the Retry-After value while every endpoint is in an evacuated failure domain. Only the operator
 	// changes that.
 	retryAfterEvacuated = time.Second
+	// minReturn is the least Retry-After value of a request that has too little time left for its service.
+	minReturn = 10 * time.Millisecond
 )
 
 // ErrNoRoomInTime means that a request would get room only after the time for which it may wait.
@@ -126,6 +128,8 @@
 		return Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: err}
 	case errors.Is(err, toucanplace.ErrEvacuated):
 		return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonEvacuated, RetryAfter: retryAfterEvacuated, Err: err}
+	case errors.Is(err, toucanplace.ErrNoTime):
+		return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonHopeless, RetryAfter: max(delay, minReturn), Err: err}
 	case errors.Is(err, toucanplace.ErrNoEndpoint):
 		return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: RetryAfterFull, Err: err}
 	}
