--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -263,7 +263,7 @@
 			continue
 		}
 		c := candidate{state: s, use: v.Use, cost: v.Costs.Total()}
-		if q.unseen > 0 {
+		if q.unseen > 0 && s.fits(v.Use, q.demand, dividedLimits) {
 			all = append(all, c)
 		}
 		if why.add(s.ID, bestID, c.cost) {
@@ -288,9 +288,12 @@
 	return best.state, why, nil
 }
 
+// dividedLimits are the limits of endpoints among which copies are divided.
+var dividedLimits = memoryLimits{end: dividedShare, taken: dividedShare}
+
 // divide returns the best candidate, or one of all that are divided among the copies that are placed at the same time.
 func (q *search) divide(best candidate, all []candidate) candidate {
-	if len(all) < 2 {
+	if len(all) < 2 || !best.state.fits(best.use, q.demand, dividedLimits) {
 		return best
 	}
 	d := q.demand
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -128,6 +128,9 @@
 	// copyShare replaces memoryShare for generations that lose their endpoint: being preempted for a while is better
 	// than being lost.
 	copyShare = 1.6
+	// dividedShare limits the memory of endpoints among which copies are divided. One that is nearly full may have requests that wait
+	// for memory, and refuses copies then.
+	dividedShare = 0.8
 	// takenShare limits the memory that requests take now, as a share of the engine's memory, when a request is placed. An engine
 	// whose memory is full queues a request, and refuses copies for as long as it has a queue.
 	takenShare = 0.97
--- a/toucanplace/spread_test.go
+++ b/toucanplace/spread_test.go
@@ -8,9 +8,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// newDrainingPlacer returns one of several equal placers: 8 endpoints drain, one has just joined and is empty, and 20 are partly full.
-func newDrainingPlacer(t *testing.T) (*Placer, []Endpoint) {
-	t.Helper()
+// newDrainingPlacer returns one of several equal placers: 8 endpoints drain, one has just joined and is empty, and 20 hold this many tokens.
+func newDrainingPlacer(held int) (*Placer, []Endpoint) {
 	p := NewPlacer("d1")
 	var list, draining []Endpoint
 	for i := range 29 {
@@ -22,7 +21,7 @@
 	}
 	p.SetEndpoints(list)
 	for _, e := range list[:28] {
-		p.ReserveForced(e, Demand{Prompt: 9000, Output: 500})
+		p.ReserveForced(e, Demand{Prompt: held, Output: 500})
 	}
 	return p, draining
 }
@@ -35,7 +34,7 @@
 	for range rounds {
 		targets := make(map[string]bool)
 		for i := range 8 {
-			p, draining := newDrainingPlacer(t)
+			p, draining := newDrainingPlacer(9000)
 			r, err := p.PlaceCopy(time.Now(), draining[i], Demand{Prompt: 3000, Output: 700, Made: 200}, nil)
 			assert.NilError(t, err)
 			targets[r.Endpoint.ID] = true
@@ -47,10 +46,20 @@
 
 // TestOneSourceTakesTheCheapest checks that the cheapest target is taken if no other endpoint drains.
 func TestOneSourceTakesTheCheapest(t *testing.T) {
-	p, draining := newDrainingPlacer(t)
+	p, draining := newDrainingPlacer(9000)
 	list := p.Endpoints()
 	p.SetEndpoints(append(list, draining[0]))
 	r, err := p.PlaceCopy(time.Now(), draining[0], Demand{Prompt: 3000, Output: 700, Made: 200}, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, r.Endpoint.ID, "e28")
 }
+
+// TestFullTargetsAreNotTaken checks that copies are not divided among targets that are nearly full, which would refuse them.
+func TestFullTargetsAreNotTaken(t *testing.T) {
+	for range 20 {
+		p, draining := newDrainingPlacer(20000)
+		r, err := p.PlaceCopy(time.Now(), draining[0], Demand{Prompt: 3000, Output: 700, Made: 200}, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, r.Endpoint.ID, "e28")
+	}
+}
