The last stream at a draining endpoint stays in its failure domain too

Change: a copy to another domain costs 1.5 more when the source drains; that it costs more the more wait is as before.

--- a/toucanplace/drain.go
+++ b/toucanplace/drain.go
@@ -5,6 +5,9 @@
 const (
 	// otherSourceCost is the cost of a target that another draining endpoint copies to: two copies to one target take twice as long.
 	otherSourceCost = 0.6
+	// drainDomainCost is the further cost of a copy from a draining endpoint to another failure domain: it takes twice as long, which the
+	// endpoint's notice may not leave.
+	drainDomainCost = 1.5
 	// maxWaitingCopies bounds the generations at a draining endpoint for which a slow copy costs more, since they wait for its link.
 	maxWaitingCopies = 5
 	// targetMix spreads the targets of copies over sources.
@@ -55,7 +58,7 @@
 	return func(s *endpointState) float64 {
 		c := copyCost(s)
 		if s.FailureDomain != from.FailureDomain {
-			c += copyDomainCost * float64(waiting)
+			c += drainDomainCost + copyDomainCost*float64(waiting)
 		}
 		if owner := sourceOf(s, sources); owner != nil && owner != source {
 			c += otherSourceCost
--- a/toucanplace/drain_test.go
+++ b/toucanplace/drain_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// TestLastStreamStaysInItsDomain has one stream left at a draining endpoint. Its domain's other endpoint reads prompts, and that of another
+// domain is idle; the copy there could outlast the notice.
+func TestLastStreamStaysInItsDomain(t *testing.T) {
+	now := time.Now()
+	p, list := unevenPlacer(brokenPause, brokenPause, soundPause)
+	r := placeAt(t, p, now, longDemand, "e0")
+	r.MarkPromptRead()
+	p.Observe(now, "peer", map[uint64]Use{list[1].Key(): {Requests: 2, Tokens: 6000, Unread: 3000, Held: 3000}})
+	list[0].Leaving, list[2].FailureDomain = true, "other"
+	p.SetEndpoints(list)
+	d := longDemand
+	d.Made = 100
+	c, err := p.PlaceCopy(now, list[0], d, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Endpoint.ID, "e1")
+}
+
 // TestLostEndpointKeepsItsLoad has the list lose an endpoint and find it again: its load is that of the requests that run there, of this
 // entry and of a peer.
 func TestLostEndpointKeepsItsLoad(t *testing.T) {
