--- a/toucancopy/copy_test.go
+++ b/toucancopy/copy_test.go
@@ -14,8 +14,8 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlogtest"
-	"toucanport/toucanmirror"
 	"toucanport/toucanstore"
 	"toucanport/toucanwait"
 )
@@ -45,8 +45,8 @@
 // TestCopyLeavesOutWhatReaderHolds checks that a large value is sent only to a reader that has another one or none, also to a
 // reader that does not say what it has.
 func TestCopyLeavesOutWhatReaderHolds(t *testing.T) {
-	large := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("x"), toucanmirror.LargeBody), Revision: 9}
-	older := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("y"), toucanmirror.LargeBody), Revision: 9}
+	large := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("x"), toucanhistory.LargeBody), Revision: 9}
+	older := toucanstore.Value{Key: "k", Body: bytes.Repeat([]byte("y"), toucanhistory.LargeBody), Revision: 9}
 	offered := Copy{Values: []toucanstore.Value{large, {Key: "s", Body: []byte("small"), Revision: 8}}, Era: 2}
 	for _, tc := range []struct {
 		name  string
@@ -64,7 +64,7 @@
 			got, err := receive(far, received, tc.held)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, got, offered)
-			assert.Equal(t, received.Bytes() > toucanmirror.LargeBody, tc.whole)
+			assert.Equal(t, received.Bytes() > toucanhistory.LargeBody, tc.whole)
 		})
 	}
 	t.Run("silent reader", func(t *testing.T) {
--- a/toucancopy/message.go
+++ b/toucancopy/message.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
-	"toucanport/toucanmirror"
+	"toucanport/toucanhistory"
 	"toucanport/toucanstore"
 )
 
@@ -57,7 +57,7 @@
 func requestFor(held []toucanstore.Value) *Request {
 	request := &Request{}
 	for _, v := range held {
-		if len(v.Body) >= toucanmirror.LargeBody {
+		if len(v.Body) >= toucanhistory.LargeBody {
 			request.Held = append(request.Held, &Digest{Key: v.Key, Sha256: sum(v.Body)})
 		}
 	}
--- a/toucanmirror/follow.go
+++ b/toucanmirror/follow.go
@@ -1,25 +1,15 @@
 package toucanmirror
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlog"
 	"toucanport/toucanstore"
 )
 
-// Batch holds all changes of the store after one revision up to another, of one era, in the order of their revisions.
-type Batch struct {
-	Era, After, To uint64
-	Changes        []Change
-	// Repair is true if the changes include earlier ones that watches left out. They count wherever they are newer than what a
-	// process has.
-	Repair bool
-}
-
 // Readers divides the reading of the store among the processes that hear each other: a few call it all the time and share
 // what changes with the others. It is safe for concurrent use.
 type Readers interface {
@@ -27,13 +17,13 @@
 	// process, so that all of them try.
 	Rank(now time.Time) int
 	// Newest returns the newest position that a peer's copy has.
-	Newest(now time.Time) Position
+	Newest(now time.Time) toucanhistory.Position
 	// StoreAge returns the time since the store last answered any process.
 	StoreAge(now time.Time) time.Duration
 	// SetPosition records the position of this process's copy for the peers.
-	SetPosition(p Position)
+	SetPosition(p toucanhistory.Position)
 	// Share sends changes that this process has read to the peers, which may lose them.
-	Share(b Batch)
+	Share(b toucanhistory.Batch)
 }
 
 // WithReaders makes the mirror read the store only while its rank among the processes is below ReaderCount. Otherwise it
@@ -43,11 +33,11 @@
 // aloneReader is the Readers of a process without peers.
 type aloneReader struct{}
 
-func (aloneReader) Rank(time.Time) int               { return 0 }
-func (aloneReader) Newest(time.Time) Position        { return Position{} }
-func (aloneReader) StoreAge(time.Time) time.Duration { return 0 }
-func (aloneReader) SetPosition(Position)             {}
-func (aloneReader) Share(Batch)                      {}
+func (aloneReader) Rank(time.Time) int                      { return 0 }
+func (aloneReader) Newest(time.Time) toucanhistory.Position { return toucanhistory.Position{} }
+func (aloneReader) StoreAge(time.Time) time.Duration        { return 0 }
+func (aloneReader) SetPosition(toucanhistory.Position)      {}
+func (aloneReader) Share(toucanhistory.Batch)               {}
 
 // ReaderCount is the number of processes that read the store for all that hear each other.
 const ReaderCount = len(readerIntervals)
@@ -69,7 +59,7 @@
 )
 
 // Receive passes on a batch that a peer has shared. It never blocks; a batch that is dropped shows as a gap later.
-func (m *Mirror) Receive(b Batch) {
+func (m *Mirror) Receive(b toucanhistory.Batch) {
 	select {
 	case m.batches <- b:
 	default:
@@ -134,7 +124,7 @@
 
 // mustCall reports whether this process has to call the store itself at once.
 func (m *Mirror) mustCall(now time.Time) bool {
-	return m.position == (Position{}) || m.verifyNext || m.isReader(now)
+	return m.position == (toucanhistory.Position{}) || m.verifyNext || m.isReader(now)
 }
 
 // seekVersion reports whether a snapshot may bring a version of the settings that a peer has. If the last one did not, the version
@@ -159,7 +149,7 @@
 }
 
 // applyBatch applies the part of a batch that is new. It returns false if changes before the batch are missing.
-func (m *Mirror) applyBatch(b Batch, apply func(State)) bool {
+func (m *Mirror) applyBatch(b toucanhistory.Batch, apply func(State)) bool {
 	if b.Era != m.copied.Era || b.To <= m.copied.Revision && !b.Repair {
 		return true
 	}
@@ -174,8 +164,8 @@
 		)
 		return false
 	}
-	to := Position{Era: b.Era, Revision: b.To}
-	if m.position != (Position{}) {
+	to := toucanhistory.Position{Era: b.Era, Revision: b.To}
+	if m.position != (toucanhistory.Position{}) {
 		m.setPosition(to)
 	}
 	written, removed := m.apply(b.Changes, to)
@@ -201,45 +191,27 @@
 }
 
 // share sends the changes up to a position to the peers, if this process reads the store for them.
-func (m *Mirror) share(after, to Position, changes []Change) {
+func (m *Mirror) share(after, to toucanhistory.Position, changes []toucanhistory.Change) {
 	if len(changes) > 0 && m.isReader(time.Now()) {
-		m.readers.Share(Batch{Era: to.Era, After: after.Revision, To: to.Revision, Changes: changes})
+		m.readers.Share(toucanhistory.Batch{Era: to.Era, After: after.Revision, To: to.Revision, Changes: changes})
 	}
 }
 
 // shareSnapshot sends the differences between a snapshot and the copy to the peers if this process reads the store for them, or
 // if repair is true because watches have left out some.
-func (m *Mirror) shareSnapshot(values []toucanstore.Value, to Position, repair bool) {
+func (m *Mirror) shareSnapshot(values []toucanstore.Value, to toucanhistory.Position, repair bool) {
 	if m.copied.Era != to.Era || m.copied.Revision == 0 || m.copied.IsAfter(to) || !repair && !m.isReader(time.Now()) {
 		return
 	}
-	listed := make(map[string]bool, len(values))
-	var changes []Change
-	for _, v := range values {
-		listed[v.Key] = true
-		if held, ok := m.values[v.Key]; !ok || held.Revision < v.Revision {
-			changes = append(changes, Change{Value: v})
-		}
-	}
-	for key := range m.values {
-		if !listed[key] {
-			changes = append(changes, Change{Value: toucanstore.Value{Key: key, Revision: to.Revision}, Removed: true})
-		}
-	}
+	changes := m.values.ChangesTo(toucanhistory.NewValues(values), to.Revision)
 	if len(changes) == 0 {
 		return
 	}
-	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
-	m.readers.Share(Batch{Era: to.Era, After: m.copied.Revision, To: to.Revision, Changes: changes, Repair: repair})
+	m.readers.Share(toucanhistory.Batch{Era: to.Era, After: m.copied.Revision, To: to.Revision, Changes: changes, Repair: repair})
 }
 
 // setPosition moves the copy to a position that was read from the store.
-func (m *Mirror) setPosition(p Position) {
+func (m *Mirror) setPosition(p toucanhistory.Position) {
 	m.position, m.lastPosition = p, p
 	m.readers.SetPosition(p)
 }
-
-// IsAfter reports whether p is of a later era than q, or later in the same one.
-func (p Position) IsAfter(q Position) bool {
-	return p.Era > q.Era || p.Era == q.Era && p.Revision > q.Revision
-}
--- a/toucanmirror/mirror.go
+++ b/toucanmirror/mirror.go
@@ -6,12 +6,11 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlog"
 	"toucanport/toucanstore"
 )
@@ -19,46 +18,15 @@
 // ErrHistoryLost is returned by a Source that no longer has all changes since the given revision.
 var ErrHistoryLost = errors.New("store no longer has the history since the revision")
 
-// Change is the write or removal of one key.
-type Change struct {
-	toucanstore.Value
-	Removed bool
-}
-
-// Position is a point in the store's history. The zero value is no position.
-type Position struct {
-	// Era counts how often the store came back from an older copy; zero if the store does not report it. Revisions of
-	// different eras are not comparable.
-	Era      uint64
-	Revision uint64
-}
-
 // Source is the part of the store that is copied. Its calls end when the store is silent or a reply stalls. They call
 // arriving each time that a part of a reply has arrived.
 type Source interface {
 	// Snapshot returns all values, and a position from which Changes continues without missing a change. It need not read a
 	// large value that held has and that has not changed.
-	Snapshot(ctx context.Context, held Held, arriving func()) ([]toucanstore.Value, Position, error)
+	Snapshot(ctx context.Context, held toucanhistory.Held, arriving func()) ([]toucanstore.Value, toucanhistory.Position, error)
 	// Changes waits for a limited time for changes after a position, and returns the position to continue from. The
 	// error is ErrHistoryLost if changes can be missing.
-	Changes(ctx context.Context, after Position, arriving func()) ([]Change, Position, error)
-}
-
-// LargeBody is the size in bytes from which a value is large. Snapshots that find it unchanged should not read it again.
-const LargeBody = 16 << 10
-
-// Held is what a mirror has already read from the store and need not read again.
-type Held struct {
-	// Values holds the large values by key; it must not be modified. It is nil if the mirror has nothing that it read itself.
-	Values map[string]toucanstore.Value
-	// Era is the era of their revisions.
-	Era uint64
-}
-
-// Large returns the held value of a key if it is large and of an era.
-func (h Held) Large(key string, era uint64) (toucanstore.Value, bool) {
-	v, ok := h.Values[key]
-	return v, ok && h.Era == era && len(v.Body) >= LargeBody
+	Changes(ctx context.Context, after toucanhistory.Position, arriving func()) ([]toucanhistory.Change, toucanhistory.Position, error)
 }
 
 // Origin is where a state was read from.
@@ -105,17 +73,17 @@
 	mu sync.Mutex
 	// values and copied, their position, are written only by the goroutine of Run, and only while it
 	// holds mu.
-	values map[string]toucanstore.Value
-	copied Position
+	values toucanhistory.Values
+	copied toucanhistory.Position
 	// meanwhile holds what batches bring while a snapshot is read; nil at other times.
-	meanwhile *overtaking
+	meanwhile *toucanhistory.Overtaking
 	// borrowed is true while the values are those of a peer, whose revisions can be of an earlier era.
 	borrowed bool
 
 	// position is the position of the copy; zero if the next call must be for a snapshot.
-	position Position
+	position toucanhistory.Position
 	// lastPosition is the last position that was read from the store, also while position is zero.
-	lastPosition Position
+	lastPosition toucanhistory.Position
 	// outageSince is when the store stopped answering; zero while it answers.
 	outageSince time.Time
 	// lastSnapshot is when the last snapshot was read from the store, and copyBytes the approximate size of one while large
@@ -140,7 +108,7 @@
 	// lastCall is when this process last called the store.
 	lastCall time.Time
 	// batches holds batches of peers that are not applied yet.
-	batches chan Batch
+	batches chan toucanhistory.Batch
 	// peerSnapshotAge returns the time since a peer's last snapshot, or false if there is none.
 	peerSnapshotAge func() (time.Duration, bool)
 	// missingVersion returns the highest version of the settings that a peer has and this process lacks, or zero.
@@ -151,7 +119,7 @@
 	onSnapshot func()
 	// readPeer returns a peer's copy during an outage, and its position; nil if there is no such source. It ends when the peer is
 	// silent.
-	readPeer func(ctx context.Context) ([]toucanstore.Value, Position, error)
+	readPeer func(ctx context.Context) ([]toucanstore.Value, toucanhistory.Position, error)
 	// peerRead is the read of a peer's copy that is under way; nil if there is none.
 	peerRead *peerRead
 	wake     chan struct{}
@@ -192,7 +160,7 @@
 		onLostVersion:   func(context.Context) {},
 		onSnapshot:      func() {},
 		readers:         aloneReader{},
-		batches:         make(chan Batch, maxPendingBatches),
+		batches:         make(chan toucanhistory.Batch, maxPendingBatches),
 		wake:            make(chan struct{}, 1),
 		doubt:           make(chan struct{}, 1),
 		startedAt:       time.Now(),
@@ -204,15 +172,15 @@
 }
 
 // WithPeerSnapshot sets the function that reads a peer's copy, and its position, during an outage of the store.
-func WithPeerSnapshot(f func(ctx context.Context) ([]toucanstore.Value, Position, error)) Option {
+func WithPeerSnapshot(f func(ctx context.Context) ([]toucanstore.Value, toucanhistory.Position, error)) Option {
 	return func(m *Mirror) { m.readPeer = f }
 }
 
 // Values returns the current values, in no particular order, and their position.
-func (m *Mirror) Values() ([]toucanstore.Value, Position) {
+func (m *Mirror) Values() ([]toucanstore.Value, toucanhistory.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Collect(maps.Values(m.values)), m.copied
+	return m.values.List(), m.copied
 }
 
 // Age returns the time since the source last answered, or false if it never did.
@@ -257,12 +225,12 @@
 }
 
 func (m *Mirror) step(ctx context.Context, apply func(State)) error {
-	if m.position == (Position{}) || m.verifyNext || m.verifyDue(time.Now()) {
+	if m.position == (toucanhistory.Position{}) || m.verifyNext || m.verifyDue(time.Now()) {
 		return m.snapshot(ctx, apply)
 	}
 	after := m.position
-	var changes []Change
-	var position Position
+	var changes []toucanhistory.Change
+	var position toucanhistory.Position
 	var err error
 	m.whileReceiving(apply, func() { changes, position, err = m.watch(ctx, after) })
 	if errors.Is(err, errWatchReplaced) {
@@ -275,7 +243,7 @@
 	}
 	if err != nil {
 		// A watch that fails can have missed changes.
-		m.position = Position{}
+		m.position = toucanhistory.Position{}
 		return err
 	}
 	m.recordAnswer()
@@ -298,43 +266,30 @@
 }
 
 // apply applies changes up to a position to the copy. It returns the keys that were written, never nil, and those that were removed.
-func (m *Mirror) apply(changes []Change, to Position) (written, removed []string) {
+func (m *Mirror) apply(changes []toucanhistory.Change, to toucanhistory.Position) (written, removed []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.copied = to
-	m.meanwhile.record(changes, to)
-	written = make([]string, 0, len(changes))
-	for _, c := range changes {
-		held, ok := m.values[c.Key]
-		switch {
-		case ok && held.Revision > c.Revision:
-			// The copy is newer.
-		case c.Removed:
-			delete(m.values, c.Key)
-			removed = append(removed, c.Key)
-		default:
-			m.values[c.Key] = c.Value
-			written = append(written, c.Key)
-		}
-	}
-	return written, removed
+	m.meanwhile.Record(changes, to)
+	return m.values.Apply(changes)
 }
 
 func (m *Mirror) snapshot(ctx context.Context, apply func(State)) error {
 	held, last := m.held(), m.lastPosition
-	meanwhile := m.beginRead()
+	meanwhile := toucanhistory.NewOvertaking(m.copied)
+	m.meanwhile = meanwhile
 	var values []toucanstore.Value
-	var position Position
+	var position toucanhistory.Position
 	var err error
 	m.whileReceiving(apply, func() { values, position, err = m.source.Snapshot(ctx, held, m.onAnswer) })
 	m.meanwhile = nil
 	if err != nil {
 		return err
 	}
-	bytes := snapshotBytes(values, held)
+	bytes := held.ReadBytes(values)
 	restored := m.recordRestore(last, position)
 	if !restored {
-		values, position = meanwhile.addTo(values, position)
+		values, position = meanwhile.AddTo(values, position)
 		omitted := m.recordOmitted(values)
 		m.shareSnapshot(values, position, omitted > 0 || m.hasRemoved(values))
 	}
@@ -350,31 +305,17 @@
 }
 
 // held returns the large values that the mirror has read from the store.
-func (m *Mirror) held() Held {
+func (m *Mirror) held() toucanhistory.Held {
 	if m.borrowed {
-		return Held{}
-	}
-	large := make(map[string]toucanstore.Value)
-	for key, v := range m.values {
-		if len(v.Body) >= LargeBody {
-			large[key] = v
-		}
+		return toucanhistory.Held{}
 	}
-	return Held{Values: large, Era: m.copied.Era}
+	return toucanhistory.HeldOf(m.values, m.copied.Era)
 }
 
 // replace replaces the copy by values at a position and returns the keys that were removed.
-func (m *Mirror) replace(values []toucanstore.Value, at Position) []string {
-	next := make(map[string]toucanstore.Value, len(values))
-	for _, v := range values {
-		next[v.Key] = v
-	}
-	var removed []string
-	for key := range m.values {
-		if _, ok := next[key]; !ok {
-			removed = append(removed, key)
-		}
-	}
+func (m *Mirror) replace(values []toucanstore.Value, at toucanhistory.Position) []string {
+	next := toucanhistory.NewValues(values)
+	removed := m.values.MissingIn(next)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.values, m.copied = next, at
--- a/toucanmirror/mirror_test.go
+++ b/toucanmirror/mirror_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlogtest"
 	"toucanport/toucanstore"
 )
@@ -24,7 +25,7 @@
 	mu       sync.Mutex
 	revision uint64
 	values   map[string]toucanstore.Value
-	history  []Change
+	history  []toucanhistory.Change
 	// oldestRevision is the oldest revision after which all changes are known.
 	oldestRevision uint64
 	// omitsChanges makes watches report no changes, watchFails makes them fail, and unavailable makes all calls fail.
@@ -45,7 +46,7 @@
 	f.revision++
 	v := toucanstore.Value{Key: key, Body: []byte(body), Revision: f.revision}
 	f.values[key] = v
-	f.history = append(f.history, Change{Value: v})
+	f.history = append(f.history, toucanhistory.Change{Value: v})
 }
 
 func (f *fakeSource) remove(key string) {
@@ -53,7 +54,7 @@
 	defer f.mu.Unlock()
 	f.revision++
 	delete(f.values, key)
-	f.history = append(f.history, Change{Value: toucanstore.Value{Key: key, Revision: f.revision}, Removed: true})
+	f.history = append(f.history, toucanhistory.Change{Value: toucanstore.Value{Key: key, Revision: f.revision}, Removed: true})
 }
 
 func (f *fakeSource) update(change func(*fakeSource)) {
@@ -69,31 +70,31 @@
 	return f.watches, f.snapshots
 }
 
-func (f *fakeSource) Snapshot(context.Context, Held, func()) ([]toucanstore.Value, Position, error) {
+func (f *fakeSource) Snapshot(context.Context, toucanhistory.Held, func()) ([]toucanstore.Value, toucanhistory.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snapshots++
 	if f.unavailable {
-		return nil, Position{}, errUnavailable
+		return nil, toucanhistory.Position{}, errUnavailable
 	}
-	return slices.Collect(maps.Values(f.values)), Position{Revision: f.revision}, nil
+	return slices.Collect(maps.Values(f.values)), toucanhistory.Position{Revision: f.revision}, nil
 }
 
 const watchTimeout = 500 * time.Millisecond
 
-func (f *fakeSource) Changes(ctx context.Context, after Position, _ func()) ([]Change, Position, error) {
+func (f *fakeSource) Changes(ctx context.Context, after toucanhistory.Position, _ func()) ([]toucanhistory.Change, toucanhistory.Position, error) {
 	f.update(func(f *fakeSource) { f.watches++ })
 	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		f.mu.Lock()
 		changes, revision, err := f.changesAfter(after.Revision)
 		f.mu.Unlock()
 		if len(changes) > 0 || err != nil || time.Since(began) > watchTimeout || ctx.Err() != nil {
-			return changes, Position{Revision: revision}, err
+			return changes, toucanhistory.Position{Revision: revision}, err
 		}
 	}
 }
 
-func (f *fakeSource) changesAfter(after uint64) ([]Change, uint64, error) {
+func (f *fakeSource) changesAfter(after uint64) ([]toucanhistory.Change, uint64, error) {
 	switch {
 	case f.unavailable, f.watchFails:
 		return nil, after, errUnavailable
@@ -104,7 +105,7 @@
 	case f.skipsChanges:
 		return nil, f.revision, nil
 	}
-	var changes []Change
+	var changes []toucanhistory.Change
 	for _, c := range f.history {
 		if c.Revision > after {
 			changes = append(changes, c)
@@ -207,11 +208,11 @@
 func TestOlderStoreIsLogged(t *testing.T) {
 	log := &toucanlogtest.Log{}
 	m := New(newFakeSource(), log.Logger())
-	last := Position{Era: 1, Revision: 9}
-	m.recordRestore(Position{}, last)
+	last := toucanhistory.Position{Era: 1, Revision: 9}
+	m.recordRestore(toucanhistory.Position{}, last)
 	m.recordRestore(last, last)
-	m.recordRestore(last, Position{Era: 2, Revision: 12})
-	m.recordRestore(last, Position{Era: 1, Revision: 8})
+	m.recordRestore(last, toucanhistory.Position{Era: 2, Revision: 12})
+	m.recordRestore(last, toucanhistory.Position{Era: 1, Revision: 8})
 	assert.Equal(t, m.Stats(), Stats{Restores: 2, Era: 1})
 	assert.Equal(t, log.Next(t, 0), "WARN store came back from an older copy: era=2 eraBefore=1 revision=12 revisionBefore=9\n"+
 		"WARN store came back from an older copy: era=1 eraBefore=1 revision=8 revisionBefore=9\n")
@@ -300,39 +301,39 @@
 type rankedReaders struct {
 	rank    int
 	mu      sync.Mutex
-	peers   Position
-	shared  []Batch
-	current Position
+	peers   toucanhistory.Position
+	shared  []toucanhistory.Batch
+	current toucanhistory.Position
 }
 
 func (r *rankedReaders) Rank(time.Time) int               { return r.rank }
 func (r *rankedReaders) StoreAge(time.Time) time.Duration { return 0 }
 
-func (r *rankedReaders) Newest(time.Time) Position {
+func (r *rankedReaders) Newest(time.Time) toucanhistory.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.peers
 }
 
-func (r *rankedReaders) setPeers(p Position) {
+func (r *rankedReaders) setPeers(p toucanhistory.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peers = p
 }
 
-func (r *rankedReaders) SetPosition(p Position) {
+func (r *rankedReaders) SetPosition(p toucanhistory.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.current = p
 }
 
-func (r *rankedReaders) position() Position {
+func (r *rankedReaders) position() toucanhistory.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.current
 }
 
-func (r *rankedReaders) Share(b Batch) {
+func (r *rankedReaders) Share(b toucanhistory.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.shared = append(r.shared, b)
@@ -425,12 +426,12 @@
 	})
 }
 
-func written(revision uint64, body string) Change {
-	return Change{Value: toucanstore.Value{Key: "a", Body: []byte(body), Revision: revision}}
+func written(revision uint64, body string) toucanhistory.Change {
+	return toucanhistory.Change{Value: toucanstore.Value{Key: "a", Body: []byte(body), Revision: revision}}
 }
 
-func removedAt(revision uint64) Change {
-	return Change{Value: toucanstore.Value{Key: "a", Revision: revision}, Removed: true}
+func removedAt(revision uint64) toucanhistory.Change {
+	return toucanhistory.Change{Value: toucanstore.Value{Key: "a", Revision: revision}, Removed: true}
 }
 
 // TestFollowerAppliesBatchesInOrder checks that shared changes are applied in the order of the store whatever the order of the
@@ -439,18 +440,18 @@
 	f := newFakeSource()
 	runFollower(t, f, func(m *Mirror, r *rankedReaders, held func() string) {
 		watches, snapshots := f.calls()
-		m.Receive(Batch{After: 1, To: 3, Changes: []Change{written(2, "1"), written(3, "2")}})
+		m.Receive(toucanhistory.Batch{After: 1, To: 3, Changes: []toucanhistory.Change{written(2, "1"), written(3, "2")}})
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, held(), "2")
 		// A late copy of an earlier batch changes nothing, nor does one that overlaps undo a removal.
-		m.Receive(Batch{After: 1, To: 2, Changes: []Change{written(2, "1")}})
-		m.Receive(Batch{After: 2, To: 5, Changes: []Change{written(3, "2"), removedAt(4)}})
-		m.Receive(Batch{After: 1, To: 3, Changes: []Change{written(2, "1"), written(3, "2")}})
+		m.Receive(toucanhistory.Batch{After: 1, To: 2, Changes: []toucanhistory.Change{written(2, "1")}})
+		m.Receive(toucanhistory.Batch{After: 2, To: 5, Changes: []toucanhistory.Change{written(3, "2"), removedAt(4)}})
+		m.Receive(toucanhistory.Batch{After: 1, To: 3, Changes: []toucanhistory.Change{written(2, "1"), written(3, "2")}})
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, held(), "")
 		assert.Equal(t, r.position().Revision, uint64(5))
 		// A batch of another era is ignored.
-		m.Receive(Batch{Era: 7, After: 5, To: 6, Changes: []Change{written(6, "other era")}})
+		m.Receive(toucanhistory.Batch{Era: 7, After: 5, To: 6, Changes: []toucanhistory.Change{written(6, "other era")}})
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, held(), "")
 		watchesAfter, snapshotsAfter := f.calls()
@@ -466,14 +467,14 @@
 	runFollower(t, f, func(m *Mirror, r *rankedReaders, held func() string) {
 		f.write("a", "1")
 		f.write("a", "2")
-		m.Receive(Batch{After: 2, To: 3, Changes: []Change{written(3, "2")}})
+		m.Receive(toucanhistory.Batch{After: 2, To: 3, Changes: []toucanhistory.Change{written(3, "2")}})
 		time.Sleep(10 * time.Millisecond)
 		assert.Equal(t, held(), "2")
 		watches, _ := f.calls()
 		assert.Equal(t, watches, 1)
 		time.Sleep(settleTime)
 		f.write("a", "3")
-		r.setPeers(Position{Revision: 4})
+		r.setPeers(toucanhistory.Position{Revision: 4})
 		time.Sleep(2*catchUpDelay + 2*followCheck)
 		assert.Equal(t, held(), "3")
 	})
@@ -484,12 +485,12 @@
 func TestFollowerTakesRepairs(t *testing.T) {
 	f := newFakeSource()
 	runFollower(t, f, func(m *Mirror, _ *rankedReaders, held func() string) {
-		m.Receive(Batch{After: 1, To: 5, Changes: []Change{{Value: toucanstore.Value{Key: "b", Revision: 5}}}})
-		m.Receive(Batch{After: 5, To: 5, Changes: []Change{written(3, "left out")}, Repair: true})
+		m.Receive(toucanhistory.Batch{After: 1, To: 5, Changes: []toucanhistory.Change{{Value: toucanstore.Value{Key: "b", Revision: 5}}}})
+		m.Receive(toucanhistory.Batch{After: 5, To: 5, Changes: []toucanhistory.Change{written(3, "left out")}, Repair: true})
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, held(), "left out")
-		m.Receive(Batch{After: 5, To: 7, Changes: []Change{removedAt(6), {Value: toucanstore.Value{Key: "b", Revision: 7}}}})
-		m.Receive(Batch{After: 5, To: 5, Changes: []Change{written(3, "left out")}, Repair: true})
+		m.Receive(toucanhistory.Batch{After: 5, To: 7, Changes: []toucanhistory.Change{removedAt(6), {Value: toucanstore.Value{Key: "b", Revision: 7}}}})
+		m.Receive(toucanhistory.Batch{After: 5, To: 5, Changes: []toucanhistory.Change{written(3, "left out")}, Repair: true})
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, held(), "")
 	})
@@ -502,13 +503,13 @@
 		f := newFakeSource()
 		f.unavailable = true
 		peerValue := "1"
-		m := New(f, slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, Position, error) {
+		m := New(f, slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, toucanhistory.Position, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if peerValue == "" {
-				return nil, Position{}, errUnavailable
+				return nil, toucanhistory.Position{}, errUnavailable
 			}
-			return []toucanstore.Value{{Key: "a", Body: []byte(peerValue), Revision: 5}}, Position{}, nil
+			return []toucanstore.Value{{Key: "a", Body: []byte(peerValue), Revision: 5}}, toucanhistory.Position{}, nil
 		}))
 		held := func() string {
 			values, _ := m.Values()
@@ -541,11 +542,11 @@
 // one of an earlier era is ignored.
 func TestPeerCopyOfAnotherEra(t *testing.T) {
 	era := uint64(2)
-	m := New(newFakeSource(), slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, Position, error) {
-		return []toucanstore.Value{{Key: "a", Revision: 3}}, Position{Era: era}, nil
+	m := New(newFakeSource(), slog.New(slog.DiscardHandler), WithPeerSnapshot(func(context.Context) ([]toucanstore.Value, toucanhistory.Position, error) {
+		return []toucanstore.Value{{Key: "a", Revision: 3}}, toucanhistory.Position{Era: era}, nil
 	}))
 	m.outageSince = time.Now()
-	m.lastPosition = Position{Era: 1, Revision: 9}
+	m.lastPosition = toucanhistory.Position{Era: 1, Revision: 9}
 	var states []State
 	read := func() {
 		m.beginPeerRead(t.Context())
@@ -561,39 +562,17 @@
 	assert.Assert(t, states[0].Restored && !states[1].Restored)
 }
 
-// TestLargeValuesCountOnlyIfReadAgain checks what the size of a snapshot is taken to be, which bounds how often it is read.
-func TestLargeValuesCountOnlyIfReadAgain(t *testing.T) {
-	large := toucanstore.Value{Key: "k", Body: make([]byte, LargeBody), Revision: 3}
-	again := toucanstore.Value{Key: "k", Body: make([]byte, LargeBody), Revision: 3}
-	changed := toucanstore.Value{Key: "k", Body: make([]byte, LargeBody), Revision: 4}
-	held := Held{Values: map[string]toucanstore.Value{"k": large}}
-	for _, tc := range []struct {
-		name   string
-		value  toucanstore.Value
-		held   Held
-		counts bool
-	}{
-		{"first read", large, Held{}, false},
-		{"not read again", large, held, false},
-		{"read again", again, held, true},
-		{"changed", changed, held, false},
-	} {
-		n := snapshotBytes([]toucanstore.Value{tc.value}, tc.held)
-		assert.Equal(t, n >= LargeBody, tc.counts, tc.name)
-	}
-}
-
 // TestStoreIsReadAgainWhilePeerCopyArrives checks that a peer's copy that takes long to arrive does not delay the return to the
 // store, and is not used after it.
 func TestStoreIsReadAgainWhilePeerCopyArrives(t *testing.T) {
 	f := newFakeSource()
 	f.unavailable = true
-	readPeer := func(ctx context.Context) ([]toucanstore.Value, Position, error) {
+	readPeer := func(ctx context.Context) ([]toucanstore.Value, toucanhistory.Position, error) {
 		select {
 		case <-time.After(10 * time.Second):
 		case <-ctx.Done():
 		}
-		return []toucanstore.Value{{Key: "a", Body: []byte("peer's"), Revision: 1}}, Position{}, nil
+		return []toucanstore.Value{{Key: "a", Body: []byte("peer's"), Revision: 1}}, toucanhistory.Position{}, nil
 	}
 	runMirror(t, f, func(seen func(string) string) {
 		time.Sleep(settleTime)
--- a/toucanmirror/overtaken_test.go
+++ b/toucanmirror/overtaken_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlogtest"
 	"toucanport/toucanstore"
 )
@@ -16,12 +17,12 @@
 type overtakenSource struct {
 	*fakeSource
 	mirror   *Mirror
-	batch    Batch
+	batch    toucanhistory.Batch
 	values   []toucanstore.Value
-	position Position
+	position toucanhistory.Position
 }
 
-func (s *overtakenSource) Snapshot(context.Context, Held, func()) ([]toucanstore.Value, Position, error) {
+func (s *overtakenSource) Snapshot(context.Context, toucanhistory.Held, func()) ([]toucanstore.Value, toucanhistory.Position, error) {
 	s.mirror.Receive(s.batch)
 	time.Sleep(time.Millisecond)
 	return s.values, s.position, nil
@@ -33,23 +34,26 @@
 	value := func(key string, revision uint64) toucanstore.Value {
 		return toucanstore.Value{Key: key, Revision: revision}
 	}
-	batch := Batch{Era: 1, After: 5, To: 7, Changes: []Change{{Value: value("a", 6)}, {Value: value("b", 7), Removed: true}}}
+	at := func(era, revision uint64) toucanhistory.Position {
+		return toucanhistory.Position{Era: era, Revision: revision}
+	}
+	batch := toucanhistory.Batch{Era: 1, After: 5, To: 7, Changes: []toucanhistory.Change{{Value: value("a", 6)}, {Value: value("b", 7), Removed: true}}}
 	for _, tc := range []struct {
 		name     string
 		read     []toucanstore.Value
-		position Position
+		position toucanhistory.Position
 		want     map[string]uint64
-		at       Position
+		at       toucanhistory.Position
 		stats    Stats
 	}{
-		{"the read is of a revision before", []toucanstore.Value{value("a", 4), value("b", 5)}, Position{Era: 1, Revision: 5}, map[string]uint64{"a": 6}, Position{Era: 1, Revision: 7}, Stats{Era: 1}},
-		{"of one in between", []toucanstore.Value{value("a", 6), value("b", 5)}, Position{Era: 1, Revision: 6}, map[string]uint64{"a": 6}, Position{Era: 1, Revision: 7}, Stats{Era: 1}},
-		{"of the same", []toucanstore.Value{value("a", 6)}, Position{Era: 1, Revision: 7}, map[string]uint64{"a": 6}, Position{Era: 1, Revision: 7}, Stats{Era: 1}},
-		{"of a later one", []toucanstore.Value{value("a", 8)}, Position{Era: 1, Revision: 8}, map[string]uint64{"a": 8}, Position{Era: 1, Revision: 8}, Stats{Era: 1}},
-		{"it finds what a watch left out", []toucanstore.Value{value("a", 4), value("b", 5), value("c", 3)}, Position{Era: 1, Revision: 5}, map[string]uint64{"a": 6, "c": 3}, Position{Era: 1, Revision: 7}, Stats{Era: 1, Omitted: 1}},
-		{"it lacks what a watch did not remove", []toucanstore.Value{value("b", 5)}, Position{Era: 1, Revision: 5}, map[string]uint64{"a": 6}, Position{Era: 1, Revision: 7}, Stats{Era: 1}},
-		{"the store came back, same era", []toucanstore.Value{value("a", 2)}, Position{Era: 1, Revision: 3}, map[string]uint64{"a": 2}, Position{Era: 1, Revision: 3}, Stats{Era: 1, Restores: 1}},
-		{"the store came back, next era", []toucanstore.Value{value("a", 2), value("b", 6)}, Position{Era: 2, Revision: 6}, map[string]uint64{"a": 2, "b": 6}, Position{Era: 2, Revision: 6}, Stats{Era: 2, Restores: 1}},
+		{"the read is of a revision before", []toucanstore.Value{value("a", 4), value("b", 5)}, at(1, 5), map[string]uint64{"a": 6}, at(1, 7), Stats{Era: 1}},
+		{"of one in between", []toucanstore.Value{value("a", 6), value("b", 5)}, at(1, 6), map[string]uint64{"a": 6}, at(1, 7), Stats{Era: 1}},
+		{"of the same", []toucanstore.Value{value("a", 6)}, at(1, 7), map[string]uint64{"a": 6}, at(1, 7), Stats{Era: 1}},
+		{"of a later one", []toucanstore.Value{value("a", 8)}, at(1, 8), map[string]uint64{"a": 8}, at(1, 8), Stats{Era: 1}},
+		{"it finds what a watch left out", []toucanstore.Value{value("a", 4), value("b", 5), value("c", 3)}, at(1, 5), map[string]uint64{"a": 6, "c": 3}, at(1, 7), Stats{Era: 1, Omitted: 1}},
+		{"it lacks what a watch did not remove", []toucanstore.Value{value("b", 5)}, at(1, 5), map[string]uint64{"a": 6}, at(1, 7), Stats{Era: 1}},
+		{"the store came back, same era", []toucanstore.Value{value("a", 2)}, at(1, 3), map[string]uint64{"a": 2}, at(1, 3), Stats{Era: 1, Restores: 1}},
+		{"the store came back, next era", []toucanstore.Value{value("a", 2), value("b", 6)}, at(2, 6), map[string]uint64{"a": 2, "b": 6}, at(2, 6), Stats{Era: 2, Restores: 1}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -58,8 +62,8 @@
 				log := &toucanlogtest.Log{}
 				m := New(source, log.Logger(), WithReaders(readers))
 				source.mirror = m
-				m.replace([]toucanstore.Value{value("a", 4), value("b", 5)}, Position{Era: 1, Revision: 5})
-				m.setPosition(Position{Era: 1, Revision: 5})
+				m.replace([]toucanstore.Value{value("a", 4), value("b", 5)}, at(1, 5))
+				m.setPosition(at(1, 5))
 				var states []State
 				assert.NilError(t, m.snapshot(t.Context(), func(s State) { states = append(states, s) }))
 				got := make(map[string]uint64)
--- a/toucanmirror/peerread.go
+++ b/toucanmirror/peerread.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlog"
 	"toucanport/toucanstore"
 )
@@ -19,7 +20,7 @@
 // peerCopy is the copy of a peer, or the error of reading it.
 type peerCopy struct {
 	values   []toucanstore.Value
-	position Position
+	position toucanhistory.Position
 	err      error
 }
 
@@ -88,9 +89,9 @@
 	if len(c.values) == 0 || c.position.Era < m.lastPosition.Era {
 		return
 	}
-	restored := m.lastPosition != (Position{}) && c.position.Era > m.lastPosition.Era
+	restored := m.lastPosition != (toucanhistory.Position{}) && c.position.Era > m.lastPosition.Era
 	if restored {
-		m.lastPosition = Position{Era: c.position.Era}
+		m.lastPosition = toucanhistory.Position{Era: c.position.Era}
 	}
 	removed := m.replace(c.values, c.position)
 	m.borrowed = true
--- a/toucanmirror/record.go
+++ b/toucanmirror/record.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlog"
 	"toucanport/toucanstore"
 )
@@ -26,9 +27,9 @@
 
 // recordRestore reports whether a snapshot shows that the store came back from an older copy, and counts and logs it. last is the
 // position that the store had at least when the read began. One that batches brought later says nothing of the read.
-func (m *Mirror) recordRestore(last, position Position) bool {
+func (m *Mirror) recordRestore(last, position toucanhistory.Position) bool {
 	m.era.Store(position.Era)
-	if last == (Position{}) || position.Era == last.Era && position.Revision >= last.Revision {
+	if last == (toucanhistory.Position{}) || position.Era == last.Era && position.Revision >= last.Revision {
 		return false
 	}
 	m.restores.Add(1)
--- a/toucanmirror/repair.go
+++ b/toucanmirror/repair.go
@@ -1,21 +1,15 @@
 package toucanmirror
 
-import "toucanport/toucanstore"
+import (
+	"toucanport/toucanhistory"
+	"toucanport/toucanstore"
+)
 
-// repairEarlier applies a repair that ends before the copy's revision, since the copy may lack what watches left out before. A key
-// that the copy has as of an earlier revision than the repair's has not changed since, as far as is known. One that it lacks may
-// have been removed since, so that the next call is for a snapshot.
-func (m *Mirror) repairEarlier(b Batch, apply func(State)) {
-	var changes []Change
-	for _, c := range b.Changes {
-		held, ok := m.values[c.Key]
-		switch {
-		case !ok && !c.Removed:
-			m.verifyNext = true
-		case ok && c.Removed && held.Revision <= b.To, ok && !c.Removed && held.Revision < c.Revision:
-			changes = append(changes, c)
-		}
-	}
+// repairEarlier applies a repair that ends before the copy's revision, since the copy may lack what watches left out before. If it is
+// unknown what holds for a key, the next call is for a snapshot.
+func (m *Mirror) repairEarlier(b toucanhistory.Batch, apply func(State)) {
+	changes, unknown := m.values.Repairs(b)
+	m.verifyNext = m.verifyNext || unknown
 	if len(changes) == 0 {
 		return
 	}
@@ -42,14 +36,5 @@
 
 // hasRemoved reports whether a snapshot's values lack a key of the copy. A watch may have left out its removal.
 func (m *Mirror) hasRemoved(values []toucanstore.Value) bool {
-	listed := make(map[string]bool, len(values))
-	for _, v := range values {
-		listed[v.Key] = true
-	}
-	for key := range m.values {
-		if !listed[key] {
-			return true
-		}
-	}
-	return false
+	return len(m.values.MissingIn(toucanhistory.NewValues(values))) > 0
 }
--- a/toucanmirror/verify.go
+++ b/toucanmirror/verify.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"toucanport/toucanstore"
+	"toucanport/toucanhistory"
 )
 
 const (
@@ -22,10 +22,6 @@
 	// the rate up to which all of them together may always read. A larger copy is verified less often.
 	verifyByteRate    = 12 << 10
 	minVerifyByteRate = 64 << 10
-	// valueOverhead is the approximate size of a value in a reply without its key and body, in bytes, and encodedBody
-	// the ratio of an encoded body to its bytes.
-	valueOverhead = 64
-	encodedBody   = 4.0 / 3
 	// wakeGrace is how long a watch may take to begin its reply with a change that a peer already has, before a snapshot
 	// replaces it.
 	wakeGrace = 300 * time.Millisecond
@@ -70,25 +66,6 @@
 	m.verifyAfter = interval + rand.N(time.Duration(verifyJitter*float64(interval)))
 }
 
-// snapshotBytes returns the approximate size of a snapshot that has these values while nothing changes. A large value counts only
-// if the source read it again although it is the one that was held.
-func snapshotBytes(values []toucanstore.Value, held Held) int {
-	n := 0
-	for _, v := range values {
-		n += len(v.Key) + valueOverhead
-		if len(v.Body) < LargeBody || readAgain(v, held) {
-			n += int(encodedBody * float64(len(v.Body)))
-		}
-	}
-	return n
-}
-
-// readAgain reports whether a large value is the held one in a body of its own.
-func readAgain(v toucanstore.Value, held Held) bool {
-	h, ok := held.Values[v.Key]
-	return ok && h.Revision == v.Revision && len(h.Body) == len(v.Body) && &h.Body[0] != &v.Body[0]
-}
-
 // lacksVersion reports whether a peer has a version of the settings that this process lacks, although the last step
 // should have read it. It is true once for each version, so that a version that the store has lost causes one snapshot.
 func (m *Mirror) lacksVersion() bool {
@@ -102,7 +79,7 @@
 
 // watch waits for changes after a position. Once it was woken, it returns errWatchReplaced if no reply begins to
 // arrive within wakeGrace.
-func (m *Mirror) watch(ctx context.Context, after Position) ([]Change, Position, error) {
+func (m *Mirror) watch(ctx context.Context, after toucanhistory.Position) ([]toucanhistory.Change, toucanhistory.Position, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	began := make(chan struct{})
--- a/toucanpeer/readers.go
+++ b/toucanpeer/readers.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlog"
 	"toucanport/toucanmirror"
 	"toucanport/toucanstore"
@@ -31,13 +32,13 @@
 type Readers struct {
 	name  string
 	state *SharedState
-	send  func(toucanmirror.Batch)
+	send  func(toucanhistory.Batch)
 }
 
 var _ toucanmirror.Readers = (*Readers)(nil)
 
 // NewReaders returns the Readers of the entry name. send sends a batch to the entry's peers.
-func NewReaders(name string, state *SharedState, send func(toucanmirror.Batch)) *Readers {
+func NewReaders(name string, state *SharedState, send func(toucanhistory.Batch)) *Readers {
 	return &Readers{name: name, state: state, send: send}
 }
 
@@ -57,16 +58,16 @@
 }
 
 // Newest implements toucanmirror.Readers.
-func (r *Readers) Newest(now time.Time) toucanmirror.Position { return r.state.newestCopy(now) }
+func (r *Readers) Newest(now time.Time) toucanhistory.Position { return r.state.newestCopy(now) }
 
 // StoreAge implements toucanmirror.Readers.
 func (r *Readers) StoreAge(now time.Time) time.Duration { return r.state.storeAge(now) }
 
 // SetPosition implements toucanmirror.Readers.
-func (r *Readers) SetPosition(p toucanmirror.Position) { r.state.setCopy(p) }
+func (r *Readers) SetPosition(p toucanhistory.Position) { r.state.setCopy(p) }
 
 // Share implements toucanmirror.Readers.
-func (r *Readers) Share(b toucanmirror.Batch) { r.send(b) }
+func (r *Readers) Share(b toucanhistory.Batch) { r.send(b) }
 
 // readerPeers returns the names of the peers that can read the store for others.
 func (s *SharedState) readerPeers(now time.Time) []string {
@@ -76,15 +77,15 @@
 }
 
 // newestCopy returns the newest position among the copies of the peers that can read the store for others.
-func (s *SharedState) newestCopy(now time.Time) toucanmirror.Position {
+func (s *SharedState) newestCopy(now time.Time) toucanhistory.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var newest toucanmirror.Position
+	var newest toucanhistory.Position
 	for _, p := range s.peers {
 		if now.Sub(p.receivedAt) > readerTimeout || p.report.GetStoreAway() {
 			continue
 		}
-		at := toucanmirror.Position{Era: p.report.GetCopyEra(), Revision: p.report.GetCopyRevision()}
+		at := toucanhistory.Position{Era: p.report.GetCopyEra(), Revision: p.report.GetCopyRevision()}
 		if at.IsAfter(newest) {
 			newest = at
 		}
@@ -93,21 +94,21 @@
 }
 
 // setCopy records the position of this entry's copy of the store for the reports.
-func (s *SharedState) setCopy(p toucanmirror.Position) {
+func (s *SharedState) setCopy(p toucanhistory.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.copy = p
 }
 
 // OnChanges sets the function to call when a peer shares changes that it has read from the store.
-func (s *SharedState) OnChanges(f func(toucanmirror.Batch)) {
+func (s *SharedState) OnChanges(f func(toucanhistory.Batch)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.onChanges = f
 }
 
 // deliverChanges passes on changes that a peer has shared.
-func (s *SharedState) deliverChanges(b toucanmirror.Batch) {
+func (s *SharedState) deliverChanges(b toucanhistory.Batch) {
 	s.mu.Lock()
 	f := s.onChanges
 	s.mu.Unlock()
@@ -115,7 +116,7 @@
 }
 
 // ShareChanges sends a batch to the entries of the cell, in several datagrams if it is long.
-func (m *Mesh) ShareChanges(b toucanmirror.Batch) {
+func (m *Mesh) ShareChanges(b toucanhistory.Batch) {
 	peers := m.cellAddresses()
 	if len(peers) == 0 {
 		return
@@ -132,9 +133,9 @@
 
 // splitBatch divides a batch into parts that follow each other and fit into a datagram each. It leaves out the changes from
 // the first one on whose value is too large. The parts are of whole revisions.
-func splitBatch(b toucanmirror.Batch) []toucanmirror.Batch {
-	var parts []toucanmirror.Batch
-	part := toucanmirror.Batch{Era: b.Era, After: b.After, To: b.After, Repair: b.Repair}
+func splitBatch(b toucanhistory.Batch) []toucanhistory.Batch {
+	var parts []toucanhistory.Batch
+	part := toucanhistory.Batch{Era: b.Era, After: b.After, To: b.After, Repair: b.Repair}
 	size, whole := 0, 0 // whole is the number of changes in part that are of whole revisions.
 	for i, c := range b.Changes {
 		if len(c.Body) > maxSharedBody {
@@ -154,7 +155,7 @@
 		if parts = appendPart(parts, part); len(parts) == maxSharedDatagrams {
 			return parts
 		}
-		part = toucanmirror.Batch{Era: b.Era, After: part.To, To: part.To, Repair: b.Repair}
+		part = toucanhistory.Batch{Era: b.Era, After: part.To, To: part.To, Repair: b.Repair}
 		size, whole = 0, 0
 	}
 	part.To = b.To
@@ -162,14 +163,14 @@
 }
 
 // appendPart appends a part that has changes.
-func appendPart(parts []toucanmirror.Batch, part toucanmirror.Batch) []toucanmirror.Batch {
+func appendPart(parts []toucanhistory.Batch, part toucanhistory.Batch) []toucanhistory.Batch {
 	if len(part.Changes) == 0 {
 		return parts
 	}
 	return append(parts, part)
 }
 
-func encodeBatch(b toucanmirror.Batch) *StoreChanges {
+func encodeBatch(b toucanhistory.Batch) *StoreChanges {
 	out := &StoreChanges{Era: b.Era, After: b.After, To: b.To, Repair: b.Repair}
 	for _, c := range b.Changes {
 		out.Changes = append(out.Changes, &StoreChange{Key: c.Key, Body: c.Body, Revision: c.Revision, Removed: c.Removed})
@@ -177,10 +178,10 @@
 	return out
 }
 
-func decodeBatch(c *StoreChanges) toucanmirror.Batch {
-	b := toucanmirror.Batch{Era: c.GetEra(), After: c.GetAfter(), To: c.GetTo(), Repair: c.GetRepair()}
+func decodeBatch(c *StoreChanges) toucanhistory.Batch {
+	b := toucanhistory.Batch{Era: c.GetEra(), After: c.GetAfter(), To: c.GetTo(), Repair: c.GetRepair()}
 	for _, x := range c.GetChanges() {
-		b.Changes = append(b.Changes, toucanmirror.Change{
+		b.Changes = append(b.Changes, toucanhistory.Change{
 			Value:   toucanstore.Value{Key: x.GetKey(), Body: x.GetBody(), Revision: x.GetRevision()},
 			Removed: x.GetRemoved(),
 		})
--- a/toucanpeer/readers_test.go
+++ b/toucanpeer/readers_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"toucanport/toucanmirror"
+	"toucanport/toucanhistory"
 	"toucanport/toucanstore"
 )
 
@@ -26,7 +26,7 @@
 	for _, r := range reports {
 		state.Apply(start, r)
 	}
-	return NewReaders("self", state, func(toucanmirror.Batch) {}).Rank(now)
+	return NewReaders("self", state, func(toucanhistory.Batch) {}).Rank(now)
 }
 
 // TestEntriesAgreeOnReaders checks that of entries that hear each other each has another rank.
@@ -41,7 +41,7 @@
 				state.Apply(start, readerReport(fmt.Sprint("entry", j)))
 			}
 		}
-		ranks[NewReaders(fmt.Sprint("entry", i), state, func(toucanmirror.Batch) {}).Rank(start)] = true
+		ranks[NewReaders(fmt.Sprint("entry", i), state, func(toucanhistory.Batch) {}).Rank(start)] = true
 	}
 	assert.Equal(t, len(ranks), entries)
 }
@@ -76,7 +76,7 @@
 // changes up to the first value that is too large, and that none goes beyond it.
 func TestSplitBatches(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := toucanmirror.Batch{Era: 2, After: 10, To: 10}
+		b := toucanhistory.Batch{Era: 2, After: 10, To: 10}
 		whole := true
 		for range rapid.IntRange(1, 40).Draw(t, "changes") {
 			b.To += uint64(rapid.IntRange(0, 1).Draw(t, "next"))
@@ -84,7 +84,7 @@
 			whole = whole && size <= maxSharedBody
 			revision := max(b.To, b.After+1)
 			b.To = revision
-			b.Changes = append(b.Changes, toucanmirror.Change{Value: toucanstore.Value{Key: "k", Body: make([]byte, size), Revision: revision}})
+			b.Changes = append(b.Changes, toucanhistory.Change{Value: toucanstore.Value{Key: "k", Body: make([]byte, size), Revision: revision}})
 		}
 		at, changes := b.After, 0
 		parts := splitBatch(b)
@@ -107,13 +107,13 @@
 // TestSharedChangesReachPeers checks that a batch arrives as it was sent.
 func TestSharedChangesReachPeers(t *testing.T) {
 	state, _ := newState()
-	var got []toucanmirror.Batch
-	state.OnChanges(func(b toucanmirror.Batch) { got = append(got, b) })
+	var got []toucanhistory.Batch
+	state.OnChanges(func(b toucanhistory.Batch) { got = append(got, b) })
 	m := &Mesh{state: state, log: slog.New(slog.DiscardHandler)}
-	sent := toucanmirror.Batch{Era: 1, After: 4, To: 6, Repair: true, Changes: []toucanmirror.Change{
+	sent := toucanhistory.Batch{Era: 1, After: 4, To: 6, Repair: true, Changes: []toucanhistory.Change{
 		{Value: toucanstore.Value{Key: "a", Body: []byte("x"), Revision: 5}},
 		{Value: toucanstore.Value{Key: "b", Revision: 6}, Removed: true},
 	}}
 	m.apply(start, &Report{Sender: "p", Changes: encodeBatch(sent)})
-	assert.DeepEqual(t, got, []toucanmirror.Batch{sent})
+	assert.DeepEqual(t, got, []toucanhistory.Batch{sent})
 }
--- a/toucanpeer/state.go
+++ b/toucanpeer/state.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"toucanport/toucanmirror"
+	"toucanport/toucanhistory"
 	"toucanport/toucanmoveorder"
 	"toucanport/toucanpace"
 	"toucanport/toucanplace"
@@ -51,9 +51,9 @@
 	// the version.
 	onNewerSettings func(peer string, version uint64)
 	// copy is the position of this entry's copy of the store; zero if it has none.
-	copy toucanmirror.Position
+	copy toucanhistory.Position
 	// onChanges is called with the changes that a peer has read from the store.
-	onChanges func(toucanmirror.Batch)
+	onChanges func(toucanhistory.Batch)
 	// paces is what is learned of endpoints' paces, and pacesSentAt the time of the last report with it.
 	paces       *toucanpace.Learner
 	pacesSentAt time.Time
@@ -136,7 +136,7 @@
 		leaving:         make(map[uint64]bool),
 		probedLeaving:   make(map[uint64]time.Time),
 		onNewerSettings: func(string, uint64) {},
-		onChanges:       func(toucanmirror.Batch) {},
+		onChanges:       func(toucanhistory.Batch) {},
 		paces:           toucanpace.New(),
 		onDoubt:         func(string) {},
 		changed:         make(chan struct{}),
