--- a/toucanmesh/changes.go
+++ b/toucanmesh/changes.go
@@ -3,8 +3,8 @@
 import (
 	"google.golang.org/protobuf/proto"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanlog"
-	"toucanport/toucanmirror"
 	"toucanport/toucanpeer"
 	"toucanport/toucanstore"
 )
@@ -21,7 +21,7 @@
 )
 
 // ShareChanges sends a batch to the entries of the cell, in several datagrams if it is long.
-func (m *Mesh) ShareChanges(b toucanmirror.Batch) {
+func (m *Mesh) ShareChanges(b toucanhistory.Batch) {
 	peers := m.cellAddresses()
 	if len(peers) == 0 {
 		return
@@ -38,9 +38,9 @@
 
 // splitBatch divides a batch into parts that follow each other and fit into a datagram each. It leaves out the changes from
 // the first one on whose value is too large. The parts are of whole revisions.
-func splitBatch(b toucanmirror.Batch) []toucanmirror.Batch {
-	var parts []toucanmirror.Batch
-	part := toucanmirror.Batch{Era: b.Era, After: b.After, To: b.After, Repair: b.Repair}
+func splitBatch(b toucanhistory.Batch) []toucanhistory.Batch {
+	var parts []toucanhistory.Batch
+	part := toucanhistory.Batch{Era: b.Era, After: b.After, To: b.After, Repair: b.Repair}
 	size, whole := 0, 0 // whole is the number of changes in part that are of whole revisions.
 	for i, c := range b.Changes {
 		if len(c.Body) > maxSharedBody {
@@ -60,7 +60,7 @@
 		if parts = appendPart(parts, part); len(parts) == maxSharedDatagrams {
 			return parts
 		}
-		part = toucanmirror.Batch{Era: b.Era, After: part.To, To: part.To, Repair: b.Repair}
+		part = toucanhistory.Batch{Era: b.Era, After: part.To, To: part.To, Repair: b.Repair}
 		size, whole = 0, 0
 	}
 	part.To = b.To
@@ -68,14 +68,14 @@
 }
 
 // appendPart appends a part that has changes.
-func appendPart(parts []toucanmirror.Batch, part toucanmirror.Batch) []toucanmirror.Batch {
+func appendPart(parts []toucanhistory.Batch, part toucanhistory.Batch) []toucanhistory.Batch {
 	if len(part.Changes) == 0 {
 		return parts
 	}
 	return append(parts, part)
 }
 
-func encodeBatch(b toucanmirror.Batch) *toucanpeer.StoreChanges {
+func encodeBatch(b toucanhistory.Batch) *toucanpeer.StoreChanges {
 	out := &toucanpeer.StoreChanges{Era: b.Era, After: b.After, To: b.To, Repair: b.Repair}
 	for _, c := range b.Changes {
 		out.Changes = append(out.Changes, &toucanpeer.StoreChange{Key: c.Key, Body: c.Body, Revision: c.Revision, Removed: c.Removed})
@@ -83,10 +83,10 @@
 	return out
 }
 
-func decodeBatch(c *toucanpeer.StoreChanges) toucanmirror.Batch {
-	b := toucanmirror.Batch{Era: c.GetEra(), After: c.GetAfter(), To: c.GetTo(), Repair: c.GetRepair()}
+func decodeBatch(c *toucanpeer.StoreChanges) toucanhistory.Batch {
+	b := toucanhistory.Batch{Era: c.GetEra(), After: c.GetAfter(), To: c.GetTo(), Repair: c.GetRepair()}
 	for _, x := range c.GetChanges() {
-		b.Changes = append(b.Changes, toucanmirror.Change{
+		b.Changes = append(b.Changes, toucanhistory.Change{
 			Value:   toucanstore.Value{Key: x.GetKey(), Body: x.GetBody(), Revision: x.GetRevision()},
 			Removed: x.GetRemoved(),
 		})
--- a/toucanpeer/readers.go
+++ b/toucanpeer/readers.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanport/toucanhistory"
 	"toucanport/toucanmirror"
 )
 
@@ -17,13 +18,13 @@
 type Readers struct {
 	name  string
 	state *SharedState
-	send  func(toucanmirror.Batch)
+	send  func(toucanhistory.Batch)
 }
 
 var _ toucanmirror.Readers = (*Readers)(nil)
 
 // NewReaders returns the Readers of the entry name. send sends a batch to the entry's peers.
-func NewReaders(name string, state *SharedState, send func(toucanmirror.Batch)) *Readers {
+func NewReaders(name string, state *SharedState, send func(toucanhistory.Batch)) *Readers {
 	return &Readers{name: name, state: state, send: send}
 }
 
@@ -43,16 +44,16 @@
 }
 
 // Newest implements toucanmirror.Readers.
-func (r *Readers) Newest(now time.Time) toucanmirror.Position { return r.state.newestCopy(now) }
+func (r *Readers) Newest(now time.Time) toucanhistory.Position { return r.state.newestCopy(now) }
 
 // StoreAge implements toucanmirror.Readers.
 func (r *Readers) StoreAge(now time.Time) time.Duration { return r.state.storeAge(now) }
 
 // SetPosition implements toucanmirror.Readers.
-func (r *Readers) SetPosition(p toucanmirror.Position) { r.state.setCopy(p) }
+func (r *Readers) SetPosition(p toucanhistory.Position) { r.state.setCopy(p) }
 
 // Share implements toucanmirror.Readers.
-func (r *Readers) Share(b toucanmirror.Batch) { r.send(b) }
+func (r *Readers) Share(b toucanhistory.Batch) { r.send(b) }
 
 // readerPeers returns the names of the peers that can read the store for others.
 func (s *SharedState) readerPeers(now time.Time) []string {
@@ -62,15 +63,15 @@
 }
 
 // newestCopy returns the newest position among the copies of the peers that can read the store for others.
-func (s *SharedState) newestCopy(now time.Time) toucanmirror.Position {
+func (s *SharedState) newestCopy(now time.Time) toucanhistory.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var newest toucanmirror.Position
+	var newest toucanhistory.Position
 	for _, p := range s.peers {
 		if now.Sub(p.receivedAt) > readerTimeout || p.report.GetStoreAway() {
 			continue
 		}
-		at := toucanmirror.Position{Era: p.report.GetCopyEra(), Revision: p.report.GetCopyRevision()}
+		at := toucanhistory.Position{Era: p.report.GetCopyEra(), Revision: p.report.GetCopyRevision()}
 		if at.IsAfter(newest) {
 			newest = at
 		}
@@ -79,21 +80,21 @@
 }
 
 // setCopy records the position of this entry's copy of the store for the reports.
-func (s *SharedState) setCopy(p toucanmirror.Position) {
+func (s *SharedState) setCopy(p toucanhistory.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.copy = p
 }
 
 // OnChanges sets the function to call when a peer shares changes that it has read from the store.
-func (s *SharedState) OnChanges(f func(toucanmirror.Batch)) {
+func (s *SharedState) OnChanges(f func(toucanhistory.Batch)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.onChanges = f
 }
 
 // DeliverChanges passes on changes that a peer has shared.
-func (s *SharedState) DeliverChanges(b toucanmirror.Batch) {
+func (s *SharedState) DeliverChanges(b toucanhistory.Batch) {
 	s.mu.Lock()
 	f := s.onChanges
 	s.mu.Unlock()
--- a/toucanpeer/readers_test.go
+++ b/toucanpeer/readers_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
+	"toucanport/toucanhistory"
+
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
-
-	"toucanport/toucanmirror"
 )
 
 // readerReport is the report of an entry that can read the store for others.
@@ -23,7 +23,7 @@
 	for _, r := range reports {
 		state.Apply(start, r)
 	}
-	return NewReaders("self", state, func(toucanmirror.Batch) {}).Rank(now)
+	return NewReaders("self", state, func(toucanhistory.Batch) {}).Rank(now)
 }
 
 // TestEntriesAgreeOnReaders checks that of entries that hear each other each has another rank.
@@ -38,7 +38,7 @@
 				state.Apply(start, readerReport(fmt.Sprint("entry", j)))
 			}
 		}
-		ranks[NewReaders(fmt.Sprint("entry", i), state, func(toucanmirror.Batch) {}).Rank(start)] = true
+		ranks[NewReaders(fmt.Sprint("entry", i), state, func(toucanhistory.Batch) {}).Rank(start)] = true
 	}
 	assert.Equal(t, len(ranks), entries)
 }
