TestTurnIsAwaitedWhilePeersMakeProgress: the fake mover's counts are guarded

A race of the test, not of the product. The like fake of toucanpacemove can be called by two goroutines too. Change: a mutex in both; the checks are the same. Measured: go test -race -count=10 of both packages passed.

--- a/toucangeneration/order_test.go
+++ b/toucangeneration/order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,11 +76,11 @@
 			placer.Observe(time.Now(), "peer", map[uint64]toucanplace.Use{list[0].Key(): {Requests: left}})
 			time.Sleep(interval)
 			synctest.Wait()
-			assert.Equal(t, mover.top, 0)
+			assert.Equal(t, mover.most(), 0)
 		}
 		time.Sleep(maxTurnWait)
 		synctest.Wait()
-		assert.Equal(t, mover.top, 1)
+		assert.Equal(t, mover.most(), 1)
 		cancel()
 		r.End(g)
 		synctest.Wait()
@@ -88,15 +89,31 @@
 
 // countingMover copies in copyTime and records how many copies were in progress at most.
 type countingMover struct {
-	copyTime     time.Duration
+	copyTime time.Duration
+
+	mu           sync.Mutex
 	running, top int
 }
 
-func (m *countingMover) Copy(context.Context, string, string, string, bool) (string, error) {
-	m.running++
+// most returns how many copies were in progress at most.
+func (m *countingMover) most() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.top
+}
+
+// add counts n copies more that are in progress.
+func (m *countingMover) add(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running += n
 	m.top = max(m.top, m.running)
+}
+
+func (m *countingMover) Copy(context.Context, string, string, string, bool) (string, error) {
+	m.add(1)
 	time.Sleep(m.copyTime)
-	m.running--
+	m.add(-1)
 	return "handle", nil
 }
 
--- a/toucanpacemove/move_test.go
+++ b/toucanpacemove/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,15 +125,31 @@
 
 // countingMover copies in copyTime and records how many copies were in progress at most.
 type countingMover struct {
-	copyTime     time.Duration
+	copyTime time.Duration
+
+	mu           sync.Mutex
 	running, top int
 }
 
-func (m *countingMover) Copy(context.Context, string, string, string, bool) (string, error) {
-	m.running++
+// most returns how many copies were in progress at most.
+func (m *countingMover) most() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.top
+}
+
+// add counts n copies more that are in progress.
+func (m *countingMover) add(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running += n
 	m.top = max(m.top, m.running)
+}
+
+func (m *countingMover) Copy(context.Context, string, string, string, bool) (string, error) {
+	m.add(1)
 	time.Sleep(m.copyTime)
-	m.running--
+	m.add(-1)
 	return "handle", nil
 }
 
@@ -173,7 +190,7 @@
 		h, err := g.AwaitHandover(ctx)
 		assert.NilError(t, err)
 		assert.Equal(t, h.Reservation.Endpoint.ID, "quick")
-		assert.Equal(t, mover.top, 1)
+		assert.Equal(t, mover.most(), 1)
 		cancel()
 		r.End(g)
 		synctest.Wait()
