toucanhead: an answer before the end of the body reaches a caller that is slow

Cause: after an early answer net/http half-closes, waits 0.5 s and closes, whether or not the body has been read; the close resets the connection, and a caller that stood still (or its link) loses a ready answer. Read in net/http's sources: a request with "Connection: close" gets no wait at all, nor does one whose body timed out or that asked for 100-continue; and a chunked or short body is waited for without a bound. Found beside it: with full duplex and a read deadline, as toucanforward used them, net/http takes the rest of the body for the next request (TestRestOfABodyIsNoRequest failed on the old code). Ruled out: draining in the handler (the answer's end is written only after it), full duplex for all (holds back no answer, but net/http panics when the rest then arrives: "invalid concurrent Body.Read call"), a goroutine in Close that blocks (a forced close holds the server's lock). Change: toucanhead's connection, below every server of ours, stays open after such an answer: it half-closes, discards the body up to its end, and closes then; at most the longest body, 30 s in all and 5 s without a byte. Such connections hold no memory of heads and no place in service, are bounded in number and make room before idle ones. Gate.Drain lets a stop wait for them within its grace; the platform's entry and the product's own use it. What is left of a body is never read as a request. Refused heads (431, 503) use the same in place of a wait of their own, and toucanforward's bodyLinger goes. The answer to a request whose body was not kept says "Connection: close". The scripts of toucanforward now run behind a gate, as the product does. Shown: TestEarlyAnswerReachesASlowCaller (9 cases: 7 "broken pipe", 2 without an end of the connection before), TestRefusalReachesACallerThatSendsOn ("broken pipe" before) and TestRestOfABodyIsNoRequest failed before and pass; the tests of bounds, room and stops are new. -race of toucanhead, toucanentry, toucanforward and toucanbody passed.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"toucanport/toucanapi"
 	"toucanport/toucanhead"
 	"toucanport/toucanlimit"
 	"toucanport/toucanlink"
@@ -169,6 +170,7 @@
 	e.gate = toucanhead.New(toucanhead.Limits{
 		HeadBytes:   func() int { return maxHeaderBytes },
 		MemoryBytes: headMemoryBytes,
+		BodyBytes:   func() int64 { return max(toucanapi.MaxBodyBytes, maxCallBodyBytes) },
 	}, toucanhead.NewObserver(cfg.Scope, e.log).Observe)
 	e.gate.Attach(e.server)
 	return e
@@ -206,7 +208,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.maintain(ctx)
-	stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		_ = e.server.Close()
+		e.gate.Drain(ctx)
+	})
 	defer stop()
 	stopWatch := context.AfterFunc(e.accepting, func() { _ = ln.Close() }) // Serve reports the end.
 	defer stopWatch()
--- a/toucanforward/accept.go
+++ b/toucanforward/accept.go
@@ -80,6 +80,8 @@
 	_ = control.SetReadDeadline(time.Time{}) // Best effort, as above.
 	if !body.Whole() {
 		s.recordNotKept(j)
+		// net/http may take what is left of a body after its answer for a request.
+		j.w.Header().Set("Connection", "close")
 		// Otherwise net/http reads and drops what is left of the body when the answer begins.
 		_ = control.EnableFullDuplex() // Only HTTP/1 needs it and has it.
 	}
@@ -99,22 +101,3 @@
 		toucanlog.LimitBytes, usage.Limit,
 	)
 }
-
-// bodyLinger is how long what is left of a body is still read after the answer, so that the caller gets the answer and not a
-// reset of its connection.
-const bodyLinger = 250 * time.Millisecond
-
-// releaseBody frees the memory of the request's body and of its answers. It bounds how long a body that was not read to its end is still read, as
-// the caller's connection stays open as long; a cut stream ends at once.
-func (s *Server) releaseBody(j *job) {
-	j.buffers.Release()
-	j.body.Release()
-	if !j.body.Unread() {
-		return
-	}
-	until := time.Now()
-	if !j.cut {
-		until = until.Add(bodyLinger)
-	}
-	_ = http.NewResponseController(j.w).SetReadDeadline(until) // Best effort: without it, a slow body is cut only later.
-}
--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -57,7 +57,6 @@
 			toucanlog.Cause, err.Error(),
 		}
 		s.log.Warn(toucanlog.MsgStreamCut, append(args, s.stopArgs(j)...)...)
-		j.cut = true
 		panic(http.ErrAbortHandler)
 	}
 	a.reservation.Done(time.Now(), toucanplace.OutcomeGood)
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -150,6 +150,8 @@
 	placer  *toucanplace.Placer
 	server  *Server
 	front   *httptest.Server
+	// closed receives a value each time front is done with a connection.
+	closed chan struct{}
 	// bodies bounds the memory for long bodies; nil for the default.
 	bodies *toucanbody.Memory
 	// sent is the body of the last request.
@@ -195,8 +197,7 @@
 		Limits:  limits,
 		Bodies:  sc.bodies,
 	})
-	front := httptest.NewServer(sc.server)
-	sc.front = front
+	front := sc.startFront()
 	ctx, cancel := context.WithCancel(sc.t.Context())
 	done := make(chan struct{})
 	server := sc.server
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -214,8 +214,6 @@
 	part runningPart
 	// out is where endpoints' answers are passed on to the caller.
 	out toucanrelay.Writer
-	// cut is true once the caller's connection is to be aborted.
-	cut bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -243,7 +241,8 @@
 		s.refuse(j, *refusal)
 		return
 	}
-	defer s.releaseBody(j)
+	defer j.body.Release()
+	defer j.buffers.Release()
 	j.started = toucancrash.NewRequest(j.crashSpec())
 	if s.watch.IsQuarantined(&j.started) {
 		s.refuse(j, toucanrefusal.Quarantined())
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -132,7 +132,6 @@
 		s.refuse(j, f.Refusal(ctx, j.maybeRun > 0, 0))
 		return
 	}
-	j.cut = true
 	panic(http.ErrAbortHandler)
 }
 
--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -46,6 +47,14 @@
 	held *toucanbody.Reservation
 	// serving is true from the beginning of a request's service until its answer is sent.
 	serving bool
+	// answered is true once the handler has returned, until the next request; also after a refusal of the head.
+	answered bool
+	// timedOut is true once a read of the request's body took too long.
+	timedOut bool
+	// spent is true if the answer was sent before the end of the body and the server waits for another request.
+	spent bool
+	// lingers is true once what the caller still sends is discarded.
+	lingers bool
 	// early holds bytes that the server read before it said how long the body is.
 	early []byte
 	// pending holds bytes that were read from the caller and not yet passed on. They lie in buffer.
@@ -75,7 +84,7 @@
 	head, serving := c.head, c.serving
 	c.mu.Unlock()
 	if why != "" {
-		c.refuse(why, head, serving, p)
+		c.refuse(why, head, serving)
 		return 0, io.EOF
 	}
 	return k, err
@@ -85,7 +94,7 @@
 func (c *Conn) fill(p []byte) (n int, again bool, err error) {
 	c.mu.Lock()
 	switch {
-	case c.phase == phaseRefused, c.phase == phaseUnknown && len(p) > 1:
+	case c.phase == phaseRefused, c.spent, c.phase == phaseUnknown && len(p) > 1:
 		// A server that does not say how long the body is, and reads on, has answered the request on its own.
 		c.mu.Unlock()
 		return 0, false, io.EOF
@@ -98,6 +107,11 @@
 		return n, true, nil
 	}
 	n, err = c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
+		c.timedOut = true
+		c.mu.Unlock()
+	}
 	return n, false, err
 }
 
@@ -185,7 +199,7 @@
 	if c.phase != phaseUnknown {
 		return
 	}
-	c.serving = true
+	c.serving, c.answered, c.timedOut = true, false, false
 	switch {
 	case chunked:
 		c.phase, c.chunks = phaseChunked, chunkScan{}
@@ -208,8 +222,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
-	if c.phase == phaseUnknown {
+	switch c.phase {
+	case phaseUnknown:
 		return // The next head is whole already, and counts as in service.
+	case phaseSized, phaseChunked, phaseRest:
+		c.spent = true // What is left of the body is no request.
+		return
 	}
 	c.held.Release()
 	if c.phase == phaseHead && c.head.bytes > 0 {
@@ -219,16 +237,28 @@
 	c.gate.markIdle(c)
 }
 
-// CloseWrite ends what is sent to the caller. The server uses it after an answer that is earlier than the end of the body.
+// CloseWrite ends what is sent to the caller. The server uses it after an answer that is earlier than the end of the body, which is read on.
 func (c *Conn) CloseWrite() error {
+	if c.lingerOn() {
+		return nil
+	}
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If the answer came before the end of the request, the connection stays open until the caller has sent the
+// rest, within bounds, since a close resets it and the caller loses the answer.
 func (c *Conn) Close() error {
+	if c.lingerOn() {
+		return nil
+	}
+	return c.end()
+}
+
+// end closes the connection.
+func (c *Conn) end() error {
 	c.gate.remove(c)
 	c.mu.Lock()
 	c.held.Release()
@@ -241,12 +271,13 @@
 	// answerTooLarge and answerNoMemory are the answers to refused heads. Their requests have not run.
 	answerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	answerNoMemory = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	// linger is how long what a refused caller still sends is read, so that it gets the answer and not a reset of its connection.
-	linger = 500 * time.Millisecond
+	// refusalTime is how long the answer to a refused head may take to be written.
+	refusalTime = 500 * time.Millisecond
 )
 
-// refuse answers a head that is refused, unless a request is still in service, and then reads what the caller still sends into p.
-func (c *Conn) refuse(why Reason, head lineScan, serving bool, p []byte) {
+// refuse answers a head that is refused, unless a request is still in service. What the caller still sends is read once the server closes the
+// connection.
+func (c *Conn) refuse(why Reason, head lineScan, serving bool) {
 	c.gate.tell(Event{Reason: why, Bytes: head.bytes, Lines: head.lines, Limit: c.gate.limits.HeadBytes()})
 	if serving {
 		return
@@ -259,14 +290,11 @@
 	if why == ReasonTooLarge {
 		answer = answerTooLarge
 	}
-	_ = c.SetDeadline(time.Now().Add(linger)) // Without it, the server's deadline ends the reads.
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime)) // The write fails too if it does.
 	if _, err := io.WriteString(c.Conn, answer); err != nil {
 		return
 	}
-	_ = c.CloseWrite() // The caller may have closed the connection.
-	for {
-		if _, err := c.Conn.Read(p); err != nil {
-			return
-		}
-	}
+	c.mu.Lock()
+	c.answered = true
+	c.mu.Unlock()
 }
--- a/toucanhead/gate.go
+++ b/toucanhead/gate.go
@@ -42,6 +42,9 @@
 	MemoryBytes int
 	// Connections is the number of connections, with one to another process for each request in service; zero means no limit.
 	Connections int
+	// BodyBytes returns the length in bytes of the longest body that callers may send, at this moment. What is left of a body after an
+	// answer that came before its end is read up to that length; defaultBodyBytes if it is nil or returns zero.
+	BodyBytes func() int64
 	// Others returns the number of connections to other processes; nil if only the requests in service have some.
 	Others func() int
 }
@@ -58,6 +61,9 @@
 	ReasonUnfinished Reason = "unfinishedHead"
 	// ReasonIdle is a connection between two requests that made room for another one. It is closed.
 	ReasonIdle Reason = "idleConnection"
+	// ReasonLingering is a connection whose request was answered before the end of its body, of which the rest is read, and that made
+	// room for another one. It is closed.
+	ReasonLingering Reason = "unreadBody"
 	// ReasonConnections is a new connection for which there was no room, which is closed, or a request that would need one more
 	// connection, which gets status 503.
 	ReasonConnections Reason = "tooManyConnections"
@@ -86,8 +92,11 @@
 	// open is the number of connections.
 	open int
 	// unfinished holds the connections on which a head is awaited after they were opened or after its first byte, the oldest first, and
-	// idle those between two requests, the longest idle first.
-	unfinished, idle connList
+	// idle those between two requests, the longest idle first. lingering holds those whose requests are answered and whose bodies are still
+	// read, the oldest first.
+	unfinished, idle, lingering connList
+	// drained is true once no connection may linger.
+	drained bool
 }
 
 // New returns a Gate. It calls report for each refused head and closed connection, from any goroutine.
@@ -111,7 +120,7 @@
 
 // place is where a connection is listed.
 type place struct {
-	// list is Gate.unfinished, Gate.idle, or nil while a request is in service or once the connection is closed.
+	// list is Gate.unfinished, Gate.idle, Gate.lingering, or nil while a request is in service or once the connection is closed.
 	list *connList
 	// before and after are the connections beside it on the list; nil at its ends.
 	before, after *Conn
@@ -178,24 +187,32 @@
 	return min(g.limits.Others(), g.limits.Connections/2)
 }
 
-// makeRoom takes connections out until the limits are kept, and returns them: the oldest unfinished ones, then the longest idle ones, and
-// then newest, unless it is nil. The caller holds g.mu.
+// makeRoom takes connections out until the limits are kept, and returns them: the oldest unfinished ones, then the oldest
+// whose bodies are read after the answer, then the longest idle ones, and then newest, unless it is nil. The caller holds g.mu.
 func (g *Gate) makeRoom(others int, newest *Conn) []victim {
 	var victims []victim
+	for g.lingering.n > g.maxUnfinished {
+		victims = append(victims, g.takeFirst(victim{g.lingering.front, ReasonLingering}))
+	}
 	for g.unfinished.n > g.maxUnfinished || g.isFull(others) {
 		v := g.next(newest)
 		if v.conn == nil {
 			break
 		}
-		g.takeOut(v.conn)
-		victims = append(victims, v)
+		victims = append(victims, g.takeFirst(v))
 	}
 	return victims
 }
 
+// takeFirst takes a victim out, and returns it. The caller holds g.mu.
+func (g *Gate) takeFirst(v victim) victim {
+	g.takeOut(v.conn)
+	return v
+}
+
 // isFull reports whether there are too many connections. The caller holds g.mu.
 func (g *Gate) isFull(others int) bool {
-	serving := g.open - g.unfinished.n - g.idle.n
+	serving := g.open - g.unfinished.n - g.idle.n - g.lingering.n
 	return g.limits.Connections > 0 && g.open+max(serving, others) > g.limits.Connections
 }
 
@@ -204,6 +221,9 @@
 	if front := g.unfinished.front; front != nil && front != newest {
 		return victim{front, ReasonUnfinished}
 	}
+	if front := g.lingering.front; front != nil {
+		return victim{front, ReasonLingering}
+	}
 	if front := g.idle.front; front != nil {
 		return victim{front, ReasonIdle}
 	}
--- a/toucanhead/server.go
+++ b/toucanhead/server.go
@@ -41,12 +41,16 @@
 	}
 }
 
-// serveHead returns a handler that tells a request's connection how long the body is before next serves it.
+// serveHead returns a handler that tells a request's connection how long the body is before next serves it, and that it is answered after that.
 func serveHead(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			c.serve(r.ContentLength, slices.Contains(r.TransferEncoding, "chunked"))
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
 		}
+		c.serve(r.ContentLength, slices.Contains(r.TransferEncoding, "chunked"))
 		next.ServeHTTP(w, r)
+		c.finish() // Not after a panic, which cuts the answer.
 	})
 }
