Stop: a body that begins just after the end of the stop was awaited until its deadline

Cause: EndAll sets the deadline of reads only where a body is being read at that moment. A request that was admitted just before, for its pace, and begins to read its body just after, set its own deadline, up to ten minutes later; the process ends first and its caller gets no answer. A request that is added after EndAll was not ended at all. Ruled out: the order in readBody (its own deadline is set before SetReading, so that a later one stays). Change: Requests remembers EndAll; Add and SetReading end what comes after it, in the same way. Conclusion: what is ended at the end of a stop no longer depends on the order of two goroutines.

--- a/toucanstop/requests.go
+++ b/toucanstop/requests.go
@@ -31,15 +31,25 @@
 // End ends the request with a cause.
 func (h *Handle) End(cause error) { h.cancel(cause) }
 
+// stop ends the request with ErrStopping. The caller holds Requests.mu.
+func (h *Handle) stop() {
+	h.End(ErrStopping)
+	if h.reading {
+		_ = http.NewResponseController(h.w).SetReadDeadline(time.Now()) // Otherwise the caller gets no answer.
+	}
+}
+
 // Requests holds the requests that callers wait for, and the times of the stop once the server stops. The zero value is a server without
 // requests. It is safe for concurrent use.
 type Requests struct {
 	mu    sync.Mutex
 	all   map[*Handle]struct{}
 	times Times
+	// ended is true once EndAll was called.
+	ended bool
 }
 
-// Add adds a request.
+// Add adds a request. It ends one that comes after EndAll.
 func (r *Requests) Add(h *Handle) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -47,6 +57,9 @@
 		r.all = make(map[*Handle]struct{})
 	}
 	r.all[h] = struct{}{}
+	if r.ended {
+		h.stop()
+	}
 }
 
 // Remove removes a request.
@@ -68,6 +81,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h.reading = reading
+	if reading && r.ended {
+		h.stop()
+	}
 }
 
 // Begin records that the server stops.
@@ -88,10 +104,8 @@
 func (r *Requests) EndAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ended = true
 	for h := range r.all {
-		h.End(ErrStopping)
-		if h.reading {
-			_ = http.NewResponseController(h.w).SetReadDeadline(time.Now()) // Otherwise the caller gets no answer.
-		}
+		h.stop()
 	}
 }
