Plain: one slow first answer rejected bursts for dozens of answers

Cause: the first answer was the average, and each later one moved it by a tenth. An endpoint that had just started and took 2 s for its first answer was taken to need 0.7 s after ten answers of 15 ms: requests with 600 ms left were rejected at once at 12 requests for 6 slots, which are served in 30 ms. Ruled out: no recovery at all (an endpoint with a free slot takes any request, so that answers to learn from go on), and a bound on falls as on rises (short answers would then hide the slow ones). Change: the first ten requests count alike. Before: TestOneSlowAnswerIsNoRule found 707 ms and Late. After: 194 ms and Takes. Conclusion: the average follows an endpoint's first answers as soon as there are some.

--- a/toucanplain/plain.go
+++ b/toucanplain/plain.go
@@ -15,14 +15,18 @@
 	maxOverload = 4
 	// endShare is the share of the time left in which a request is expected to end.
 	endShare = 0.8
-	// learnGain is the weight of one request in the average service time.
+	// learnGain is the weight of one request in the average service time. The first requests, up to its inverse, count alike.
 	learnGain = 0.1
 	// maxRise bounds what one request counts, as a multiple of the average: its caller may have read slowly.
 	maxRise = 4
 )
 
 // ServiceTime is how long an endpoint takes for a request that does not wait. Its zero value is unknown.
-type ServiceTime struct{ mean time.Duration }
+type ServiceTime struct {
+	mean time.Duration
+	// requests is the number of requests in the average, at most 1/learnGain.
+	requests int
+}
 
 // With returns the average with a request that took so long in all, when ahead other requests were at the endpoint.
 func (t ServiceTime) With(took time.Duration, ahead, slots int) ServiceTime {
@@ -30,11 +34,12 @@
 		return t
 	}
 	served := float64(took) / rounds(ahead, slots)
+	requests := min(t.requests+1, int(1/learnGain))
 	if t.mean > 0 {
 		served = min(served, maxRise*float64(t.mean))
-		served = float64(t.mean) + learnGain*(served-float64(t.mean))
+		served = float64(t.mean) + (served-float64(t.mean))/float64(requests)
 	}
-	return ServiceTime{mean: time.Duration(served)}
+	return ServiceTime{mean: time.Duration(served), requests: requests}
 }
 
 // rounds returns how many service times pass until a request ends that finds ahead others.
--- a/toucanplain/plain_test.go
+++ b/toucanplain/plain_test.go
@@ -161,3 +161,12 @@
 	assert.Check(t, after.missed <= before.missed)
 	assert.Check(t, after.rejected < before.rejected)
 }
+
+// TestOneSlowAnswerIsNoRule guards against bursts that are rejected since the first answer of an endpoint, which had just started, was slow.
+func TestOneSlowAnswerIsNoRule(t *testing.T) {
+	service := ServiceTime{}.With(2*time.Second, 0, playSlots)
+	for range 10 {
+		service = service.With(playService, 0, playSlots)
+	}
+	assert.Equal(t, service.Decide(2*playSlots-1, playSlots, playLeft), Takes, "%v", service)
+}
