Place: the wait for a slot was learned as an endpoint's service time

Cause: the service time of plain requests was measured from the placement. At an endpoint that takes only so many requests a second, a request then waits for its slot at the entry; half a second of that at an endpoint that needs 10 ms made it seem to need 510 ms, and requests with less time left were rejected at once as not servable, although they were. Those that ended before the request was sent counted as ahead of it. Ruled out: the pool's dial and the wait for a connection are outside too, since OnWrite comes after them. Change: the time counts from the send (MarkSent), with the requests that are still at the endpoint then. In the same decision, the time to come back is no longer that of an endpoint that the request has tried: one that refuses connections has nothing to do, and said 10 ms. Conclusion: what is rejected for want of time follows from the endpoint alone.

--- a/toucanforward/limit.go
+++ b/toucanforward/limit.go
@@ -36,7 +36,7 @@
 	perSecond, limited := s.placer.RateLimit(j.service.Name)
 	now := time.Now()
 	if errors.Is(err, toucanplace.ErrNoTime) {
-		return toucanrank.ReturnAfter(s.placer.PlainEnd(now, j.service.Name), 0, j.deadline.Sub(now))
+		return toucanrank.ReturnAfter(s.placer.PlainEnd(now, j.service.Name, j.untried), 0, j.deadline.Sub(now))
 	}
 	if !limited || !errors.Is(err, toucanplace.ErrLimited) {
 		return max(s.deferredFor(j), s.rooms.ReturnAfter(now, j.room(), toucanrefusal.RetryAfterFull))
--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -105,7 +105,7 @@
 	r := p.reserve(best, d)
 	r.Choice = why
 	if best.MemoryTokens == 0 {
-		r.placedAt, r.ahead = now, p.total(now, best).Requests-1
+		r.sentAt, r.ahead = now, p.total(now, best).Requests-1
 	}
 	return r, nil
 }
--- a/toucanplace/cold.go
+++ b/toucanplace/cold.go
@@ -157,6 +157,7 @@
 func (r *Reservation) MarkSent(now time.Time) {
 	r.placer.mu.Lock()
 	defer r.placer.mu.Unlock()
+	r.beginService(now)
 	switch {
 	case r.state.ColdLimit == 0:
 	case r.toSend:
--- a/toucanplace/placer.go
+++ b/toucanplace/placer.go
@@ -210,12 +210,16 @@
 	return uses
 }
 
-// PlainEnd returns how long a plain request takes at the least at an endpoint of a service; zero if it is unknown.
-func (p *Placer) PlainEnd(now time.Time, service string) time.Duration {
+// PlainEnd returns how long a plain request takes at the least at an endpoint of a service that allowed accepts, all if it is nil; zero if
+// that is unknown.
+func (p *Placer) PlainEnd(now time.Time, service string, allowed Filter) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	least := time.Duration(0)
 	for _, s := range p.services[service] {
+		if allowed != nil && !allowed(s.Endpoint) {
+			continue
+		}
 		end := s.service.End(p.total(now, s).Requests, s.Slots)
 		if s.takesNew() && end > 0 && (least == 0 || end < least) {
 			least = end
--- a/toucanplace/reservation.go
+++ b/toucanplace/reservation.go
@@ -14,9 +14,10 @@
 	state  *endpointState
 	use    Use
 	done   bool
-	// placedAt is when the request was placed, and ahead how many requests were at the endpoint then.
-	placedAt time.Time
-	ahead    int
+	// sentAt is when a request without a model engine was placed or, once it was, last sent, and ahead how many requests were at the
+	// endpoint then. It is zero for others.
+	sentAt time.Time
+	ahead  int
 	// toSend is true while the request is in the endpoint's window and was not sent.
 	toSend bool
 }
@@ -116,6 +117,15 @@
 	r.use.Exposed = 0
 }
 
+// beginService records that the request is sent, so that its wait before is not taken for its service. The caller holds p.mu.
+func (r *Reservation) beginService(now time.Time) {
+	if r.sentAt.IsZero() || r.done {
+		return
+	}
+	r.sentAt = now
+	r.ahead = min(r.ahead, max(r.placer.total(now, r.state).Requests-1, 0))
+}
+
 // Outcome is the result of a request at its endpoint.
 type Outcome int
 
@@ -144,8 +154,8 @@
 	switch o {
 	case OutcomeGood:
 		r.state.recordOutcome(now, false)
-		if !r.placedAt.IsZero() {
-			r.state.service = r.state.service.With(now.Sub(r.placedAt), r.ahead, r.state.Slots)
+		if !r.sentAt.IsZero() {
+			r.state.service = r.state.service.With(now.Sub(r.sentAt), r.ahead, r.state.Slots)
 		}
 	case OutcomeFailed:
 		r.state.recordOutcome(now, true)
