--- a/toucanrelay/stream.go
+++ b/toucanrelay/stream.go
@@ -54,7 +54,7 @@
 		if readErr == nil {
 			continue
 		}
-		if ctx.Err() != nil && !(resp.Framed && errors.Is(readErr, io.EOF)) { // A framed end is the stream's, also when late.
+		if ctx.Err() != nil && (!resp.Framed || !errors.Is(readErr, io.EOF)) { // A framed end is the stream's, also when late.
 			return ctx.Err()
 		}
 		if !errors.Is(readErr, io.EOF) || !resp.Framed && g.StopRequested() {
