Pace: a bound on pauses stayed after the clock was set back

Cause: Bound counts spans of wall-clock time and only goes forward. After the clock of a machine was ahead by an hour and was set right, the shortest bound of that time was kept for that hour: endpoints counted as uneven, and streams were moved, for streams that had long ended. Ruled out: small steps back between callers that read the clock at different moments; they stay within the span before. Change: a time more than one span back begins its span anew, with what is known. Before: TestBoundAgesAfterTheClockWasSetBack kept the bound a minute later. After: it has ended. Conclusion: the bound ages by what has passed, whichever way the clock jumps.

--- a/toucanpace/bound.go
+++ b/toucanpace/bound.go
@@ -34,6 +34,8 @@
 func (b *Bound) advance(now time.Time) {
 	span := now.UnixNano() / int64(boundLife)
 	switch {
+	case span < b.span-1:
+		// The clock was set back.
 	case span <= b.span:
 		return
 	case span == b.span+1:
--- a/toucanpace/bound_test.go
+++ b/toucanpace/bound_test.go
@@ -44,3 +44,12 @@
 		}
 	})
 }
+
+// TestBoundAgesAfterTheClockWasSetBack guards against a bound that is kept for as long as the clock was ahead.
+func TestBoundAgesAfterTheClockWasSetBack(t *testing.T) {
+	var b Bound
+	now := time.Unix(1000, 0)
+	b.Observe(now.Add(time.Hour), time.Millisecond)
+	assert.Equal(t, b.Shortest(now), time.Millisecond)
+	assert.Equal(t, b.Shortest(now.Add(2*boundLife)), time.Duration(0))
+}
