Forward: a stream that does not name its request was passed on

Cause: an answer whose body is buffered has to name the request, and so has a resumed stream. The first answer of a stream had not: an extra answer without an id that arrives where the next one is awaited passes the check of the pool, which lets refusals without an id through, and another caller's stream was delivered as a 200. Ruled out: the pool's check itself, since refusals can lack an id; and buffering such a stream, which would wait for its end. Change: an event stream that is not the endpoint's own, or does not name the request, is a failed attempt at once, as an encoded one is. Before: the script unnamed got 200 with two events. After: 502, and no retry of what may have run. Conclusion: every 2xx that is passed on names its request.

--- a/toucanforward/attempt.go
+++ b/toucanforward/attempt.go
@@ -51,12 +51,12 @@
 		return nil, &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, NotRun: true, Err: errNotRun}
 	}
 	head := toucanrelay.Answer{Status: resp.Status, Header: resp.Header}
-	if head.IsEventStream() && head.IsEncoded() {
+	if err := checkStream(headers, head); err != nil {
 		resp.Close()
 		reservation.Done(time.Now(), toucanplace.OutcomeFailed)
-		return nil, &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, Err: errEncoded}
+		return nil, &toucanrefusal.Failure{Endpoint: reservation.Endpoint.ID, Err: err}
 	}
-	if resp.Status == http.StatusOK && j.route.Kind == toucantraffic.Stream && headers.Genuine && head.IsEventStream() {
+	if resp.Status == http.StatusOK && j.route.Kind == toucantraffic.Stream && head.IsEventStream() {
 		return &answer{Answer: head, stream: resp, reservation: reservation}, nil
 	}
 	return s.readAnswer(ctx, j, reservation, resp, headers)
@@ -189,6 +189,20 @@
 	return a, f
 }
 
+// checkStream returns an error if the answer is an event stream that must not be passed on, before its events arrive: it does not come from the
+// endpoint, does not name this request or is encoded.
+func checkStream(headers Answer, head toucanrelay.Answer) error {
+	switch {
+	case !head.IsEventStream():
+		return nil
+	case !headers.Genuine || !headers.Named:
+		return errNotGenuine
+	case head.IsEncoded():
+		return errEncoded
+	}
+	return nil
+}
+
 // checkAnswer returns nil if the answer can be delivered, or a failure if it does not come from the endpoint, does not
 // name this request, is encoded or has a 5xx status.
 func checkAnswer(reservation *toucanplace.Reservation, headers Answer, a *answer) *toucanrefusal.Failure {
--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -986,6 +986,9 @@
 	from, _ := strconv.Atoi(step[1])
 	to, _ := strconv.Atoi(step[2])
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nX-Private: hush\r\nContent-Type: text/event-stream\r\n", headerID, id, headerGenuine, e.name)
+	if step[3] == "unnamed" {
+		head = strings.Replace(head, headerID+": "+id+"\r\n", "", 1)
+	}
 	if step[3] == "keep" {
 		e.mu.Lock()
 		e.keeps = true
@@ -1018,7 +1021,7 @@
 	}
 	_ = rw.Flush()
 	switch step[3] {
-	case "end", "keep", "encoded":
+	case "end", "keep", "encoded", "unnamed":
 		_, _ = rw.WriteString("0\r\n\r\n")
 	case "cutInside":
 		event := fmt.Sprintf("id: %d\nda", to+1)
