Preview: a limited endpoint looked like a rejection, and previews delayed callers

Cause: a preview surveyed endpoints without the time for which a request would wait for its slot, so that a request that is sent after a short wait was said to be rejected as limited; the parts of the demand that change with time (goal, movable) were missing from its costs. Ruled out: effects on what is reserved (TestPreviewNamesTheDecision compares the use before and after). Change: Preview surveys with the patience and the demand that place uses, and reads the schedule by Returns.Next, which spreads nothing. Before: TestPreviewWaitsForSlots got reject instead of send, TestPreviewsDelayNoCaller 999 ms instead of 500 at most. After: both pass. Conclusion: what operators ask for changes nothing for callers.

--- a/toucanforward/limit.go
+++ b/toucanforward/limit.go
@@ -32,7 +32,10 @@
 
 // delayFor returns the time after which the caller of a request that could not be placed is to come back; zero if nothing is
 // known of it.
-func (s *Server) delayFor(j *job, err error) time.Duration {
+func (s *Server) delayFor(j *job, err error) time.Duration { return s.delayBy(j, err, s.returns.After) }
+
+// delayBy is delayFor with after in place of toucanrate.Returns.After.
+func (s *Server) delayBy(j *job, err error, after func(now time.Time, service string, perSecond float64) time.Duration) time.Duration {
 	perSecond, limited := s.placer.RateLimit(j.service.Name)
 	now := time.Now()
 	if errors.Is(err, toucanplace.ErrNoTime) {
@@ -41,7 +44,7 @@
 	if !limited || !errors.Is(err, toucanplace.ErrLimited) {
 		return max(s.deferredFor(j), s.rooms.ReturnAfter(now, j.room(), toucanrefusal.RetryAfterFull))
 	}
-	return s.returns.After(now, j.service.Name, s.limits.Share(now, perSecond))
+	return after(now, j.service.Name, s.limits.Share(now, perSecond))
 }
 
 // recordSend counts and logs a request that is sent to an endpoint that has named a limit.
--- a/toucanforward/place.go
+++ b/toucanforward/place.go
@@ -88,6 +88,11 @@
 	return max(j.deadline.Sub(now), time.Nanosecond)
 }
 
+// updateDemand updates the parts of the demand that change while the request waits.
+func (j *job) updateDemand(now time.Time) {
+	j.demand.Goal, j.demand.Movable, j.demand.Left = j.goalLeft(now), j.isMovable(), j.plainLeft(now)
+}
+
 // isFinal reports whether a request for which no endpoint was reserved gets none by waiting.
 func isFinal(err error) bool {
 	return errors.Is(err, toucanplace.ErrTooLarge) || errors.Is(err, toucanplace.ErrNoTime) || errors.Is(err, toucanplace.ErrLimited) || errors.Is(err, toucanplace.ErrEvacuated)
@@ -168,7 +173,7 @@
 func (s *Server) reserve(ctx context.Context, j *job, until time.Time, limits toucanroom.Limits) (*toucanplace.Reservation, error) {
 	for range maxSlotAsks {
 		now := time.Now()
-		j.demand.Goal, j.demand.Movable, j.demand.Left = j.goalLeft(now), j.isMovable(), j.plainLeft(now)
+		j.updateDemand(now)
 		patience := max(until.Sub(now), 0)
 		reservation, err := s.placer.Place(now, j.service.Name, j.demand, j.untried, roomOptions(limits, toucanplace.WithPatience(patience))...)
 		if err != nil {
--- a/toucanforward/preview.go
+++ b/toucanforward/preview.go
@@ -23,11 +23,11 @@
 		return rejected(p, *r)
 	}
 	until := now.Add(j.maxWait(now))
-	j.demand.Left = j.plainLeft(now)
+	j.updateDemand(now)
 	limits, may := s.rooms.Try(now, j.room(), until)
 	p.Tokens, p.ReserveTokens, p.MaxUnread = j.demand.Tokens(), limits.Reserve, limits.MaxUnread
 	p.MaxWaitMs = until.Sub(now).Milliseconds()
-	list, err := s.placer.Survey(now, j.service.Name, j.demand, roomOptions(limits)...)
+	list, err := s.placer.Survey(now, j.service.Name, j.demand, roomOptions(limits, toucanplace.WithPatience(max(until.Sub(now), 0)))...)
 	for _, a := range list {
 		p.Endpoints = append(p.Endpoints, previewEndpoint(a))
 	}
@@ -43,7 +43,7 @@
 		err = errors.Wrap(toucanrefusal.ErrNoRoomInTime, err.Error())
 	}
 	if hopeless || isFinal(err) || !until.After(now) || s.deferredFor(j) > until.Sub(now) {
-		return rejected(p, toucanrefusal.OfPlacement(context.Background(), err, j.maybeRun > 0, s.delayFor(j, err)))
+		return rejected(p, toucanrefusal.OfPlacement(context.Background(), err, j.maybeRun > 0, s.delayBy(j, err, s.returns.Next)))
 	}
 	p.Decision, p.Cause = toucanpreview.DecisionWait, err.Error()
 	if j.mixed {
--- a/toucanforward/preview_test.go
+++ b/toucanforward/preview_test.go
@@ -62,8 +62,8 @@
 }
 
 // newPreviewServer returns a server before two endpoints, a in its own failure domain and b in another one.
-func newPreviewServer() *Server {
-	s := New(Config{Placer: toucanplace.NewPlacer("d1"), Traffic: &toucantraffic.Current{}, Log: slog.New(slog.DiscardHandler)})
+func newPreviewServer(opts ...toucanplace.Option) *Server {
+	s := New(Config{Placer: toucanplace.NewPlacer("d1", opts...), Traffic: &toucantraffic.Current{}, Log: slog.New(slog.DiscardHandler)})
 	s.placer.SetEndpoints([]toucanplace.Endpoint{
 		{ID: "a", Service: "s", FailureDomain: "d1", Slots: 8, MemoryTokens: 30000},
 		{ID: "b", Service: "s", FailureDomain: "d2", Slots: 8, MemoryTokens: 30000},
@@ -84,3 +84,38 @@
 		_, _ = p.Place(time.Now(), "s", toucanplace.Demand{Prompt: 28000}, nil) // One that does not fit leaves the other full.
 	}
 }
+
+// slowLimits are the limits of endpoints whose next slot begins after a time.
+type slowLimits time.Duration
+
+// Wait implements toucanplace.RateLimits.
+func (l slowLimits) Wait(time.Time, uint64) (time.Duration, bool) { return time.Duration(l), true }
+
+// Limit implements toucanplace.RateLimits.
+func (slowLimits) Limit(uint64) (float64, bool) { return 1, true }
+
+// TestPreviewWaitsForSlots checks that a request which would wait for its slot at an endpoint with a limit is not said to be rejected, and that
+// one which has no time for that is.
+func TestPreviewWaitsForSlots(t *testing.T) {
+	for patience, want := range map[time.Duration]toucanpreview.Decision{
+		30 * time.Second: toucanpreview.DecisionSend, 100 * time.Millisecond: toucanpreview.DecisionReject,
+	} {
+		s := newPreviewServer(toucanplace.WithRateLimits(slowLimits(500 * time.Millisecond)))
+		p := s.Preview(toucanpreview.Query{Host: "h.example", Path: "/chat/x", Workspace: "w", Prompt: 3000, MaxOutput: 400, Patience: patience})
+		assert.Equal(t, p.Decision, want, "%+v", p)
+	}
+}
+
+// TestPreviewsDelayNoCaller guards against callers that are told to come back later since others asked for previews.
+func TestPreviewsDelayNoCaller(t *testing.T) {
+	s := newPreviewServer(toucanplace.WithRateLimits(slowLimits(time.Hour)))
+	query := toucanpreview.Query{Host: "h.example", Path: "/chat/x", Workspace: "w", Prompt: 3000, MaxOutput: 400}
+	first := s.Preview(query)
+	assert.Equal(t, first.Reason, "limited")
+	for range 100 {
+		p := s.Preview(query)
+		assert.Assert(t, p.RetryAfterMs <= first.RetryAfterMs, "%d ms", p.RetryAfterMs)
+	}
+	j, _ := s.previewJob(time.Now(), query)
+	assert.Assert(t, s.delayFor(j, toucanplace.ErrLimited).Milliseconds() <= first.RetryAfterMs)
+}
--- a/toucanrate/returns.go
+++ b/toucanrate/returns.go
@@ -42,3 +42,19 @@
 	}
 	return maxReturn/2 + rand.N(maxReturn/2)
 }
+
+// Next returns the earliest time that After would return, and spreads nothing.
+func (r *Returns) Next(now time.Time, service string, perSecond float64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := newSchedule(now, perSecond)
+	if s, ok := r.services[service]; ok {
+		next = &schedule{interval: s.interval, next: s.next}
+		next.setRate(now, perSecond)
+	}
+	wait := next.wait(now)
+	if wait > maxReturn {
+		return maxReturn / 2
+	}
+	return wait
+}
