Admission: the steps of an engine, in a package of their own

Ruled out: moving the tracker of prompt lengths along, which only admission uses (quantile.go). Change: a pure move to toucanstep (Model, Detector, Step), with the test of the model. Names as they were, without the package's; the time of the last step is read by LastAt. The tests of both packages pass. Conclusion: no change of behaviour.

--- a/toucanadmit/observe.go
+++ b/toucanadmit/observe.go
@@ -18,8 +18,8 @@
 	t.margin.decay(now)
 	t.countPreemptions(last, e)
 	t.updateUnaccounted(e)
-	if now.Sub(t.stepDetector.lastAt) > detectedStepFreshness {
-		t.step.observe(e.Running, 0, e.StepTime)
+	if now.Sub(t.stepDetector.LastAt()) > detectedStepFreshness {
+		t.step.Observe(e.Running, 0, e.StepTime)
 	}
 	t.recomputeDemands()
 	t.shares.expire(now)
@@ -67,7 +67,7 @@
 	if total == 0 {
 		return
 	}
-	due := time.Duration(checkpointSteps) * t.step.predict(t.running, 0)
+	due := time.Duration(checkpointSteps) * t.step.Predict(t.running, 0)
 	if c.set && now.Sub(c.at) < due {
 		return
 	}
--- a/toucanadmit/property_test.go
+++ b/toucanadmit/property_test.go
@@ -182,20 +182,6 @@
 	assert.Equal(t, p.Load(now).TotalBlocks, 1000)
 }
 
-func TestStepModelPredictsObservedSteps(t *testing.T) {
-	m := newStepModel()
-	for i := range 2000 {
-		n, prefill := i%150, (i*37)%600
-		took := 18*time.Millisecond + time.Duration(n)*250*time.Microsecond + time.Duration(prefill)*25*time.Microsecond
-		m.observe(n, prefill, took)
-	}
-	got := m.predict(100, 400)
-	want := 18*time.Millisecond + 25*time.Millisecond + 10*time.Millisecond
-	assert.Assert(t, got > want*95/100 && got < want*105/100, "predicted %v, took %v", got, want)
-	batch := m.sequencesWithin(68*time.Millisecond, 0)
-	assert.Assert(t, batch > 180 && batch < 220, "%d", batch)
-}
-
 func BenchmarkAdmission256Running(b *testing.B) {
 	now := time.Unix(1000, 0)
 	p := NewToucan(Config{FirstToken: time.Hour, InterToken: time.Hour})
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -8,6 +8,7 @@
 	"toucanport/toucanfair"
 	"toucanport/toucanlength"
 	"toucanport/toucansettings"
+	"toucanport/toucanstep"
 )
 
 // Levels of the fair queue; briefs are served ahead of plans.
@@ -55,7 +56,7 @@
 	now time.Time
 	// forecast is the memory forecast of the running jobs.
 	forecast forecast
-	step     *stepModel
+	step     *toucanstep.Model
 	margin   margin
 	report   EngineReport
 	// usedHistory records the estimated memory use of the running jobs over time, in tokens.
@@ -70,7 +71,7 @@
 	prefilling    int
 	prefillTokens int
 	prefillRate   busyRate
-	stepDetector  stepDetector
+	stepDetector  toucanstep.Detector
 	// promptQuantile tracks a quantile of the uncached prompt lengths of started requests, in tokens.
 	promptQuantile quantileTracker
 	// promptStepShare is a moving average of the share of steps that computed a prompt.
@@ -127,7 +128,7 @@
 		),
 		queue:          toucanfair.New(toucanfair.WithBurst(burstTokens)),
 		jobs:           make(map[string]*job),
-		step:           newStepModel(),
+		step:           toucanstep.NewModel(),
 		promptQuantile: quantileTracker{quantile: minPromptQuantile},
 		throughput:     rateMeter{window: throughputWindow},
 		briefHeadroom:  newHeadroom(),
@@ -404,7 +405,7 @@
 // inter-token bound.
 func (t *toucan) batchBound() int {
 	bound := time.Duration(stepBoundShare * float64(t.cfg.InterToken))
-	return t.step.sequencesWithin(bound, int(t.promptQuantile.value))
+	return t.step.SequencesWithin(bound, int(t.promptQuantile.value))
 }
 
 // prefillAllows reports whether j's prompt may be computed together with the prompts already being computed. If there
@@ -414,9 +415,9 @@
 		return true
 	}
 	bound := time.Duration(stepBoundShare * float64(t.cfg.InterToken))
-	allowed := float64(t.step.prefillWithin(bound, t.running+1))
+	allowed := float64(t.step.PrefillWithin(bound, t.running+1))
 	if rate := t.prefillRate.perSecond(); rate > 0 {
-		ahead := prefillAheadSteps * t.step.predict(t.running+1, 0)
+		ahead := prefillAheadSteps * t.step.Predict(t.running+1, 0)
 		allowed = min(allowed, rate*ahead.Seconds())
 	}
 	if t.overShare(j) {
@@ -445,11 +446,11 @@
 
 // observeStep updates the step model from the arrival times of tokens.
 func (t *toucan) observeStep(now time.Time, j *job, generated int, first bool) {
-	span := t.step.predict(t.running, 0) / stepSpanDivisor
-	step, ok := t.stepDetector.observeTokens(now, span, generated-j.generated, first, j.request.uncached())
+	span := t.step.Predict(t.running, 0) / stepSpanDivisor
+	step, ok := t.stepDetector.ObserveTokens(now, span, generated-j.generated, first, j.request.uncached())
 	if ok {
-		t.step.observe(step.sequences, step.prefillTokens, step.took)
-		t.updatePromptQuantile(step.prefillTokens > 0)
+		t.step.Observe(step.Sequences, step.PrefillTokens, step.Took)
+		t.updatePromptQuantile(step.PrefillTokens > 0)
 	}
 }
 
@@ -535,7 +536,7 @@
 		UsedBlocks:     int(max(0, t.forecast.total.mean[0]+t.unaccounted)) / blockTokens,
 		TotalBlocks:    t.report.TotalBlocks,
 		ForecastBlocks: int(max(0, t.peak(nil))) / blockTokens,
-		StepTime:       t.step.predict(t.running, 0),
+		StepTime:       t.step.Predict(t.running, 0),
 		Wait:           t.bias[levelPlan].correct(t.estimateWait(now, t.newJob(Request{Class: ClassPlan}))),
 	}
 }
--- a/toucanadmit/wait.go
+++ b/toucanadmit/wait.go
@@ -36,7 +36,7 @@
 
 // estimateFirstToken predicts the time from j's start to its first token.
 func (t *toucan) estimateFirstToken(j *job) time.Duration {
-	return t.step.predict(t.running, j.request.uncached())
+	return t.step.Predict(t.running, j.request.uncached())
 }
 
 // estimateWait predicts how long j would wait for its start if it arrived now. The result is not corrected for past
@@ -82,7 +82,7 @@
 // tokensPerSecond returns the engine's measured token throughput, or the rate of a single running request if that is
 // higher.
 func (t *toucan) tokensPerSecond(now time.Time) float64 {
-	step := t.step.predict(t.running, 0).Seconds()
+	step := t.step.Predict(t.running, 0).Seconds()
 	return max(t.throughput.perSecond(now), 1/step)
 }
 
@@ -126,7 +126,7 @@
 	if len(t.jobs) == t.running {
 		return time.Time{}
 	}
-	wake := now.Add(t.step.predict(t.running, 0))
+	wake := now.Add(t.step.Predict(t.running, 0))
 	for level := range 2 {
 		for _, it := range t.queue.Waiting(level) {
 			if last := t.latestStart(t.jobs[it.ID]); last.Before(wake) {
