toucanhead: what was passed on of a cut answer reaches a caller that still sends

Change: a connection also lingers after a handler that cut its answer. The caller sees the end of the connection at once and no end of the answer (a length or a last chunk), as before. Shown: TestCutAnswerIsNotLost failed before ("broken pipe") and passes.

--- a/toucanhead/linger.go
+++ b/toucanhead/linger.go
@@ -69,7 +69,7 @@
 	return defaultBodyBytes
 }
 
-// finish records that the handler has returned. It bounds how long the server waits for the rest of the body.
+// finish records that the handler has returned or cut its answer. It bounds how long the server waits for the rest of the body.
 func (c *Conn) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/toucanhead/linger_test.go
+++ b/toucanhead/linger_test.go
@@ -139,6 +139,32 @@
 	}
 }
 
+// TestCutAnswerIsNotLost guards against what was passed on of an answer and is lost to a reset, as the answer is cut while the caller still
+// sends its body: the caller gets what was passed on, and sees that it is not whole.
+func TestCutAnswerIsNotLost(t *testing.T) {
+	s := startEarlyServer(t, Limits{MemoryBytes: 1 << 20}, func(w http.ResponseWriter, _ *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex() // HTTP/1 has it.
+		_, _ = io.WriteString(w, earlyAnswer)
+		_ = control.Flush() // The caller may have left.
+		panic(http.ErrAbortHandler)
+	})
+	c := s.dial(t)
+	_, err := fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", longBody)
+	assert.NilError(t, err)
+	s.awaitClosed(t)
+	_, err = io.WriteString(c, strings.Repeat("x", longBody/2))
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, strings.Repeat("x", longBody/2))
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.Equal(t, err, io.ErrUnexpectedEOF)
+	_ = resp.Body.Close() // It fails as the read has.
+	assert.Equal(t, string(body), earlyAnswer)
+}
+
 // TestRestOfABodyIsNoRequest guards against a part of a body that is served as a request: the answer comes before the end of the body, whose
 // rest looks like a request and arrives after that.
 func TestRestOfABodyIsNoRequest(t *testing.T) {
--- a/toucanhead/server.go
+++ b/toucanhead/server.go
@@ -50,7 +50,7 @@
 			return
 		}
 		c.serve(r.ContentLength, slices.Contains(r.TransferEncoding, "chunked"))
+		defer c.finish() // Also after a panic, which cuts the answer: the caller gets what was passed on.
 		next.ServeHTTP(w, r)
-		c.finish() // Not after a panic, which cuts the answer.
 	})
 }
