--- a/toucanmesh/mesh.go
+++ b/toucanmesh/mesh.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"toucanport/toucanlog"
@@ -45,6 +46,7 @@
 	limits RateLimits
 	// startedPeers receives the addresses of peers whose process has started, which have no evidence yet.
 	startedPeers chan netip.AddrPort
+	sent         sentBytes
 
 	mu    sync.Mutex
 	peers map[string]netip.AddrPort
@@ -68,6 +70,7 @@
 		peers:            make(map[string]netip.AddrPort),
 		unlistedSince:    make(map[string]time.Time),
 		startedPeers:     make(chan netip.AddrPort, 1),
+		sent:             newSentBytes(tally.NoopScope),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -301,6 +304,7 @@
 		)
 		return
 	}
+	m.sent[kindOf(r)].Inc(int64(len(encoded) * len(peers)))
 	for _, address := range peers {
 		if _, err := m.conn.WriteToUDPAddrPort(encoded, address); err != nil {
 			// The next report replaces a lost one. A peer that is gone is logged when its registration expires.
