toucanway: the cost of the way to an endpoint is a package of its own

Ruled out: one cost for all ways; a copy and a request differ by four orders of bytes. Change: toucanway decides these; the placer fills in the ends and who waits. Tests: the owner of a target against a plain search of all sources, in any order, and without one of them; a cost that only grows with the way, the notice and those that wait; a play of two domains whose waves differ, in which streams leave a draining endpoint while its domain is at its peak, against an exhaustive search of all choices. Conclusion: no choice has changed.

--- a/toucanplace/choose.go
+++ b/toucanplace/choose.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanuneven"
+	"toucanport/toucanway"
 )
 
 // Backup reserves memory for a backup of a generation that runs at the endpoint at. The backup is placed on another
@@ -22,11 +23,7 @@
 		if !s.takesNew() || s.isDeferred(now) || s.OtherCell || s.ID == at.ID || now.Before(s.suspectUntil) || !s.fitsBackup(u, d) {
 			continue
 		}
-		c := s.cost(now, &u)
-		if s.FailureDomain != at.FailureDomain {
-			c += copyDomainCost
-		}
-		c += p.limitedCost(s)
+		c := s.cost(now, &u) + toucanway.Backup(at.FailureDomain, s.FailureDomain) + p.limitedCost(s)
 		if best == nil || c < bestCost {
 			best, bestCost = s, c
 		}
@@ -123,7 +120,7 @@
 
 // newSearch returns the search of Place.
 func (p *Placer) newSearch(now time.Time, service string, d Demand, allowed Filter, opts []PlaceOption) search {
-	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.domainCost(otherDomainCost)}
+	q := search{now: now, service: service, demand: d, allowed: allowed, limits: memoryLimits{end: memoryShare, taken: takenShare}, extra: p.requestCost}
 	for _, opt := range opts {
 		opt(&q)
 	}
@@ -138,26 +135,14 @@
 	return slices.ContainsFunc(p.services[service], func(s *endpointState) bool { return s.takesNew() && allowed(s.Endpoint) })
 }
 
-// copyCost returns a function with the cost of an endpoint as the target of a copy from another one.
-func (p *Placer) copyCost(from Endpoint) func(*endpointState) float64 {
-	source := from.Key()
-	return func(s *endpointState) float64 {
-		c := copySpreadCost*float64((source^s.key)%copySpreadSteps)/copySpreadSteps + p.limitedCost(s)
-		if s.FailureDomain != from.FailureDomain {
-			c += copyDomainCost
-		}
-		return c
-	}
+// copyCost returns a function with the cost of an endpoint as the target of a copy.
+func (p *Placer) copyCost(c toucanway.Copy) func(*endpointState) float64 {
+	return func(s *endpointState) float64 { return c.Cost(s.end()) + p.limitedCost(s) }
 }
 
-// domainCost returns a function that adds cost to endpoints outside this entry's failure domain.
-func (p *Placer) domainCost(cost float64) func(*endpointState) float64 {
-	return func(s *endpointState) float64 {
-		if s.FailureDomain == p.domain {
-			return 0
-		}
-		return cost
-	}
+// requestCost returns the cost of the way from this entry to an endpoint.
+func (p *Placer) requestCost(s *endpointState) float64 {
+	return toucanway.Request(p.domain, s.FailureDomain)
 }
 
 // PlaceCopy is Place for a generation whose memory is copied from another endpoint. It prefers the source's failure
@@ -167,12 +152,12 @@
 func (p *Placer) PlaceCopy(now time.Time, from Endpoint, d Demand, allowed Filter) (*Reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	extra := p.copyCost(from)
+	way := toucanway.Copy{From: from.end()}
 	if p.isUneven(now, from.Service) {
-		extra = p.drainCost(now, from, extra)
+		p.addDraining(now, from, &way)
 	}
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: extra, copied: true,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: math.MaxInt64, extra: p.copyCost(way), copied: true,
 		limits: memoryLimits{end: copyShare, taken: copyTakenShare},
 	})
 	if err != nil {
--- a/toucanplace/pace.go
+++ b/toucanplace/pace.go
@@ -5,6 +5,7 @@
 
 	"toucanport/toucanpace"
 	"toucanport/toucanuneven"
+	"toucanport/toucanway"
 )
 
 // Paces forecasts the pauses of streams at endpoints, which are given by their Keys.
@@ -144,8 +145,9 @@
 	if stay < toucanuneven.MoveGain {
 		return nil
 	}
+	way := toucanway.Copy{From: source.end()}
 	best, why, err := p.choose(search{
-		now: now, service: from.Service, demand: d, allowed: allowed, patience: -1, extra: p.copyCost(from), copied: true, chosen: true,
+		now: now, service: from.Service, demand: d, allowed: allowed, patience: -1, extra: p.copyCost(way), copied: true, chosen: true,
 		limits: memoryLimits{end: memoryShare, taken: takenShare},
 	})
 	if err != nil || best == source || why.Cost > stay-toucanuneven.MoveGain {
--- a/toucanplace/place.go
+++ b/toucanplace/place.go
@@ -141,14 +141,6 @@
 	unreadScale = 12000
 	// slotWeight is the cost of an endpoint whose slots are all used, where a full memory costs 1.
 	slotWeight = 0.5
-	// otherDomainCost is the cost of an endpoint outside the entry's failure domain.
-	otherDomainCost = 0.04
-	// copyDomainCost is the cost of copying memory to another failure domain.
-	copyDomainCost = 0.25
-	// copySpreadCost is the upper bound of a pseudo-random cost for each pair of source and target, in copySpreadSteps
-	// steps. It makes sources prefer different targets.
-	copySpreadCost  = 0.12
-	copySpreadSteps = 16
 	// warmupCost is the cost of an endpoint that is not yet warm.
 	warmupCost = 0.3
 	// failureCost is the cost of an endpoint that fails every request, and of one that this entry suspects.
