Admission: rates and recent samples, in a package of their own

Ruled out: a library of moving averages in their place, which would change what is measured. Change: a pure move to toucanmeter (Rate, History, BusyRate). Names as they were, without the package's. The tests pass.

--- a/toucanadmit/headroom.go
+++ b/toucanadmit/headroom.go
@@ -3,13 +3,15 @@
 import (
 	"math"
 	"time"
+
+	"toucanport/toucanmeter"
 )
 
 // headroom computes the memory and batch slots that other requests leave free for prioritized briefs. Briefs arrive
 // at random and are short, so the number that would run at once without waiting is Poisson distributed, with the
 // product of their arrival rate and duration as its mean.
 type headroom struct {
-	offered rateMeter
+	offered toucanmeter.Rate
 	// running is the number of running briefs; heldPromptTokens is the sum of their prompt tokens.
 	running          int
 	heldPromptTokens float64
@@ -29,10 +31,10 @@
 	headroomGain       = 0.05
 )
 
-func newHeadroom() headroom { return headroom{offered: rateMeter{window: headroomWindow}} }
+func newHeadroom() headroom { return headroom{offered: toucanmeter.Rate{Window: headroomWindow}} }
 
 // recordOffer counts an arriving brief, whether or not it is refused.
-func (r *headroom) recordOffer(now time.Time) { r.offered.add(now, 1) }
+func (r *headroom) recordOffer(now time.Time) { r.offered.Add(now, 1) }
 
 func (r *headroom) recordStart(promptTokens int) {
 	r.running++
@@ -60,7 +62,7 @@
 
 // concurrencyBound returns an upper estimate of the number of briefs that would run at once if none had to wait.
 func (r *headroom) concurrencyBound(now time.Time) float64 {
-	mean := r.offered.perSecond(now) * r.meanSeconds
+	mean := r.offered.PerSecond(now) * r.meanSeconds
 	return mean + headroomDeviations*math.Sqrt(mean)
 }
 
--- a/toucanadmit/observe.go
+++ b/toucanadmit/observe.go
@@ -36,7 +36,7 @@
 // updateUnaccounted compares the memory use in a report with the estimate for the running jobs at the time that the
 // report describes.
 func (t *toucan) updateUnaccounted(e EngineReport) {
-	own, ok := t.usedHistory.at(e.At)
+	own, ok := t.usedHistory.At(e.At)
 	if !ok {
 		return
 	}
--- a/toucanadmit/toucan.go
+++ b/toucanadmit/toucan.go
@@ -7,6 +7,7 @@
 
 	"toucanport/toucanfair"
 	"toucanport/toucanlength"
+	"toucanport/toucanmeter"
 	"toucanport/toucansettings"
 	"toucanport/toucanstep"
 )
@@ -60,17 +61,17 @@
 	margin   margin
 	report   EngineReport
 	// usedHistory records the estimated memory use of the running jobs over time, in tokens.
-	usedHistory history
+	usedHistory toucanmeter.History
 	// unaccounted is the memory use that the engine reported beyond the estimate for the running jobs, in tokens.
 	unaccounted float64
-	throughput  rateMeter
+	throughput  toucanmeter.Rate
 	// meanOutput is a moving average of output lengths in tokens.
 	meanOutput float64
 	// prefilling counts the running jobs that have no first token yet; prefillTokens is the sum of their uncached
 	// prompts.
 	prefilling    int
 	prefillTokens int
-	prefillRate   busyRate
+	prefillRate   toucanmeter.BusyRate
 	stepDetector  toucanstep.Detector
 	// promptQuantile tracks a quantile of the uncached prompt lengths of started requests, in tokens.
 	promptQuantile quantileTracker
@@ -130,7 +131,7 @@
 		jobs:           make(map[string]*job),
 		step:           toucanstep.NewModel(),
 		promptQuantile: quantileTracker{quantile: minPromptQuantile},
-		throughput:     rateMeter{window: throughputWindow},
+		throughput:     toucanmeter.Rate{Window: throughputWindow},
 		briefHeadroom:  newHeadroom(),
 		shares:         newShares(),
 		bias:           [toucanfair.Levels]waitBias{{factor: 1}, {factor: 1}},
@@ -194,7 +195,7 @@
 		}
 		starts = append(starts, t.start(now, j))
 	}
-	t.usedHistory.add(now, t.forecast.total.mean[0])
+	t.usedHistory.Add(now, t.forecast.total.mean[0])
 	return starts
 }
 
@@ -261,7 +262,7 @@
 	j.started = now
 	t.running++
 	t.shares.recordStart(j.request.Workspace, j.item.Cost)
-	t.prefillRate.recordStart(now, t.prefilling)
+	t.prefillRate.RecordStart(now, t.prefilling)
 	t.prefilling++
 	t.prefillTokens += j.request.uncached()
 	t.promptQuantile.add(float64(j.request.uncached()))
@@ -416,7 +417,7 @@
 	}
 	bound := time.Duration(stepBoundShare * float64(t.cfg.InterToken))
 	allowed := float64(t.step.PrefillWithin(bound, t.running+1))
-	if rate := t.prefillRate.perSecond(); rate > 0 {
+	if rate := t.prefillRate.PerSecond(); rate > 0 {
 		ahead := prefillAheadSteps * t.step.Predict(t.running+1, 0)
 		allowed = min(allowed, rate*ahead.Seconds())
 	}
@@ -435,9 +436,9 @@
 	t.observeStep(now, j, generated, first)
 	if first {
 		t.endPrefill(j)
-		t.prefillRate.recordDone(now, j.request.uncached())
+		t.prefillRate.RecordDone(now, j.request.uncached())
 	}
-	t.throughput.add(now, float64(generated-j.generated))
+	t.throughput.Add(now, float64(generated-j.generated))
 	j.generated = generated
 	if generated-j.observedTokens >= demandRefreshTokens {
 		t.refreshDemand(j)
--- a/toucanadmit/wait.go
+++ b/toucanadmit/wait.go
@@ -50,7 +50,7 @@
 
 // prefillWait predicts how long the engine takes to compute all prompts that are queued or in progress.
 func (t *toucan) prefillWait() time.Duration {
-	rate := t.prefillRate.perSecond()
+	rate := t.prefillRate.PerSecond()
 	if rate == 0 {
 		return 0
 	}
@@ -83,7 +83,7 @@
 // higher.
 func (t *toucan) tokensPerSecond(now time.Time) float64 {
 	step := t.step.Predict(t.running, 0).Seconds()
-	return max(t.throughput.perSecond(now), 1/step)
+	return max(t.throughput.PerSecond(now), 1/step)
 }
 
 func clampWait(seconds float64) time.Duration {
