Relay: a cut answer looked whole to a caller of HTTP/1.0

Cause: an answer in HTTP/1.0 without a length ends where its connection is closed, and net/http closes it in the ordinary way after ErrAbortHandler. A stream that was cut after some events, or a long body without a length, reached such a caller as a complete 200. Ruled out: callers of HTTP/1.1, who miss the last chunk; and a reset for them too, which can take events from them that they have not read yet. Change: Writer.Abort resets the connection of an HTTP/1.0 caller, also one of a gate (Conn.SetLinger), before it panics as before. Both places that cut use it. Before: TestCutAnswerIsNoWholeOne read a whole answer, with and without a gate. After: the read fails in all four cases, also in five runs and with -race. Conclusion: no answer that broke off passes as whole, whichever version its caller speaks.

--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -58,7 +58,7 @@
 		}
 		s.log.Warn(toucanlog.MsgStreamCut, append(args, s.stopArgs(j)...)...)
 		j.cut = true
-		panic(http.ErrAbortHandler)
+		j.out.Abort(j.in)
 	}
 	a.reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.logAnswered(j, a, nil)
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -133,7 +133,7 @@
 		return
 	}
 	j.cut = true
-	panic(http.ErrAbortHandler)
+	j.out.Abort(j.in)
 }
 
 // runningPart is a generation while one endpoint makes a part of its stream. It implements toucanrelay.Generation.
--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -227,6 +227,14 @@
 	return nil
 }
 
+// SetLinger sets what happens to unsent bytes at Close, as net.TCPConn does. It has no effect on other connections.
+func (c *Conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.gate.remove(c)
--- a/toucanrelay/writer.go
+++ b/toucanrelay/writer.go
@@ -96,3 +96,25 @@
 	w.written += copied
 	return err
 }
+
+// Abort ends the caller's connection in the middle of an answer to in, so that the answer does not look complete. It does not return: it
+// panics with http.ErrAbortHandler.
+func (w *Writer) Abort(in *http.Request) {
+	if !in.ProtoAtLeast(1, 1) {
+		w.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the caller's connection. An answer in HTTP/1.0 without a length ends where its connection is closed, and a cut one would look
+// whole.
+func (w *Writer) reset() {
+	conn, _, err := http.NewResponseController(w.w).Hijack()
+	if err != nil {
+		return // The server closes the connection.
+	}
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // The connection may have ended.
+	}
+	_ = conn.Close() // As above.
+}
