--- a/toucanforward/deliver.go
+++ b/toucanforward/deliver.go
@@ -57,7 +57,7 @@
 			toucanlog.Cause, err.Error(),
 		}
 		s.log.Warn(toucanlog.MsgStreamCut, append(args, s.stopArgs(j)...)...)
-		panic(http.ErrAbortHandler)
+		j.out.Abort(j.in)
 	}
 	a.reservation.Done(time.Now(), toucanplace.OutcomeGood)
 	s.logAnswered(j, a, nil)
--- a/toucanforward/stream.go
+++ b/toucanforward/stream.go
@@ -132,7 +132,7 @@
 		s.refuse(j, f.Refusal(ctx, j.maybeRun > 0, 0))
 		return
 	}
-	panic(http.ErrAbortHandler)
+	j.out.Abort(j.in)
 }
 
 // runningPart is a generation while one endpoint makes a part of its stream. It implements toucanrelay.Generation.
--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -248,6 +248,14 @@
 	return nil
 }
 
+// SetLinger sets what happens to unsent bytes at Close, as net.TCPConn does. It has no effect on other connections.
+func (c *Conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // Close implements net.Conn. If the answer came before the end of the request, the connection stays open until the caller has sent the
 // rest, within bounds, since a close resets it and the caller loses the answer.
 func (c *Conn) Close() error {
