--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -57,6 +57,8 @@
 	lingers bool
 	// early holds bytes that the server read before it said how long the body is.
 	early []byte
+	// retired is true from the time at which the connection is to end unless bytes arrive, until they do.
+	retired bool
 	// pending holds bytes that were read from the caller and not yet passed on. They lie in buffer.
 	pending, buffer []byte
 }
@@ -75,6 +77,7 @@
 		return 0, err
 	}
 	c.mu.Lock()
+	c.begun()
 	k, why, err := c.count(p[:n])
 	if again {
 		c.pending = c.pending[k:]
@@ -106,7 +109,7 @@
 	if n > 0 {
 		return n, true, nil
 	}
-	n, err = c.Conn.Read(p)
+	n, err = c.readCaller(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.mu.Lock()
 		c.timedOut = true
@@ -257,11 +260,16 @@
 }
 
 // Close implements net.Conn. If the answer came before the end of the request, the connection stays open until the caller has sent the
-// rest, within bounds, since a close resets it and the caller loses the answer.
+// rest, within bounds, since a close resets it and the caller loses the answer. While Gate.Shutdown spares connections, Close only ends
+// the wait for a head.
 func (c *Conn) Close() error {
 	if c.lingerOn() {
 		return nil
 	}
+	if c.gate.spare(c) {
+		c.retire()
+		return nil
+	}
 	return c.end()
 }
 
--- a/toucanhead/gate.go
+++ b/toucanhead/gate.go
@@ -97,6 +97,9 @@
 	unfinished, idle, lingering connList
 	// drained is true once no connection may linger.
 	drained bool
+	// sparing is true while calls of Close spare connections, and spared holds those that are still open.
+	sparing bool
+	spared  map[*Conn]struct{}
 }
 
 // New returns a Gate. It calls report for each refused head and closed connection, from any goroutine.
@@ -310,6 +313,7 @@
 func (g *Gate) remove(c *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	delete(g.spared, c)
 	if !c.place.closed {
 		g.takeOut(c)
 	}
--- a/toucanhead/linger.go
+++ b/toucanhead/linger.go
@@ -104,6 +104,13 @@
 	return true
 }
 
+// isLingering reports whether what the caller still sends is discarded.
+func (c *Conn) isLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingers
+}
+
 // discard reads what the caller still sends up to the end of the body, and closes the connection.
 func (c *Conn) discard() {
 	defer func() { _ = c.end() }() // Nobody is left to tell.
