toucanscan: the ends of heads and chunked bodies are a package of their own

Change: a pure move of the scans and their property tests, which know nothing of connections; names without the package's, and what toucanhead reads is exported.

--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"toucanport/toucanbody"
+	"toucanport/toucanscan"
 )
 
 // phase is the part of the caller's bytes that comes next.
@@ -38,9 +39,9 @@
 	mu    sync.Mutex
 	phase phase
 	// head is the scan of the current or the next head, and headWeight the weight of the head of the request in service.
-	head       lineScan
+	head       toucanscan.Lines
 	headWeight int
-	chunks     chunkScan
+	chunks     toucanscan.Chunks
 	// left is the number of bytes that are left of a body of known length.
 	left int64
 	// held is what the head and the trailer of the request hold of the gate's memory, until the request ends.
@@ -64,7 +65,7 @@
 }
 
 func newConn(raw net.Conn, g *Gate) *Conn {
-	return &Conn{Conn: raw, gate: g, head: newHeadScan(), held: g.memory.Reservation(freeWeight)}
+	return &Conn{Conn: raw, gate: g, head: toucanscan.NewHead(), held: g.memory.Reservation(freeWeight)}
 }
 
 // Read implements net.Conn. The server makes one call at a time.
@@ -148,22 +149,22 @@
 }
 
 // expectHead begins the head of the next request.
-func (c *Conn) expectHead() { c.phase, c.head = phaseHead, newHeadScan() }
+func (c *Conn) expectHead() { c.phase, c.head = phaseHead, toucanscan.NewHead() }
 
 func (c *Conn) countHead(p []byte) (n int, why Reason, err error) {
-	first := c.head.bytes == 0
-	n, ended := c.head.scan(p)
+	first := c.head.Bytes == 0
+	n, ended := c.head.Scan(p)
 	if first && !ended && !c.serving && !c.gate.begin(c) {
 		return 0, "", net.ErrClosed // A whole head goes into service at once, below.
 	}
 	switch {
-	case c.head.bytes > c.gate.limits.HeadBytes()+extraBytes:
+	case c.head.Bytes > c.gate.limits.HeadBytes()+extraBytes:
 		why = ReasonTooLarge
-	case !c.held.Cover(weight(c.head.bytes, c.head.lines)):
+	case !c.held.Cover(weight(c.head.Bytes, c.head.Lines)):
 		why = ReasonNoMemory
 	}
 	if why == "" && ended {
-		c.phase, c.headWeight = phaseUnknown, weight(c.head.bytes, c.head.lines)
+		c.phase, c.headWeight = phaseUnknown, weight(c.head.Bytes, c.head.Lines)
 		if err = c.gate.finish(c); errors.Is(err, errFull) {
 			why, err = ReasonConnections, nil
 		}
@@ -178,13 +179,13 @@
 }
 
 func (c *Conn) countChunks(p []byte) (n int, why Reason, err error) {
-	n, ended, err := c.chunks.scan(p)
+	n, ended, err := c.chunks.Scan(p)
 	if err != nil {
 		// The server sees that the body is malformed, and gets no more.
 		c.phase = phaseRefused
 		return len(p), "", nil
 	}
-	if !c.held.Cover(c.headWeight + weight(c.chunks.trailer.bytes, c.chunks.trailer.lines)) {
+	if !c.held.Cover(c.headWeight + weight(c.chunks.Trailer.Bytes, c.chunks.Trailer.Lines)) {
 		c.phase = phaseRefused
 		return 0, ReasonNoMemory, nil
 	}
@@ -205,7 +206,7 @@
 	c.serving, c.answered, c.timedOut = true, false, false
 	switch {
 	case chunked:
-		c.phase, c.chunks = phaseChunked, chunkScan{}
+		c.phase, c.chunks = phaseChunked, toucanscan.Chunks{}
 	case length < 0:
 		c.phase = phaseRest
 	case length > 0:
@@ -233,7 +234,7 @@
 		return
 	}
 	c.held.Release()
-	if c.phase == phaseHead && c.head.bytes > 0 {
+	if c.phase == phaseHead && c.head.Bytes > 0 {
 		c.gate.begin(c) // If the connection has been closed, the next Read fails.
 		return
 	}
@@ -293,8 +294,8 @@
 
 // refuse answers a head that is refused, unless a request is still in service. What the caller still sends is read once the server closes the
 // connection.
-func (c *Conn) refuse(why Reason, head lineScan, serving bool) {
-	c.gate.tell(Event{Reason: why, Bytes: head.bytes, Lines: head.lines, Limit: c.gate.limits.HeadBytes()})
+func (c *Conn) refuse(why Reason, head toucanscan.Lines, serving bool) {
+	c.gate.tell(Event{Reason: why, Bytes: head.Bytes, Lines: head.Lines, Limit: c.gate.limits.HeadBytes()})
 	if serving {
 		return
 	}
--- a/toucanhead/linger.go
+++ b/toucanhead/linger.go
@@ -149,7 +149,7 @@
 		c.left -= min(c.left, int64(len(p)))
 		return c.left == 0
 	case phaseChunked:
-		_, ended, err := c.chunks.scan(p)
+		_, ended, err := c.chunks.Scan(p)
 		if err != nil {
 			c.phase = phaseRefused
 		}
--- a/toucanhead/stop.go
+++ b/toucanhead/stop.go
@@ -86,7 +86,7 @@
 func (c *Conn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseHead || c.head.bytes > 0 || len(c.pending) > 0 {
+	if c.phase != phaseHead || c.head.Bytes > 0 || len(c.pending) > 0 {
 		return
 	}
 	c.retired = true
--- a/toucanhead/scan.go
+++ b/toucanscan/scan.go
@@ -1,4 +1,6 @@
-package toucanhead
+// Package toucanscan finds the ends of heads and of chunked bodies in the bytes of a connection, in constant memory, and counts the bytes and lines of
+// heads. It takes what net/http takes, and performs no I/O.
+package toucanscan
 
 import (
 	"bytes"
@@ -6,11 +8,11 @@
 	"github.com/pkg/errors"
 )
 
-// lineScan counts the bytes and lines of a head, up to the empty line that ends it. Like net/http, it takes lines that end with or
+// Lines counts the bytes and lines of a head, up to the empty line that ends it. Like net/http, it takes lines that end with or
 // without a carriage return.
-type lineScan struct {
-	// bytes and lines are those of the head so far, with empty lines before it.
-	bytes, lines int
+type Lines struct {
+	// Bytes and Lines are those of the head so far, with empty lines before it.
+	Bytes, Lines int
 	// line is the number of bytes of the current line so far.
 	line int
 	// blank is true if the current line is at most one carriage return so far.
@@ -19,14 +21,14 @@
 	begun bool
 }
 
-// newHeadScan returns the scan of a request's head.
-func newHeadScan() lineScan { return lineScan{blank: true} }
+// NewHead returns the scan of a request's head.
+func NewHead() Lines { return Lines{blank: true} }
 
-// newTrailerScan returns the scan of the trailer of a chunked body, which has no first line.
-func newTrailerScan() lineScan { return lineScan{blank: true, begun: true} }
+// newTrailer returns the scan of the trailer of a chunked body, which has no first line.
+func newTrailer() Lines { return Lines{blank: true, begun: true} }
 
-// scan counts bytes of the head and returns how many of p belong to it, and whether it ended with them.
-func (s *lineScan) scan(p []byte) (n int, ended bool) {
+// Scan counts bytes of the head and returns how many of p belong to it, and whether it ended with them.
+func (s *Lines) Scan(p []byte) (n int, ended bool) {
 	for n < len(p) {
 		length := bytes.IndexByte(p[n:], '\n')
 		if length < 0 {
@@ -43,27 +45,27 @@
 }
 
 // extend adds bytes to the current line.
-func (s *lineScan) extend(p []byte) {
+func (s *Lines) extend(p []byte) {
 	if len(p) == 0 {
 		return
 	}
 	s.blank = s.line == 0 && len(p) == 1 && p[0] == '\r'
 	s.line += len(p)
-	s.bytes += len(p)
+	s.Bytes += len(p)
 }
 
 // endLine ends the current line and reports whether the head ended with it.
-func (s *lineScan) endLine() bool {
+func (s *Lines) endLine() bool {
 	ended := s.blank && s.begun
 	s.begun = s.begun || !s.blank
-	s.bytes++
-	s.lines++
+	s.Bytes++
+	s.Lines++
 	s.line, s.blank = 0, true
 	return ended
 }
 
-// errMalformed means that a chunked body can't be told from what follows it.
-var errMalformed = errors.New("chunked body is malformed")
+// ErrMalformed means that a chunked body can't be told from what follows it.
+var ErrMalformed = errors.New("chunked body is malformed")
 
 // maxChunkLine is the length in bytes of the longest line with a chunk's size. That of net/http is shorter.
 const maxChunkLine = 8 << 10
@@ -78,18 +80,18 @@
 	chunkTrailer
 )
 
-// chunkScan finds the end of a chunked body. It takes every body that net/http takes.
-type chunkScan struct {
+// Chunks finds the end of a chunked body. It takes every body that net/http takes. Its zero value is the beginning of a body.
+type Chunks struct {
 	state chunkState
 	// left is the number of bytes that are left of the chunk, or of the line end after it.
 	left uint64
 	size sizeLine
-	// trailer is scanned after the last chunk.
-	trailer lineScan
+	// Trailer is what follows the last chunk.
+	Trailer Lines
 }
 
-// scan returns how many of p belong to the body, and whether it ended with them. The error is errMalformed.
-func (s *chunkScan) scan(p []byte) (n int, ended bool, err error) {
+// Scan returns how many of p belong to the body, and whether it ended with them. The error is ErrMalformed.
+func (s *Chunks) Scan(p []byte) (n int, ended bool, err error) {
 	for n < len(p) && !ended && err == nil {
 		switch s.state {
 		case chunkSize:
@@ -101,13 +103,13 @@
 			s.consume(k, chunkEnd, len(lineEnd))
 		case chunkEnd:
 			if p[n] != lineEnd[len(lineEnd)-int(s.left)] {
-				err = errMalformed
+				err = ErrMalformed
 			}
 			n++
 			s.consume(1, chunkSize, 0)
 		default:
 			var k int
-			k, ended = s.trailer.scan(p[n:])
+			k, ended = s.Trailer.Scan(p[n:])
 			n += k
 		}
 	}
@@ -118,7 +120,7 @@
 const lineEnd = "\r\n"
 
 // consume takes bytes off what is left, and goes on to the next state once nothing is.
-func (s *chunkScan) consume(n uint64, next chunkState, left int) {
+func (s *Chunks) consume(n uint64, next chunkState, left int) {
 	s.left -= n
 	if s.left == 0 {
 		s.state, s.left = next, uint64(left)
@@ -126,13 +128,13 @@
 }
 
 // scanSize scans a byte of the line with a chunk's size.
-func (s *chunkScan) scanSize(b byte) error {
+func (s *Chunks) scanSize(b byte) error {
 	ended, err := s.size.scan(b)
 	if err != nil || !ended {
 		return err
 	}
 	if s.size.value == 0 {
-		s.state, s.trailer = chunkTrailer, newTrailerScan()
+		s.state, s.Trailer = chunkTrailer, newTrailer()
 	} else {
 		s.state, s.left = chunkData, s.size.value
 	}
@@ -159,14 +161,14 @@
 	case l.returned && b == '\n' && l.digits > 0:
 		return true, nil
 	case l.returned || b == '\n' || l.length > maxChunkLine:
-		return false, errMalformed
+		return false, ErrMalformed
 	case b == '\r':
 		l.returned = true
 	case l.after:
 	case b == ';' || b == ' ' || b == '\t':
 		l.after = true
 	case !isDigit || l.digits == maxSizeDigits:
-		return false, errMalformed
+		return false, ErrMalformed
 	default:
 		l.value = l.value<<4 | uint64(digit)
 		l.digits++
--- a/toucanhead/scan_test.go
+++ b/toucanscan/scan_test.go
@@ -1,4 +1,4 @@
-package toucanhead
+package toucanscan
 
 import (
 	"bufio"
@@ -38,13 +38,13 @@
 		}
 		r := bufio.NewReader(strings.NewReader(text))
 		_, err := http.ReadRequest(r)
-		s := newHeadScan()
+		s := NewHead()
 		consumed, ended, _ := scanInParts(t, text, func(p []byte) (int, bool, error) {
-			n, ended := s.scan(p)
+			n, ended := s.Scan(p)
 			return n, ended, nil
 		})
-		assert.Equal(t, s.bytes, consumed)
-		assert.Equal(t, s.lines, strings.Count(text[:consumed], "\n"))
+		assert.Equal(t, s.Bytes, consumed)
+		assert.Equal(t, s.Lines, strings.Count(text[:consumed], "\n"))
 		if err == nil {
 			assert.Assert(t, ended)
 			assert.Equal(t, consumed, len(text)-r.Buffered())
@@ -62,8 +62,8 @@
 		req, err := http.ReadRequest(r)
 		assert.NilError(t, err)
 		_, bodyErr := io.Copy(io.Discard, req.Body)
-		s := chunkScan{}
-		consumed, ended, err := scanInParts(t, text, s.scan)
+		s := Chunks{}
+		consumed, ended, err := scanInParts(t, text, s.Scan)
 		if bodyErr == nil {
 			assert.NilError(t, err)
 			assert.Assert(t, ended, "%q", text)
@@ -83,8 +83,8 @@
 		}
 		assert.NilError(t, w.Close())
 		text := buf.String() + "\r\nGET"
-		s := chunkScan{}
-		consumed, ended, err := scanInParts(t, text, s.scan)
+		s := Chunks{}
+		consumed, ended, err := scanInParts(t, text, s.Scan)
 		assert.NilError(t, err)
 		assert.Assert(t, ended)
 		assert.Equal(t, text[consumed:], "GET")
