toucanhead: three ways in which a connection was not closed in a stop

A request that was answered before the end of its body after Gate.Drain was marked as lingering though nothing read it on. The server calls CloseWrite and then Close, which returned without an effect: the connection stayed open, also after Server.Close, and in Gate.open. It is marked now only if the gate lets it linger, under the lock that orders the two calls (Conn.mu before Gate.mu, as for heads).

A hijacked connection (the reset of a cut answer in HTTP/1.0) that its handler closed while Gate.Shutdown spares connections was spared, and no StateClosed follows for it: it stayed open and held the stop until the end of its context. Hijacked ones are not spared any more.

An idle connection on which one to three bytes of a head had been read was left with the server's idle timeout, 60 s in the platform, since the server waits for four bytes before it bounds the time of a head. It gets lastHeadTime now, as other heads in a stop have.

Ruled out: an inversion of the locks, a race of retire with the server's own deadlines (the head's end is counted under Conn.mu), double places.

--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -55,6 +55,8 @@
 	spent bool
 	// lingers is true once what the caller still sends is discarded.
 	lingers bool
+	// hijacked is true once the connection is the handler's, so that the server does not act on it any more.
+	hijacked bool
 	// early holds bytes that the server read before it said how long the body is.
 	early []byte
 	// retired is true from the time at which the connection is to end unless bytes arrive, until they do.
@@ -266,7 +268,7 @@
 	if c.lingerOn() {
 		return nil
 	}
-	if c.gate.spare(c) {
+	if !c.isHijacked() && c.gate.spare(c) {
 		c.retire()
 		return nil
 	}
--- a/toucanhead/linger.go
+++ b/toucanhead/linger.go
@@ -87,16 +87,13 @@
 		c.mu.Unlock()
 		return true
 	}
-	if !c.answered || c.phase == phaseHead {
+	if !c.answered || c.phase == phaseHead || !c.gate.linger(c) {
 		c.mu.Unlock()
 		return false
 	}
 	c.lingers = true
 	c.held.Release()
 	c.mu.Unlock()
-	if !c.gate.linger(c) {
-		return false
-	}
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite() // The caller may have closed the connection.
 	}
--- a/toucanhead/linger_test.go
+++ b/toucanhead/linger_test.go
@@ -320,3 +320,21 @@
 		assert.Equal(t, time.Since(began), grace)
 	})
 }
+
+// TestLateEarlyAnswerOfADrainedGateCloses guards against a connection that is never closed: the answer came before the end of the body, but
+// after the gate was drained, and the server ended what is sent before it closed the connection.
+func TestLateEarlyAnswerOfADrainedGateCloses(t *testing.T) {
+	answer := make(chan struct{})
+	s := startEarlyServer(t, Limits{MemoryBytes: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
+		<-answer
+		refuseEarly(false)(w, r)
+	})
+	c := s.dial(t)
+	_, err := fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", longBody)
+	assert.NilError(t, err)
+	<-s.served
+	s.gate.Drain(t.Context())
+	close(answer)
+	s.awaitClosed(t)
+	await(t, "the connection is closed", func() bool { return s.gate.openConnections() == 0 })
+}
--- a/toucanhead/server.go
+++ b/toucanhead/server.go
@@ -46,6 +46,10 @@
 	switch state {
 	case http.StateIdle:
 		c.rest()
+	case http.StateHijacked:
+		c.mu.Lock()
+		c.hijacked = true
+		c.mu.Unlock()
 	case http.StateClosed:
 		if !c.isLingering() {
 			_ = c.end() // The call of Close before may have been spared.
--- a/toucanhead/stop.go
+++ b/toucanhead/stop.go
@@ -81,18 +81,28 @@
 	return true
 }
 
-// retire ends the wait for a head whose first byte has not arrived. The server then closes the connection, as it does after the answer to
-// any other request.
+// retire ends the wait for a head whose first byte has not arrived, and bounds that for the rest of one that has begun. The server then closes
+// the connection, as it does after the answer to any other request.
 func (c *Conn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseHead || c.head.bytes > 0 || len(c.pending) > 0 {
+	if c.phase != phaseHead {
+		return
+	}
+	if c.head.bytes > 0 || len(c.pending) > 0 {
+		c.allowLastHead()
 		return
 	}
 	c.retired = true
 	_ = c.SetReadDeadline(time.Now()) // On a closed connection, Read fails as well.
 }
 
+func (c *Conn) isHijacked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hijacked
+}
+
 // readCaller reads bytes from the caller.
 func (c *Conn) readCaller(p []byte) (int, error) {
 	if !c.isRetired() {
--- a/toucanhead/stop_test.go
+++ b/toucanhead/stop_test.go
@@ -228,3 +228,42 @@
 	_, open := r.gate.counts()
 	assert.Equal(t, open, 0)
 }
+
+// TestHijackedConnectionIsNotSpared guards against a connection that stays open, and the stop with it, since its handler closed it while idle
+// connections were told to end: the server does not learn of that.
+func TestHijackedConnectionIsNotSpared(t *testing.T) {
+	hijacked, closed := make(chan net.Conn), make(chan struct{})
+	s := startEarlyServer(t, Limits{MemoryBytes: 1 << 20}, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err == nil)
+		hijacked <- c
+		<-closed
+	})
+	caller := s.dial(t)
+	write(t, caller, quickRequest)
+	c := <-hijacked
+	s.gate.setSparing(true)
+	err := c.Close()
+	s.gate.setSparing(false)
+	close(closed)
+	assert.NilError(t, err)
+	assert.Equal(t, s.gate.openConnections(), 0)
+	_, err = caller.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+}
+
+// TestBegunHeadThatStandsStillEndsInAStop guards against a stop that waits as long as an idle connection may last, as a few bytes of a head
+// were read before it: the server waits for more of them than that before it bounds the time of a head.
+func TestBegunHeadThatStandsStillEndsInAStop(t *testing.T) {
+	t.Parallel()
+	r := newStopRig(t, false, false)
+	c := r.use(t)
+	write(t, c, quickRequest[:2])
+	await(t, "the head has begun", func() bool { unfinished, _ := r.gate.counts(); return unfinished == 1 })
+	select {
+	case err := <-r.stop(t.Context()):
+		assert.NilError(t, err)
+	case <-time.After(2 * lastHeadTime):
+		t.Fatal("the stop waits for the head")
+	}
+}
