--- a/toucanhead/gate.go
+++ b/toucanhead/gate.go
@@ -37,8 +37,9 @@
 type Limits struct {
 	// HeadBytes returns the limit in bytes on one head at this moment. It must be positive.
 	HeadBytes func() int
-	// MemoryBytes is the memory for all heads together while they are read and until their requests end, and once more for the
-	// connections whose request is not whole. The largest head by the limit at the gate's creation has room in any case.
+	// MemoryBytes is the memory for all heads together while they are read and until their requests end, once more for the connections
+	// whose request is not whole, and once more for those that linger after an answer that came before the end of the body. The largest
+	// head by the limit at the gate's creation has room in any case.
 	MemoryBytes int
 	// Connections is the number of connections, with one to another process for each request in service; zero means no limit.
 	Connections int
