toucanentry: a request whose head is being read when a stop begins is answered by the product's own entry too

Cause: as for the platform's entry: net/http counts the connection as idle until the head has been parsed, and closes it. Change: Gate.Shutdown in place of the server's, one mechanism for both entries. Test: TestRequestWhoseHeadIsBeingReadIsAnsweredInAStop got a broken pipe before and passes. Tests of toucanentry, toucandev and toucanoperate, also with -race: green.

--- a/toucanentry/stop.go
+++ b/toucanentry/stop.go
@@ -57,7 +57,7 @@
 	}
 	e.stopAccepting()
 	e.awaitConnectionsClosed(ctx)
-	err := e.server.Shutdown(ctx)
+	err := e.gate.Shutdown(ctx, e.server)
 	e.gate.Drain(ctx)
 	e.links.CloseAll()
 	return errors.Wrap(err, "requests were still in progress")
