--- a/review/.rig2/model.go
+++ b/review/.rig2/model.go
@@ -109,10 +109,11 @@
 	}
 	m.mu.Lock()
 	x.copying = false
+	loses := call.Last && m.loses != nil && m.loses(call.ID)
 	m.mu.Unlock()
 	if call.Last {
 		m.rig.logf("%s: kv-move of %s with Last: stopped after %d of %d events, copied", m.id, call.ID, made, x.total)
-		if m.loses != nil && m.loses(call.ID) {
+		if loses {
 			m.rig.logf("%s: the answer to that call is lost: its connection is reset", m.id)
 			if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
 				_ = c.(*net.TCPConn).SetLinger(0)
