--- a/review/.rig2/model.go
+++ b/review/.rig2/model.go
@@ -32,6 +32,8 @@
 	*engine
 	// loses decides whether the answer to a call that stops a run is lost, after the call was carried out; nil for never.
 	loses func(id string) bool
+	// text is in each event.
+	text string
 
 	mu   sync.Mutex
 	runs map[string]*run
@@ -182,7 +184,7 @@
 		}
 		x.made++
 		n := x.made
-		_, err := fmt.Fprintf(c, "id: %d\ndata: event %d of %d\n\n", n, n, x.total)
+		_, err := fmt.Fprintf(c, "id: %d\ndata: event %d of %d%s\n\n", n, n, x.total, m.text)
 		if err != nil {
 			x.stopped = true
 		}
@@ -246,3 +248,13 @@
 	h.complete = h.err == nil
 	return h
 }
+
+// made returns how many events a run has made.
+func (m *model) made(id string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if x := m.runs[id]; x != nil {
+		return x.made
+	}
+	return 0
+}
--- a/review/.rig2/rig.go
+++ b/review/.rig2/rig.go
@@ -288,7 +288,7 @@
 }
 
 func main() {
-	cases := map[string]func(*rig) int{"memory": memoryCase, "deferral": deferralCase, "slow": slowCase, "handover": handoverCase}
+	cases := map[string]func(*rig) int{"memory": memoryCase, "deferral": deferralCase, "slow": slowCase, "handover": handoverCase, "reader": readerCase, "budget": budgetCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER, in the repository")
 		os.Exit(couldNot)
