--- a/review/.rig2/model.go
+++ b/review/.rig2/model.go
@@ -31,7 +31,7 @@
 type model struct {
 	*engine
 	// loses decides whether the answer to a call that stops a run is lost, after the call was carried out; nil for never.
-	loses func(id string) bool
+	loses func(id string, events int) bool
 	// text is in each event.
 	text string
 
@@ -41,8 +41,8 @@
 	copies map[string]int
 	// peers are the engines by address.
 	peers map[string]*model
-	// ran counts requests that began here, resumed ones too.
-	ran int
+	// ran holds when requests began here, resumed ones too.
+	ran []time.Time
 }
 
 func (r *rig) newModel(n int, peers map[string]*model) (*model, error) {
@@ -111,7 +111,7 @@
 	}
 	m.mu.Lock()
 	x.copying = false
-	loses := call.Last && m.loses != nil && m.loses(call.ID)
+	loses := call.Last && m.loses != nil && m.loses(call.ID, x.total)
 	m.mu.Unlock()
 	if call.Last {
 		m.rig.logf("%s: kv-move of %s with Last: stopped after %d of %d events, copied", m.id, call.ID, made, x.total)
@@ -157,7 +157,7 @@
 		}
 	}
 	m.runs[id] = x
-	m.ran++
+	m.ran = append(m.ran, time.Now())
 	m.mu.Unlock()
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -199,6 +199,8 @@
 type heard struct {
 	id     string
 	status int
+	// asked is the number of events that the client asked for.
+	asked  int
 	events []int
 	// complete is true if the answer ended as its framing says.
 	complete bool
@@ -217,7 +219,7 @@
 
 // stream sends a request of plan-draft with a number of events, and reads its answer.
 func stream(c *caller, front string, events int) heard {
-	h := heard{id: newID()}
+	h := heard{id: newID(), asked: events}
 	r, err := http.NewRequest(http.MethodPost, "http://"+front+"/draft/2f", nil)
 	if err != nil {
 		h.err = err
@@ -258,3 +260,16 @@
 	}
 	return 0
 }
+
+// ranSince returns how many requests have begun here since a time.
+func (m *model) ranSince(at time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, t := range m.ran {
+		if t.After(at) {
+			n++
+		}
+	}
+	return n
+}
