toucangeneration, platform: the answer to a repeated stop says nothing of the first one (ORDER)

Cause: the engine stopped the run for the move and its connection was reset before the answer to that kv-move. Pool.Send made the call again on a new connection and returned only the second answer, 404. Stop.Run took it for the first answer, "the source certainly did not stop the generation", and relay took the end of the unframed stream for its own. Ruled out: the end check of unframed answers (the engine lives), a stop by a second entry (there is one).

Change: Copy wraps ErrRepeated beside what the second answer says, and Stop.Run treats it as an answer after a lost call. After a lost call, a source that declines is asked again instead of being believed. The reports' and handles' calls may be repeated without harm; the refusal of a repeated resume was not believed before.

--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -596,8 +596,9 @@
 func (*coordinatorWithoutPeers) Changed() <-chan struct{}        { return make(chan struct{}) }
 
 // scriptedMover answers each Copy with the next outcome of the script: ok, notRunning, ended, unreached, noCapacity, noCapacityStopped,
-// unanswered and silent, at once and after the timeout, while the generation goes on, or lost, after it was stopped. The last outcome
-// applies to all further copies; without a script every copy succeeds.
+// unanswered and silent, at once and after the timeout, while the generation goes on, or lost, after it was stopped. With
+// repeatedNotRunning and repeatedNoCapacity it was stopped too, its answer was lost, and that of a repeated call is returned. The last
+// outcome applies to all further copies; without a script every copy succeeds.
 type scriptedMover struct {
 	deployment *deployment
 	// mu also guards what evacuateTarget uses of the deployment.
@@ -692,6 +693,12 @@
 	case "lost":
 		from.stop()
 		return "", io.ErrUnexpectedEOF
+	case "repeatedNotRunning":
+		from.stop()
+		return "", fmt.Errorf("%w: %w", toucangeneration.ErrRepeated, toucangeneration.ErrNotRunning)
+	case "repeatedNoCapacity":
+		from.stop()
+		return "", fmt.Errorf("%w: %w", toucangeneration.ErrRepeated, toucangeneration.ErrNoCapacity)
 	}
 	if last {
 		from.stop()
@@ -744,6 +751,7 @@
 //	drop             no answer on a connection that was kept; the connection is closed, and the request is not recorded
 //	events A B encoded       the same as end, with a Content-Encoding
 //	events A B unframed      events A to B without length or chunks, which end with the connection
+//	events A B unframedHold  the same, and wait until released or stopped before the connection ends
 //	events A B unframedHalf  the same, with half an event at the end
 //	events A B unframedDeath the same without it, and the endpoint ends too
 //	events A B unframedDying the same, but its listener accepts one more connection before it ends
@@ -1007,6 +1015,9 @@
 			_, _ = fmt.Fprintf(rw, "id: %d\ndata: t%d\n\n", i, i)
 		}
 		switch step[3] {
+		case "unframedHold":
+			_ = rw.Flush()
+			<-e.beginHold()
 		case "unframedHalf":
 			_, _ = fmt.Fprintf(rw, "id: %d\nda", to+1)
 		case "unframedDeath":
--- a/toucangeneration/registry.go
+++ b/toucangeneration/registry.go
@@ -20,7 +20,8 @@
 	// Copy copies the memory of a generation from source to target, both addresses. With last, the source stops the
 	// generation before the copy. The handle identifies the copy at the source. The error is ErrNotRunning, ErrEnded,
 	// ErrUnreached, ErrNoCapacity or another error. With ErrNoCapacity, the handle is set if the generation has stopped;
-	// after other errors the generation may have stopped. A copy can be requested again.
+	// after other errors the generation may have stopped. If the error wraps ErrRepeated too, it may have stopped in any
+	// case. A copy can be requested again.
 	Copy(ctx context.Context, source, requestID, target string, last bool) (handle string, err error)
 	// Drop frees an unused copy.
 	Drop(ctx context.Context, source, handle string) error
@@ -33,6 +34,9 @@
 	ErrEnded = errors.New("endpoint has ended")
 	// ErrUnreached means that no connection to the endpoint could be opened, and it got nothing.
 	ErrUnreached = errors.New("endpoint was not reached")
+	// ErrRepeated means that a call was made a second time because its first answer was lost. The endpoint may have carried
+	// out the first one, about which the second answer says nothing.
+	ErrRepeated = errors.New("call was repeated")
 	// ErrNoTime means that the generation could not go on at a target before all generations end.
 	ErrNoTime = errors.New("no time is left for a move")
 	// ErrTargetEvacuated means that the failure domain of a move's target was evacuated while memory was copied to it.
--- a/toucangeneration/stop.go
+++ b/toucangeneration/stop.go
@@ -42,7 +42,7 @@
 	// AttemptTimeout bounds each attempt. RetryDelay is the time from the end of the first attempt to the second one; it
 	// doubles with each attempt, up to maxRetryDelay. No attempt begins after Patience.
 	AttemptTimeout, RetryDelay, Patience time.Duration
-	// AcceptDecline makes SourceDeclined final.
+	// AcceptDecline makes SourceDeclined final, unless a call before it may have stopped the generation.
 	AcceptDecline bool
 }
 
@@ -53,7 +53,7 @@
 	Handle string
 	// Attempts is the number of attempts that were made.
 	Attempts int
-	// Unanswered is true if an attempt before the last one may have stopped the generation.
+	// Unanswered is true if a call whose answer was lost may have stopped the generation before the last answer.
 	Unanswered bool
 	// Err is the error of the last attempt, for the log; nil for SourceStopped.
 	Err error
@@ -69,11 +69,12 @@
 		handle, err := s.attempt(ctx)
 		r.Attempts++
 		r.State, r.Handle, r.Err = sourceState(handle, err), handle, err
+		r.Unanswered = r.Unanswered || errors.Is(err, ErrRepeated)
 		unreached++
 		if r.State != SourceUnreached {
 			unreached = 0
 		}
-		if r.isFinal(unreached) || r.State == SourceDeclined && s.AcceptDecline {
+		if r.isFinal(unreached) || r.State == SourceDeclined && s.AcceptDecline && !r.Unanswered {
 			return r
 		}
 		r.Unanswered = r.Unanswered || r.State == SourceUnknown
