toucangeneration: a stream whose stop got no answer goes on from the copy before it

Cause: only the answer to the last copy names a handle that was used; the handle of the copy made before the stop was neither used nor dropped.

Change: if the source says that the run is not there (404 after a lost call) or has ended, the generation runs nowhere, and the handover names the first copy. If the target refuses, the backup is next, as before. A source that does not tell is not passed over: the stream does not go on from there.

--- a/toucangeneration/move.go
+++ b/toucangeneration/move.go
@@ -275,6 +275,9 @@
 	case stop.State == SourceKeepsMemory:
 		h.Reservation = r.placer.ReserveForced(source, g.Demand())
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
+	case stop.State == SourceIdle:
+		// The generation runs nowhere, and the last handle is unknown. The target reads what the first copy lacks.
+		h.Handle = first
 	default:
 		// The generation may have stopped. If it has, only its backup can continue it.
 		target.Done(time.Now(), toucanplace.OutcomeNeutral)
