--- a/toucanforward/script_test.go
+++ b/toucanforward/script_test.go
@@ -752,11 +752,13 @@
 //	events A B encoded       the same as end, with a Content-Encoding
 //	events A B unframed      events A to B without length or chunks, which end with the connection
 //	events A B unframedHold  the same, and wait until released or stopped before the connection ends
+//	events A B unframedReset the same as unframed, and the connection is reset
 //	events A B unframedHalf  the same, with half an event at the end
 //	events A B unframedDeath the same without it, and the endpoint ends too
 //	events A B unframedDying the same, but its listener accepts one more connection before it ends
 //	unframed BODY    an answer without length, which ends with its connection
 //	unframed BODY death       the same, and the endpoint ends too; with long before death, longer than maxBufferedAnswer
+//	unframed BODY reset       the same, and the connection is reset
 //	unframed BODY dying       the same as death, but its listener accepts one more connection before it ends
 type endpoint struct {
 	t      *testing.T
@@ -774,6 +776,8 @@
 	keeps bool
 	// dying is true if the endpoint ends with the next connection that it accepts.
 	dying atomic.Bool
+	// resets is true once a step ends with a reset of its connection.
+	resets atomic.Bool
 }
 
 func (e *endpoint) address() string {
@@ -910,6 +914,10 @@
 		for e.answer(rw, r) {
 		}
 		_ = rw.Flush() // The connection may be gone.
+		if e.resets.Load() {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
 		r = e.nextOnKept(rw)
 	}
 }
@@ -976,6 +984,8 @@
 			_ = e.server.Listener.Close()
 		case "dying":
 			e.dying.Store(true)
+		case "reset":
+			e.resets.Store(true)
 		}
 	case "halfHead":
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n", headerID, id, headerGenuine)
@@ -1020,6 +1030,8 @@
 			<-e.beginHold()
 		case "unframedHalf":
 			_, _ = fmt.Fprintf(rw, "id: %d\nda", to+1)
+		case "unframedReset":
+			e.resets.Store(true)
 		case "unframedDeath":
 			_ = e.server.Listener.Close()
 		case "unframedDying":
--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -182,14 +182,15 @@
 		}
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", address, err)
 	}
-	head := &headLimit{r: raw, left: noHeadLimit}
+	watched := &resetConn{Conn: raw}
+	head := &headLimit{r: watched, left: noHeadLimit}
 	return &conn{
 		Conn:        raw,
 		head:        head,
 		pool:        p,
 		address:     address,
 		r:           bufio.NewReaderSize(head, readBuffer),
-		w:           bufio.NewWriterSize(raw, readBuffer),
+		w:           bufio.NewWriterSize(watched, readBuffer),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
 }
