--- a/toucaninstance/instance.go
+++ b/toucaninstance/instance.go
@@ -17,6 +17,7 @@
 	"toucanport/toucanconfig"
 	"toucanport/toucanhead"
 	"toucanport/toucantls"
+	"toucanport/toucanupstream"
 )
 
 // dialTimeout is the maximum time for establishing a TCP connection, and for reading the header of a scrape request.
@@ -81,7 +82,7 @@
 // connections.
 func transport(connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		DialContext:            toucanupstream.ReportResets(func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }),
 		MaxIdleConnsPerHost:    connections,
 		ReadBufferSize:         connectionBufferBytes,
 		WriteBufferSize:        connectionBufferBytes,
