toucandispatch: an answer without length that ends with its application is not complete

What callers of the product's own entries saw: an application ended in the middle of an answer without a length, and its part came as a whole answer; for an order the part was recorded as the outcome and returned to each repetition.

Cause: such an answer ends where its connection ends.

Change: toucandispatch asks an EndChecker (Pool.HasEnded) at the end of an answer without a length; the outcome of an order is then unknown.

Answers with a length, to HEAD, and of an application that lives are delivered as before.

--- a/toucandev/dev.go
+++ b/toucandev/dev.go
@@ -32,6 +32,7 @@
 	"toucanport/toucansidecar"
 	"toucanport/toucanstream"
 	"toucanport/toucantls"
+	"toucanport/toucanupstream"
 )
 
 // loopback is the listen address of all listeners except the first entry's callers' listener. The operating system
@@ -205,6 +206,7 @@
 	if service.Kind == toucansettings.KindPlain {
 		cfg.ServiceURL = url
 		cfg.ServiceTransport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
+		cfg.ServiceEnds = toucanupstream.NewPool()
 		s.startService(ctx, ln)
 		s.startClaims(ctx, cfg)
 		return nil
--- a/toucandispatch/call.go
+++ b/toucandispatch/call.go
@@ -20,18 +20,36 @@
 // MaxCallBytes is the maximum size of the body of a plain service's answer.
 const MaxCallBytes = 8 << 20
 
+// errEndedWithEndpoint means that an answer without a length ended because its endpoint did.
+var errEndedWithEndpoint = errors.New("answer without length ended with its endpoint")
+
+// EndChecker tells whether endpoints have ended. *toucanupstream.Pool implements it.
+type EndChecker interface {
+	// HasEnded reports whether the endpoint at an address has ended. It tells nothing if ctx ends first.
+	HasEnded(ctx context.Context, address string) bool
+}
+
 // Dispatcher sends calls to one application instance. It is safe for concurrent use.
 type Dispatcher struct {
 	http *http.Client
 	url  string
+	// ends checks answers without a length, which end with their connections; nil for no check.
+	ends EndChecker
 	// orders claims orders in the store; if nil, orders with an idempotency key are refused.
 	orders Orders
 	log    *slog.Logger
 }
 
+// Option changes a Dispatcher that is being created.
+type Option func(*Dispatcher)
+
+// WithEndChecker makes the dispatcher check whether the instance has ended when an answer without a length ends, as such an answer is not
+// whole then.
+func WithEndChecker(ends EndChecker) Option { return func(d *Dispatcher) { d.ends = ends } }
+
 // New returns a dispatcher for the application instance at url. orders may be nil.
-func New(url string, transport http.RoundTripper, orders Orders, log *slog.Logger) *Dispatcher {
-	return &Dispatcher{
+func New(url string, transport http.RoundTripper, orders Orders, log *slog.Logger, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
 		http: &http.Client{
 			Transport: toucanupstream.CheckStatus(transport),
 			CheckRedirect: func(*http.Request, []*http.Request) error {
@@ -42,6 +60,10 @@
 		orders: orders,
 		log:    log,
 	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 func (d *Dispatcher) send(ctx context.Context, call *toucanwire.Call) (*toucanwire.CallResponse, error) {
@@ -66,9 +88,25 @@
 	if len(body) > MaxCallBytes {
 		return nil, errors.Errorf("answer is over the bound of %d bytes", MaxCallBytes)
 	}
+	if err := d.checkEnd(ctx, req, resp); err != nil {
+		return nil, err
+	}
 	return &toucanwire.CallResponse{Status: uint32(resp.StatusCode), Headers: toucanwire.EndToEndHeaders(resp.Header), Body: body}, nil
 }
 
+// checkEnd returns an error if an answer that was read to its end is not whole as far as can be told: it has no length, so that the end of
+// its connection is its end, and its endpoint has ended too.
+func (d *Dispatcher) checkEnd(ctx context.Context, req *http.Request, resp *http.Response) error {
+	framed := req.Method == http.MethodHead || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if framed || d.ends == nil {
+		return nil
+	}
+	if d.ends.HasEnded(ctx, req.URL.Host) {
+		return errEndedWithEndpoint
+	}
+	return ctx.Err() // A check that was ended tells nothing.
+}
+
 // headerName returns the name of an idempotency header in lower case, and any other name unchanged. The transport would
 // treat a POST with such a header in canonical form as idempotent, and could resend it if it has no body. HTTP header
 // names are not case-sensitive, so the endpoint sees the same header.
--- a/toucaninstance/sidecar.go
+++ b/toucaninstance/sidecar.go
@@ -22,6 +22,7 @@
 	"toucanport/toucanstore"
 	"toucanport/toucanstream"
 	"toucanport/toucantls"
+	"toucanport/toucanupstream"
 )
 
 // endpointConnections is the maximum number of idle connections to the endpoint.
@@ -115,6 +116,7 @@
 		out.Kind = toucansettings.KindPlain
 		out.ServiceURL = "http://" + cfg.Application.String()
 		out.ServiceTransport = transport(endpointConnections)
+		out.ServiceEnds = toucanupstream.NewPool()
 		return out
 	}
 	out.Kind = toucansettings.KindGeneration
--- a/toucansidecar/sidecar.go
+++ b/toucansidecar/sidecar.go
@@ -64,6 +64,8 @@
 	// ServiceURL and ServiceTransport reach the application instance of a plain service.
 	ServiceURL       string
 	ServiceTransport http.RoundTripper
+	// ServiceEnds checks answers of a plain service without a length, which end with their connections; nil for no check.
+	ServiceEnds toucandispatch.EndChecker
 	// Orders claims the orders of plain services in the store; if nil, orders with an idempotency key are refused.
 	Orders toucandispatch.Orders
 	// Policy overrides the admission policy of the service's settings; if nil, the settings determine the policy.
@@ -156,7 +158,7 @@
 	}
 	s.engine = toucanmetric.NewEngine(cfg.Scope)
 	s.schedule = toucanschedule.New(initialPolicy(cfg), s.startGeneration, s.expireGeneration)
-	s.dispatcher = toucandispatch.New(cfg.ServiceURL, cfg.ServiceTransport, cfg.Orders, s.log)
+	s.dispatcher = toucandispatch.New(cfg.ServiceURL, cfg.ServiceTransport, cfg.Orders, s.log, toucandispatch.WithEndChecker(cfg.ServiceEnds))
 	return s
 }
 
