toucandispatch: a call that the transport made again out of sight may have run

What callers of the product's own entries saw: "ran: no" for a GET that the application had read and may have run.

Cause: net/http makes a GET again on a new connection if its kept one breaks. If nothing listened any more, the error of the second call was that of a dial, which callRefusal believed for the first one too.

Change: send notes whether a connection was obtained; after that no error of a dial proves that the call was not sent. Methods that the transport repeats only if nothing was written are told apart as before.

--- a/toucandispatch/call.go
+++ b/toucandispatch/call.go
@@ -9,7 +9,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -23,6 +25,9 @@
 // errEndedWithEndpoint means that an answer without a length ended because its endpoint did.
 var errEndedWithEndpoint = errors.New("answer without length ended with its endpoint")
 
+// errMaybeSent means that no answer came to a call which may have reached the endpoint.
+var errMaybeSent = errors.New("call may have reached the endpoint")
+
 // EndChecker tells whether endpoints have ended. *toucanupstream.Pool implements it.
 type EndChecker interface {
 	// HasEnded reports whether the endpoint at an address has ended. It tells nothing if ctx ends first.
@@ -67,6 +72,7 @@
 }
 
 func (d *Dispatcher) send(ctx context.Context, call *toucanwire.Call) (*toucanwire.CallResponse, error) {
+	ctx, mayHaveSent := traceSends(ctx, call.Method)
 	req, err := http.NewRequestWithContext(ctx, call.Method, d.url+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
@@ -77,6 +83,9 @@
 		req.Header[headerName(h.Name)] = h.Values
 	}
 	resp, err := d.http.Do(req)
+	if err != nil && mayHaveSent() {
+		return nil, errors.Wrap(errMaybeSent, err.Error())
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -94,6 +103,19 @@
 	return &toucanwire.CallResponse{Status: uint32(resp.StatusCode), Headers: toucanwire.EndToEndHeaders(resp.Header), Body: body}, nil
 }
 
+// traceSends returns a context for a call, and a function that reports whether the call may have been sent. The transport makes a call that is
+// idempotent by its method again out of sight; any other only if nothing of it was written.
+func traceSends(ctx context.Context, method string) (context.Context, func() bool) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+	default:
+		trace.GetConn = func(string) { connected.Store(false) }
+	}
+	return httptrace.WithClientTrace(ctx, trace), connected.Load
+}
+
 // checkEnd returns an error if an answer that was read to its end is not whole as far as can be told: it has no length, so that the end of
 // its connection is its end, and its endpoint has ended too.
 func (d *Dispatcher) checkEnd(ctx context.Context, req *http.Request, resp *http.Response) error {
--- a/toucandispatch/call_test.go
+++ b/toucandispatch/call_test.go
@@ -86,3 +86,24 @@
 		})
 	}
 }
+
+// TestRepeatedCallThatFindsNoApplicationMayHaveRun guards against a refusal that says "not run" although it may not be true: the transport makes a GET
+// again out of sight when its kept connection breaks, and the second call finds that nothing listens.
+func TestRepeatedCallThatFindsNoApplicationMayHaveRun(t *testing.T) {
+	url := application(t, func(l net.Listener, c net.Conn, n int) bool {
+		if n > 1 {
+			_ = l.Close() // The second request was read, and may have run.
+			return false
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") // A call without an answer fails the test.
+		return true
+	})
+	d := New(url, &http.Transport{}, nil, slog.New(slog.DiscardHandler))
+	get := &toucanwire.Call{Method: http.MethodGet, Path: "/cuts"}
+	_, refusal := d.Dispatch(t.Context(), get)
+	assert.Assert(t, refusal == nil)
+	_, refusal = d.Dispatch(t.Context(), get)
+	assert.Equal(t, refusal.GetRan(), toucanwire.RanUnknown)
+	_, refusal = d.Dispatch(t.Context(), get)
+	assert.Equal(t, refusal.GetRan(), toucanwire.RanNo)
+}
