--- a/review/.rig3/main.go
+++ b/review/.rig3/main.go
@@ -23,6 +23,7 @@
 	machines     []*machine
 	engines      []*engine
 	models       []*modelEngine
+	plans        []*planEngine
 	// trouble is false if the case is to be played without its disruption.
 	trouble bool
 	began   time.Time
@@ -53,6 +54,7 @@
 	}{
 		"unread": {playUnread, cordeau},
 		"twice":  {playTwice, kahawai},
+		"early":  {playEarly, cordeau},
 	}
 	p, ok := plays[os.Args[1]]
 	if !ok {
--- a/review/.rig3/memory.go
+++ b/review/.rig3/memory.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -61,48 +64,76 @@
 	return n
 }
 
+const (
+	// unreadClients is the number of clients that nobody controls, at each of the machines to which they come.
+	unreadClients = 250
+	// uploads and uploadBytes are the requests that each of them sends first on its connection, inside MaxBodyBytes, and whose answers it
+	// reads. The kernel grows the receive buffer of a connection that brings much.
+	uploads, uploadBytes = 3, 1 << 20
+)
+
 // playUnread: clients that nobody controls send requests one after the other on their connections, and read no answer.
 func playUnread(r *rig) bool {
-	const clients = 1500
 	r.deploy(3)
 	for _, m := range r.machines {
 		m.countsUnread = true
 	}
+	body := strings.Repeat("x", uploadBytes)
 	text := []byte(strings.Repeat("GET /none/7 HTTP/1.1\r\nHost: "+host+"\r\nAttempt-Id: c0\r\n\r\n", 200))
-	return r.playMemory(fmt.Sprintf("%d clients that nobody controls each send requests on one connection and read no answer", clients),
-		func(m *machine, stop <-chan struct{}) {
-			var all sync.WaitGroup
-			for range clients {
-				all.Go(func() {
-					for fill(m.callers, text, stop) {
-						time.Sleep(20 * time.Millisecond)
+	what := fmt.Sprintf("%d clients that nobody controls each send %d requests with a body of %d bytes on one connection, and then small ones without reading an answer",
+		unreadClients, uploads, uploadBytes)
+	return r.playMemory(what, func(m *machine, stop <-chan struct{}) {
+		var all sync.WaitGroup
+		for range unreadClients {
+			all.Go(func() {
+				for {
+					r.fill(m, body, text, stop)
+					select {
+					case <-stop:
+						return
+					case <-time.After(50 * time.Millisecond):
 					}
-				})
-				time.Sleep(time.Millisecond)
-			}
-			all.Wait()
-		})
+				}
+			})
+			time.Sleep(2 * time.Millisecond)
+		}
+		all.Wait()
+	})
 }
 
-// fill sends on a new connection until it ends, and reads nothing. It returns false once stop is closed.
-func fill(address string, text []byte, stop <-chan struct{}) bool {
-	conn, err := net.DialTimeout("tcp", address, connectTime)
-	if err == nil {
-		defer func() { _ = conn.Close() }()
+// fill uploads on a new connection, and then sends text until the connection ends or stop is closed, and reads nothing more.
+func (r *rig) fill(m *machine, body string, text []byte, stop <-chan struct{}) {
+	conn, err := net.DialTimeout("tcp", m.callers, connectTime)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(4096) // Smaller answers are enough then.
 	}
-	for {
+	answers := bufio.NewReader(conn)
+	for range uploads {
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second)) // What follows fails too if it does.
+		_, err := fmt.Fprintf(conn, "POST /order/7 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+			host, r.nextID('c'), r.site.orderMs, callerKey, len(body), body)
+		if err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			return
+		}
+	}
+	for err == nil || os.IsTimeout(err) {
 		select {
 		case <-stop:
-			return false
+			return
 		default:
 		}
-		if err != nil && !os.IsTimeout(err) {
-			return true
-		}
-		if conn == nil {
-			return true
-		}
-		_ = conn.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)) // The write fails too if it does.
+		_ = conn.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)) // As above.
 		_, err = conn.Write(text)
 	}
 }
--- a/review/.rig3/site.go
+++ b/review/.rig3/site.go
@@ -67,10 +67,12 @@
 			route("r-order", "/order/", "unsafe", "orders", r.site.orderMs, 150),
 			route("r-status", "/status/", "safe", "orders", r.site.orderMs, 150),
 			brief,
+			route("r-plan", "/plan/", "streaming", "plans", planMs, 1800),
 		},
 		"Services": []any{
 			map[string]any{"Name": "orders", "HealthPath": "/health", "MaxConnections": 110},
 			engines,
+			map[string]any{"Name": "plans", "HealthPath": "/health", "MaxConnections": 372},
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []any{
@@ -104,7 +106,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	r.record("site %s: %d front machines of %d MB are ready, %d engines", r.site.name, n, r.site.memoryMb, len(r.engines)+len(r.models))
+	r.record("site %s: %d front machines of %d MB are ready, %d engines", r.site.name, n, r.site.memoryMb, len(r.engines)+len(r.models)+len(r.plans))
 }
 
 // heartbeat is HeartbeatMs.
@@ -117,6 +119,9 @@
 		for _, e := range r.engines {
 			_ = r.store.Set("servers/"+e.id, e.entry(n)) // It does not fail for these values.
 		}
+		for _, e := range r.plans {
+			_ = r.store.Set("servers/"+e.id, e.entry(n)) // As above.
+		}
 		for _, e := range r.models {
 			_ = r.store.Set("servers/"+e.id, e.entry(n)) // As above.
 		}
