--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -237,6 +237,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	_ = http.NewResponseController(w).SetWriteDeadline(j.deadline) // Not every writer has deadlines.
 	if refusal := s.readBody(ctx, j); refusal != nil {
 		s.refuse(j, *refusal)
 		return
--- a/toucanhead/conn.go
+++ b/toucanhead/conn.go
@@ -54,14 +54,18 @@
 	timedOut bool
 	// spent is true if the answer was sent before the end of the body and the server waits for another request.
 	spent bool
-	// lingers is true once what the caller still sends is discarded.
+	// lingers is true once the server has closed the connection and it is kept until the caller has sent or read the rest.
 	lingers bool
+	// abortive is true if Close resets the connection.
+	abortive bool
 	// hijacked is true once the connection is the handler's, so that the server does not act on it any more.
 	hijacked bool
 	// early holds bytes that the server read before it said how long the body is.
 	early []byte
 	// retired is true from the time at which the connection is to end unless bytes arrive, until they do.
 	retired bool
+	// bounded is true while the answer has a deadline.
+	bounded bool
 	// pending holds bytes that were read from the caller and not yet passed on. They lie in buffer.
 	pending, buffer []byte
 }
@@ -228,6 +232,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	c.unboundWrites()
 	switch c.phase {
 	case phaseUnknown:
 		return // The next head is whole already, and counts as in service.
@@ -256,6 +261,9 @@
 
 // SetLinger sets what happens to unsent bytes at Close, as net.TCPConn does. It has no effect on other connections.
 func (c *Conn) SetLinger(sec int) error {
+	c.mu.Lock()
+	c.abortive = sec == 0
+	c.mu.Unlock()
 	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		return tcp.SetLinger(sec)
 	}
@@ -263,8 +271,8 @@
 }
 
 // Close implements net.Conn. If the answer came before the end of the request, the connection stays open until the caller has sent the
-// rest, within bounds, since a close resets it and the caller loses the answer. While Gate.Shutdown spares connections, Close only ends
-// the wait for a head.
+// rest, within bounds, since a close resets it and the caller loses the answer; likewise until the caller has read the answer. While
+// Gate.Shutdown spares connections, Close only ends the wait for a head.
 func (c *Conn) Close() error {
 	if c.lingerOn() {
 		return nil
@@ -273,6 +281,9 @@
 		c.retire()
 		return nil
 	}
+	if c.deliverOn() {
+		return nil
+	}
 	return c.end()
 }
 
@@ -309,7 +320,7 @@
 	if why == ReasonTooLarge {
 		answer = answerTooLarge
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(refusalTime)) // The write fails too if it does.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) // The write fails too if it does.
 	if _, err := io.WriteString(c.Conn, answer); err != nil {
 		return
 	}
--- a/toucanhead/gate.go
+++ b/toucanhead/gate.go
@@ -254,14 +254,24 @@
 	}
 }
 
-// evict closes connections that were taken out. The next Read of their servers fails.
-func (g *Gate) evict(victims []victim) {
+// evict closes connections that were taken out at once. The next Read of their servers fails.
+func (g *Gate) evict(victims []victim) { g.close(victims, closeNow) }
+
+func (g *Gate) close(victims []victim, closeConn func(net.Conn) error) {
 	for _, v := range victims {
-		_ = v.conn.Conn.Close() // The server closes it again.
+		_ = closeConn(v.conn.Conn) // The server closes it again.
 		g.tell(Event{Reason: v.why})
 	}
 }
 
+// closeNow closes a connection whose caller has little time for what is in flight, if the connection can tell the kernel so.
+func closeNow(c net.Conn) error {
+	if now, ok := c.(interface{ CloseNow() error }); ok {
+		return now.CloseNow()
+	}
+	return c.Close()
+}
+
 // begin records that the first byte of a head arrived. It returns false if the connection has been closed.
 func (g *Gate) begin(c *Conn) bool {
 	g.mu.Lock()
--- a/toucanhead/linger.go
+++ b/toucanhead/linger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"toucanport/toucanwait"
@@ -35,10 +36,11 @@
 		victims = append(victims, g.takeFirst(victim{g.lingering.front, ReasonLingering}))
 	}
 	g.mu.Unlock()
-	g.evict(victims)
+	g.close(victims, net.Conn.Close)
 }
 
-// countLingering returns the number of connections whose requests are answered and whose bodies are still read.
+// countLingering returns the number of connections whose requests are answered and whose bodies are still read, or whose answers are still
+// delivered.
 func (g *Gate) countLingering() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -94,14 +96,19 @@
 	c.lingers = true
 	c.held.Release()
 	c.mu.Unlock()
+	c.endWrites()
+	go c.discard()
+	return true
+}
+
+// endWrites ends what is sent to the caller.
+func (c *Conn) endWrites() {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite() // The caller may have closed the connection.
 	}
-	go c.discard()
-	return true
 }
 
-// isLingering reports whether what the caller still sends is discarded.
+// isLingering reports whether the connection is kept after the server closed it.
 func (c *Conn) isLingering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/toucanlog/names.go
+++ b/toucanlog/names.go
@@ -65,6 +65,7 @@
 
 	// Events of the process itself.
 
+	MsgCallerDead          = "connection of a caller ended, who acknowledges nothing"
 	MsgCallerRefused       = "callers refused before their requests were parsed"
 	MsgClosingConnections  = "closing the connections of callers"
 	MsgConditionalRefused  = "store refuses conditional reads, reading large settings whole"
@@ -145,10 +146,13 @@
 	PaceCost        = "paceCost"
 	PauseForecastMs = "pauseForecastMs"
 	PauseBoundMs    = "pauseBoundMs"
+	Remote          = "remote"
+	SilenceMs       = "silenceMs"
 	StayCost        = "stayCost"
 	PaceKnown       = "paceKnown"
 	SameEndpoint    = "sameEndpoint"
 	Requests        = "requests"
+	UnackedBytes    = "unackedBytes"
 	Unread          = "unread"
 	Unfinished      = "unfinished"
 	UnreadBefore    = "unreadBefore"
@@ -189,6 +193,7 @@
 	UsedBytes       = "usedBytes"
 	Version         = "version"
 	WaitMs          = "waitMs"
+	WindowClosed    = "windowClosed"
 	Workspace       = "workspace"
 	WrittenBytes    = "writtenBytes"
 )
