--- a/toucanupstream/pool.go
+++ b/toucanupstream/pool.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"toucanport/toucankeepalive"
 )
 
 var (
@@ -32,11 +34,9 @@
 const (
 	// defaultDialTimeout is how long a host has to accept a connection.
 	defaultDialTimeout = 700 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the kernel drops the connection.
-	unackedTimeout    = 1500 * time.Millisecond
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 2
+	keepAliveIdle      = time.Second
+	keepAliveInterval  = 500 * time.Millisecond
+	keepAliveCount     = 2
 	// defaultIdleTimeout applies to endpoints that state no timeout. It is below the shortest known timeout of an
 	// endpoint.
 	defaultIdleTimeout = 4 * time.Second
@@ -55,6 +55,8 @@
 // Pool is a connection pool for endpoints. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
+	// monitor ends the connections to dead hosts.
+	monitor *toucankeepalive.Monitor
 	// endWait is how long HasEnded watches a connection that was accepted.
 	endWait time.Duration
 
@@ -109,10 +111,9 @@
 	return func(p *Pool) { p.dialer.Timeout = d }
 }
 
-// WithUnackedTimeout sets how long sent bytes may stay unacknowledged, or the peer read nothing, before the kernel drops the connection. The
-// default is 1.5 s.
+// WithUnackedTimeout sets how long sent bytes may stay without any acknowledgement before the connection is ended. The default is 1.5 s.
 func WithUnackedTimeout(d time.Duration) Option {
-	return func(p *Pool) { p.dialer.Control = unackedControl(d) }
+	return func(p *Pool) { p.monitor = toucankeepalive.New(toucankeepalive.WithTimeout(d)) }
 }
 
 // NewPool returns an empty pool.
@@ -120,6 +121,7 @@
 	p := &Pool{
 		peers:   make(map[string]*peer),
 		endWait: defaultEndWait,
+		monitor: toucankeepalive.New(),
 		dialer: net.Dialer{
 			Timeout: defaultDialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -128,35 +130,15 @@
 				Interval: keepAliveInterval,
 				Count:    keepAliveCount,
 			},
-			Control: SetUnackedTimeout,
 		},
 	}
 	for _, o := range options {
 		o(p)
 	}
+	p.dialer.Control = p.monitor.Control
 	return p
 }
 
-// SetUnackedTimeout makes the kernel drop a connection whose sent bytes stay unacknowledged for unackedTimeout. It is
-// used as the Control function of a net.Dialer or net.ListenConfig.
-func SetUnackedTimeout(network, address string, c syscall.RawConn) error {
-	return unackedControl(unackedTimeout)(network, address, c)
-}
-
-// unackedControl returns a Control function that makes the kernel drop a connection whose sent bytes stay unacknowledged for d.
-func unackedControl(d time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}
-}
-
 // Open returns the number of all connections, including those being dialed.
 func (p *Pool) Open() int { return int(p.total.Load()) }
 
@@ -182,6 +164,7 @@
 		}
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", address, err)
 	}
+	raw = p.monitor.Watch(raw)
 	watched := &resetConn{Conn: raw}
 	head := &headLimit{r: watched, left: noHeadLimit}
 	return &conn{
