--- /dev/null
+++ b/toucanbubble/norace.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package toucanbubble
+
+// raceEnabled is true in a build with the race detector.
+const raceEnabled = false
--- a/toucanstoretest/contract.go
+++ b/toucanstoretest/contract.go
@@ -7,11 +7,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"toucanport/toucanbubble"
 	"toucanport/toucanstore"
 )
 
@@ -40,7 +40,7 @@
 // Contract runs every test case against a new, empty store. It calls newStore inside the synctest bubble of the
 // case.
 func Contract(t *testing.T, newStore func(t *testing.T) toucanstore.Store, opts ...Option) {
-	c := &contract{newStore: newStore, run: synctest.Test}
+	c := &contract{newStore: newStore, run: toucanbubble.Test}
 	for _, opt := range opts {
 		opt(c)
 	}
