--- a/toucanhead/stop.go
+++ b/toucanhead/stop.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"toucanport/toucanwait"
@@ -30,6 +31,9 @@
 	for g.openConnections() > 0 && toucanwait.Sleep(ctx, closedInterval) {
 	}
 	err := s.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // The server closes the listener once more if its loop has not seen that it is closed.
+	}
 	if g.endSpared() > 0 && err == nil {
 		err = ctx.Err()
 	}
--- a/toucanhead/stop_test.go
+++ b/toucanhead/stop_test.go
@@ -122,6 +122,41 @@
 	return c
 }
 
+// lateListener is a listener whose Accept tells of its start, and returns only when Close was called.
+type lateListener struct {
+	net.Listener
+	accepting, closed chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	close(l.accepting)
+	c, err := l.Listener.Accept()
+	<-l.closed
+	return c, err
+}
+
+func (l lateListener) Close() error {
+	defer close(l.closed)
+	return l.Listener.Close()
+}
+
+// TestStopIsCleanBeforeTheServerHasSeenItsListenerClosed guards against a graceful stop that ends with the error "use of closed network
+// connection", because the server closes the closed listener again.
+func TestStopIsCleanBeforeTheServerHasSeenItsListenerClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	late := lateListener{Listener: ln, accepting: make(chan struct{}), closed: make(chan struct{})}
+	gate := New(Limits{HeadBytes: func() int { return headLimit }, MemoryBytes: 1 << 20}, func(Event) {})
+	s := &http.Server{ReadHeaderTimeout: waitLimit}
+	gate.Attach(s)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(gate.Listen(late)) }()
+	<-late.accepting
+	assert.NilError(t, ln.Close())
+	assert.NilError(t, gate.Shutdown(t.Context(), s))
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+}
+
 // TestRequestReadBeforeAStopIsAnswered guards against a request that is cut without an answer in a stop, because its bytes were read and not
 // yet parsed (LOST): the connection counts as idle.
 func TestRequestReadBeforeAStopIsAnswered(t *testing.T) {
