--- a/toucanentry/call.go
+++ b/toucanentry/call.go
@@ -153,7 +153,7 @@
 		if endedByStop(ctx) {
 			return nil, stoppingFailure(&progress{mayHaveRun: mayHaveRun})
 		}
-		ep, err := e.cfg.Router.Pick(time.Now(), query)
+		ep, err := e.pick(ctx, query, deadline)
 		if err != nil {
 			return nil, e.noEndpoint(err, &progress{mayHaveRun: mayHaveRun})
 		}
--- a/toucanentry/dispatch.go
+++ b/toucanentry/dispatch.go
@@ -78,7 +78,7 @@
 		if endedByStop(ctx) {
 			return result{}, prog, stoppingFailure(prog)
 		}
-		ep, err := e.cfg.Router.Pick(time.Now(), r.query)
+		ep, err := e.pick(ctx, r.query, r.deadline)
 		if err != nil {
 			return result{}, prog, e.noEndpoint(err, prog)
 		}
