--- a/toucankeepalive/socket.go
+++ b/toucankeepalive/socket.go
@@ -17,6 +17,8 @@
 	// socket set, and kernelProbeInterval the longest time where it does not.
 	maxProbeInterval    = time.Second
 	kernelProbeInterval = 120 * time.Second
+	// stateClosed is the state of a connection that has ended, as the kernel numbers it.
+	stateClosed = 7
 )
 
 // socket has the calls to the kernel for one connection.
@@ -84,9 +86,6 @@
 
 // tellsAcks reports whether the kernel tells when acknowledgements come: one that does counts the segments that it received, of which an open
 // connection has at least one.
-// stateClosed is the state of a connection that has ended, as the kernel numbers it.
-const stateClosed = 7
-
 func tellsAcks(info *unix.TCPInfo) bool { return info.Segs_in > 0 }
 
 // isClosed reports whether an error means that the connection was closed by this process.
