--- a/toucanforward/resend.go
+++ b/toucanforward/resend.go
@@ -163,6 +163,32 @@
 	return b.source.Address, "", nil
 }
 
+// lostAnswer returns the description of a request whose endpoint failed before its answer began and may still run it; nil if it does not.
+func lostAnswer(e toucanplace.Endpoint, f *toucanrefusal.Failure) *brokenStream {
+	if f.NotRun || errors.Is(f.Err, errEndpointFailed) {
+		return nil
+	}
+	return &brokenStream{brokenAt: time.Now(), cause: f.Err, source: &e, failure: f}
+}
+
+// stopLost stops a request at the endpoint that lost its answer, before the reserved endpoint runs it from its beginning. On an error it has
+// released the reservation, and the request must not run elsewhere.
+func (s *Server) stopLost(ctx context.Context, j *job, lost *brokenStream, reservation *toucanplace.Reservation) error {
+	j.lateStops.End(reservation.Endpoint.Address)
+	if lost == nil {
+		return nil
+	}
+	source, handle, err := s.stopBroken(ctx, j, *lost, reservation.Endpoint)
+	if err != nil {
+		reservation.Done(time.Now(), toucanplace.OutcomeNeutral)
+		return err
+	}
+	if handle != "" {
+		toucanlatestop.Drop(ctx, s.mover, source, handle, s.log) // The caller has nothing yet, so that nothing has to go on.
+	}
+	return nil
+}
+
 // hasEndpointFor reports whether an endpoint is left for another attempt. If the only one has broken a resumable stream, it may get the rest
 // of it, once, as a connection can break while its endpoint is sound.
 func (s *Server) hasEndpointFor(j *job) bool {
--- a/toucanforward/server.go
+++ b/toucanforward/server.go
@@ -273,12 +273,17 @@
 // runAttempts makes attempts until one succeeds or no further one is allowed, and delivers the result.
 func (s *Server) runAttempts(ctx context.Context, j *job) {
 	var endpointAnswer *answer
+	var lost *brokenStream
 	for {
 		reservation, err := s.place(ctx, j)
 		if err != nil {
 			s.deliverFailure(ctx, j, endpointAnswer, toucanrefusal.OfPlacement(ctx, err, j.maybeRun > 0, s.delayFor(j, err)))
 			return
 		}
+		if err := s.stopLost(ctx, j, lost, reservation); err != nil {
+			s.deliverFailure(ctx, j, endpointAnswer, lost.failure.Refusal(ctx, true, s.deferredFor(j)))
+			return
+		}
 		got, failure := s.attempt(ctx, j, reservation)
 		if failure == nil {
 			s.deliver(ctx, j, got)
@@ -291,6 +296,7 @@
 			s.deliverFailure(ctx, j, endpointAnswer, failure.Refusal(ctx, j.maybeRun > 0, s.deferredFor(j)))
 			return
 		}
+		lost = lostAnswer(reservation.Endpoint, failure)
 	}
 }
 
