toucanplace: a shorter Retry-After takes no longer one back (BUDGET)

Cause: Placer.Defer kept the newest end. Change: it keeps the latest one; a new start of the endpoint has asked for nothing, as before. TestShorterDeferralTakesNoLongerOneBack, before: "19.1s != 20s".

--- a/toucanplace/avoid.go
+++ b/toucanplace/avoid.go
@@ -111,12 +111,15 @@
 	}
 }
 
-// Defer keeps this entry's requests away from an endpoint for a time, as the endpoint asked.
+// Defer keeps this entry's requests away from an endpoint for a time, as the endpoint asked. What it asked for before stands: an answer that
+// names a shorter time does not take a longer one back.
 func (p *Placer) Defer(now time.Time, id string, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s, ok := p.endpoints[id]; ok {
-		s.deferredUntil = now.Add(min(d, maxDeferral))
+		if end := now.Add(min(d, maxDeferral)); end.After(s.deferredUntil) {
+			s.deferredUntil = end
+		}
 	}
 }
 
--- a/toucanplace/placer_test.go
+++ b/toucanplace/placer_test.go
@@ -39,6 +39,19 @@
 	assert.Equal(t, p.DeferredFor(now, "s"), time.Duration(0))
 }
 
+// TestShorterDeferralTakesNoLongerOneBack guards against requests to an endpoint in a time for which it wants none (BUDGET): an answer to a
+// request in flight names the end of that time in whole seconds, rounded down.
+func TestShorterDeferralTakesNoLongerOneBack(t *testing.T) {
+	now := time.Now()
+	p := NewPlacer("z")
+	p.SetEndpoints([]Endpoint{{ID: "a", Service: "s", Slots: 4, MemoryTokens: 1000, StartMillis: 1}})
+	p.Defer(now, "a", 20*time.Second)
+	p.Defer(now.Add(100*time.Millisecond), "a", 19*time.Second)
+	assert.Equal(t, p.DeferredFor(now, "s"), 20*time.Second)
+	p.Defer(now.Add(2*time.Second), "a", 20*time.Second)
+	assert.Equal(t, p.DeferredFor(now, "s"), 22*time.Second)
+}
+
 // TestLeavingWordHoldsForIncarnation checks that an endpoint that said that it drains is not used again when it is listed
 // anew, until it starts again.
 func TestLeavingWordHoldsForIncarnation(t *testing.T) {
