platform: retries in a window of the settings keep their bound (BUDGET)

Cause: a request earns half of what the settings allow, since retries that were earned before a window are spent in it too. But earned retries decayed with a constant of 20 s, twice the window, so that three halves could be spent. The product's own entries keep theirs, whose bound is for a minute. Weighed: counting in a sliding window; exact, but it keeps a count for each part of the window and service.

--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -11,10 +11,10 @@
 const (
 	defaultFraction = 0.1
 	defaultReserve  = 3
-	// earnedTimeConstant is the time constant of the exponential decay of earned retries. At a steady rate, the retries
-	// earned in this time are available when an endpoint fails with requests on it. In any minute, retries are then at
-	// most 0.1 + 0.1/3 per request plus the reserve, which is below 0.2 per request from one request per second on.
-	earnedTimeConstant = 20 * time.Second
+	// defaultDecay is the time constant of the exponential decay of earned retries. At a steady rate, the retries earned in
+	// this time are available when an endpoint fails with requests on it. In any minute, retries are then at most
+	// 0.1 + 0.1/3 per request plus the reserve, which is below 0.2 per request from one request per second on.
+	defaultDecay = 20 * time.Second
 	// reserveRefill is the time in which an empty reserve fills up. The reserve lets services with few requests retry.
 	reserveRefill = 5 * time.Minute
 )
@@ -23,6 +23,7 @@
 // concurrent use.
 type Budget struct {
 	fraction float64
+	decay    time.Duration
 
 	mu sync.Mutex
 	// reserve bounds the reserve of each account.
@@ -33,7 +34,7 @@
 
 // account holds the retries that are available to one service.
 type account struct {
-	// earned is the number of retries earned by requests. It decays with earnedTimeConstant.
+	// earned is the number of retries earned by requests, which decays.
 	earned float64
 	// reserve is between 0 and the budget's reserve.
 	reserve float64
@@ -46,12 +47,16 @@
 // WithFraction sets the number of retries, usually below 1, that each request earns.
 func WithFraction(f float64) BudgetOption { return func(b *Budget) { b.fraction = f } }
 
+// WithDecay sets the time constant of the exponential decay of earned retries. The retries in any window of that length are then at most
+// twice those that its requests earn at a steady rate, plus the reserve.
+func WithDecay(d time.Duration) BudgetOption { return func(b *Budget) { b.decay = d } }
+
 // WithReserve sets the number of retries that a service can make without having earned them.
 func WithReserve(n int) BudgetOption { return func(b *Budget) { b.reserve = float64(n) } }
 
 // NewBudget returns a budget in which each service starts with a full reserve.
 func NewBudget(opts ...BudgetOption) *Budget {
-	b := &Budget{fraction: defaultFraction, reserve: defaultReserve, accounts: make(map[string]*account)}
+	b := &Budget{fraction: defaultFraction, decay: defaultDecay, reserve: defaultReserve, accounts: make(map[string]*account)}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -127,7 +132,7 @@
 		return a
 	}
 	if elapsed := now.Sub(a.updated).Seconds(); elapsed > 0 {
-		a.earned *= math.Exp(-elapsed / earnedTimeConstant.Seconds())
+		a.earned *= math.Exp(-elapsed / b.decay.Seconds())
 		a.reserve = min(b.reserve, a.reserve+b.reserve*elapsed/reserveRefill.Seconds())
 		a.updated = now
 	}
